--- /dev/null
+++ b/crates/delivery/src/lib.rs
@@ -0,0 +1,145 @@
+//! The traffic plane: what the carrier program is made of.
+
+pub mod budget;
+pub mod place;
+pub mod pool;
+pub mod serve;
+pub mod sight;
+
+use pouch::constants as k;
+use pouch::log::Event;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum DeliveryProblem {
+    /// {0}: not in the settings, which a carrier needs
+    ParamMissing(&'static str),
+    /// cannot listen at {0}: {1}
+    Listen(std::net::SocketAddr, std::io::ErrorKind),
+}
+
+/// Counted in memory, written out now and then.
+#[derive(Default)]
+pub struct Counters {
+    pub taken: AtomicU64,
+    pub begun: AtomicU64,
+    pub refused: AtomicU64,
+    pub failed: AtomicU64,
+    pub resumed: AtomicU64,
+    pub again: AtomicU64,
+    pub sessions: AtomicU64,
+    pub parts_held: AtomicU64,
+    pub parts_missing: AtomicU64,
+}
+
+/// All state of a carrier. Lock order: table, engines, one engine's work, view; never two engines.
+pub struct Delivery {
+    pub node: pouch::node::Node,
+    pub log: slog::Logger,
+    params: parking_lot::RwLock<Arc<pouch::params::Params>>,
+    pub sight: sight::Sight,
+    pub budgets: budget::Budgets,
+    pub counters: Counters,
+    pub started: tokio::time::Instant,
+    ready: AtomicBool,
+    leaving: AtomicBool,
+    pub open: AtomicUsize,
+    closing: tokio::sync::watch::Sender<bool>,
+    dice: AtomicU64,
+}
+
+impl Delivery {
+    pub fn params(&self) -> Arc<pouch::params::Params> {
+        self.params.read().clone()
+    }
+
+    pub fn dice(&self) -> u64 {
+        let x = self.dice.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        pouch::node::stable_hash(&[&x.to_le_bytes()])
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let now = !self.leaving.load(Ordering::Relaxed) && self.sight.table().is_some();
+        if self.ready.swap(now, Ordering::Relaxed) != now {
+            pouch::note!(self.log, if now { Event::Ready } else { Event::Unready });
+        }
+        now
+    }
+
+    fn count_out(&self) {
+        let c = &self.counters;
+        let get = |a: &AtomicU64| a.load(Ordering::Relaxed);
+        pouch::note!(self.log, Event::Counters,
+            "taken" => get(&c.taken), "begun" => get(&c.begun), "refused" => get(&c.refused),
+            "failed" => get(&c.failed), "resumed" => get(&c.resumed), "again" => get(&c.again),
+            "sessions" => get(&c.sessions), "parts_held" => get(&c.parts_held),
+            "parts_missing" => get(&c.parts_missing));
+    }
+}
+
+/// Runs a carrier until it is told to stop.
+pub async fn run(
+    params: pouch::params::Params,
+    log: slog::Logger,
+    mut stop: tokio::sync::watch::Receiver<bool>,
+    mut reread: tokio::sync::mpsc::Receiver<pouch::params::Params>,
+) -> Result<(), DeliveryProblem> {
+    let front = params.front.ok_or(DeliveryProblem::ParamMissing("bindAddrs.frontHttp"))?;
+    let probe = params.readiness.ok_or(DeliveryProblem::ParamMissing("bindAddrs.readiness"))?;
+    let listen = |a| {
+        pouch::link::listen(a).map_err(|e: std::io::Error| DeliveryProblem::Listen(a, e.kind()))
+    };
+    let (front, probe) = (listen(front)?, listen(probe)?);
+    let node = pouch::node::Node::start(&params, pouch::node::Role::Carrier);
+    let d = Arc::new(Delivery {
+        dice: AtomicU64::new(node.life),
+        sight: sight::Sight::new(),
+        budgets: budget::Budgets::default(),
+        counters: Counters::default(),
+        started: tokio::time::Instant::now(),
+        ready: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
+        open: AtomicUsize::new(0),
+        closing: tokio::sync::watch::channel(false).0,
+        params: parking_lot::RwLock::new(Arc::new(params)),
+        node,
+        log: log.clone(),
+    });
+    let tasks = [
+        tokio::spawn(serve::probes(d.clone(), probe)),
+        tokio::spawn(sight::links::watching(d.clone())),
+        tokio::spawn(sight::purge::reading(d.clone())),
+        tokio::spawn(pool::sweeping(d.clone())),
+    ];
+    let accepting = tokio::spawn(serve::accepting(d.clone(), front));
+    pouch::note!(log, Event::Started, "life" => d.node.life);
+    let mut counted = tokio::time::interval(k::COUNTERS_PAUSE);
+    counted.tick().await;
+    loop {
+        tokio::select! {
+            _ = stop.wait_for(|s| *s) => break,
+            Some(p) = reread.recv() => *d.params.write() = Arc::new(p),
+            _ = counted.tick() => d.count_out(),
+        }
+    }
+    pouch::note!(log, Event::Stopping);
+    leave(&d, accepting).await;
+    d.count_out();
+    for t in tasks {
+        t.abort();
+    }
+    Ok(())
+}
+
+/// Unready at once, serving until the platform has noticed, then only what runs.
+async fn leave(d: &Arc<Delivery>, accepting: tokio::task::JoinHandle<()>) {
+    let end = tokio::time::Instant::now() + d.params().bounds.grace.saturating_sub(k::GRACE_MARGIN);
+    d.leaving.store(true, Ordering::Relaxed);
+    tokio::time::sleep(k::PROBES_MISSED).await;
+    accepting.abort();
+    d.closing.send_replace(true);
+    while d.open.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(k::ROLL_TICK).await;
+    }
+}
--- /dev/null
+++ b/crates/delivery/src/place/prompt.rs
@@ -0,0 +1,105 @@
+//! What a request says of its prompt; malformed parts are served without affinity.
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    pub id: u64,
+    pub tokens: u64,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Prompt {
+    pub model: Option<String>,
+    pub parts: Vec<PromptPart>,
+    pub read: u64,
+    pub put_out: u64,
+}
+
+fn text<'a>(h: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
+    h.get(name)?.to_str().ok().map(str::trim).filter(|t| !t.is_empty())
+}
+
+impl Prompt {
+    pub fn read(h: &http::HeaderMap) -> Prompt {
+        let parts = text(h, "x-prompt-prefix").and_then(read_parts).unwrap_or_default();
+        let count = text(h, "x-token-count").and_then(|t| {
+            let (a, b) = t.split_once(',')?;
+            Some((a.trim().parse::<u64>().ok()?, b.trim().parse::<u64>().ok()?))
+        });
+        let (read, put_out) = count.unwrap_or((0, 0));
+        const MOST: u64 = 1 << 32;
+        Prompt {
+            model: text(h, "x-model").map(str::to_owned),
+            parts,
+            read: read.min(MOST),
+            put_out: put_out.min(MOST),
+        }
+    }
+
+    /// The last part is the request's own; the one before it is the deepest that others share.
+    pub fn deepest_shared(&self) -> Option<u64> {
+        let n = self.parts.len().checked_sub(2)?;
+        self.parts.get(n).map(|p| p.id)
+    }
+
+    pub fn tokens(&self) -> u64 {
+        self.parts.iter().map(|p| p.tokens).sum()
+    }
+
+    pub fn burden(&self) -> u64 {
+        self.read.max(self.tokens()) + self.put_out
+    }
+}
+
+fn read_parts(t: &str) -> Option<Vec<PromptPart>> {
+    let mut out = Vec::new();
+    for p in t.split(',') {
+        let (id, tokens) = p.trim().split_once(':')?;
+        let tokens: u64 = tokens.parse().ok().filter(|n| *n < 1 << 32)?;
+        out.push(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens });
+    }
+    Some(out)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(pairs: &[(&'static str, &str)]) -> Prompt {
+        let mut h = http::HeaderMap::new();
+        for (n, v) in pairs {
+            h.insert(*n, http::HeaderValue::from_bytes(v.as_bytes()).unwrap());
+        }
+        Prompt::read(&h)
+    }
+
+    #[test]
+    fn reads_parts_in_order() {
+        let p = read(&[
+            ("x-model", "m"),
+            ("x-token-count", "1460,80"),
+            ("x-prompt-prefix", "5c:800,91:410,e4:250"),
+        ]);
+        assert_eq!(p.parts.len(), 3);
+        assert_eq!(p.deepest_shared(), Some(0x91));
+        assert_eq!((p.tokens(), p.burden()), (1460, 1540));
+    }
+
+    #[test]
+    fn malformed_parts_mean_no_affinity() {
+        for bad in
+            ["", "x", "5c", "5c:", ":5", "zz:4", "5c:-1", "5c:1,,", "5c:99999999999999999999"]
+        {
+            let p = read(&[("x-prompt-prefix", bad), ("x-token-count", bad)]);
+            assert!(p.parts.is_empty(), "{bad}");
+            assert_eq!(p.deepest_shared(), None);
+        }
+    }
+
+    proptest::proptest! {
+        #[test]
+        fn never_panics(a in "[ -~]{0,60}", b in "[0-9a-f:,]{0,60}") {
+            let p = read(&[("x-prompt-prefix", &b), ("x-token-count", &a), ("x-model", &a)]);
+            proptest::prop_assert!(p.burden() >= p.tokens());
+        }
+    }
+}
--- /dev/null
+++ b/crates/delivery/src/pool/mod.rs
@@ -0,0 +1,190 @@
+//! Engines as a carrier uses them: their burden, their rests, and the sessions to them.
+
+pub mod session;
+
+use pouch::constants as k;
+use pouch::wire::{Engine, Standing};
+use session::Idle;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What an engine told of itself with an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Told {
+    pub running: u32,
+    pub waiting: u32,
+    pub slots: u32,
+    pub at: Instant,
+}
+
+impl Told {
+    pub fn read(text: &str, at: Instant) -> Option<Told> {
+        let mut it = text.split(',').map(|x| x.trim().parse::<u32>());
+        let (Some(Ok(running)), Some(Ok(waiting)), Some(Ok(slots))) =
+            (it.next(), it.next(), it.next())
+        else {
+            return None;
+        };
+        Some(Told { running, waiting, slots, at })
+    }
+}
+
+#[derive(Default)]
+pub struct Work {
+    /// own sends that have no end yet
+    pub runs: u32,
+    /// tokens of own sends that have not begun
+    pub unread: u64,
+    /// tokens of own sends that have no end yet
+    pub tokens: u64,
+    idle: VecDeque<Idle>,
+    pub told: Option<Told>,
+    rest_until: Option<Instant>,
+    rest: Duration,
+}
+
+/// One instance of an engine.
+pub struct Seat {
+    pub id: String,
+    pub address: SocketAddr,
+    news: parking_lot::RwLock<Engine>,
+    work: parking_lot::Mutex<Work>,
+    /// connections open, used or not; outside the lock, for they also end under it
+    open: AtomicU32,
+}
+
+impl Seat {
+    pub fn new(e: &Engine) -> Option<Seat> {
+        Some(Seat {
+            id: e.id.clone(),
+            address: e.address.parse().ok()?,
+            news: parking_lot::RwLock::new(e.clone()),
+            work: parking_lot::Mutex::default(),
+            open: AtomicU32::new(0),
+        })
+    }
+
+    pub fn hear(&self, news: &Engine) {
+        pouch::fleet::merge(&mut self.news.write(), news);
+        if news.standing() == Standing::Gone {
+            self.work().idle.clear();
+        }
+    }
+
+    pub fn news(&self) -> parking_lot::RwLockReadGuard<'_, Engine> {
+        self.news.read()
+    }
+
+    /// Weights seen in an answer.
+    pub fn saw_weights(&self, model: &str, stamp: u64) {
+        if pouch::fleet::stamp_of(&self.news(), model).is_some_and(|s| s < stamp) {
+            pouch::fleet::raise(&mut self.news.write(), model, stamp);
+        }
+    }
+
+    pub fn work(&self) -> parking_lot::MutexGuard<'_, Work> {
+        self.work.lock()
+    }
+
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.work().rest_until.is_some_and(|t| now < t)
+    }
+
+    /// Broke a connection or let none come up: left alone for a while, longer each time.
+    pub fn broke(&self, now: Instant) {
+        let mut w = self.work();
+        if w.rest_until.is_some_and(|t| now < t) {
+            return;
+        }
+        w.rest = (w.rest * 2).clamp(k::ENGINE_REST, k::ENGINE_REST_MAX);
+        w.rest_until = Some(now + w.rest);
+    }
+
+    pub fn served(&self) {
+        let mut w = self.work();
+        w.rest = Duration::ZERO;
+        w.rest_until = None;
+    }
+
+    fn take_idle(&self, now: Instant) -> Option<Idle> {
+        let mut w = self.work();
+        while let Some(i) = w.idle.pop_front() {
+            if i.is_usable(now) {
+                return Some(i);
+            }
+        }
+        None
+    }
+
+    fn put_idle(&self, i: Idle) {
+        let mut w = self.work();
+        if w.idle.len() < k::IDLE_SESSIONS {
+            w.idle.push_back(i);
+        }
+    }
+
+    fn sweep(&self, now: Instant) {
+        self.work().idle.retain(|i| i.is_usable(now));
+    }
+}
+
+/// Closes connections that have been idle for long, and forgets engines long gone.
+pub async fn sweeping(d: std::sync::Arc<crate::Delivery>) {
+    let mut gone = hashbrown::HashMap::<String, Instant>::new();
+    loop {
+        tokio::time::sleep(k::IDLE_LIMIT / 4).await;
+        let now = Instant::now();
+        let seats: Vec<_> = d.sight.seats.read().values().cloned().collect();
+        for s in seats {
+            s.sweep(now);
+            if s.news().standing() == Standing::Gone {
+                gone.entry_ref(s.id.as_str()).or_insert(now);
+            }
+        }
+        let old: Vec<String> = gone
+            .extract_if(|_, at| now.duration_since(*at) > k::TOMBSTONE)
+            .map(|(id, _)| id)
+            .collect();
+        let mut seats = d.sight.seats.write();
+        for id in old {
+            seats.remove(&id);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn seat() -> Seat {
+        Seat::new(&Engine { id: "i".into(), address: "10.0.0.1:80".into(), ..Default::default() })
+            .unwrap()
+    }
+
+    #[test]
+    fn rests_grow_until_it_serves_again() {
+        let s = seat();
+        let t = Instant::now();
+        s.broke(t);
+        assert!(s.is_resting(t) && !s.is_resting(t + k::ENGINE_REST));
+        let t = t + k::ENGINE_REST;
+        s.broke(t);
+        assert!(s.is_resting(t + k::ENGINE_REST));
+        s.served();
+        assert!(!s.is_resting(t));
+        s.broke(t);
+        assert!(!s.is_resting(t + k::ENGINE_REST));
+    }
+
+    #[test]
+    fn malformed_burdens_tell_nothing() {
+        let t = Instant::now();
+        assert_eq!(Told::read("3, 1,8", t).unwrap().waiting, 1);
+        for bad in ["", "3,1", "a,b,c", "-1,0,8", "3;1;8"] {
+            assert!(Told::read(bad, t).is_none(), "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/delivery/src/sight/links.rs
@@ -0,0 +1,109 @@
+//! Links to the postmasters: views come in, signs of life go out.
+
+use crate::Delivery;
+use pouch::constants as k;
+use pouch::link::Link;
+use pouch::log::Event;
+use pouch::wire::{Alive, Body, Burden, ConfigValue, Fetch};
+use prost::Message;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+/// The postmasters to be linked with: the roster's, and the seeds while they may help.
+fn wanted(d: &Delivery) -> hashbrown::HashSet<Ipv4Addr> {
+    let mut out: hashbrown::HashSet<Ipv4Addr> =
+        d.sight.roster.lock().members.iter().filter_map(|m| m.addr()).collect();
+    let up = d.sight.links.lock().iter().filter(|(ip, l)| out.contains(*ip) && l.is_up()).count();
+    if up == 0 {
+        out.extend(d.params().seeds.iter().filter_map(|a| match a.ip() {
+            std::net::IpAddr::V4(ip) => Some(ip),
+            std::net::IpAddr::V6(_) => None,
+        }));
+    }
+    out
+}
+
+pub async fn watching(d: Arc<Delivery>) {
+    loop {
+        let want = wanted(&d);
+        {
+            let mut links = d.sight.links.lock();
+            links.retain(|ip, _| want.contains(ip));
+            for ip in want {
+                links.entry(ip).or_insert_with(|| {
+                    let (tx, rx) = tokio::sync::mpsc::channel(k::LINK_BACKLOG);
+                    let link = Link::keep(&d.node, d.params().peer_addr(ip.into()), Some(tx));
+                    tokio::spawn(hearing(d.clone(), Arc::downgrade(&link), rx));
+                    link
+                });
+            }
+        }
+        let links: Vec<Arc<Link>> = d.sight.links.lock().values().cloned().collect();
+        let alive = Alive {
+            stamp: d.sight.table().map_or(0, |t| t.stamp),
+            leaving: d.leaving.load(std::sync::atomic::Ordering::Relaxed),
+            burdens: burdens(&d),
+        };
+        for l in links {
+            let alive = alive.clone();
+            tokio::spawn(async move {
+                let _ = l.call(Body::Alive(alive), k::CARRIER_BEAT).await;
+            });
+        }
+        tokio::time::sleep(k::CARRIER_BEAT).await;
+    }
+}
+
+fn burdens(d: &Delivery) -> Vec<Burden> {
+    let seats = d.sight.seats.read();
+    seats
+        .iter()
+        .filter_map(|(id, s)| {
+            let runs = s.work().runs;
+            (runs > 0).then(|| Burden { id: id.clone(), runs })
+        })
+        .collect()
+}
+
+async fn hearing(
+    d: Arc<Delivery>,
+    link: std::sync::Weak<Link>,
+    mut rx: tokio::sync::mpsc::Receiver<Body>,
+) {
+    while let Some(body) = rx.recv().await {
+        let Body::View(v) = body else { continue };
+        if !d.sight.hear(&v) {
+            continue;
+        }
+        let (d, link) = (d.clone(), link.clone());
+        tokio::spawn(async move {
+            for _ in 0..8 {
+                let Some(l) = link.upgrade() else { return };
+                if v.config <= d.sight.table().map_or(0, |t| t.stamp) || fetch(&d, &l).await {
+                    return;
+                }
+                tokio::time::sleep(k::RELINK_PAUSE).await;
+            }
+        });
+    }
+}
+
+/// Takes the configuration that a majority confirms.
+async fn fetch(d: &Arc<Delivery>, link: &Link) -> bool {
+    let ask = Body::Fetch(Fetch { key: "config".to_owned(), confirm: true });
+    let Ok(Body::Fetched(f)) = link.call(ask, k::CHANGE_LIMIT * 2).await else { return false };
+    let Some(v) = f.register.and_then(|r| ConfigValue::decode(r.value).ok()) else { return false };
+    match super::table::Table::compile(&v.body, v.wall) {
+        Ok(t) => {
+            let stamp = t.stamp;
+            if d.sight.set_table(t) {
+                pouch::note!(d.log, Event::ConfigInForce, "stamp" => stamp);
+            }
+            true
+        }
+        Err(p) => {
+            pouch::note!(d.log, Event::PeerRejected, "why" => p.to_string());
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/delivery/src/sight/mod.rs
@@ -0,0 +1,138 @@
+//! What a carrier sees of the fleet; it never goes back within a life.
+
+pub mod links;
+pub mod purge;
+pub mod table;
+
+use crate::pool::Seat;
+use pouch::wire::{Engine, NamedWeights, RingHead, Roster, Standing, View};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::time::Instant;
+
+pub type Seats = hashbrown::HashMap<String, Arc<Seat>, ahash::RandomState>;
+
+/// Newest named weights of a model, and since when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Named {
+    pub stamp: u64,
+    pub since: Instant,
+}
+
+pub struct Sight {
+    table: parking_lot::RwLock<Option<Arc<table::Table>>>,
+    pub seats: parking_lot::RwLock<Seats>,
+    named: parking_lot::RwLock<hashbrown::HashMap<String, Named, ahash::RandomState>>,
+    roster: parking_lot::Mutex<Roster>,
+    pub ring: parking_lot::Mutex<Option<RingHead>>,
+    pub news: tokio::sync::Notify,
+    carriers: AtomicUsize,
+    pub shelf: purge::Shelf,
+    links: parking_lot::Mutex<hashbrown::HashMap<std::net::Ipv4Addr, Arc<pouch::link::Link>>>,
+}
+
+impl Sight {
+    pub fn new() -> Self {
+        Sight {
+            table: parking_lot::RwLock::new(None),
+            seats: parking_lot::RwLock::default(),
+            named: parking_lot::RwLock::default(),
+            roster: parking_lot::Mutex::default(),
+            ring: parking_lot::Mutex::default(),
+            news: tokio::sync::Notify::new(),
+            carriers: AtomicUsize::new(1),
+            shelf: purge::Shelf::new(),
+            links: parking_lot::Mutex::default(),
+        }
+    }
+
+    pub fn table(&self) -> Option<Arc<table::Table>> {
+        self.table.read().clone()
+    }
+
+    /// A configuration only ever gives way to a higher one.
+    pub fn set_table(&self, t: table::Table) -> bool {
+        let mut now = self.table.write();
+        if now.as_ref().is_some_and(|n| n.stamp >= t.stamp) {
+            return false;
+        }
+        *now = Some(Arc::new(t));
+        true
+    }
+
+    pub fn named(&self, model: &str) -> Option<Named> {
+        self.named.read().get(model).copied()
+    }
+
+    pub fn carriers(&self) -> usize {
+        self.carriers.load(Ordering::Relaxed).max(1)
+    }
+
+    pub fn link_to(&self, ip: &str) -> Option<Arc<pouch::link::Link>> {
+        let ip: std::net::Ipv4Addr = ip.parse().ok()?;
+        self.links.lock().get(&ip).cloned()
+    }
+
+    fn hear_engine(&self, news: &Engine) {
+        let known = self.seats.read().get(&news.id).cloned();
+        match known {
+            Some(seat) => {
+                seat.hear(news);
+                if news.standing() == Standing::Gone {
+                    self.shelf.forget(&news.id);
+                }
+            }
+            None => {
+                if let Some(seat) = Seat::new(news) {
+                    self.seats.write().insert(news.id.clone(), Arc::new(seat));
+                }
+            }
+        }
+    }
+
+    fn hear_weights(&self, w: &NamedWeights) {
+        let since = Instant::now()
+            .checked_sub(std::time::Duration::from_millis(w.age_ms))
+            .unwrap_or_else(Instant::now);
+        let mut named = self.named.write();
+        let now = named.entry_ref(w.model.as_str()).or_insert(Named { stamp: 0, since });
+        if w.stamp > now.stamp {
+            *now = Named { stamp: w.stamp, since };
+        }
+    }
+
+    /// Takes what a postmaster pushed; true if its configuration is newer than ours.
+    pub fn hear(&self, v: &View) -> bool {
+        for e in &v.engines {
+            self.hear_engine(e);
+        }
+        for w in &v.weights {
+            self.hear_weights(w);
+        }
+        if let Some(r) = &v.roster {
+            let mut now = self.roster.lock();
+            if r.epoch > now.epoch {
+                *now = r.clone();
+            }
+        }
+        if let Some(h) = &v.ring {
+            let mut now = self.ring.lock();
+            if now.as_ref().is_none_or(|n| (h.fence, h.head) >= (n.fence, n.head)) {
+                *now = Some(h.clone());
+            }
+        }
+        if v.carriers > 0 {
+            self.carriers.store(v.carriers as usize, Ordering::Relaxed);
+        }
+        if v.ring.is_some() || v.nudge {
+            self.news.notify_one();
+        }
+        v.config > self.table().map_or(0, |t| t.stamp)
+    }
+}
+
+impl Default for Sight {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/postmaster/src/main.rs
@@ -0,0 +1,22 @@
+//! The control plane's program.
+
+fn main() -> std::process::ExitCode {
+    pouch::program::start(
+        pouch::program::About {
+            name: "postmaster",
+            version: env!("CARGO_PKG_VERSION"),
+            what: "keeps anisedyke's control state and knows its engines",
+            needs: |p| {
+                let mut out = Vec::new();
+                if p.control.is_none() {
+                    out.push("bindAddrs.control");
+                }
+                if p.data_dir.is_none() {
+                    out.push("dataDir");
+                }
+                out
+            },
+        },
+        |params, log, stop, reread| async move { sorting::run(params, log, stop, reread).await },
+    )
+}
--- /dev/null
+++ b/crates/pouch/src/constants.rs
@@ -0,0 +1,134 @@
+//! Every constant of the system, with its unit and the reason for its value.
+
+use std::time::Duration;
+
+/// ms; a connection inside the fleet either comes up in a few round trips or is behind a cut.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// ms; unacknowledged bytes older than this mean a cut or a dark machine.
+pub const TCP_SILENCE: Duration = Duration::from_millis(2500);
+/// s; first keep-alive probe of an idle connection, the least the kernel takes.
+pub const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// s; pause between keep-alive probes, the least the kernel takes.
+pub const KEEPALIVE_GAP: Duration = Duration::from_secs(1);
+/// probes; two lost in a row are rare without a cut.
+pub const KEEPALIVE_PROBES: u32 = 2;
+/// connections; a burst of origins after a failover must not lose its opening packets.
+pub const LISTEN_BACKLOG: i32 = 1024;
+/// bytes; a frame holds a configuration at the most, with room for its history.
+pub const FRAME_MAX: usize = 8 << 20;
+/// frames; a peer that reads slower than this is cut off and starts anew.
+pub const LINK_BACKLOG: usize = 256;
+/// ms; pause before a broken link is tried again.
+pub const RELINK_PAUSE: Duration = Duration::from_millis(250);
+/// ms; one phase of a register round: two syncs of a slowed disk and a round trip.
+pub const PHASE_LIMIT: Duration = Duration::from_millis(400);
+/// ms; a change given to its owner is taken over after this, well inside the second callers wait.
+pub const OWNER_LIMIT: Duration = Duration::from_millis(350);
+/// ms; a call gives up here, so that its caller hears of it inside its second of silence.
+pub const CHANGE_LIMIT: Duration = Duration::from_millis(900);
+/// ms; longest first pause of a duel between two owners; doubles.
+pub const DUEL_PAUSE_MS: u64 = 40;
+/// ms; how often a postmaster compares what it knows with what its peers hold.
+pub const LEARN_PAUSE: Duration = Duration::from_millis(500);
+/// ms; how often a refused disk is tried again.
+pub const DISK_RETRY: Duration = Duration::from_millis(300);
+/// bytes; a slot is laid down in full at first start so that a full disk stops nothing.
+pub const SLOT_BYTES: usize = 1 << 20;
+/// bytes; the log between two slots, laid down at first start; small so that recovery is short.
+pub const LOG_BYTES: usize = 2 << 20;
+/// entries; how many taken configurations are remembered to answer a resent one.
+pub const TAKEN_KEPT: usize = 64;
+/// bytes; what a heartbeat of an engine may hold.
+pub const BEAT_BYTES: usize = 4096;
+/// bytes; largest configuration read, above any limit an operator sets on bodies.
+pub const CONFIG_BYTES: usize = 6 << 20;
+/// ms; routine heartbeats are shared with the other postmasters this often.
+pub const BEAT_SHARE_PAUSE: Duration = Duration::from_millis(300);
+/// ms; a drain is told to a majority within this, inside the second engines wait.
+pub const BEAT_SHARE_LIMIT: Duration = Duration::from_millis(700);
+/// heartbeats; an engine silent for so many is suspected.
+pub const SILENT_BEATS: f64 = 3.5;
+/// s; a gone instance is remembered this long so that no late call brings it back.
+pub const TOMBSTONE: Duration = Duration::from_secs(300);
+/// ms; carriers tell the postmasters that they live this often.
+pub const CARRIER_BEAT: Duration = Duration::from_millis(1000);
+/// ms; a carrier silent for this long no longer counts.
+pub const CARRIER_SILENT: Duration = Duration::from_millis(4000);
+/// share of a lease after which its holder renews it.
+pub const LEASE_RENEW: f64 = 0.3;
+/// share of a lease that its holder leaves unused at its end.
+pub const LEASE_MARGIN: f64 = 0.25;
+/// ms; pause of the loop that holds duties.
+pub const DUTY_TICK: Duration = Duration::from_millis(250);
+/// ms; a member silent for this long may be replaced by a joiner of its own zone.
+pub const MEMBER_SILENT_ZONE: Duration = Duration::from_millis(3000);
+/// ms; a member silent for this long may be replaced by any joiner.
+pub const MEMBER_SILENT: Duration = Duration::from_millis(7000);
+/// ms; a joiner asks again this often.
+pub const JOIN_PAUSE: Duration = Duration::from_millis(400);
+/// ms; the roll-out looks at its engines this often.
+pub const ROLL_TICK: Duration = Duration::from_millis(100);
+/// ms; carriers have heard that an engine changes before it is ordered to.
+pub const ROLL_NOTICE: Duration = Duration::from_millis(120);
+/// engines' share of a service that change weights together.
+pub const ROLL_SHARE: f64 = 0.34;
+/// ms; an engine under order is asked for its report this often.
+pub const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// s; an order without end is given up and looked at anew.
+pub const ORDER_LIMIT: Duration = Duration::from_secs(6);
+/// ms; answers to orders and reports come within a round trip and a step.
+pub const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(800);
+/// ms; carriers stop offering to old weights this long before the bound.
+pub const STAMP_MARGIN: Duration = Duration::from_millis(1500);
+/// ms; how long a call for events is held by an engine: the longest the protocol allows.
+pub const EVENTS_WAIT_MS: u64 = 1000;
+/// ms; pause after a call for events, so that busy engines don't make it a loop.
+pub const EVENTS_PAUSE: Duration = Duration::from_millis(250);
+/// slots of the ring of invalidations; a power of two.
+pub const RING_SLOTS: usize = 4096;
+/// entries published under one hold of the writer's lock.
+pub const RING_BATCH: usize = 64;
+/// entries; a reader behind by more than this is nudged once.
+pub const RING_LAG: u64 = 2048;
+/// s; a reader that has not come for so long loses its cursor.
+pub const READER_LIMIT: Duration = Duration::from_secs(10);
+/// ms; carriers fetch published entries this long after they hear of a new head.
+pub const RING_FETCH_PAUSE: Duration = Duration::from_millis(200);
+/// share of a budget that is used; the rest covers windows that slide against each other.
+pub const BUDGET_SHARE: f64 = 0.8;
+/// carriers; how many may join before the others hear of it.
+pub const BUDGET_SPARES: usize = 3;
+/// connections kept idle to one engine.
+pub const IDLE_SESSIONS: usize = 12;
+/// s; an idle connection is given up before engines usually close it.
+pub const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// tokens a ms; how fast an engine reads a prompt until more is known.
+pub const READ_RATE: f64 = 35.0;
+/// ms; what one more running request costs the others.
+pub const RUN_COST_MS: f64 = 2.0;
+/// ms; what a request waiting at an engine costs.
+pub const WAIT_COST_MS: f64 = 40.0;
+/// ms; what leaving the zone costs in bytes and time.
+pub const ZONE_COST_MS: f64 = 4.0;
+/// share of a shared part that the first engine by rendezvous is taken to hold unseen.
+pub const RENDEZVOUS_TRUST: f64 = 0.8;
+/// ms; an engine that broke a connection is left alone this long; doubles.
+pub const ENGINE_REST: Duration = Duration::from_millis(400);
+/// ms; longest such rest.
+pub const ENGINE_REST_MAX: Duration = Duration::from_millis(3200);
+/// ms; answer to an origin goes out this long before its deadline.
+pub const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+/// ms; what an origin with no deadline waits.
+pub const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
+/// s; pause told to an origin that is refused.
+pub const RETRY_AFTER: &str = "0.3";
+/// s; after SIGTERM, the platform has seen two missed probes by then.
+pub const PROBES_MISSED: Duration = Duration::from_millis(2600);
+/// ms; a process ends this long before its grace does.
+pub const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// s; the settings file is read again this often without a signal.
+pub const PARAMS_REREAD: Duration = Duration::from_secs(5);
+/// s; counters are written out this often.
+pub const COUNTERS_PAUSE: Duration = Duration::from_secs(20);
+/// bytes of stack of a thread; calls are shallow and memory is dear.
+pub const STACK_BYTES: usize = 512 << 10;
--- /dev/null
+++ b/crates/pouch/src/lib.rs
@@ -0,0 +1,12 @@
+//! Shared ground of the postmaster and the carrier.
+
+pub mod configuration;
+pub mod constants;
+pub mod fleet;
+pub mod journal;
+pub mod link;
+pub mod log;
+pub mod node;
+pub mod params;
+pub mod program;
+pub mod wire;
--- /dev/null
+++ b/crates/pouch/src/log.rs
@@ -0,0 +1,94 @@
+//! Numbered events; their catalogue is docs/events.md.
+
+use slog::Drain;
+
+macro_rules! events {
+    ($($name:ident = $no:literal, $level:ident, $text:literal;)*) => {
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Event { $($name = $no,)* }
+        impl Event {
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+            pub fn text(self) -> &'static str { match self { $(Event::$name => $text,)* } }
+            pub fn level(self) -> slog::Level { match self { $(Event::$name => slog::Level::$level,)* } }
+        }
+    };
+}
+
+events! {
+    Started = 100, Info, "started";
+    Stopping = 101, Info, "stopping";
+    Stopped = 102, Info, "stopped";
+    ParamsReread = 103, Info, "settings read again";
+    ParamsRejected = 104, Warning, "settings not usable, the former stay in force";
+    Counters = 105, Info, "counters";
+    ListenProblem = 106, Error, "cannot listen";
+    DiskOpened = 200, Info, "disk opened";
+    DiskEmpty = 201, Warning, "disk is empty, reading from the other members before voting";
+    DiskProblem = 202, Warning, "disk does not take writes";
+    DiskMended = 203, Info, "disk takes writes again";
+    SlotDamaged = 204, Warning, "a slot is damaged";
+    Voting = 205, Info, "this member votes";
+    OwnerTaken = 210, Info, "took a key over";
+    OwnerLost = 211, Info, "gave a key away";
+    ConfigTaken = 220, Info, "configuration taken";
+    ConfigRejected = 221, Info, "configuration refused";
+    StampNamed = 222, Info, "weights named";
+    RosterMoved = 230, Info, "roster moved";
+    Joining = 231, Info, "asking to join";
+    DutyTaken = 240, Info, "duty taken";
+    DutyLeft = 241, Info, "duty left";
+    RollOrdered = 250, Info, "engine ordered to new weights";
+    RollDone = 251, Info, "engine has new weights";
+    RollProblem = 252, Warning, "order not carried out";
+    EngineNew = 260, Info, "engine known";
+    EngineDraining = 261, Info, "engine draining";
+    EngineGone = 262, Info, "engine gone";
+    EngineSilent = 263, Warning, "engine silent";
+    PeerRejected = 270, Warning, "message of a peer dropped";
+    RingStarted = 280, Info, "ring of invalidations started";
+    HolderReset = 281, Info, "coverage of a holder dropped";
+    ReaderReset = 282, Info, "reader of the ring reset";
+    LinkUp = 300, Debug, "link to a postmaster up";
+    LinkDown = 301, Info, "link to a postmaster down";
+    Ready = 310, Info, "ready";
+    Unready = 311, Info, "not ready";
+    ConfigInForce = 320, Info, "configuration in force";
+    EngineProblem = 330, Info, "engine broke a connection";
+    AnswerSpoilt = 331, Info, "answer not passed on";
+    PassProblem = 332, Info, "request not answered by an engine";
+}
+
+pub fn root(level: slog::Level, node: &str, role: &str) -> slog::Logger {
+    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+    let drain = slog_term::FullFormat::new(plain).use_original_order().build().fuse();
+    let drain = slog::LevelFilter::new(drain, level).fuse();
+    slog::Logger::root(drain, slog::o!("node" => node.to_owned(), "role" => role.to_owned()))
+}
+
+#[macro_export]
+macro_rules! note {
+    ($log:expr, $event:expr $(, $k:literal => $v:expr)* $(,)?) => {{
+        let e: $crate::log::Event = $event;
+        match e.level() {
+            slog::Level::Error | slog::Level::Critical =>
+                slog::error!($log, "{}", e.text(); "no" => e as u32 $(, $k => $v)*),
+            slog::Level::Warning =>
+                slog::warn!($log, "{}", e.text(); "no" => e as u32 $(, $k => $v)*),
+            slog::Level::Info =>
+                slog::info!($log, "{}", e.text(); "no" => e as u32 $(, $k => $v)*),
+            _ => slog::debug!($log, "{}", e.text(); "no" => e as u32 $(, $k => $v)*),
+        }
+    }};
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn catalogue_names_every_event() {
+        let page = include_str!("../../../docs/events.md");
+        for e in super::Event::ALL {
+            let row = format!("| {} | {} |", *e as u32, e.text());
+            assert!(page.contains(&row), "docs/events.md lacks `{row}`");
+        }
+    }
+}
--- /dev/null
+++ b/crates/pouch/src/node.rs
@@ -0,0 +1,67 @@
+//! Who a process is.
+
+use std::hash::{BuildHasher, Hasher};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u16)]
+pub enum Role {
+    Postmaster = 0,
+    Carrier = 1,
+}
+
+#[derive(Debug, Clone)]
+pub struct Node {
+    pub name: String,
+    pub zone: String,
+    pub ip: std::net::Ipv4Addr,
+    pub role: Role,
+    pub life: u64,
+}
+
+impl Node {
+    pub fn start(params: &crate::params::Params, role: Role) -> Node {
+        Node {
+            name: params.node_name.clone(),
+            zone: params.zone.clone(),
+            ip: params.ip,
+            role,
+            life: fresh(),
+        }
+    }
+
+    pub fn id(&self) -> u64 {
+        u64::from(u32::from(self.ip))
+    }
+}
+
+pub fn fresh() -> u64 {
+    let mut h = std::hash::RandomState::new().build_hasher();
+    h.write_u32(std::process::id());
+    if let Ok(t) = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH) {
+        h.write_u128(t.as_nanos());
+    }
+    h.finish() | 1
+}
+
+/// The same on every machine and in every life, unlike the tables' own hashes.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
+    for p in parts {
+        for b in *p {
+            h = (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+        h = (h ^ 0xff).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    h ^= h >> 32;
+    h = h.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    h ^ (h >> 29)
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn stable_hash_tells_parts_apart() {
+        assert_ne!(super::stable_hash(&[b"ab", b"c"]), super::stable_hash(&[b"a", b"bc"]));
+        assert_eq!(super::stable_hash(&[b"ab"]), super::stable_hash(&[b"ab"]));
+    }
+}
--- /dev/null
+++ b/crates/recall/src/lib.rs
@@ -0,0 +1,6 @@
+//! Purge: lazy invalidation through one bounded ring (docs/purge.md).
+
+pub mod draft;
+pub mod ring;
+mod sync;
+pub mod view;
--- /dev/null
+++ b/crates/recall/src/sync.rs
@@ -0,0 +1,10 @@
+#[cfg(feature = "checker")]
+pub use loom::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+#[cfg(not(feature = "checker"))]
+pub use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
--- /dev/null
+++ b/crates/sorting/src/api/config.rs
@@ -0,0 +1,69 @@
+//! The operator's configurations.
+
+use super::{Context, json, rejected};
+use crate::control::{owner, values};
+use http::StatusCode;
+use pouch::log::Event;
+use pouch::wire::{ChangeKind, ConfigValue, Outcome, ReplaceConfig};
+use prost::Message;
+
+#[dropshot::endpoint { method = POST, path = "/anisedyke/Config.Replace" }]
+pub async fn replace(
+    rq: dropshot::RequestContext<Context>,
+    body: dropshot::UntypedBody,
+) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
+    let s = rq.context();
+    let base = rq.request.headers().get("X-Base-Revision");
+    let Some(base) = base.and_then(|v| v.to_str().ok()).and_then(|v| v.trim().parse().ok()) else {
+        return Err(rejected(
+            StatusCode::BAD_REQUEST,
+            "no_base",
+            "X-Base-Revision: not a version".to_owned(),
+        ));
+    };
+    let body = bytes::Bytes::copy_from_slice(body.as_bytes());
+    let c = pouch::configuration::Configuration::read(&body).map_err(|p| {
+        pouch::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
+        rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string())
+    })?;
+    let r = ReplaceConfig { base, stamp: c.revision, body };
+    let changed = owner::submit(s, ChangeKind::Replace(r.clone())).await;
+    match changed.outcome() {
+        Outcome::Done => json(StatusCode::OK, format!("{{\"revision\":{}}}", r.stamp)),
+        Outcome::Stale => Err(rejected(
+            StatusCode::PRECONDITION_FAILED,
+            "stale_base",
+            format!("version {} is in place", changed.number),
+        )),
+        Outcome::Invalid => {
+            let p = values::problem_of(&r, &changed);
+            pouch::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
+            Err(rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string()))
+        }
+        Outcome::Unknown => Err(rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unknown",
+            "no majority in time: it may yet be in force".to_owned(),
+        )),
+    }
+}
+
+#[dropshot::endpoint { method = GET, path = "/anisedyke/Config.Fetch" }]
+pub async fn fetch(
+    rq: dropshot::RequestContext<Context>,
+) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
+    let s = rq.context();
+    let got =
+        match tokio::time::timeout(pouch::constants::CHANGE_LIMIT, s.read(values::CONFIG)).await {
+            Ok(Some((_, v))) => ConfigValue::decode(v).ok(),
+            _ => None,
+        };
+    match got {
+        Some(c) if c.stamp > 0 => json(StatusCode::OK, c.body.to_vec()),
+        _ => Err(rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unknown",
+            "no configuration confirmed by a majority".to_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/api/mod.rs
@@ -0,0 +1,59 @@
+//! What engines and the operator call: one handler object for each resource.
+
+mod config;
+mod instances;
+mod weights;
+
+use crate::Sorting;
+use std::sync::Arc;
+
+pub type Context = Arc<Sorting>;
+
+/// Typed answer to what can't be taken.
+pub fn rejected(status: http::StatusCode, code: &str, message: String) -> dropshot::HttpError {
+    let status = dropshot::ErrorStatusCode::from_status(status)
+        .unwrap_or(dropshot::ErrorStatusCode::INTERNAL_SERVER_ERROR);
+    dropshot::HttpError {
+        status_code: status,
+        error_code: Some(code.to_owned()),
+        external_message: message.clone(),
+        internal_message: message,
+        headers: None,
+    }
+}
+
+pub fn json(
+    status: http::StatusCode,
+    body: impl Into<dropshot::Body>,
+) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
+    http::Response::builder()
+        .status(status)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(body.into())
+        .map_err(|e| dropshot::HttpError::for_internal_error(e.to_string()))
+}
+
+pub fn serve(
+    s: &Context,
+    at: std::net::SocketAddr,
+) -> Result<dropshot::HttpServer<Context>, std::io::Error> {
+    let mut api = dropshot::ApiDescription::new();
+    let registered = api
+        .register(instances::heartbeat)
+        .and_then(|()| api.register(instances::deregister))
+        .and_then(|()| api.register(config::replace))
+        .and_then(|()| api.register(config::fetch))
+        .and_then(|()| api.register(weights::put));
+    registered.map_err(|e| std::io::Error::other(e.to_string()))?;
+    let settings = dropshot::ConfigDropshot {
+        bind_address: at,
+        default_request_body_max_bytes: pouch::constants::CONFIG_BYTES,
+        default_handler_task_mode: dropshot::HandlerTaskMode::Detached,
+        ..Default::default()
+    };
+    let quiet = slog::Logger::root(slog::Discard, slog::o!());
+    dropshot::ServerBuilder::new(api, s.clone(), quiet)
+        .config(settings)
+        .start()
+        .map_err(|e| std::io::Error::other(e.to_string()))
+}
--- /dev/null
+++ b/crates/sorting/src/api/weights.rs
@@ -0,0 +1,31 @@
+//! New weights are named.
+
+use super::{Context, json, rejected};
+use crate::control::owner;
+use http::StatusCode;
+use pouch::wire::{ChangeKind, NameStamp, Outcome};
+
+#[derive(serde::Deserialize)]
+struct Put {
+    model: String,
+    revision: u64,
+}
+
+#[dropshot::endpoint { method = POST, path = "/anisedyke/version-put" }]
+pub async fn put(
+    rq: dropshot::RequestContext<Context>,
+    body: dropshot::UntypedBody,
+) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
+    let s = rq.context();
+    let p: Put = serde_json::from_slice(body.as_bytes())
+        .map_err(|e| rejected(StatusCode::BAD_REQUEST, "malformed", e.to_string()))?;
+    let change = ChangeKind::Name(NameStamp { model: p.model, stamp: p.revision });
+    match owner::submit(s, change).await.outcome() {
+        Outcome::Done => json(StatusCode::OK, "{}"),
+        _ => Err(rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unknown",
+            "no majority in time: it may yet be named".to_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/control/mod.rs
@@ -0,0 +1,9 @@
+//! Control state: each key a register with one owner at a time.
+
+pub mod acceptor;
+pub mod owner;
+pub mod round;
+pub mod values;
+
+#[cfg(test)]
+mod schedules;
--- /dev/null
+++ b/crates/sorting/src/disk/format.rs
@@ -0,0 +1,114 @@
+//! Bytes on the disk.
+
+use pouch::wire::Register;
+use prost::Message;
+
+const MAGIC: u32 = 0xA215_ED01;
+pub const SLOT_HEAD: usize = 24;
+pub const RECORD_HEAD: usize = 16;
+
+#[derive(Clone, PartialEq, Message)]
+pub struct State {
+    #[prost(message, repeated, tag = "1")]
+    pub registers: Vec<Register>,
+    #[prost(bool, tag = "2")]
+    pub voting: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Record {
+    #[prost(message, repeated, tag = "1")]
+    pub registers: Vec<Register>,
+    #[prost(bool, tag = "2")]
+    pub voting: bool,
+}
+
+pub fn slot_bytes(seq: u64, state: &State) -> Vec<u8> {
+    let body = state.encode_to_vec();
+    let mut out = Vec::with_capacity(SLOT_HEAD + body.len());
+    out.extend_from_slice(&MAGIC.to_le_bytes());
+    out.extend_from_slice(&sum(seq, &body).to_le_bytes());
+    out.extend_from_slice(&seq.to_le_bytes());
+    out.extend_from_slice(&(body.len() as u64).to_le_bytes());
+    out.extend_from_slice(&body);
+    out
+}
+
+pub enum Slot {
+    Blank,
+    Damaged,
+    Whole(u64, State),
+}
+
+pub fn read_slot(b: &[u8]) -> Slot {
+    let Some(head) = b.get(..SLOT_HEAD) else {
+        return if b.iter().all(|x| *x == 0) { Slot::Blank } else { Slot::Damaged };
+    };
+    if head.iter().all(|x| *x == 0) {
+        return Slot::Blank;
+    }
+    let seq = u64_at(head, 8);
+    let len = u64_at(head, 16) as usize;
+    let Some(body) = SLOT_HEAD.checked_add(len).and_then(|end| b.get(SLOT_HEAD..end)) else {
+        return Slot::Damaged;
+    };
+    if u32_at(head, 0) != MAGIC || u32_at(head, 4) != sum(seq, body) {
+        return Slot::Damaged;
+    }
+    State::decode(body).map_or(Slot::Damaged, |s| Slot::Whole(seq, s))
+}
+
+pub fn record_bytes(seq: u64, r: &Record) -> Vec<u8> {
+    let body = r.encode_to_vec();
+    let mut out = Vec::with_capacity(RECORD_HEAD + body.len());
+    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    out.extend_from_slice(&sum(seq, &body).to_le_bytes());
+    out.extend_from_slice(&seq.to_le_bytes());
+    out.extend_from_slice(&body);
+    out
+}
+
+/// The valid records of the log that follow the slot `seq`, and where they end.
+pub fn read_log(b: &[u8], seq: u64) -> (Vec<Record>, usize) {
+    let mut out = Vec::new();
+    let mut at = 0;
+    while let Some(head) = b.get(at..at + RECORD_HEAD) {
+        let len = u32_at(head, 0) as usize;
+        let Some(body) = b.get(at + RECORD_HEAD..at + RECORD_HEAD + len) else { break };
+        if len == 0 || u64_at(head, 8) != seq || u32_at(head, 4) != sum(seq, body) {
+            break;
+        }
+        let Ok(r) = Record::decode(body) else { break };
+        out.push(r);
+        at += RECORD_HEAD + len;
+    }
+    (out, at)
+}
+
+fn sum(seq: u64, body: &[u8]) -> u32 {
+    let mut h = crc32fast::Hasher::new();
+    h.update(&seq.to_le_bytes());
+    h.update(&(body.len() as u64).to_le_bytes());
+    h.update(body);
+    h.finalize()
+}
+
+fn u32_at(b: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes([b[at], b[at + 1], b[at + 2], b[at + 3]])
+}
+
+fn u64_at(b: &[u8], at: usize) -> u64 {
+    u64::from(u32_at(b, at)) | (u64::from(u32_at(b, at + 4)) << 32)
+}
+
+impl State {
+    pub fn apply(&mut self, r: &Record) {
+        self.voting = r.voting;
+        for g in &r.registers {
+            match self.registers.iter_mut().find(|x| x.key == g.key) {
+                Some(x) => *x = g.clone(),
+                None => self.registers.push(g.clone()),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/disk/mod.rs
@@ -0,0 +1,16 @@
+//! Two slots written in turn, a short log between; synced on a thread of its own.
+
+pub mod format;
+pub mod writer;
+
+#[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
+pub enum DiskProblem {
+    /// {what}: {kind}
+    Refused { what: &'static str, kind: std::io::ErrorKind },
+    /// the thread of the disk has ended
+    Ended,
+}
+
+pub fn refused(what: &'static str) -> impl Fn(std::io::Error) -> DiskProblem {
+    move |e| DiskProblem::Refused { what, kind: e.kind() }
+}
--- /dev/null
+++ b/crates/sorting/src/duties/keeper.rs
@@ -0,0 +1,360 @@
+//! The index-keeper: tails what engines and stores tell of their kept parts,
+//! and derives invalidations from it (docs/purge.md).
+
+use super::INDEX_KEEPER;
+use crate::Sorting;
+use crate::engines::outside::Line;
+use crate::facts::Fact;
+use pouch::constants as k;
+use pouch::log::Event;
+use pouch::wire::{
+    HeldParts, PartAt, Purge, RingAsk, RingEntry, RingGive, RingHead, Standing, Weights,
+};
+use recall::draft::{Draft, Local};
+use recall::ring::{Read, Ring};
+use std::sync::Arc;
+
+type Parts = hashbrown::HashSet<u64, ahash::RandomState>;
+
+/// holder, then salt, then parts: what the keeper believes.
+#[derive(Default)]
+pub struct Index {
+    holders: hashbrown::HashMap<String, hashbrown::HashMap<String, Parts>>,
+}
+
+impl Local<RingEntry> for Index {
+    fn apply(&mut self, e: &RingEntry) {
+        match &e.what {
+            Some(Purge::Part(PartAt { holder, salt, part })) => {
+                if let Some(p) = self.holders.get_mut(holder).and_then(|h| h.get_mut(salt)) {
+                    p.remove(part);
+                }
+            }
+            Some(Purge::Holder(h)) => {
+                self.holders.remove(h);
+            }
+            Some(Purge::Weights(w)) => {
+                let old = |salt: &str| {
+                    let mut it = salt.splitn(3, '|');
+                    it.next() == Some(&w.model)
+                        && it
+                            .next()
+                            .and_then(|x| x.parse::<u64>().ok())
+                            .is_some_and(|x| x < w.stamp)
+                };
+                for h in self.holders.values_mut() {
+                    h.retain(|salt, _| !old(salt));
+                }
+            }
+            Some(Purge::Wall(g)) => {
+                let old = |salt: &str| {
+                    let wall = salt.splitn(3, '|').nth(2).and_then(|w| w.strip_prefix('#'));
+                    wall.and_then(|x| x.parse::<u64>().ok()).is_some_and(|x| x < *g)
+                };
+                for h in self.holders.values_mut() {
+                    h.retain(|salt, _| !old(salt));
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Unlearning twice does no harm.
+    fn reflush(&mut self, e: &RingEntry) {
+        self.apply(e);
+    }
+}
+
+impl Index {
+    fn learn(&mut self, holder: &str, salt: &str, part: u64) {
+        self.holders.entry_ref(holder).or_default().entry_ref(salt).or_default().insert(part);
+    }
+
+    pub fn digest(&self) -> Vec<HeldParts> {
+        let mut out = Vec::new();
+        for (holder, salts) in &self.holders {
+            for (salt, parts) in salts {
+                out.push(HeldParts {
+                    holder: holder.clone(),
+                    salt: salt.clone(),
+                    parts: parts.iter().copied().collect(),
+                });
+            }
+        }
+        out
+    }
+}
+
+pub struct Keeper {
+    fence: u64,
+    life: u64,
+    ring: Ring<RingEntry>,
+    index: parking_lot::Mutex<Index>,
+    readers: parking_lot::Mutex<hashbrown::HashMap<u64, tokio::time::Instant>>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Events {
+    epoch: u64,
+    next_token: u64,
+    #[serde(default)]
+    lost: bool,
+    events: Vec<(u64, String, String, String, u64, String)>,
+}
+
+impl Keeper {
+    fn head(&self, s: &Sorting) -> RingHead {
+        RingHead {
+            fence: self.fence,
+            life: self.life,
+            head: self.ring.head(),
+            keeper: s.node.ip.to_string(),
+        }
+    }
+
+    /// One change: applied here as it comes, published when whole.
+    fn commit(&self, s: &Sorting, entries: impl IntoIterator<Item = Purge>) {
+        let nudged = {
+            let mut index = self.index.lock();
+            let mut d = Draft::open(&mut *index);
+            for what in entries {
+                d.add(RingEntry { scope: 0, what: Some(what) });
+            }
+            d.commit(&self.ring)
+        };
+        for reader in nudged {
+            if let Some(o) = s.members.origins.lock().get(&reader) {
+                let _ = o.push(pouch::wire::Body::View(pouch::wire::View {
+                    nudge: true,
+                    ..Default::default()
+                }));
+            }
+        }
+    }
+
+    /// A batch of events of one holder; gives the purges that follow from it.
+    pub fn take_events(index: &mut Index, holder: &str, e: &Events) -> Vec<Purge> {
+        let mut out = Vec::new();
+        for (_, sign, salt, id, _, _) in &e.events {
+            let Ok(part) = u64::from_str_radix(id, 16) else { continue };
+            if sign == "+" {
+                index.learn(holder, salt, part);
+            } else {
+                out.push(Purge::Part(PartAt {
+                    holder: holder.to_owned(),
+                    salt: salt.clone(),
+                    part,
+                }));
+            }
+        }
+        out
+    }
+}
+
+/// What a carrier asks of the ring: entries behind its cursor, or a reset with a digest.
+pub fn give(s: &Arc<Sorting>, a: &RingAsk) -> Option<RingGive> {
+    let keeper = s.duties.keeper.lock().clone()?;
+    s.duties.fence(INDEX_KEEPER)?;
+    keeper.readers.lock().insert(a.reader, tokio::time::Instant::now());
+    let same = a.fence == keeper.fence && a.life == keeper.life;
+    let cursor = if same && !a.refill { keeper.ring.cursor(a.reader) } else { None };
+    let cursor = cursor.filter(|c| c.next() == a.cursor);
+    if let Some(c) = cursor {
+        match keeper.ring.read(&c, k::RING_LAG as usize) {
+            Read::Nothing => {
+                return Some(RingGive {
+                    head: Some(keeper.head(s)),
+                    cursor: c.next(),
+                    ..Default::default()
+                });
+            }
+            Read::Entries(entries) => {
+                return Some(RingGive {
+                    head: Some(keeper.head(s)),
+                    cursor: c.next(),
+                    entries,
+                    ..Default::default()
+                });
+            }
+            Read::Reset(_) => {}
+        }
+    }
+    let index = keeper.index.lock();
+    let (_, cursor) = keeper.ring.enter(a.reader);
+    Some(RingGive {
+        head: Some(keeper.head(s)),
+        reset: true,
+        cursor,
+        digest: index.digest(),
+        entries: Vec::new(),
+    })
+}
+
+pub async fn keeping(s: Arc<Sorting>) {
+    loop {
+        tokio::time::sleep(k::DUTY_TICK).await;
+        let Some(fence) = s.duties.fence(INDEX_KEEPER) else { continue };
+        let keeper = Arc::new(Keeper {
+            fence,
+            life: pouch::node::fresh(),
+            ring: Ring::new(k::RING_SLOTS, k::RING_BATCH, k::RING_LAG),
+            index: parking_lot::Mutex::default(),
+            readers: parking_lot::Mutex::default(),
+        });
+        *s.duties.keeper.lock() = Some(keeper.clone());
+        pouch::note!(s.log, Event::RingStarted, "fence" => fence, "life" => keeper.life);
+        s.append(Fact::Ring(keeper.head(&s)));
+        keep(&s, &keeper).await;
+        *s.duties.keeper.lock() = None;
+    }
+}
+
+/// Until the duty ends: tails all holders, and publishes what other changes void.
+async fn keep(s: &Arc<Sorting>, keeper: &Arc<Keeper>) {
+    let mut tails = hashbrown::HashMap::<String, tokio::task::AbortHandle>::new();
+    let mut seen_weights = hashbrown::HashMap::<String, u64>::new();
+    let mut seen_wall = 0;
+    let mut told = 0;
+    while s.duties.fence(INDEX_KEEPER) == Some(keeper.fence) {
+        let mut want = s.look(|n| {
+            n.engines
+                .values()
+                .filter(|e| e.standing() != Standing::Gone && !e.silent)
+                .map(|e| (e.id.clone(), e.address.clone()))
+                .collect::<hashbrown::HashMap<_, _>>()
+        });
+        want.extend(stores(s));
+        let mut purges = Vec::new();
+        tails.retain(|holder, t| {
+            let stays = want.contains_key(holder);
+            if !stays {
+                t.abort();
+                purges.push(Purge::Holder(holder.clone()));
+            }
+            stays
+        });
+        for (holder, address) in want {
+            let Ok(to) = address.parse() else { continue };
+            tails.entry(holder.clone()).or_insert_with(|| {
+                tokio::spawn(tail(s.clone(), keeper.clone(), holder, to)).abort_handle()
+            });
+        }
+        s.look(|n| {
+            for (model, (stamp, _)) in &n.weights {
+                let all_there = !n.engines.values().any(|e| {
+                    e.standing() == Standing::Ready
+                        && pouch::fleet::stamp_of(e, model).is_some_and(|x| x < *stamp)
+                });
+                if all_there && seen_weights.insert(model.clone(), *stamp) != Some(*stamp) {
+                    purges.push(Purge::Weights(Weights { model: model.clone(), stamp: *stamp }));
+                }
+            }
+            if let Some((_, wall)) = n.config
+                && wall > seen_wall
+            {
+                if seen_wall > 0 {
+                    purges.push(Purge::Wall(wall));
+                }
+                seen_wall = wall;
+            }
+        });
+        keeper.commit(s, purges);
+        let stuck: Vec<u64> = {
+            let mut r = keeper.readers.lock();
+            let stuck = r
+                .iter()
+                .filter(|(_, t)| t.elapsed() > k::READER_LIMIT)
+                .map(|(id, _)| *id)
+                .collect();
+            r.retain(|_, t| t.elapsed() <= k::READER_LIMIT);
+            stuck
+        };
+        for r in stuck {
+            keeper.ring.drop_reader(r);
+        }
+        let head = keeper.ring.head();
+        if head != told {
+            told = head;
+            s.append(Fact::Ring(keeper.head(s)));
+        }
+        tokio::time::sleep(k::RING_FETCH_PAUSE).await;
+    }
+    for t in tails.into_values() {
+        t.abort();
+    }
+}
+
+fn stores(s: &Sorting) -> Vec<(String, String)> {
+    let learned = s.learned.lock();
+    let Some((_, v)) = learned.get(crate::control::values::CONFIG) else { return Vec::new() };
+    let Ok(c) = <pouch::wire::ConfigValue as prost::Message>::decode(v.clone()) else {
+        return Vec::new();
+    };
+    let Ok(c) = pouch::configuration::Configuration::read(&c.body) else { return Vec::new() };
+    c.services.into_iter().filter_map(|x| x.kv_store.map(|a| (a.clone(), a))).collect()
+}
+
+async fn tail(s: Arc<Sorting>, keeper: Arc<Keeper>, holder: String, to: std::net::SocketAddr) {
+    let mut line = Line::new(s.node.ip, to);
+    let wait = k::EVENTS_WAIT_MS.to_string();
+    let limit = std::time::Duration::from_millis(k::EVENTS_WAIT_MS) + k::ENGINE_CALL_LIMIT;
+    let mut at: Option<(u64, u64)> = None;
+    loop {
+        let path = format!("/anisedyke/kv-events?since={}", at.map_or(0, |a| a.1));
+        let got = line
+            .call(http::Method::GET, &path, &[("Wait-Ms", &wait)], Vec::new(), limit)
+            .await
+            .ok()
+            .filter(|a| a.status == http::StatusCode::OK)
+            .and_then(|a| serde_json::from_slice::<Events>(&a.body).ok());
+        let Some(e) = got else {
+            tokio::time::sleep(k::ENGINE_CALL_LIMIT).await;
+            continue;
+        };
+        let other_life = at.is_some_and(|(epoch, _)| epoch != e.epoch);
+        let gap = at.is_some() && e.lost;
+        at = Some((e.epoch, if other_life { 0 } else { e.next_token }));
+        if other_life || gap {
+            pouch::note!(s.log, Event::HolderReset, "holder" => &holder);
+            keeper.commit(&s, [Purge::Holder(holder.clone())]);
+        }
+        if !other_life {
+            let purges = Keeper::take_events(&mut keeper.index.lock(), &holder, &e);
+            keeper.commit(&s, purges);
+        }
+        tokio::time::sleep(k::EVENTS_PAUSE).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_are_learnt_and_evictions_become_purges() {
+        let e: Events = serde_json::from_str(
+            r#"{"epoch":1,"nextToken":3,"lost":false,"events":[[1,"+","m|1|#1","ff",8,"m"],[2,"+","m|1|#1","fe",8,"m"],[3,"-","m|1|#1","ff",0,"m"]]}"#,
+        )
+        .unwrap();
+        let mut index = Index::default();
+        let purges = Keeper::take_events(&mut index, "h", &e);
+        let part = PartAt { holder: "h".into(), salt: "m|1|#1".into(), part: 0xff };
+        assert_eq!(purges, vec![Purge::Part(part)]);
+        let ring = Ring::new(8, 4, 4);
+        let mut d = Draft::open(&mut index);
+        for what in purges {
+            d.add(RingEntry { scope: 0, what: Some(what) });
+        }
+        d.commit(&ring);
+        assert_eq!(ring.head(), 1);
+        let digest = index.digest();
+        assert_eq!(digest.len(), 1);
+        assert_eq!(digest[0].parts, vec![0xfe]);
+        index.apply(&RingEntry {
+            scope: 0,
+            what: Some(Purge::Weights(Weights { model: "m".into(), stamp: 2 })),
+        });
+        assert!(index.digest().is_empty());
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/duties/mod.rs
@@ -0,0 +1,251 @@
+//! Duties of one node at a time: a lease of a majority, a fence that rises on disk.
+
+pub mod keeper;
+pub mod rollout;
+
+use crate::Sorting;
+use crate::control::owner;
+use pouch::constants as k;
+use pouch::log::Event;
+use pouch::wire::{Body, ChangeKind, Lease, Leased, Outcome, RaiseFence};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+pub const ROLL_OUT: &str = "roll-out";
+pub const INDEX_KEEPER: &str = "index-keeper";
+
+/// What this member granted. After a restart it grants nothing for a whole lease.
+pub struct Grants {
+    table: hashbrown::HashMap<String, (u64, Instant)>,
+    closed_until: Option<Instant>,
+}
+
+impl Grants {
+    pub fn grant(&mut self, l: &Lease, now: Instant, lease: Duration) -> bool {
+        if l.leave {
+            if self.table.get(&l.duty).is_some_and(|(life, _)| *life == l.life) {
+                self.table.remove(&l.duty);
+            }
+            return true;
+        }
+        if self.closed_until.is_some_and(|t| now < t) {
+            return false;
+        }
+        if self.table.get(&l.duty).is_some_and(|(life, until)| *life != l.life && now < *until) {
+            return false;
+        }
+        self.table.insert(l.duty.clone(), (l.life, now + lease));
+        true
+    }
+
+    fn free(&self, duty: &str, life: u64, now: Instant) -> bool {
+        self.table.get(duty).is_none_or(|(l, until)| *l == life || now >= *until)
+    }
+}
+
+/// What this node holds: counted from before it asked.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Holding {
+    until: Option<Instant>,
+    from: Option<Instant>,
+    fence: u64,
+}
+
+impl Holding {
+    /// The fence to act under, if the lease surely stands and a former holder's has surely ended.
+    pub fn fence(&self, now: Instant) -> Option<u64> {
+        let (until, from) = (self.until?, self.from?);
+        (self.fence > 0 && now >= from && now < until).then_some(self.fence)
+    }
+}
+
+pub struct Duties {
+    grants: parking_lot::Mutex<Grants>,
+    held: parking_lot::Mutex<hashbrown::HashMap<&'static str, Holding>>,
+    pub keeper: parking_lot::Mutex<Option<Arc<keeper::Keeper>>>,
+    pub turns: parking_lot::Mutex<hashbrown::HashSet<String>>,
+}
+
+impl Duties {
+    pub fn new(first_start: bool, lease: Duration) -> Self {
+        let closed_until = (!first_start).then(|| Instant::now() + lease);
+        Duties {
+            grants: parking_lot::Mutex::new(Grants {
+                table: hashbrown::HashMap::new(),
+                closed_until,
+            }),
+            held: parking_lot::Mutex::default(),
+            keeper: parking_lot::Mutex::default(),
+            turns: parking_lot::Mutex::default(),
+        }
+    }
+
+    pub fn fence(&self, duty: &str) -> Option<u64> {
+        self.held.lock().get(duty).and_then(|h| h.fence(Instant::now()))
+    }
+}
+
+pub fn grant(s: &Sorting, l: &Lease) -> Leased {
+    let lease = s.params().bounds.lease;
+    let votes = s.acceptor.lock().votes();
+    Leased { ok: votes && s.duties.grants.lock().grant(l, Instant::now(), lease) }
+}
+
+/// Asks all members; true with a majority.
+async fn ask(s: &Arc<Sorting>, duty: &str, leave: bool) -> bool {
+    let lease = s.params().bounds.lease;
+    let l = Lease { duty: duty.to_owned(), life: s.node.life, ms: lease.as_millis() as u64, leave };
+    let members = s.acceptor.lock().roster().members.clone();
+    let quorum = members.len() / 2 + 1;
+    let mut have = usize::from(grant(s, &l).ok);
+    if have == 0 {
+        return false;
+    }
+    let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
+    for (_, link) in s.peers(&members) {
+        let (tx, l) = (tx.clone(), l.clone());
+        tokio::spawn(async move {
+            if let Ok(Body::Leased(Leased { ok: true })) =
+                link.call(Body::Lease(l), k::PHASE_LIMIT).await
+            {
+                let _ = tx.send(()).await;
+            }
+        });
+    }
+    drop(tx);
+    while have < quorum && rx.recv().await.is_some() {
+        have += 1;
+    }
+    have >= quorum
+}
+
+pub async fn leave_all(s: &Arc<Sorting>) {
+    for duty in [ROLL_OUT, INDEX_KEEPER] {
+        if s.duties.held.lock().remove(duty).is_some() {
+            ask(s, duty, true).await;
+        }
+    }
+}
+
+/// Takes and keeps a duty whenever it is free.
+pub async fn holding(s: Arc<Sorting>, duty: &'static str) {
+    let mut rank = Duration::from_millis(50 + s.chance(400));
+    loop {
+        tokio::time::sleep(k::DUTY_TICK).await;
+        if *s.leaving().borrow() {
+            return;
+        }
+        let lease = s.params().bounds.lease;
+        let now = Instant::now();
+        let held = s.duties.held.lock().get(duty).copied().unwrap_or_default();
+        let margin = lease.mul_f64(k::LEASE_MARGIN);
+        if let Some(until) = held.until.filter(|u| now < *u) {
+            if until - now > (lease - margin).mul_f64(1.0 - k::LEASE_RENEW) {
+                continue;
+            }
+            if ask(&s, duty, false).await {
+                let renewed = Holding { until: Some(now + lease - margin), ..held };
+                s.duties.held.lock().insert(duty, renewed);
+            }
+            continue;
+        }
+        if held.until.is_some() {
+            s.duties.held.lock().remove(duty);
+            pouch::note!(s.log, Event::DutyLeft, "duty" => duty);
+        }
+        let free = s.duties.grants.lock().free(duty, s.node.life, now);
+        if !free || !s.acceptor.lock().votes() || s.disk_broken() {
+            continue;
+        }
+        tokio::time::sleep(rank).await;
+        rank = Duration::from_millis(50 + s.chance(400));
+        take(&s, duty, lease, margin).await;
+    }
+}
+
+async fn take(s: &Arc<Sorting>, duty: &'static str, lease: Duration, margin: Duration) {
+    let before = Instant::now();
+    if !s.duties.grants.lock().free(duty, s.node.life, before) {
+        return;
+    }
+    if !ask(s, duty, false).await {
+        ask(s, duty, true).await;
+        return;
+    }
+    let raise = RaiseFence { duty: duty.to_owned(), holder: s.node.name.clone() };
+    let c = owner::submit(s, ChangeKind::Raise(raise)).await;
+    if c.outcome() != Outcome::Done {
+        ask(s, duty, true).await;
+        return;
+    }
+    let wait = if c.holder.is_empty() || c.holder == s.node.name { Duration::ZERO } else { lease };
+    let held = Holding {
+        until: Some(before + lease - margin),
+        from: Some(Instant::now() + wait),
+        fence: c.number,
+    };
+    s.duties.held.lock().insert(duty, held);
+    pouch::note!(s.log, Event::DutyTaken, "duty" => duty, "fence" => c.number);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn lease(life: u64) -> Lease {
+        Lease { duty: "d".into(), life, ms: 3000, leave: false }
+    }
+
+    const L: Duration = Duration::from_secs(3);
+
+    #[test]
+    fn one_life_at_a_time_and_none_after_a_restart() {
+        let t = Instant::now();
+        let mut g = Grants { table: hashbrown::HashMap::new(), closed_until: Some(t + L) };
+        assert!(!g.grant(&lease(1), t, L));
+        assert!(g.grant(&lease(1), t + L, L));
+        assert!(!g.grant(&lease(2), t + L, L));
+        assert!(g.grant(&lease(1), t + L * 3 / 2, L));
+        assert!(!g.grant(&lease(2), t + L * 2, L));
+        assert!(g.grant(&lease(2), t + L * 5 / 2, L));
+        assert!(g.grant(&Lease { leave: true, ..lease(2) }, t + L * 5 / 2, L));
+        assert!(g.grant(&lease(3), t + L * 5 / 2, L));
+    }
+
+    #[test]
+    fn a_pause_ends_the_holding_before_any_order() {
+        let t = Instant::now();
+        let h = Holding { until: Some(t + L * 3 / 4), from: Some(t), fence: 5 };
+        assert_eq!(h.fence(t), Some(5));
+        assert_eq!(h.fence(t + L * 3 / 4), None);
+        let waits = Holding { from: Some(t + L), until: Some(t + L * 2), fence: 6 };
+        assert_eq!(waits.fence(t), None);
+        assert_eq!(waits.fence(t + L), Some(6));
+    }
+
+    proptest::proptest! {
+        /// Whatever the pauses and the speed of asking, two holders never both may act.
+        #[test]
+        fn holders_never_overlap(steps in proptest::collection::vec((0u64..3, 0u64..900, 0u64..4000), 1..80)) {
+            let t0 = Instant::now();
+            let margin = L.mul_f64(k::LEASE_MARGIN);
+            let mut now = t0;
+            let mut grants: Vec<Grants> = (0..3)
+                .map(|_| Grants { table: hashbrown::HashMap::new(), closed_until: None })
+                .collect();
+            let mut held: Vec<Option<(Instant, Instant)>> = vec![None; 3];
+            for (who, travel, pause) in steps {
+                let before = now;
+                now += Duration::from_millis(travel);
+                let yes = grants.iter_mut().filter_map(|g| g.grant(&lease(who + 1), now, L).then_some(())).count();
+                if yes >= 2 {
+                    held[who as usize] = Some((now, before + L - margin));
+                }
+                now += Duration::from_millis(pause);
+                let active = held.iter().flatten().filter(|(_, until)| now < *until).count();
+                proptest::prop_assert!(active <= 1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/engines/outside.rs
@@ -0,0 +1,96 @@
+//! Calls to engines and the store: one kept connection each.
+
+use http_body_util::BodyExt;
+use pouch::constants as k;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum OutsideProblem {
+    /// cannot connect: {0}
+    Connect(pouch::link::LinkProblem),
+    /// the call broke off
+    Broken,
+    /// no answer in time
+    Late,
+    /// the answer can't be read
+    Unreadable,
+}
+
+type Body = http_body_util::Full<bytes::Bytes>;
+
+pub struct Line {
+    own: Ipv4Addr,
+    to: SocketAddr,
+    sender: Option<hyper::client::conn::http1::SendRequest<Body>>,
+}
+
+pub struct Answer {
+    pub status: http::StatusCode,
+    pub body: bytes::Bytes,
+}
+
+impl Line {
+    pub fn new(own: Ipv4Addr, to: SocketAddr) -> Self {
+        Line { own, to, sender: None }
+    }
+
+    async fn sender(
+        &mut self,
+    ) -> Result<hyper::client::conn::http1::SendRequest<Body>, OutsideProblem> {
+        if let Some(mut s) = self.sender.take()
+            && s.ready().await.is_ok()
+        {
+            return Ok(s);
+        }
+        let io = pouch::link::connect(self.own, self.to, k::CONNECT_LIMIT)
+            .await
+            .map_err(OutsideProblem::Connect)?;
+        let (s, conn) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(64 << 10)
+            .handshake(hyper_util::rt::TokioIo::new(io))
+            .await
+            .map_err(|_| OutsideProblem::Broken)?;
+        tokio::spawn(conn);
+        Ok(s)
+    }
+
+    pub async fn call(
+        &mut self,
+        method: http::Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Answer, OutsideProblem> {
+        tokio::time::timeout(limit, self.exchange(method, path, headers, body))
+            .await
+            .map_err(|_| OutsideProblem::Late)?
+    }
+
+    async fn exchange(
+        &mut self,
+        method: http::Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<Answer, OutsideProblem> {
+        let mut sender = self.sender().await?;
+        let mut req = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, self.to.to_string());
+        for (n, v) in headers {
+            req = req.header(*n, *v);
+        }
+        if !body.is_empty() {
+            req = req.header(http::header::CONTENT_TYPE, "application/json");
+        }
+        let req = req.body(Body::new(body.into())).map_err(|_| OutsideProblem::Unreadable)?;
+        let res = sender.send_request(req).await.map_err(|_| OutsideProblem::Broken)?;
+        let status = res.status();
+        let body = res.into_body().collect().await.map_err(|_| OutsideProblem::Broken)?.to_bytes();
+        self.sender = Some(sender);
+        Ok(Answer { status, body })
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/engines/registry.rs
@@ -0,0 +1,137 @@
+//! Engines by instance; rebuilt from their own heartbeats.
+
+use crate::Sorting;
+use crate::facts::Fact;
+use pouch::constants as k;
+use pouch::log::Event;
+use pouch::wire::{Beats, Body, Engine, Standing};
+use std::sync::Arc;
+
+#[derive(Default)]
+pub struct Registry {
+    heard: parking_lot::Mutex<hashbrown::HashMap<String, tokio::time::Instant>>,
+    outbox: parking_lot::Mutex<hashbrown::HashMap<String, Engine>>,
+}
+
+/// Takes news of an engine; its own heartbeats are told on, those of other postmasters are not.
+pub fn hear(s: &Sorting, news: Engine, own: bool) -> bool {
+    let known = s.look(|n| n.engines.get(&news.id).cloned());
+    let fresh = known.as_ref().is_none_or(|e| news.call > e.call);
+    if fresh && news.standing() != Standing::Gone {
+        s.engines.heard.lock().insert(news.id.clone(), tokio::time::Instant::now());
+    }
+    if own && fresh {
+        s.engines.outbox.lock().insert(news.id.clone(), news.clone());
+    }
+    let (merged, changed) = match known {
+        None => (news, true),
+        Some(mut e) => {
+            let changed = pouch::fleet::merge(&mut e, &news);
+            (e, changed)
+        }
+    };
+    if changed {
+        let event = match merged.standing() {
+            Standing::Ready => Event::EngineNew,
+            Standing::Draining => Event::EngineDraining,
+            Standing::Gone => Event::EngineGone,
+        };
+        pouch::note!(s.log, event, "id" => &merged.id, "at" => &merged.address);
+    }
+    if changed {
+        s.append(Fact::Engine(merged));
+    } else if fresh {
+        s.touch(merged);
+    }
+    changed
+}
+
+impl Sorting {
+    /// A call number without other news moves no view of the carriers.
+    fn touch(&self, e: Engine) {
+        self.known.lock().amend(|n| {
+            n.engines.insert(e.id.clone(), e);
+        });
+    }
+}
+
+/// Tells the others at once, and waits until a majority of the postmasters has it.
+pub async fn share_now(s: &Arc<Sorting>, e: Engine) -> bool {
+    s.engines.outbox.lock().remove(&e.id);
+    let members = s.acceptor.lock().roster().members.clone();
+    let own = members.iter().any(|m| m.addr() == Some(s.node.ip));
+    let quorum = members.len() / 2 + 1;
+    let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
+    for (_, link) in s.peers(&members) {
+        let (tx, e) = (tx.clone(), e.clone());
+        tokio::spawn(async move {
+            let b = Body::Beats(Beats { engines: vec![e], ask: false });
+            if link.call(b, k::BEAT_SHARE_LIMIT).await.is_ok() {
+                let _ = tx.send(()).await;
+            }
+        });
+    }
+    drop(tx);
+    let mut have = usize::from(own);
+    while have < quorum && rx.recv().await.is_some() {
+        have += 1;
+    }
+    have >= quorum
+}
+
+/// Routine heartbeats go to the others in batches; a link that came up gets and gives all.
+pub async fn sharing(s: Arc<Sorting>) {
+    let mut up: hashbrown::HashSet<std::net::Ipv4Addr> = hashbrown::HashSet::new();
+    loop {
+        tokio::time::sleep(k::BEAT_SHARE_PAUSE).await;
+        let engines: Vec<Engine> = s.engines.outbox.lock().drain().map(|(_, e)| e).collect();
+        let links = s.members.links();
+        up.retain(|ip| links.iter().any(|(i, l)| i == ip && l.is_up()));
+        for (ip, link) in links {
+            if link.is_up() && up.insert(ip) {
+                let s = s.clone();
+                tokio::spawn(async move {
+                    let engines = s.look(|n| n.engines.values().cloned().collect());
+                    let b = Body::Beats(Beats { engines, ask: true });
+                    if let Ok(Body::Beats(b)) = link.call(b, k::BEAT_SHARE_LIMIT).await {
+                        for e in b.engines {
+                            hear(&s, e, false);
+                        }
+                    }
+                });
+            } else if !engines.is_empty() {
+                let _ = link.tell(Body::Beats(Beats { engines: engines.clone(), ask: false }));
+            }
+        }
+    }
+}
+
+/// Suspects the silent, and forgets the long gone.
+pub async fn watching(s: Arc<Sorting>) {
+    loop {
+        tokio::time::sleep(k::LEARN_PAUSE).await;
+        let limit = s.params().heartbeat.mul_f64(k::SILENT_BEATS);
+        let now = tokio::time::Instant::now();
+        let known: Vec<Engine> = s.look(|n| n.engines.values().cloned().collect());
+        for mut e in known {
+            let age = s.engines.heard.lock().get(&e.id).map(|t| now - *t);
+            if e.standing() == Standing::Gone {
+                if age.is_some_and(|a| a > k::TOMBSTONE) {
+                    s.engines.heard.lock().remove(&e.id);
+                    s.known.lock().amend(|n| {
+                        n.engines.remove(&e.id);
+                    });
+                }
+                continue;
+            }
+            let silent = age.is_none_or(|a| a > limit);
+            if silent != e.silent {
+                e.silent = silent;
+                if silent {
+                    pouch::note!(s.log, Event::EngineSilent, "id" => &e.id);
+                }
+                s.append(Fact::Engine(e));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/facts.rs
@@ -0,0 +1,98 @@
+//! Events of a postmaster, and the view folded from them.
+
+use pouch::wire::{Engine, NamedWeights, RingHead, Roster, View};
+
+#[derive(Debug, Clone)]
+pub enum Fact {
+    Config { stamp: u64, wall: u64 },
+    Weights { model: String, stamp: u64 },
+    Roster(Roster),
+    Engine(Engine),
+    Ring(RingHead),
+    Carriers(u32),
+}
+
+#[derive(Debug, Default)]
+pub struct Known {
+    pub config: Option<(u64, u64)>,
+    pub weights: hashbrown::HashMap<String, (u64, Option<tokio::time::Instant>)>,
+    pub roster: Roster,
+    pub engines: hashbrown::HashMap<String, Engine>,
+    pub ring: Option<RingHead>,
+    pub carriers: u32,
+}
+
+impl pouch::journal::Fold for Known {
+    type Event = Fact;
+    fn fold(&mut self, fact: &Fact) {
+        match fact {
+            Fact::Config { stamp, wall } => self.config = Some((*stamp, *wall)),
+            Fact::Weights { model, stamp } => {
+                let at = Some(tokio::time::Instant::now());
+                self.weights.insert(model.clone(), (*stamp, at));
+            }
+            Fact::Roster(r) => self.roster = r.clone(),
+            Fact::Engine(e) => {
+                self.engines.insert(e.id.clone(), e.clone());
+            }
+            Fact::Ring(h) => self.ring = Some(h.clone()),
+            Fact::Carriers(n) => self.carriers = *n,
+        }
+    }
+}
+
+impl Known {
+    fn named(&self, model: &str) -> Option<NamedWeights> {
+        let (stamp, at) = self.weights.get(model)?;
+        let age_ms = at.map_or(0, |t| t.elapsed().as_millis() as u64);
+        Some(NamedWeights { model: model.to_owned(), stamp: *stamp, age_ms })
+    }
+
+    pub fn whole(&self) -> View {
+        View {
+            roster: Some(self.roster.clone()),
+            config: self.config.map_or(0, |c| c.0),
+            weights: self.weights.keys().filter_map(|m| self.named(m)).collect(),
+            engines: self.engines.values().cloned().collect(),
+            ring: self.ring.clone(),
+            carriers: self.carriers,
+            nudge: false,
+        }
+    }
+
+    /// The newest state of all that these events touched.
+    pub fn delta<'a>(&self, facts: impl Iterator<Item = &'a Fact>) -> View {
+        let mut v = View::default();
+        for f in facts {
+            match f {
+                Fact::Config { .. } => v.config = self.config.map_or(0, |c| c.0),
+                Fact::Weights { model, .. } => {
+                    v.weights.retain(|w| w.model != *model);
+                    v.weights.extend(self.named(model));
+                }
+                Fact::Roster(_) => v.roster = Some(self.roster.clone()),
+                Fact::Engine(e) => {
+                    v.engines.retain(|x| x.id != e.id);
+                    v.engines.extend(self.engines.get(&e.id).cloned());
+                }
+                Fact::Ring(_) => v.ring = self.ring.clone(),
+                Fact::Carriers(_) => v.carriers = self.carriers,
+            }
+        }
+        v
+    }
+}
+
+impl crate::Sorting {
+    /// What is new since `seen`; all of it when the journal no longer reaches back.
+    pub fn view_since(&self, seen: Option<u64>) -> (u64, Option<View>) {
+        let j = self.known.lock();
+        let head = j.head();
+        let view = match seen {
+            Some(s) if s == head => None,
+            Some(s) => Some(j.since(s).map_or_else(|| j.view().whole(), |f| j.view().delta(f))),
+            None => Some(j.view().whole()),
+        };
+        (head, view)
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/learner.rs
@@ -0,0 +1,216 @@
+//! Learning what a majority holds, also after lost notices and restarts.
+
+use crate::control::{owner, values};
+use crate::facts::Fact;
+use crate::{Sorting, members};
+use pouch::constants as k;
+use pouch::log::Event;
+use pouch::wire::{
+    Ballot, Body, Committed, ConfigValue, Fetch, Peek, Peeked, Roster, WeightsValue,
+};
+use prost::Message;
+use std::sync::Arc;
+
+type Held = hashbrown::HashMap<String, Vec<(u64, Ballot)>>;
+
+fn add(held: &mut Held, id: u64, p: &Peeked) {
+    if !p.votes {
+        return;
+    }
+    for r in &p.registers {
+        if r.accepted != Ballot::default() {
+            held.entry_ref(r.key.as_str()).or_default().push((id, r.accepted));
+        }
+    }
+}
+
+/// Highest accepted of a key, and whether a majority holds just that.
+fn settled(held: &[(u64, Ballot)], quorum: usize) -> Option<(Ballot, bool)> {
+    let top = held.iter().map(|(_, b)| *b).max()?;
+    Some((top, held.iter().filter(|(_, b)| *b == top).count() >= quorum))
+}
+
+impl Sorting {
+    /// What the voting members hold now; their answers come from disk.
+    async fn peek(self: &Arc<Self>, enough: impl Fn(&Held) -> bool) -> Held {
+        let (members, epoch) = {
+            let a = self.acceptor.lock();
+            (a.roster().members.clone(), a.roster().epoch)
+        };
+        let mut held = Held::new();
+        let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
+        for (id, link) in self.peers(&members) {
+            let (tx, s) = (tx.clone(), self.clone());
+            tokio::spawn(async move {
+                let ask = Body::Peek(Peek { roster: epoch, values: false });
+                let Ok(Body::Peeked(p)) = link.call(ask, k::PHASE_LIMIT).await else { return };
+                if let Some(r) = &p.roster {
+                    s.adopt(r).await;
+                }
+                if p.roster.as_ref().is_none_or(|r| r.epoch == epoch) {
+                    let _ = tx.send((id, p)).await;
+                }
+            });
+        }
+        drop(tx);
+        let own = tokio::time::timeout(k::PHASE_LIMIT, self.vote(|a| a.peek(false))).await;
+        if let Ok(Some(p)) = own {
+            add(&mut held, self.node.id(), &p);
+        }
+        while !enough(&held) {
+            let Some((id, p)) = rx.recv().await else { break };
+            add(&mut held, id, &p);
+        }
+        held
+    }
+
+    fn quorum(&self) -> usize {
+        self.acceptor.lock().roster().members.len() / 2 + 1
+    }
+
+    pub async fn majority_at(self: &Arc<Self>, key: &str, ballot: Ballot) -> bool {
+        let q = self.quorum();
+        let count =
+            |h: &Held| h.get(key).map_or(0, |v| v.iter().filter(|(_, b)| *b == ballot).count());
+        let held = self.peek(|h| count(h) >= q).await;
+        count(&held) >= q
+    }
+
+    /// The committed value, confirmed with a majority after the call came.
+    pub async fn read(self: &Arc<Self>, key: &str) -> Option<(Ballot, bytes::Bytes)> {
+        let q = self.quorum();
+        let at = |h: &Held| h.get(key).and_then(|v| settled(v, q)).filter(|(_, all)| *all);
+        let held = self.peek(|h| at(h).is_some()).await;
+        if let Some((b, _)) = at(&held)
+            && let Some(v) = self.value_at(key, b, &held).await
+        {
+            return Some((b, v));
+        }
+        let same = |_: &[u8]| values::Decision::Answer(values::unknown());
+        let done = tokio::time::timeout(k::CHANGE_LIMIT, owner::settle(self, key, same)).await;
+        if !matches!(done, Ok(Ok(_))) {
+            return None;
+        }
+        self.learned.lock().get(key).cloned()
+    }
+
+    async fn value_at(self: &Arc<Self>, key: &str, b: Ballot, held: &Held) -> Option<bytes::Bytes> {
+        {
+            let a = self.acceptor.lock();
+            if let Some(r) = a.register(key).filter(|r| r.accepted == b) {
+                return Some(r.value.clone());
+            }
+        }
+        if let Some((_, v)) = self.learned.lock().get(key).filter(|(at, _)| *at == b) {
+            return Some(v.clone());
+        }
+        let members = self.acceptor.lock().roster().members.clone();
+        for (id, link) in self.peers(&members) {
+            if !held.get(key).is_some_and(|h| h.contains(&(id, b))) {
+                continue;
+            }
+            let ask = Body::Fetch(Fetch { key: key.to_owned(), confirm: false });
+            if let Ok(Body::Fetched(f)) = link.call(ask, k::PHASE_LIMIT).await
+                && let Some(r) = f.register.filter(|r| r.accepted == b)
+            {
+                return Some(r.value);
+            }
+        }
+        None
+    }
+
+    /// A value that a majority holds; the views are folded on.
+    pub async fn learn(self: &Arc<Self>, key: &str, ballot: Ballot, value: &bytes::Bytes) {
+        {
+            let mut l = self.learned.lock();
+            if l.get(key).is_some_and(|(b, _)| *b >= ballot) {
+                return;
+            }
+            l.insert(key.to_owned(), (ballot, value.clone()));
+        }
+        if key == values::CONFIG
+            && let Ok(c) = ConfigValue::decode(value.clone())
+            && self.look(|n| n.config.is_none_or(|(s, _)| s < c.stamp))
+            && c.stamp > 0
+        {
+            pouch::note!(self.log, Event::ConfigTaken, "stamp" => c.stamp);
+            self.append(Fact::Config { stamp: c.stamp, wall: c.wall });
+        }
+        if let Some(m) = values::model_of(key)
+            && let Ok(w) = WeightsValue::decode(value.clone())
+            && self.look(|n| n.weights.get(m).is_none_or(|(s, _)| *s < w.stamp))
+            && w.stamp > 0
+        {
+            pouch::note!(self.log, Event::StampNamed, "model" => m, "stamp" => w.stamp);
+            self.append(Fact::Weights { model: m.to_owned(), stamp: w.stamp });
+        }
+        if key == values::ROSTER
+            && let Ok(r) = Roster::decode(value.clone())
+        {
+            self.adopt(&r).await;
+        }
+    }
+
+    /// Own change on a majority: learn it and tell the others.
+    pub async fn committed(self: &Arc<Self>, key: &str, ballot: Ballot, value: &bytes::Bytes) {
+        self.learn(key, ballot, value).await;
+        let members = self.acceptor.lock().roster().members.clone();
+        for (_, link) in self.peers(&members) {
+            let _ = link.tell(Body::Committed(Committed { key: key.to_owned(), ballot }));
+        }
+    }
+
+    /// Told by an owner; what this member lacks of it comes with the next look around.
+    pub async fn heard_committed(self: &Arc<Self>, c: &Committed) {
+        let value = {
+            let a = self.acceptor.lock();
+            a.register(&c.key).filter(|r| r.accepted == c.ballot).map(|r| r.value.clone())
+        };
+        if let Some(v) = value {
+            self.learn(&c.key, c.ballot, &v).await;
+        }
+    }
+}
+
+pub async fn learning(s: Arc<Sorting>) {
+    let mut open: hashbrown::HashMap<String, Ballot> = hashbrown::HashMap::new();
+    loop {
+        tokio::time::sleep(k::LEARN_PAUSE).await;
+        let q = s.quorum();
+        let n = s.acceptor.lock().roster().members.len();
+        let full = |h: &Held| n > 0 && h.values().any(|v| v.len() >= n);
+        let held = s.peek(full).await;
+        let mut still = hashbrown::HashMap::new();
+        for (key, h) in &held {
+            let Some((top, all)) = settled(h, q) else { continue };
+            if all {
+                if s.learned.lock().get(key).is_some_and(|(b, _)| *b >= top) {
+                    continue;
+                }
+                if let Some(v) = s.value_at(key, top, &held).await {
+                    s.learn(key, top, &v).await;
+                }
+                continue;
+            }
+            if open.get(key) == Some(&top) && members::is_first_alive(&s) {
+                let same = |_: &[u8]| values::Decision::Answer(values::unknown());
+                let _ = tokio::time::timeout(k::CHANGE_LIMIT, owner::settle(&s, key, same)).await;
+            }
+            still.insert(key.clone(), top);
+        }
+        open = still;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn settled_needs_a_majority_at_the_highest() {
+        let b = |n| Ballot { n, node: 1, seq: 0 };
+        assert_eq!(settled(&[(1, b(3)), (2, b(3)), (3, b(2))], 2), Some((b(3), true)));
+        assert_eq!(settled(&[(1, b(3)), (2, b(2)), (3, b(2))], 2), Some((b(3), false)));
+        assert_eq!(settled(&[], 2), None);
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/lib.rs
@@ -0,0 +1,196 @@
+//! The control plane: what the postmaster program is made of.
+
+pub mod api;
+pub mod control;
+pub mod disk;
+pub mod duties;
+pub mod engines;
+pub mod facts;
+pub mod learner;
+pub mod members;
+
+use pouch::log::Event;
+use pouch::wire::{Ballot, Roster};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum SortingProblem {
+    /// {0}: not in the settings, which a postmaster needs
+    ParamMissing(&'static str),
+    /// the disk can't be used: {0}
+    Disk(disk::DiskProblem),
+    /// cannot listen at {0}: {1}
+    Listen(std::net::SocketAddr, std::io::ErrorKind),
+    /// cannot serve control: {0}
+    Control(std::io::ErrorKind),
+}
+
+/// All state of a postmaster. Lock order: acceptor, learned, known, then the rest one at a time.
+pub struct Sorting {
+    pub node: pouch::node::Node,
+    pub log: slog::Logger,
+    params: parking_lot::RwLock<Arc<pouch::params::Params>>,
+    pub acceptor: parking_lot::Mutex<control::acceptor::Acceptor>,
+    disk: disk::writer::Disk,
+    pub owners: control::owner::Owners,
+    learned: parking_lot::Mutex<hashbrown::HashMap<String, (Ballot, bytes::Bytes)>>,
+    known: parking_lot::Mutex<pouch::journal::Journal<facts::Known>>,
+    head: tokio::sync::watch::Sender<u64>,
+    pub engines: engines::registry::Registry,
+    pub members: members::Members,
+    pub duties: duties::Duties,
+    pub started: tokio::time::Instant,
+    leaving: tokio::sync::watch::Sender<bool>,
+    dice: AtomicU64,
+}
+
+impl Sorting {
+    pub fn params(&self) -> Arc<pouch::params::Params> {
+        self.params.read().clone()
+    }
+
+    pub fn chance(&self, below: u64) -> u64 {
+        let x = self.dice.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        pouch::node::stable_hash(&[&x.to_le_bytes()]) % below.max(1)
+    }
+
+    pub fn disk_broken(&self) -> bool {
+        self.disk.is_broken()
+    }
+
+    pub fn leaving(&self) -> tokio::sync::watch::Receiver<bool> {
+        self.leaving.subscribe()
+    }
+
+    /// A step of the own vote; its answer may be told once it is on the disk.
+    pub async fn vote<T>(
+        &self,
+        f: impl FnOnce(&mut control::acceptor::Acceptor) -> control::acceptor::Step<T>,
+    ) -> Option<T> {
+        let (kept, answer) = {
+            let mut a = self.acceptor.lock();
+            let step = f(&mut a);
+            (self.disk.keep(step.record), step.answer)
+        };
+        kept.await.ok()?;
+        Some(answer)
+    }
+
+    async fn persist(
+        &self,
+        f: impl FnOnce(&mut control::acceptor::Acceptor) -> Option<disk::format::Record>,
+    ) -> bool {
+        let kept = {
+            let mut a = self.acceptor.lock();
+            let Some(r) = f(&mut a) else { return false };
+            self.disk.keep(r)
+        };
+        kept.await.is_ok()
+    }
+
+    pub async fn adopt(&self, roster: &Roster) {
+        if roster.epoch <= self.acceptor.lock().roster().epoch {
+            return;
+        }
+        if self.persist(|a| a.adopt(roster)).await {
+            pouch::note!(self.log, Event::RosterMoved, "epoch" => roster.epoch);
+        }
+        self.members.relink(self);
+        self.append(facts::Fact::Roster(roster.clone()));
+    }
+
+    pub fn append(&self, fact: facts::Fact) {
+        let head = self.known.lock().append(fact);
+        self.head.send_replace(head);
+    }
+
+    pub fn look<T>(&self, f: impl FnOnce(&facts::Known) -> T) -> T {
+        f(self.known.lock().view())
+    }
+
+    pub fn news(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.head.subscribe()
+    }
+}
+
+/// Runs a postmaster until it is told to stop.
+pub async fn run(
+    params: pouch::params::Params,
+    log: slog::Logger,
+    mut stop: tokio::sync::watch::Receiver<bool>,
+    mut reread: tokio::sync::mpsc::Receiver<pouch::params::Params>,
+) -> Result<(), SortingProblem> {
+    let control = params.control.ok_or(SortingProblem::ParamMissing("bindAddrs.control"))?;
+    let dir = params.data_dir.clone().ok_or(SortingProblem::ParamMissing("dataDir"))?;
+    let node = pouch::node::Node::start(&params, pouch::node::Role::Postmaster);
+    let (files, state) = disk::writer::Files::open(&dir).map_err(SortingProblem::Disk)?;
+    let first = files.empty && !files.damaged && params.bootstrap;
+    if files.damaged {
+        pouch::note!(log, Event::SlotDamaged);
+    }
+    pouch::note!(log, if files.empty && !first { Event::DiskEmpty } else { Event::DiskOpened },
+        "registers" => state.registers.len());
+    let peer_at = params.peer_addr(node.ip.into());
+    let listener =
+        pouch::link::listen(peer_at).map_err(|e| SortingProblem::Listen(peer_at, e.kind()))?;
+    let acceptor = control::acceptor::Acceptor::new(node.ip, state);
+    let disk = disk::writer::Disk::start(files, log.clone());
+    let s = Arc::new(Sorting {
+        engines: engines::registry::Registry::default(),
+        members: members::Members::default(),
+        duties: duties::Duties::new(first, params.bounds.lease),
+        started: tokio::time::Instant::now(),
+        dice: AtomicU64::new(node.life),
+        head: tokio::sync::watch::channel(0).0,
+        leaving: tokio::sync::watch::channel(false).0,
+        known: parking_lot::Mutex::new(pouch::journal::Journal::new(facts::Known::default(), 512)),
+        learned: parking_lot::Mutex::default(),
+        owners: control::owner::Owners::default(),
+        acceptor: parking_lot::Mutex::new(acceptor),
+        params: parking_lot::RwLock::new(Arc::new(params)),
+        disk,
+        node,
+        log: log.clone(),
+    });
+    if first {
+        let roster = members::founding(&s.params());
+        s.persist(|a| a.found(&roster)).await;
+    }
+    let roster = s.acceptor.lock().roster().clone();
+    if roster.epoch > 0 {
+        s.append(facts::Fact::Roster(roster));
+    }
+    s.members.relink(&s);
+    let server = api::serve(&s, control).map_err(|e| SortingProblem::Control(e.kind()))?;
+    let tasks = [
+        tokio::spawn(pouch::link::host(listener, Arc::new(members::Desk(s.clone())))),
+        tokio::spawn(members::joining(s.clone())),
+        tokio::spawn(members::exchanging(s.clone())),
+        tokio::spawn(learner::learning(s.clone())),
+        tokio::spawn(engines::registry::sharing(s.clone())),
+        tokio::spawn(engines::registry::watching(s.clone())),
+        tokio::spawn(duties::holding(s.clone(), duties::ROLL_OUT)),
+        tokio::spawn(duties::holding(s.clone(), duties::INDEX_KEEPER)),
+        tokio::spawn(duties::rollout::rolling(s.clone())),
+        tokio::spawn(duties::keeper::keeping(s.clone())),
+    ];
+    pouch::note!(log, Event::Started, "life" => s.node.life);
+    loop {
+        tokio::select! {
+            _ = stop.wait_for(|s| *s) => break,
+            Some(p) = reread.recv() => {
+                *s.params.write() = Arc::new(p);
+                s.members.relink(&s);
+            }
+        }
+    }
+    pouch::note!(log, Event::Stopping);
+    s.leaving.send_replace(true);
+    duties::leave_all(&s).await;
+    let _ = tokio::time::timeout(pouch::constants::PHASE_LIMIT, server.close()).await;
+    for t in tasks {
+        t.abort();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sorting/src/members/desk.rs
@@ -0,0 +1,153 @@
+//! Answers what other processes of the system say.
+
+use super::CarrierSeen;
+use crate::control::owner;
+use crate::facts::Fact;
+use crate::{Sorting, duties, engines};
+use pouch::constants as k;
+use pouch::link::{LinkProblem, Origin};
+use pouch::log::Event;
+use pouch::wire::{Alive, Beats, Body, Done, Fetched, Joined};
+use std::sync::Arc;
+
+pub struct Desk(pub Arc<Sorting>);
+
+impl pouch::link::Host for Desk {
+    fn joined(self: &Arc<Self>, origin: &Origin) {
+        let s = &self.0;
+        s.members.enter(&origin.hello);
+        if origin.hello.role == pouch::node::Role::Carrier as u32 {
+            s.members.origins.lock().insert(origin.hello.life, origin.clone());
+            tokio::spawn(tell_carrier(s.clone(), origin.clone()));
+        }
+    }
+
+    fn left(self: &Arc<Self>, origin: &Origin) {
+        let s = &self.0;
+        s.members.origins.lock().remove(&origin.hello.life);
+        let mut c = s.members.carriers.lock();
+        if c.get(&origin.hello.name).is_some_and(|c| c.life == origin.hello.life) {
+            c.remove(&origin.hello.name);
+        }
+    }
+
+    async fn answer(self: &Arc<Self>, origin: &Origin, body: Body) -> Option<Body> {
+        let s = &self.0;
+        if s.members.is_dead(&origin.hello) {
+            pouch::note!(s.log, Event::PeerRejected, "from" => &origin.hello.ip, "why" => "former life");
+            return None;
+        }
+        match body {
+            Body::Prepare(p) => s.vote(|a| a.prepare(&p)).await.map(Body::Vote),
+            Body::Accept(p) => s.vote(|a| a.accept(&p)).await.map(Body::Vote),
+            Body::Peek(p) => s.vote(|a| a.peek(p.values)).await.map(Body::Peeked),
+            Body::Recover(r) => {
+                if r.roster != s.acceptor.lock().roster().epoch {
+                    return s.vote(|a| a.peek(false)).await.map(Body::Peeked);
+                }
+                s.members.bury(&origin.hello.ip, r.life);
+                s.vote(|a| a.peek(true)).await.map(Body::Peeked)
+            }
+            Body::Fetch(f) if f.confirm => {
+                let got = s.read(&f.key).await;
+                let register = got.map(|(accepted, value)| pouch::wire::Register {
+                    key: f.key,
+                    accepted,
+                    value,
+                    ..Default::default()
+                });
+                Some(Body::Fetched(Fetched { known: register.is_some(), register }))
+            }
+            Body::Fetch(f) => {
+                let learned = s.learned.lock().get(&f.key).cloned();
+                let register = s.acceptor.lock().register(&f.key).cloned();
+                let register = match (register, learned) {
+                    (Some(r), Some((b, value))) if b > r.accepted => {
+                        Some(pouch::wire::Register { accepted: b, value, ..r })
+                    }
+                    (None, Some((b, value))) => Some(pouch::wire::Register {
+                        key: f.key,
+                        accepted: b,
+                        value,
+                        ..Default::default()
+                    }),
+                    (r, _) => r,
+                };
+                Some(Body::Fetched(Fetched { known: register.is_some(), register }))
+            }
+            Body::Committed(c) => {
+                s.heard_committed(&c).await;
+                None
+            }
+            Body::Change(c) => {
+                let c = c.kind?;
+                Some(Body::Changed(owner::settle_passed(s, &c).await))
+            }
+            Body::Lease(l) => Some(Body::Leased(duties::grant(s, &l))),
+            Body::Beats(b) => Some(Body::Beats(heard_beats(s, b))),
+            Body::Join(j) => {
+                super::roster::heard_join(s, j.member);
+                Some(Body::Joined(Joined { roster: Some(s.acceptor.lock().roster().clone()) }))
+            }
+            Body::Alive(a) => {
+                heard_carrier(s, origin, a);
+                Some(Body::Nothing(Done {}))
+            }
+            Body::RingAsk(a) => duties::keeper::give(s, &a).map(Body::RingGive),
+            _ => None,
+        }
+    }
+
+    fn spoilt(self: &Arc<Self>, problem: &LinkProblem) {
+        pouch::note!(self.0.log, Event::PeerRejected, "why" => problem.to_string());
+    }
+}
+
+fn heard_beats(s: &Arc<Sorting>, b: Beats) -> Beats {
+    for e in b.engines {
+        engines::registry::hear(s, e, false);
+    }
+    let engines =
+        if b.ask { s.look(|n| n.engines.values().cloned().collect()) } else { Vec::new() };
+    Beats { engines, ask: false }
+}
+
+fn heard_carrier(s: &Arc<Sorting>, origin: &Origin, a: Alive) {
+    let n = {
+        let mut c = s.members.carriers.lock();
+        let seen = CarrierSeen {
+            life: origin.hello.life,
+            heard: tokio::time::Instant::now(),
+            burdens: a.burdens,
+        };
+        c.insert(origin.hello.name.clone(), seen);
+        c.retain(|_, x| x.heard.elapsed() < k::CARRIER_SILENT);
+        c.len() as u32
+    };
+    if s.look(|x| x.carriers) != n {
+        s.append(Fact::Carriers(n));
+    }
+}
+
+/// Pushes what is new to one carrier, as it comes.
+async fn tell_carrier(s: Arc<Sorting>, origin: Origin) {
+    let mut news = s.news();
+    let mut seen = None;
+    loop {
+        news.borrow_and_update();
+        let (head, view) = s.view_since(seen);
+        seen = Some(head);
+        if let Some(v) = view
+            && origin.push(Body::View(v)).is_err()
+        {
+            return;
+        }
+        tokio::select! {
+            changed = news.changed() => if changed.is_err() { return },
+            () = tokio::time::sleep(k::CARRIER_SILENT) => {}
+        }
+        if origin.is_closed() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sorting/src/members/mod.rs
@@ -0,0 +1,93 @@
+//! The other postmasters: links, joining, exchange of a lost member; and the desk that answers.
+
+mod desk;
+mod roster;
+
+pub use desk::Desk;
+pub use roster::{exchanging, founding, is_first_alive, joining};
+
+use pouch::link::Link;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+pub struct CarrierSeen {
+    pub life: u64,
+    pub heard: tokio::time::Instant,
+    pub burdens: Vec<pouch::wire::Burden>,
+}
+
+#[derive(Default)]
+pub struct Members {
+    links: parking_lot::Mutex<hashbrown::HashMap<Ipv4Addr, Arc<Link>>>,
+    zones: parking_lot::Mutex<hashbrown::HashMap<Ipv4Addr, String>>,
+    lives: parking_lot::Mutex<hashbrown::HashMap<String, Lives>>,
+    joiners:
+        parking_lot::Mutex<hashbrown::HashMap<String, (pouch::wire::Member, tokio::time::Instant)>>,
+    pub origins: parking_lot::Mutex<hashbrown::HashMap<u64, pouch::link::Origin>>,
+    pub carriers: parking_lot::Mutex<hashbrown::HashMap<String, CarrierSeen>>,
+}
+
+/// Lives of one address; those before an empty disk are dead, with all they had on the way.
+#[derive(Default)]
+struct Lives {
+    seen: hashbrown::HashSet<u64>,
+    dead: hashbrown::HashSet<u64>,
+}
+
+impl Members {
+    /// Keeps one link to each member and seed.
+    pub fn relink(&self, s: &crate::Sorting) {
+        let p = s.params();
+        let mut want: hashbrown::HashSet<Ipv4Addr> = hashbrown::HashSet::new();
+        want.extend(s.acceptor.lock().roster().members.iter().filter_map(|m| m.addr()));
+        if !s.acceptor.lock().votes() {
+            want.extend(p.seeds.iter().filter_map(|a| match a.ip() {
+                std::net::IpAddr::V4(ip) => Some(ip),
+                std::net::IpAddr::V6(_) => None,
+            }));
+        }
+        want.remove(&s.node.ip);
+        let mut links = self.links.lock();
+        links.retain(|ip, _| want.contains(ip));
+        for ip in want {
+            links.entry(ip).or_insert_with(|| Link::keep(&s.node, p.peer_addr(ip.into()), None));
+        }
+    }
+
+    pub fn links(&self) -> Vec<(Ipv4Addr, Arc<Link>)> {
+        self.links.lock().iter().map(|(ip, l)| (*ip, l.clone())).collect()
+    }
+
+    fn enter(&self, hello: &pouch::wire::Hello) {
+        self.lives.lock().entry_ref(hello.ip.as_str()).or_default().seen.insert(hello.life);
+        if let Ok(ip) = hello.ip.parse() {
+            self.zones.lock().insert(ip, hello.zone.clone());
+        }
+    }
+
+    /// A life that came back with an empty disk ends all earlier ones of its address.
+    fn bury(&self, ip: &str, but: u64) {
+        let mut l = self.lives.lock();
+        let l = l.entry_ref(ip).or_default();
+        let dead: Vec<u64> = l.seen.iter().copied().filter(|x| *x != but).collect();
+        l.dead.extend(dead);
+    }
+
+    fn is_dead(&self, hello: &pouch::wire::Hello) -> bool {
+        self.lives.lock().get(&hello.ip).is_some_and(|l| l.dead.contains(&hello.life))
+    }
+}
+
+impl crate::Sorting {
+    /// Links to these members but the own one.
+    pub fn peers(&self, members: &[pouch::wire::Member]) -> Vec<(u64, Arc<Link>)> {
+        let links = self.members.links.lock();
+        members
+            .iter()
+            .filter_map(|m| {
+                let ip = m.addr()?;
+                Some((u64::from(u32::from(ip)), links.get(&ip)?.clone()))
+            })
+            .collect()
+    }
+}
