--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -19,6 +19,7 @@
     pub stamp: Option<u64>,
     pub salt: Option<String>,
     pub missing: u64,
+    pub source: Option<String>,
     pub sink: Option<String>,
 }
 
@@ -55,6 +56,15 @@
     prompt: &'a Prompt,
     capacity: u64,
     newest: Option<u64>,
+    token_bits: f64,
+    link_mbps: f64,
+}
+
+/// The store, as the configuration has it.
+struct Store<'a> {
+    address: Option<&'a str>,
+    zone: &'a str,
+    mbps: f64,
 }
 
 struct Candidate {
@@ -63,6 +73,8 @@
     cost: f64,
     missing: u64,
     full: bool,
+    source: Option<String>,
+    sink: Option<String>,
 }
 
 pub fn place(
@@ -122,14 +134,40 @@
             });
         }
     }
-    let ask = Ask { zone: &d.node.zone, prompt, capacity, newest };
+    let ask = Ask {
+        zone: &d.node.zone,
+        prompt,
+        capacity,
+        newest,
+        token_bits: facts.map_or(0.0, |f| f.kv_token_bytes * 8.0),
+        link_mbps: facts.map_or(0.0, |f| f.link_mbps),
+    };
+    let store = table.store().map(|s| Store {
+        address: s.kv_store.as_deref(),
+        zone: s.zone.as_deref().unwrap_or_default(),
+        mbps: s.link_mbps,
+    });
     let best = d.sight.shelf.look(|view| {
+        let store = store.filter(|s| s.address.is_some_and(|a| view.knows(a)));
+        let held: Vec<Held> = found
+            .iter()
+            .map(|(seat, stamp, _)| {
+                let parts = stamp.and_then(|s| salts.get(&s));
+                let at_home = home.as_ref().is_some_and(|h| *h == seat.id);
+                held(view, &seat.id, prompt, parts, at_home)
+            })
+            .collect();
         let mut best: Option<Candidate> = None;
-        for (seat, stamp, _) in &found {
+        for (i, (seat, stamp, _)) in found.iter().enumerate() {
             let parts = stamp.and_then(|s| salts.get(&s));
-            let at_home = home.as_ref().is_some_and(|h| *h == seat.id);
-            let (missing, likely) = missing(view, seat, prompt, parts, at_home);
-            let c = weigh(&ask, seat, *stamp, missing, likely);
+            let kept = store.as_ref().map(|s| held_at_store(view, s, prompt, parts));
+            let source = source(&ask, &found, &held, i, store.as_ref().zip(kept));
+            let mut c = weigh(&ask, seat, *stamp, &held[i], source);
+            c.sink = store
+                .as_ref()
+                .filter(|_| wants_sink(prompt, kept))
+                .and_then(|s| s.address)
+                .map(str::to_owned);
             let better = best.as_ref().is_none_or(|b| (c.full, c.cost) < (b.full, b.cost));
             if better {
                 best = Some(c);
@@ -147,38 +185,113 @@
         (Some(m), Some(s)) => Some(recall::view::salt_text(m, s, &wall)),
         _ => None,
     };
-    Ok(Choice { seat: c.seat, stamp: c.stamp, salt, missing: c.missing, sink: None })
+    let Candidate { seat, stamp, missing, source, sink, .. } = c;
+    Ok(Choice { seat, stamp, salt, missing, source, sink })
+}
+
+/// Tokens of a prompt that a holder keeps without a gap: as known, and as likely at a part's home.
+#[derive(Clone, Copy)]
+struct Held {
+    known: u64,
+    likely: f64,
 }
 
-/// Tokens that the engine would read, as known, and as likely once it is taken for the home of the part.
-fn missing(
+fn held(
     view: &recall::view::View,
-    seat: &Seat,
+    holder: &str,
     prompt: &Prompt,
     parts: Option<&Vec<recall::view::Part>>,
     at_home: bool,
-) -> (u64, f64) {
-    let mut known = 0;
-    let mut likely = 0.0;
+) -> Held {
+    let mut out = Held { known: 0, likely: 0.0 };
     let mut broken = false;
     let last = prompt.parts.len().saturating_sub(1);
     for (i, p) in prompt.parts.iter().enumerate() {
-        let held = parts.is_some_and(|x| view.holds(&seat.id, x[i]));
-        broken |= !held;
-        if broken {
-            known += p.tokens;
-            let trust = if at_home && i < last { k::RENDEZVOUS_TRUST } else { 0.0 };
-            likely += p.tokens as f64 * (1.0 - trust);
+        broken |= !parts.is_some_and(|x| view.holds(holder, x[i]));
+        if !broken {
+            out.known += p.tokens;
+            out.likely += p.tokens as f64;
+        } else if at_home && i < last {
+            out.likely += p.tokens as f64 * k::RENDEZVOUS_TRUST;
         }
     }
-    (known, likely)
+    out
+}
+
+fn held_at_store(
+    view: &recall::view::View,
+    store: &Store,
+    prompt: &Prompt,
+    parts: Option<&Vec<recall::view::Part>>,
+) -> u64 {
+    store.address.map_or(0, |a| held(view, a, prompt, parts, false).known)
+}
+
+/// Large shared parts that the store lacks are worth a place there.
+fn wants_sink(prompt: &Prompt, kept: Option<u64>) -> bool {
+    let shared = prompt.shared();
+    shared >= k::SINK_TOKENS && kept.is_some_and(|k| k < shared)
 }
 
-fn weigh(ask: &Ask, seat: &Arc<Seat>, stamp: Option<u64>, missing: u64, likely: f64) -> Candidate {
+/// Where the missing parts can be had cheaper than by reading them.
+struct Source {
+    address: String,
+    tokens: u64,
+    ms: f64,
+}
+
+fn source(
+    ask: &Ask,
+    found: &[(Arc<Seat>, Option<u64>, bool)],
+    held: &[Held],
+    at: usize,
+    store: Option<(&Store, u64)>,
+) -> Option<Source> {
+    let zone = found[at].0.news().zone.clone();
+    let own = held[at].known;
+    let ms = |tokens: u64, mbps: f64, there: &str| {
+        let far = if there == zone { 1.0 } else { 2.0 };
+        k::MOVE_COST_MS + tokens as f64 * ask.token_bits / (mbps.max(1.0) * 1e3) * far
+    };
+    let mut best: Option<Source> = None;
+    let mut offer = |tokens: u64, ms: f64, address: &dyn Fn() -> String| {
+        let gain = |t: u64, ms: f64| t as f64 / k::READ_RATE - ms;
+        if tokens < k::MOVE_TOKENS || gain(tokens, ms) <= 0.0 {
+            return;
+        }
+        if best.as_ref().is_none_or(|b| gain(tokens, ms) > gain(b.tokens, b.ms)) {
+            best = Some(Source { address: address(), tokens, ms });
+        }
+    };
+    for (i, (seat, stamp, _)) in found.iter().enumerate() {
+        if i != at && *stamp == found[at].1 && held[i].known > own {
+            let t = held[i].known - own;
+            offer(t, ms(t, ask.link_mbps, &seat.news().zone), &|| seat.address.to_string());
+        }
+    }
+    if let Some((s, kept)) = store
+        && kept > own
+    {
+        let t = kept - own;
+        offer(t, ms(t, s.mbps.min(ask.link_mbps), s.zone), &|| {
+            s.address.unwrap_or_default().to_owned()
+        });
+    }
+    best
+}
+
+fn weigh(
+    ask: &Ask,
+    seat: &Arc<Seat>,
+    stamp: Option<u64>,
+    held: &Held,
+    source: Option<Source>,
+) -> Candidate {
     let (slots, zone) = {
         let n = seat.news();
         (n.slots, n.zone == ask.zone)
     };
+    let all = ask.prompt.tokens();
     let w = seat.work();
     let told = w.told.filter(|t| t.at.elapsed() < k::CARRIER_BEAT);
     let running = told.map_or(0, |t| t.running).max(w.runs);
@@ -189,7 +302,16 @@
     } else {
         0.0
     };
-    let mut cost = likely / k::READ_RATE
+    let unheld = all - held.known;
+    let likely = (all as f64 - held.likely).max(0.0) / k::READ_RATE;
+    let (missing, read) = match &source {
+        Some(s) => {
+            let left = unheld.saturating_sub(s.tokens);
+            (left, likely.min(left as f64 / k::READ_RATE + s.ms))
+        }
+        None => (unheld, likely),
+    };
+    let mut cost = read
         + w.unread as f64 / k::READ_RATE
         + f64::from(running) * k::RUN_COST_MS
         + f64::from(waiting) * k::WAIT_COST_MS;
@@ -202,7 +324,8 @@
     if stamp < ask.newest {
         cost += k::WAIT_COST_MS;
     }
-    Candidate { seat: seat.clone(), stamp, cost, missing, full }
+    let source = source.map(|s| s.address);
+    Candidate { seat: seat.clone(), stamp, cost, missing, full, source, sink: None }
 }
 
 #[cfg(test)]
--- a/crates/delivery/src/place/prompt.rs
+++ b/crates/delivery/src/place/prompt.rs
@@ -45,6 +45,12 @@
         self.parts.iter().map(|p| p.tokens).sum()
     }
 
+    /// Tokens of all parts but the last.
+    pub fn shared(&self) -> u64 {
+        let n = self.parts.len().saturating_sub(1);
+        self.parts[..n].iter().map(|p| p.tokens).sum()
+    }
+
     pub fn burden(&self) -> u64 {
         self.read.max(self.tokens()) + self.put_out
     }
--- a/crates/delivery/src/serve/request.rs
+++ b/crates/delivery/src/serve/request.rs
@@ -279,6 +279,9 @@
         if let Some(s) = &c.salt {
             h.insert(SALT, HeaderValue::from_str(s).ok()?);
         }
+        if let Some(s) = &c.source {
+            h.insert(SOURCE, HeaderValue::from_str(s).ok()?);
+        }
         if let Some(s) = &c.sink {
             h.insert(SINK, HeaderValue::from_str(s).ok()?);
         }
--- a/crates/delivery/src/sight/purge.rs
+++ b/crates/delivery/src/sight/purge.rs
@@ -8,16 +8,30 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-enum Item {
-    Reset(Vec<pouch::wire::HeldParts>),
-    Entries(Vec<RingEntry>),
+/// What a fetch brought: on a reset the whole view gives way; findings come before entries.
+pub struct Change {
+    reset: bool,
+    digest: Vec<pouch::wire::HeldParts>,
+    entries: Vec<RingEntry>,
+}
+
+impl Change {
+    fn apply(&self, view: &mut View) {
+        if self.reset {
+            view.reset();
+        }
+        view.refill(&self.digest);
+        for e in &self.entries {
+            view.apply(e, |_| true);
+        }
+    }
 }
 
 /// The placement view and what is to be applied to it.
 pub struct Shelf {
     view: parking_lot::Mutex<View>,
     pending: AtomicBool,
-    inbox: parking_lot::Mutex<Vec<Item>>,
+    inbox: parking_lot::Mutex<Vec<Change>>,
 }
 
 impl Shelf {
@@ -29,7 +43,7 @@
         }
     }
 
-    fn put(&self, item: Item) {
+    fn put(&self, item: Change) {
         self.inbox.lock().push(item);
         self.pending.store(true, Ordering::Release);
     }
@@ -42,18 +56,8 @@
         let mut view = self.view.lock();
         self.pending.store(false, Ordering::Relaxed);
         let items = std::mem::take(&mut *self.inbox.lock());
-        for item in items {
-            match item {
-                Item::Reset(digest) => {
-                    view.reset();
-                    view.refill(&digest);
-                }
-                Item::Entries(entries) => {
-                    for e in &entries {
-                        view.apply(e, |_| true);
-                    }
-                }
-            }
+        for c in items {
+            c.apply(&mut view);
         }
         f(&mut view)
     }
@@ -75,6 +79,7 @@
     fence: u64,
     life: u64,
     cursor: u64,
+    found: u64,
 }
 
 /// What an answer of the keeper does to the reader.
@@ -83,19 +88,12 @@
     if head.fence < at.fence {
         return None;
     }
-    let next = Place { fence: head.fence, life: head.life, cursor: g.cursor };
-    if g.reset {
-        return Some((next, Some(Change::Reset(g.digest))));
-    }
-    if (head.fence, head.life) != (at.fence, at.life) {
+    let next = Place { fence: head.fence, life: head.life, cursor: g.cursor, found: head.found };
+    if !g.reset && (head.fence, head.life) != (at.fence, at.life) {
         return None;
     }
-    Some((next, (!g.entries.is_empty()).then_some(Change::Entries(g.entries))))
-}
-
-pub enum Change {
-    Reset(Vec<pouch::wire::HeldParts>),
-    Entries(Vec<RingEntry>),
+    let any = g.reset || !g.entries.is_empty() || !g.digest.is_empty();
+    Some((next, any.then_some(Change { reset: g.reset, digest: g.digest, entries: g.entries })))
 }
 
 /// Fetches behind the head whenever it has moved or the keeper has nudged.
@@ -113,6 +111,7 @@
                 cursor: at.cursor,
                 reader: d.node.life,
                 refill: at == Place::default(),
+                found: at.found,
             };
             let Ok(Body::RingGive(g)) = link.call(Body::RingAsk(ask), k::PHASE_LIMIT).await else {
                 break;
@@ -120,14 +119,11 @@
             let top = g.head.as_ref().map_or(0, |h| h.head);
             let Some((next, change)) = step(at, g) else { break };
             at = next;
-            match change {
-                Some(Change::Reset(digest)) => {
-                    pouch::note!(d.log, Event::ReaderReset, "cursor" => at.cursor);
-                    d.sight.shelf.put(Item::Reset(digest));
-                }
-                Some(Change::Entries(e)) => d.sight.shelf.put(Item::Entries(e)),
-                None => break,
+            let Some(c) = change else { break };
+            if c.reset {
+                pouch::note!(d.log, Event::ReaderReset, "cursor" => at.cursor);
             }
+            d.sight.shelf.put(c);
             if at.cursor >= top {
                 break;
             }
@@ -141,17 +137,17 @@
     use pouch::wire::{HeldParts, PartAt, Purge, RingHead};
 
     fn head(fence: u64, life: u64, head: u64) -> Option<RingHead> {
-        Some(RingHead { fence, life, head, keeper: String::new() })
+        Some(RingHead { fence, life, head, ..Default::default() })
     }
 
     #[test]
     fn another_life_counts_only_with_a_reset() {
-        let at = Place { fence: 2, life: 7, cursor: 5 };
+        let at = Place { fence: 2, life: 7, cursor: 5, found: 0 };
         let g = RingGive { head: head(2, 8, 9), cursor: 9, ..Default::default() };
         assert!(step(at, g.clone()).is_none());
         let (next, change) = step(at, RingGive { reset: true, ..g }).unwrap();
-        assert_eq!(next, Place { fence: 2, life: 8, cursor: 9 });
-        assert!(matches!(change, Some(Change::Reset(_))));
+        assert_eq!(next, Place { fence: 2, life: 8, cursor: 9, found: 0 });
+        assert!(change.is_some_and(|c| c.reset));
         let old = RingGive { head: head(1, 3, 9), reset: true, ..Default::default() };
         assert!(step(at, old).is_none());
     }
@@ -160,14 +156,18 @@
     fn entries_are_applied_before_the_view_is_looked_at() {
         let s = Shelf::new();
         let part = recall::view::part_of("m|1|#1", 4);
-        s.put(Item::Reset(vec![HeldParts {
-            holder: "e".into(),
-            salt: "m|1|#1".into(),
-            parts: vec![4],
-        }]));
+        s.put(Change {
+            reset: true,
+            digest: vec![HeldParts { holder: "e".into(), salt: "m|1|#1".into(), parts: vec![4] }],
+            entries: Vec::new(),
+        });
         assert!(s.look(|v| v.holds("e", part)));
         let gone = Purge::Part(PartAt { holder: "e".into(), salt: "m|1|#1".into(), part: 4 });
-        s.put(Item::Entries(vec![RingEntry { scope: 0, what: Some(gone) }]));
+        s.put(Change {
+            reset: false,
+            digest: Vec::new(),
+            entries: vec![RingEntry { scope: 0, what: Some(gone) }],
+        });
         assert!(!s.look(|v| v.holds("e", part)));
     }
 
@@ -214,11 +214,7 @@
                         if lost { continue; }
                         let Some((next, change)) = step(at, g) else { continue };
                         at = next;
-                        match change {
-                            Some(Change::Reset(d)) => { view.reset(); view.refill(&d); }
-                            Some(Change::Entries(e)) => for x in &e { view.apply(x, |_| true); },
-                            None => {}
-                        }
+                        if let Some(c) = change { c.apply(&mut view); }
                         if at.cursor == ring.head() && at.life == life {
                             for q in 0..6 {
                                 let held = view.holds("e", recall::view::part_of("m|1|#1", q));
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -90,10 +90,14 @@
 pub const RING_BATCH: usize = 64;
 /// entries; a reader behind by more than this is nudged once.
 pub const RING_LAG: u64 = 2048;
+/// findings remembered for readers; more than come between two fetches.
+pub const FINDINGS_KEPT: usize = 4096;
 /// s; a reader that has not come for so long loses its cursor.
 pub const READER_LIMIT: Duration = Duration::from_secs(10);
 /// ms; carriers fetch published entries this long after they hear of a new head.
-pub const RING_FETCH_PAUSE: Duration = Duration::from_millis(200);
+pub const RING_FETCH_PAUSE: Duration = Duration::from_millis(20);
+/// ms; the index-keeper tells of a new head at most this often.
+pub const RING_TELL_PAUSE: Duration = Duration::from_millis(250);
 /// share of a budget that is used; the rest covers windows that slide against each other.
 pub const BUDGET_SHARE: f64 = 0.8;
 /// carriers; how many may join before the others hear of it.
@@ -110,6 +114,12 @@
 pub const WAIT_COST_MS: f64 = 40.0;
 /// ms; what leaving the zone costs in bytes and time.
 pub const ZONE_COST_MS: f64 = 4.0;
+/// tokens; a move of fewer costs about as much as reading them.
+pub const MOVE_TOKENS: u64 = 400;
+/// tokens; shared parts of this size are worth a place in the store.
+pub const SINK_TOKENS: u64 = 1500;
+/// ms; setting up a move.
+pub const MOVE_COST_MS: f64 = 3.0;
 /// share of a shared part that the first engine by rendezvous is taken to hold unseen.
 pub const RENDEZVOUS_TRUST: f64 = 0.8;
 /// ms; an engine that broke a connection is left alone this long; doubles.
--- a/crates/pouch/src/wire.rs
+++ b/crates/pouch/src/wire.rs
@@ -395,6 +395,9 @@
     pub head: u64,
     #[prost(string, tag = "4")]
     pub keeper: String,
+    /// parts that holders were found to keep, so far
+    #[prost(uint64, tag = "5")]
+    pub found: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -410,6 +413,9 @@
     /// wants a digest to start from
     #[prost(bool, tag = "5")]
     pub refill: bool,
+    /// findings seen so far
+    #[prost(uint64, tag = "6")]
+    pub found: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -423,6 +429,7 @@
     /// cursor behind the entries, or the ring position of the digest
     #[prost(uint64, tag = "4")]
     pub cursor: u64,
+    /// all that is kept on a reset, else what was found since; taken in before the entries
     #[prost(message, repeated, tag = "5")]
     pub digest: Vec<HeldParts>,
 }
--- a/crates/recall/src/view.rs
+++ b/crates/recall/src/view.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Known to answer, whatever it keeps.
+    pub fn knows(&self, holder: &str) -> bool {
+        self.holders.contains_key(holder)
+    }
+
     pub fn holds(&self, holder: &str, part: Part) -> bool {
         self.holders.get(holder).is_some_and(|s| s.parts.contains_key(&part))
     }
@@ -125,6 +130,10 @@
 
     pub fn refill(&mut self, digest: &[HeldParts]) {
         for h in digest {
+            if h.salt.is_empty() {
+                self.holders.entry_ref(h.holder.as_str()).or_default();
+                continue;
+            }
             self.learn(&h.holder, &h.salt, h.parts.iter().copied());
         }
     }
--- a/crates/sorting/src/duties/keeper.rs
+++ b/crates/sorting/src/duties/keeper.rs
@@ -20,6 +20,8 @@
 #[derive(Default)]
 pub struct Index {
     holders: hashbrown::HashMap<String, hashbrown::HashMap<String, Parts>>,
+    fresh: std::collections::VecDeque<(String, String, u64)>,
+    found: u64,
 }
 
 impl Local<RingEntry> for Index {
@@ -67,12 +69,48 @@
 
 impl Index {
     fn learn(&mut self, holder: &str, salt: &str, part: u64) {
-        self.holders.entry_ref(holder).or_default().entry_ref(salt).or_default().insert(part);
+        let parts = self.holders.entry_ref(holder).or_default().entry_ref(salt).or_default();
+        if parts.insert(part) {
+            self.find(holder, salt, part);
+        }
+    }
+
+    fn find(&mut self, holder: &str, salt: &str, part: u64) {
+        self.found += 1;
+        self.fresh.push_back((holder.to_owned(), salt.to_owned(), part));
+        if self.fresh.len() > k::FINDINGS_KEPT {
+            self.fresh.pop_front();
+        }
+    }
+
+    /// A holder that answers, with nothing kept as yet.
+    fn meet(&mut self, holder: &str) {
+        self.holders.entry_ref(holder).or_default();
+        self.find(holder, "", 0);
+    }
+
+    /// What was found behind a position; what is no longer remembered is only slower to come by.
+    fn since(&self, seen: u64) -> Vec<HeldParts> {
+        let behind = self.found.saturating_sub(seen) as usize;
+        let skip = self.fresh.len().saturating_sub(behind);
+        let mut out: Vec<HeldParts> = Vec::new();
+        for (holder, salt, part) in self.fresh.iter().skip(skip) {
+            match out.iter_mut().find(|h| h.holder == *holder && h.salt == *salt) {
+                Some(h) => h.parts.push(*part),
+                None => out.push(HeldParts {
+                    holder: holder.clone(),
+                    salt: salt.clone(),
+                    parts: vec![*part],
+                }),
+            }
+        }
+        out
     }
 
     pub fn digest(&self) -> Vec<HeldParts> {
         let mut out = Vec::new();
         for (holder, salts) in &self.holders {
+            out.push(HeldParts { holder: holder.clone(), ..Default::default() });
             for (salt, parts) in salts {
                 out.push(HeldParts {
                     holder: holder.clone(),
@@ -110,6 +148,7 @@
             life: self.life,
             head: self.ring.head(),
             keeper: s.node.ip.to_string(),
+            found: self.index.lock().found,
         }
     }
 
@@ -161,34 +200,23 @@
     let cursor = if same && !a.refill { keeper.ring.cursor(a.reader) } else { None };
     let cursor = cursor.filter(|c| c.next() == a.cursor);
     if let Some(c) = cursor {
-        match keeper.ring.read(&c, k::RING_LAG as usize) {
-            Read::Nothing => {
-                return Some(RingGive {
-                    head: Some(keeper.head(s)),
-                    cursor: c.next(),
-                    ..Default::default()
-                });
-            }
-            Read::Entries(entries) => {
-                return Some(RingGive {
-                    head: Some(keeper.head(s)),
-                    cursor: c.next(),
-                    entries,
-                    ..Default::default()
-                });
-            }
-            Read::Reset(_) => {}
+        let digest = keeper.index.lock().since(a.found);
+        let entries = match keeper.ring.read(&c, k::RING_LAG as usize) {
+            Read::Nothing => Some(Vec::new()),
+            Read::Entries(entries) => Some(entries),
+            Read::Reset(_) => None,
+        };
+        if let Some(entries) = entries {
+            let head = Some(keeper.head(s));
+            return Some(RingGive { head, reset: false, cursor: c.next(), entries, digest });
         }
     }
-    let index = keeper.index.lock();
-    let (_, cursor) = keeper.ring.enter(a.reader);
-    Some(RingGive {
-        head: Some(keeper.head(s)),
-        reset: true,
-        cursor,
-        digest: index.digest(),
-        entries: Vec::new(),
-    })
+    let (digest, cursor) = {
+        let index = keeper.index.lock();
+        (index.digest(), keeper.ring.enter(a.reader).1)
+    };
+    let head = Some(keeper.head(s));
+    Some(RingGive { head, reset: true, cursor, digest, entries: Vec::new() })
 }
 
 pub async fn keeping(s: Arc<Sorting>) {
@@ -215,7 +243,7 @@
     let mut tails = hashbrown::HashMap::<String, tokio::task::AbortHandle>::new();
     let mut seen_weights = hashbrown::HashMap::<String, u64>::new();
     let mut seen_wall = 0;
-    let mut told = 0;
+    let mut told = (0, 0);
     while s.duties.fence(INDEX_KEEPER) == Some(keeper.fence) {
         let mut want = s.look(|n| {
             n.engines
@@ -273,12 +301,12 @@
         for r in stuck {
             keeper.ring.drop_reader(r);
         }
-        let head = keeper.ring.head();
-        if head != told {
-            told = head;
-            s.append(Fact::Ring(keeper.head(s)));
+        let head = keeper.head(s);
+        if (head.head, head.found) != told {
+            told = (head.head, head.found);
+            s.append(Fact::Ring(head));
         }
-        tokio::time::sleep(k::RING_FETCH_PAUSE).await;
+        tokio::time::sleep(k::RING_TELL_PAUSE).await;
     }
     for t in tails.into_values() {
         t.abort();
@@ -309,9 +337,16 @@
             .filter(|a| a.status == http::StatusCode::OK)
             .and_then(|a| serde_json::from_slice::<Events>(&a.body).ok());
         let Some(e) = got else {
+            if at.take().is_some() {
+                pouch::note!(s.log, Event::HolderReset, "holder" => &holder);
+                keeper.commit(&s, [Purge::Holder(holder.clone())]);
+            }
             tokio::time::sleep(k::ENGINE_CALL_LIMIT).await;
             continue;
         };
+        if at.is_none() {
+            keeper.index.lock().meet(&holder);
+        }
         let other_life = at.is_some_and(|(epoch, _)| epoch != e.epoch);
         let gap = at.is_some() && e.lost;
         at = Some((e.epoch, if other_life { 0 } else { e.next_token }));
