--- a/crates/sorting/src/duties/mod.rs
+++ b/crates/sorting/src/duties/mod.rs
@@ -164,6 +164,11 @@
     }
 }
 
+/// Only who gives orders to engines has to let a former holder's lease run out once more.
+fn orders(duty: &str) -> bool {
+    duty == ROLL_OUT
+}
+
 async fn take(s: &Arc<Sorting>, duty: &'static str, lease: Duration, margin: Duration) {
     let before = Instant::now();
     if !s.duties.grants.lock().free(duty, s.node.life, before) {
@@ -179,7 +184,8 @@
         ask(s, duty, true).await;
         return;
     }
-    let wait = if c.holder.is_empty() || c.holder == s.node.name { Duration::ZERO } else { lease };
+    let same = c.holder.is_empty() || c.holder == s.node.name;
+    let wait = if same || !orders(duty) { Duration::ZERO } else { lease };
     let held = Holding {
         until: Some(before + lease - margin),
         from: Some(Instant::now() + wait),
--- a/crates/sorting/src/learner.rs
+++ b/crates/sorting/src/learner.rs
@@ -175,7 +175,8 @@
 pub async fn learning(s: Arc<Sorting>) {
     let mut open: hashbrown::HashMap<String, Ballot> = hashbrown::HashMap::new();
     loop {
-        tokio::time::sleep(k::LEARN_PAUSE).await;
+        let young = s.learned.lock().is_empty();
+        tokio::time::sleep(if young { k::LEARN_PAUSE / 10 } else { k::LEARN_PAUSE }).await;
         let q = s.quorum();
         let n = s.acceptor.lock().roster().members.len();
         let full = |h: &Held| n > 0 && h.values().any(|v| v.len() >= n);
