Keep requests that are heavy to read apart from long streams

Cause: reading stretches every running stream of an engine, so hints ran for 10 s and fell to each fault.

--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -58,6 +58,18 @@
     newest: Option<u64>,
     token_bits: f64,
     link_mbps: f64,
+    heavies: hashbrown::HashSet<String>,
+}
+
+/// The engines where heavy requests settle: alike at all carriers, and stable as engines come and go.
+fn heavy_side(found: &[(Arc<Seat>, Option<u64>, bool)]) -> hashbrown::HashSet<String> {
+    let mut ids: Vec<(u64, &str)> = found
+        .iter()
+        .map(|(s, _, _)| (pouch::node::stable_hash(&[s.id.as_bytes()]), s.id.as_str()))
+        .collect();
+    ids.sort_unstable();
+    let n = (ids.len() as f64 * k::HEAVY_SHARE).ceil() as usize;
+    ids.into_iter().take(n).map(|(_, id)| id.to_owned()).collect()
 }
 
 /// The store, as the configuration has it.
@@ -116,8 +128,12 @@
     if found.is_empty() {
         return Err(Nowhere::Unknown);
     }
+    let heavies = heavy_side(&found);
     let home = prompt.deepest_shared().map(|p| {
-        let rank = |s: &Seat| pouch::node::stable_hash(&[&p.to_be_bytes(), s.id.as_bytes()]);
+        let rank = |s: &Seat| {
+            let side = heavies.contains(&s.id) == prompt.is_heavy();
+            (side, pouch::node::stable_hash(&[&p.to_be_bytes(), s.id.as_bytes()]))
+        };
         found
             .iter()
             .max_by_key(|(s, _, _)| rank(s))
@@ -141,6 +157,7 @@
         newest,
         token_bits: facts.map_or(0.0, |f| f.kv_token_bytes * 8.0),
         link_mbps: facts.map_or(0.0, |f| f.link_mbps),
+        heavies,
     };
     let store = table.store().map(|s| Store {
         address: s.kv_store.as_deref(),
@@ -321,6 +338,9 @@
     if fill > 0.5 {
         cost += (fill - 0.5) * 1000.0;
     }
+    if ask.prompt.is_heavy() != ask.heavies.contains(&seat.id) {
+        cost += k::ASTRAY_COST_MS;
+    }
     if stamp < ask.newest {
         cost += k::WAIT_COST_MS;
     }
--- a/crates/delivery/src/place/prompt.rs
+++ b/crates/delivery/src/place/prompt.rs
@@ -51,6 +51,11 @@
         self.parts[..n].iter().map(|p| p.tokens).sum()
     }
 
+    /// More to read than to write: kept apart from the long streams, whose pace reading slows.
+    pub fn is_heavy(&self) -> bool {
+        self.read.max(self.tokens()) > self.put_out * pouch::constants::HEAVY_RATIO
+    }
+
     pub fn burden(&self) -> u64 {
         self.read.max(self.tokens()) + self.put_out
     }
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -118,6 +118,12 @@
 pub const MOVE_TOKENS: u64 = 400;
 /// tokens; shared parts of this size are worth a place in the store.
 pub const SINK_TOKENS: u64 = 1500;
+/// tokens read for each token put out, above which a request counts as heavy to read.
+pub const HEAVY_RATIO: u64 = 10;
+/// share of a service's engines that heavy requests settle at.
+pub const HEAVY_SHARE: f64 = 0.5;
+/// ms; what it costs to leave the half of the engines where one belongs.
+pub const ASTRAY_COST_MS: f64 = 120.0;
 /// ms; setting up a move.
 pub const MOVE_COST_MS: f64 = 3.0;
 /// share of a shared part that the first engine by rendezvous is taken to hold unseen.
