--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -109,7 +109,8 @@
         if n.service != service || n.standing() != Standing::Ready || tried.contains(&s.id) {
             continue;
         }
-        if pouch::fleet::is_changing(&n) {
+        let changing = |m| pouch::fleet::is_changing(&n, m, named.map(|x| x.stamp));
+        if prompt.model.as_deref().is_some_and(changing) {
             continue;
         }
         let stamp = prompt.model.as_deref().and_then(|m| pouch::fleet::stamp_of(&n, m));
--- a/crates/pouch/src/fleet.rs
+++ b/crates/pouch/src/fleet.rs
@@ -54,8 +54,9 @@
     e.weights.iter().find(|w| w.model == model).map(|w| w.stamp)
 }
 
-pub fn is_changing(e: &Engine) -> bool {
-    e.turn % 2 == 1
+/// Under order, and not yet at the named weights: who ordered it may have died before telling the end.
+pub fn is_changing(e: &Engine, model: &str, named: Option<u64>) -> bool {
+    e.turn % 2 == 1 && stamp_of(e, model).is_none_or(|s| named.is_none_or(|n| s < n))
 }
 
 #[cfg(test)]
@@ -89,6 +90,19 @@
         assert!(!merge(&mut e, &old));
         assert_eq!(stamp_of(&e, "m"), Some(3));
         assert_eq!(e.turn, 4);
-        assert!(!is_changing(&e));
+        assert!(!is_changing(&e, "m", Some(4)));
+    }
+
+    #[test]
+    fn an_engine_at_the_named_weights_is_no_longer_changing() {
+        let mut e = engine(1, Standing::Ready);
+        raise(&mut e, "m", 2);
+        e.turn = 1;
+        assert!(is_changing(&e, "m", Some(3)));
+        let mut beat = engine(2, Standing::Ready);
+        raise(&mut beat, "m", 3);
+        assert!(merge(&mut e, &beat));
+        assert_eq!(e.turn, 1, "nobody told the end of the turn");
+        assert!(!is_changing(&e, "m", Some(3)));
     }
 }
