--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -50,6 +50,25 @@
 }
 
 impl Delivery {
+    /// A carrier that as yet listens nowhere and sees nothing.
+    pub fn assemble(params: pouch::params::Params, log: slog::Logger) -> Arc<Delivery> {
+        let node = pouch::node::Node::start(&params, pouch::node::Role::Carrier);
+        Arc::new(Delivery {
+            dice: AtomicU64::new(node.life),
+            sight: sight::Sight::new(),
+            budgets: budget::Budgets::default(),
+            counters: Counters::default(),
+            started: tokio::time::Instant::now(),
+            ready: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            closing: tokio::sync::watch::channel(false).0,
+            params: parking_lot::RwLock::new(Arc::new(params)),
+            node,
+            log,
+        })
+    }
+
     pub fn params(&self) -> Arc<pouch::params::Params> {
         self.params.read().clone()
     }
@@ -91,21 +110,7 @@
         pouch::link::listen(a).map_err(|e: std::io::Error| DeliveryProblem::Listen(a, e.kind()))
     };
     let (front, probe) = (listen(front)?, listen(probe)?);
-    let node = pouch::node::Node::start(&params, pouch::node::Role::Carrier);
-    let d = Arc::new(Delivery {
-        dice: AtomicU64::new(node.life),
-        sight: sight::Sight::new(),
-        budgets: budget::Budgets::default(),
-        counters: Counters::default(),
-        started: tokio::time::Instant::now(),
-        ready: AtomicBool::new(false),
-        leaving: AtomicBool::new(false),
-        open: AtomicUsize::new(0),
-        closing: tokio::sync::watch::channel(false).0,
-        params: parking_lot::RwLock::new(Arc::new(params)),
-        node,
-        log: log.clone(),
-    });
+    let d = Delivery::assemble(params, log.clone());
     let tasks = [
         tokio::spawn(serve::probes(d.clone(), probe)),
         tokio::spawn(sight::links::watching(d.clone())),
--- /dev/null
+++ b/crates/delivery/tests/stand/mod.rs
@@ -0,0 +1,212 @@
+//! A carrier on loopback, stand-in engines that play scripts, and a plain origin.
+
+use delivery::Delivery;
+use delivery::sight::table::Table;
+use pouch::wire::{Engine, NamedWeights, View, Weights};
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What an engine saw of one request.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+    pub connection: usize,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines()
+        .filter_map(|l| l.split_once(':'))
+        .find(|(n, _)| n.eq_ignore_ascii_case(name))
+        .map(|(_, v)| v.trim())
+}
+
+pub enum Then {
+    Keep,
+    Close,
+}
+
+type Script = dyn Fn(usize, &Seen) -> (Vec<u8>, Then) + Send + Sync;
+
+pub struct StandIn {
+    pub id: String,
+    pub address: std::net::SocketAddr,
+    pub seen: Arc<parking_lot::Mutex<Vec<Seen>>>,
+}
+
+impl StandIn {
+    pub async fn start(
+        id: &str,
+        script: impl Fn(usize, &Seen) -> (Vec<u8>, Then) + Send + Sync + 'static,
+    ) -> StandIn {
+        let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = l.local_addr().unwrap();
+        let seen: Arc<parking_lot::Mutex<Vec<Seen>>> = Arc::default();
+        let script: Arc<Script> = Arc::new(script);
+        let all = seen.clone();
+        tokio::spawn(async move {
+            let mut connection = 0;
+            while let Ok((s, _)) = l.accept().await {
+                connection += 1;
+                tokio::spawn(play(s, connection, all.clone(), script.clone()));
+            }
+        });
+        StandIn { id: id.to_owned(), address, seen }
+    }
+
+    pub fn arrivals(&self) -> usize {
+        self.seen.lock().len()
+    }
+}
+
+async fn read_message(s: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut buf = Vec::new();
+    let end = loop {
+        if let Some(i) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            break i + 4;
+        }
+        let mut b = [0u8; 4096];
+        let n = s.read(&mut b).await.ok().filter(|n| *n > 0)?;
+        buf.extend_from_slice(&b[..n]);
+    };
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    let len: usize = header(&head, "content-length").map_or(0, |v| v.parse().unwrap());
+    let mut body = buf.split_off(end);
+    while body.len() < len {
+        let mut b = [0u8; 4096];
+        let n = s.read(&mut b).await.ok().filter(|n| *n > 0)?;
+        body.extend_from_slice(&b[..n]);
+    }
+    Some((head, body))
+}
+
+async fn play(
+    mut s: TcpStream,
+    connection: usize,
+    all: Arc<parking_lot::Mutex<Vec<Seen>>>,
+    script: Arc<Script>,
+) {
+    while let Some((head, body)) = read_message(&mut s).await {
+        let seen = Seen { head, body, connection };
+        let n = {
+            let mut a = all.lock();
+            a.push(seen.clone());
+            a.len()
+        };
+        let (bytes, then) = script(n, &seen);
+        if s.write_all(&bytes).await.is_err() || matches!(then, Then::Close) {
+            return;
+        }
+    }
+}
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+pub fn event(id: u32) -> String {
+    format!("id: {id}\ndata: x{id}\n\n")
+}
+
+/// Head of a proper stream, answering this request.
+pub fn head_for(seen: &Seen, more: &str) -> String {
+    let id = seen.header("x-attempt-id").unwrap_or("");
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\nContent-Type: text/event-stream\r\n{more}Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+pub fn whole(seen: &Seen, ids: std::ops::RangeInclusive<u32>) -> Vec<u8> {
+    let body: String = ids.map(|i| chunk(&event(i))).collect();
+    format!("{}{body}0\r\n\r\n", head_for(seen, "")).into_bytes()
+}
+
+pub struct Fleet {
+    pub d: Arc<Delivery>,
+    front: std::net::SocketAddr,
+}
+
+impl Fleet {
+    pub async fn start(engines: &[&StandIn]) -> Fleet {
+        let text = "nodeName=c1\nip=127.0.0.1\nzone=z\nportRange=1,9\nbounds.retryRatio=10\n\
+            bounds.retryWindowS=10\nbounds.retrySlack=0\nbounds.versionMs=8000\n";
+        let params = pouch::params::Params::parse(text).unwrap();
+        let d = Delivery::assemble(params, slog::Logger::root(slog::Discard, slog::o!()));
+        let route = |prefix: &str, resumable: bool, attempts: u32| {
+            serde_json::json!({"host": "h.example", "pathPrefix": prefix, "kind": "streaming",
+                "timeoutMs": 20000, "service": "s", "maxAttempts": attempts, "resumable": resumable})
+        };
+        let sheet = serde_json::json!({
+            "revision": 1,
+            "routes": [route("/once/", false, 1), route("/twice/", false, 2), route("/on/", true, 3)],
+            "services": [{"name": "s", "maxConns": 100, "engine": {"slots": 8, "kvCapacity": 100000}}],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
+            "tenants": [{"name": "t1", "apiKeys": ["k1"]}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
+        });
+        d.sight.set_table(Table::compile(sheet.to_string().as_bytes(), 4).unwrap());
+        let view = View {
+            engines: engines.iter().map(|e| known(e)).collect(),
+            weights: vec![NamedWeights { model: "m".into(), stamp: 2, age_ms: 0 }],
+            ..Default::default()
+        };
+        d.sight.hear(&view);
+        let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let front = l.local_addr().unwrap();
+        tokio::spawn(delivery::serve::accepting(d.clone(), l));
+        Fleet { d, front }
+    }
+
+    /// Sends bytes and gives all that comes until the carrier closes or the answer is whole.
+    pub async fn raw(&self, bytes: &[u8]) -> String {
+        let mut s = TcpStream::connect(self.front).await.unwrap();
+        s.write_all(bytes).await.unwrap();
+        let mut out = Vec::new();
+        let mut b = [0u8; 4096];
+        while let Ok(n) = s.read(&mut b).await {
+            out.extend_from_slice(&b[..n]);
+            let text = String::from_utf8_lossy(&out);
+            let chunked = text.to_ascii_lowercase().contains("transfer-encoding: chunked");
+            let done =
+                if chunked { text.ends_with("0\r\n\r\n") } else { text.contains("\r\n\r\n") };
+            if n == 0 || done {
+                break;
+            }
+        }
+        String::from_utf8_lossy(&out).into_owned()
+    }
+
+    pub async fn ask(&self, path: &str, more: &str) -> String {
+        self.raw(request(path, more).as_bytes()).await
+    }
+}
+
+pub fn request(path: &str, more: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Model: m\r\nX-Key: k1\r\n\
+         X-Token-Count: 30,5\r\nX-Prompt-Prefix: aa:10,bb:10,cc:10\r\nX-Deadline-Ms: 15000\r\n{more}Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+pub fn known(e: &StandIn) -> Engine {
+    Engine {
+        id: e.id.clone(),
+        call: 1,
+        service: "s".into(),
+        address: e.address.to_string(),
+        zone: "z".into(),
+        slots: 8,
+        weights: vec![Weights { model: "m".into(), stamp: 2 }],
+        ..Default::default()
+    }
+}
+
+pub fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
