--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -31,6 +31,8 @@
     pub sessions: AtomicU64,
     pub parts_held: AtomicU64,
     pub parts_missing: AtomicU64,
+    pub heavy_answers: AtomicU64,
+    pub heavy_wait_us: AtomicU64,
 }
 
 /// All state of a carrier. Lock order: table, engines, one engine's work, view; never two engines.
--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -104,9 +104,10 @@
     let named = prompt.model.as_deref().and_then(|m| d.sight.named(m));
     let wall = wall(tenant, table.wall);
     let mut found: Vec<(Arc<Seat>, Option<u64>, bool)> = Vec::new();
+    let mut leaving: Vec<(Arc<Seat>, Option<u64>, bool)> = Vec::new();
     for s in d.sight.seats.read().values() {
         let n = s.news();
-        if n.service != service || n.standing() != Standing::Ready || tried.contains(&s.id) {
+        if n.service != service || n.standing() == Standing::Gone || tried.contains(&s.id) {
             continue;
         }
         let changing = |m| pouch::fleet::is_changing(&n, m, named.map(|x| x.stamp));
@@ -120,8 +121,13 @@
         if stamp.is_some_and(|x| !stamp_allowed(x, named, now, bound)) {
             continue;
         }
+        if n.standing() == Standing::Draining {
+            leaving.extend((!n.silent).then(|| (s.clone(), stamp, false)));
+            continue;
+        }
         found.push((s.clone(), stamp, n.silent));
     }
+    leaving.retain(|(s, _, _)| !s.is_resting(now));
     let awake = found.iter().any(|(s, _, silent)| !silent && !s.is_resting(now));
     if awake {
         found.retain(|(s, _, silent)| !silent && !s.is_resting(now));
@@ -167,20 +173,24 @@
     });
     let best = d.sight.shelf.look(|view| {
         let store = store.filter(|s| s.address.is_some_and(|a| view.knows(a)));
-        let held: Vec<Held> = found
-            .iter()
-            .map(|(seat, stamp, _)| {
-                let parts = stamp.and_then(|s| salts.get(&s));
-                let at_home = home.as_ref().is_some_and(|h| *h == seat.id);
-                held(view, &seat.id, prompt, parts, at_home)
-            })
-            .collect();
+        let keeps = |(seat, stamp, _): &(Arc<Seat>, Option<u64>, bool)| {
+            let parts = stamp.and_then(|s| salts.get(&s));
+            let at_home = home.as_ref().is_some_and(|h| *h == seat.id) && !seat.is_warming(now);
+            held(view, &seat.id, prompt, parts, at_home)
+        };
+        let holders: Vec<_> = found.iter().chain(&leaving).map(|f| (f, keeps(f))).collect();
         let mut best: Option<Candidate> = None;
         for (i, (seat, stamp, _)) in found.iter().enumerate() {
             let parts = stamp.and_then(|s| salts.get(&s));
             let kept = store.as_ref().map(|s| held_at_store(view, s, prompt, parts));
-            let source = source(&ask, &found, &held, i, store.as_ref().zip(kept));
-            let mut c = weigh(&ask, seat, *stamp, &held[i], source);
+            let source = source(&ask, &holders, i, store.as_ref().zip(kept));
+            let settles = source.is_some()
+                && seat.is_warming(now)
+                && home.as_ref().is_some_and(|h| *h == seat.id);
+            let mut c = weigh(&ask, seat, *stamp, &holders[i].1, source);
+            if settles {
+                c.cost -= k::WARM_BONUS_MS;
+            }
             c.sink = store
                 .as_ref()
                 .filter(|_| wants_sink(prompt, kept))
@@ -260,13 +270,13 @@
 
 fn source(
     ask: &Ask,
-    found: &[(Arc<Seat>, Option<u64>, bool)],
-    held: &[Held],
+    holders: &[(&(Arc<Seat>, Option<u64>, bool), Held)],
     at: usize,
     store: Option<(&Store, u64)>,
 ) -> Option<Source> {
-    let zone = found[at].0.news().zone.clone();
-    let own = held[at].known;
+    let ((seat, own_stamp, _), held) = &holders[at];
+    let zone = seat.news().zone.clone();
+    let own = held.known;
     let ms = |tokens: u64, mbps: f64, there: &str| {
         let far = if there == zone { 1.0 } else { 2.0 };
         k::MOVE_COST_MS + tokens as f64 * ask.token_bits / (mbps.max(1.0) * 1e3) * far
@@ -281,9 +291,9 @@
             best = Some(Source { address: address(), tokens, ms });
         }
     };
-    for (i, (seat, stamp, _)) in found.iter().enumerate() {
-        if i != at && *stamp == found[at].1 && held[i].known > own {
-            let t = held[i].known - own;
+    for (i, ((seat, stamp, _), held)) in holders.iter().enumerate() {
+        if i != at && stamp == own_stamp && held.known > own {
+            let t = held.known - own;
             offer(t, ms(t, ask.link_mbps, &seat.news().zone), &|| seat.address.to_string());
         }
     }
--- a/crates/delivery/src/pool/mod.rs
+++ b/crates/delivery/src/pool/mod.rs
@@ -44,12 +44,16 @@
     pub told: Option<Told>,
     rest_until: Option<Instant>,
     rest: Duration,
+    /// heavy answers of a newcomer, and their waits
+    firsts: (u64, Duration),
 }
 
 /// One instance of an engine.
 pub struct Seat {
     pub id: String,
     pub address: SocketAddr,
+    met: Instant,
+    newcomer: bool,
     news: parking_lot::RwLock<Engine>,
     work: parking_lot::Mutex<Work>,
     /// connections open, used or not; outside the lock, for they also end under it
@@ -61,6 +65,8 @@
         Some(Seat {
             id: e.id.clone(),
             address: e.address.parse().ok()?,
+            met: Instant::now(),
+            newcomer: e.call <= k::NEWCOMER_CALLS,
             news: parking_lot::RwLock::new(e.clone()),
             work: parking_lot::Mutex::default(),
             open: AtomicU32::new(0),
@@ -85,6 +91,25 @@
         }
     }
 
+    /// Just started: what it was not seen to keep, it does not keep.
+    pub fn is_warming(&self, now: Instant) -> bool {
+        self.newcomer && now < self.met + k::WARM_SPAN
+    }
+
+    /// Counts the wait of a heavy answer; gives the mean once the first few have come.
+    pub fn first_waits(&self, wait: Duration) -> Option<Duration> {
+        if !self.newcomer {
+            return None;
+        }
+        let mut w = self.work();
+        if w.firsts.0 >= k::WARM_ANSWERS {
+            return None;
+        }
+        w.firsts.0 += 1;
+        w.firsts.1 += wait;
+        (w.firsts.0 == k::WARM_ANSWERS).then(|| w.firsts.1 / k::WARM_ANSWERS as u32)
+    }
+
     pub fn work(&self) -> parking_lot::MutexGuard<'_, Work> {
         self.work.lock()
     }
@@ -179,6 +204,20 @@
         assert!(!s.is_resting(t + k::ENGINE_REST));
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn newcomer_is_warm_after_a_while_and_reports_its_first_answers_once() {
+        let s = seat();
+        assert!(s.is_warming(Instant::now()));
+        tokio::time::advance(k::WARM_SPAN).await;
+        assert!(!s.is_warming(Instant::now()));
+        let ms = Duration::from_millis;
+        let means: Vec<_> =
+            (0..k::WARM_ANSWERS * 2).filter_map(|i| s.first_waits(ms(10 * (i % 2) + 5))).collect();
+        assert_eq!(means, vec![ms(10)]);
+        let old = Engine { call: 99, address: "10.0.0.1:80".into(), ..Default::default() };
+        assert!(!Seat::new(&old).unwrap().is_warming(Instant::now()));
+    }
+
     #[test]
     fn malformed_burdens_tell_nothing() {
         let t = Instant::now();
--- a/crates/delivery/src/serve/request.rs
+++ b/crates/delivery/src/serve/request.rs
@@ -303,6 +303,7 @@
         let Some(rq) = self.head(&c, last) else { return Fate::Unsent(self) };
         let mut run = Run::start(&c.seat, c.missing, self.0.prompt.burden());
         self.0.sends += 1;
+        let sent = Instant::now();
         let mut job = self.0;
         let until = job.deadline - k::DEADLINE_MARGIN;
         let (session, res) = match tokio::time::timeout_at(until, l.send(rq)).await {
@@ -348,6 +349,9 @@
         }
         run.begun();
         c.seat.served();
+        if job.prompt.is_heavy() {
+            count_wait(d, &c.seat, sent.elapsed());
+        }
         if let Some(salt) = c.salt.as_ref().filter(|_| head.status.is_success()) {
             let parts = job.prompt.parts.iter().map(|p| p.id);
             d.sight.shelf.look(|v| v.learn(&c.seat.id, salt, parts));
@@ -403,6 +407,18 @@
     }
 }
 
+/// Sets the first waits at a newcomer against those at all engines.
+fn count_wait(d: &Delivery, seat: &Seat, wait: Duration) {
+    let c = &d.counters;
+    let n = c.heavy_answers.fetch_add(1, Ordering::Relaxed) + 1;
+    let us = wait.as_micros() as u64;
+    let all = c.heavy_wait_us.fetch_add(us, Ordering::Relaxed) + us;
+    if let Some(own) = seat.first_waits(wait) {
+        pouch::note!(d.log, Event::EngineTakenIn, "id" => &seat.id,
+            "own_ms" => own.as_millis() as u64, "all_ms" => all / n / 1000);
+    }
+}
+
 /// What an engine tells of itself beside the answer.
 fn hear(seat: &Seat, model: Option<&str>, h: &HeaderMap) {
     let text = |n: HeaderName| h.get(n).and_then(|v| v.to_str().ok());
--- a/crates/delivery/tests/engines.rs
+++ b/crates/delivery/tests/engines.rs
@@ -269,3 +269,36 @@
     }
     assert_eq!(e.arrivals(), 5);
 }
+
+/// The parts of an engine that drains are fetched while it still answers.
+#[tokio::test]
+async fn newcomer_fetches_from_the_engine_that_leaves() {
+    use pouch::wire::{HeldParts, Standing, View};
+    let old = StandIn::start("e1", |_, s| (whole(s, 1..=1), Then::Keep)).await;
+    let new = StandIn::start("e2", |_, s| (whole(s, 1..=1), Then::Keep)).await;
+    let f = Fleet::start(&[&old, &new]).await;
+    let heavy = request("/once/", "")
+        .replace("aa:10,bb:10,cc:10", "aa:2000,bb:3000,cc:100")
+        .replace("30,5", "5100,5");
+    f.d.sight.shelf.look(|v| {
+        v.refill(&[HeldParts {
+            holder: "e1".into(),
+            salt: "m|2|#4".into(),
+            parts: vec![0xaa, 0xbb],
+        }]);
+    });
+    let mut news = stand::known(&old);
+    news.call = 2;
+    news.set_standing(Standing::Draining);
+    f.d.sight.hear(&View { engines: vec![news.clone()], ..Default::default() });
+    assert_eq!(status(&f.raw(heavy.as_bytes()).await), 200);
+    assert_eq!((old.arrivals(), new.arrivals()), (0, 1));
+    let source = new.seen.lock()[0].header("x-kv-source").map(str::to_owned);
+    assert_eq!(source, Some(old.address.to_string()));
+    news.call = 3;
+    news.set_standing(Standing::Gone);
+    f.d.sight.hear(&View { engines: vec![news], ..Default::default() });
+    let other = heavy.replace("cc:100", "cd:100").replace("bb:", "be:");
+    assert_eq!(status(&f.raw(other.as_bytes()).await), 200);
+    assert_eq!(new.seen.lock()[1].header("x-kv-source"), None);
+}
--- a/crates/delivery/tests/stand/mod.rs
+++ b/crates/delivery/tests/stand/mod.rs
@@ -146,7 +146,7 @@
         let sheet = serde_json::json!({
             "revision": 1,
             "routes": [route("/once/", false, 1), route("/twice/", false, 2), route("/on/", true, 3)],
-            "services": [{"name": "s", "maxConns": 100, "engine": {"slots": 8, "kvCapacity": 100000}}],
+            "services": [{"name": "s", "maxConns": 100, "engine": {"slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}}],
             "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
             "tenants": [{"name": "t1", "apiKeys": ["k1"]}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
         });
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -124,6 +124,14 @@
 pub const HEAVY_SHARE: f64 = 0.67;
 /// ms; what it costs to leave the half of the engines where one belongs.
 pub const ASTRAY_COST_MS: f64 = 120.0;
+/// calls; an engine met with no more of them behind it has just started.
+pub const NEWCOMER_CALLS: u64 = 3;
+/// s; how long a newcomer is not taken for the home of parts that it was not seen to keep.
+pub const WARM_SPAN: Duration = Duration::from_secs(5);
+/// ms; what bringing a shared part to its new home is worth while the newcomer is taken in.
+pub const WARM_BONUS_MS: f64 = 30.0;
+/// answers to heavy requests over which a newcomer's waits are set against all others'.
+pub const WARM_ANSWERS: u64 = 8;
 /// ms; setting up a move.
 pub const MOVE_COST_MS: f64 = 3.0;
 /// share of a shared part that the first engine by rendezvous is taken to hold unseen.
--- a/crates/pouch/src/log.rs
+++ b/crates/pouch/src/log.rs
@@ -55,6 +55,7 @@
     ConfigInForce = 320, Info, "configuration in force";
     EngineProblem = 330, Info, "engine broke a connection";
     AnswerSpoilt = 331, Info, "answer not passed on";
+    EngineTakenIn = 333, Info, "engine taken in";
     PassProblem = 332, Info, "request not answered by an engine";
 }
 
