The index-keeper's lease needs no closed time after a restart: it gives no orders

Cause: after all machines lost power, carriers had no index for 3.5 s and shared parts were read again.

--- a/crates/sorting/src/duties/mod.rs
+++ b/crates/sorting/src/duties/mod.rs
@@ -15,7 +15,7 @@
 pub const ROLL_OUT: &str = "roll-out";
 pub const INDEX_KEEPER: &str = "index-keeper";
 
-/// What this member granted. After a restart it grants nothing for a whole lease.
+/// What this member granted. After a restart it grants nothing that gives orders for a whole lease.
 pub struct Grants {
     table: hashbrown::HashMap<String, Grant>,
     closed_until: Option<Instant>,
@@ -36,7 +36,8 @@
             }
             return true;
         }
-        if self.closed_until.is_some_and(|t| now < t) || other.is_some_and(|g| now < g.until) {
+        let closed = orders(&l.duty) && self.closed_until.is_some_and(|t| now < t);
+        if closed || other.is_some_and(|g| now < g.until) {
             return false;
         }
         let g = Grant { life: l.life, node: l.node.clone(), until: now + lease };
@@ -209,7 +210,7 @@
     use super::*;
 
     fn lease(life: u64) -> Lease {
-        Lease { duty: "d".into(), life, ms: 3000, leave: false, node: format!("n{life}") }
+        Lease { duty: ROLL_OUT.into(), life, ms: 3000, leave: false, node: format!("n{life}") }
     }
 
     const L: Duration = Duration::from_secs(3);
@@ -219,6 +220,7 @@
         let t = Instant::now();
         let mut g = Grants { table: hashbrown::HashMap::new(), closed_until: Some(t + L) };
         assert!(!g.grant(&lease(1), t, L));
+        assert!(g.grant(&Lease { duty: INDEX_KEEPER.into(), ..lease(1) }, t, L));
         assert!(g.grant(&lease(1), t + L, L));
         assert!(!g.grant(&lease(2), t + L, L));
         assert!(g.grant(&lease(1), t + L * 3 / 2, L));
