--- a/crates/sorting/src/api/config.rs
+++ b/crates/sorting/src/api/config.rs
@@ -1,6 +1,6 @@
 //! The operator's configurations.
 
-use super::{Context, json, rejected};
+use super::{Context, json, rejected, whole};
 use crate::control::{owner, values};
 use http::StatusCode;
 use pouch::log::Event;
@@ -10,7 +10,7 @@
 #[dropshot::endpoint { method = POST, path = "/anisedyke/Config.Replace" }]
 pub async fn replace(
     rq: dropshot::RequestContext<Context>,
-    body: dropshot::UntypedBody,
+    body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
     let base = rq.request.headers().get("X-Base-Revision");
@@ -21,7 +21,7 @@
             "X-Base-Revision: not a version".to_owned(),
         ));
     };
-    let body = bytes::Bytes::copy_from_slice(body.as_bytes());
+    let body = whole(body, pouch::constants::CONFIG_BYTES).await?;
     let c = pouch::configuration::Configuration::read(&body).map_err(|p| {
         pouch::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
         rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string())
--- a/crates/sorting/src/api/instances.rs
+++ b/crates/sorting/src/api/instances.rs
@@ -1,6 +1,6 @@
 //! Engines tell that they live, and that they leave.
 
-use super::{Context, json, rejected};
+use super::{Context, json, rejected, whole};
 use crate::engines::registry;
 use http::StatusCode;
 use pouch::wire::{Engine, Standing, Weights};
@@ -49,14 +49,15 @@
     rejected(StatusCode::BAD_REQUEST, "malformed", e.to_string())
 }
 
-#[dropshot::endpoint { method = POST, path = "/anisedyke/Instances.Heartbeat/{id}", request_body_max_bytes = pouch::constants::BEAT_BYTES }]
+#[dropshot::endpoint { method = POST, path = "/anisedyke/Instances.Heartbeat/{id}" }]
 pub async fn heartbeat(
     rq: dropshot::RequestContext<Context>,
     path: dropshot::Path<Id>,
-    body: dropshot::UntypedBody,
+    body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
-    let beat: Beat = serde_json::from_slice(body.as_bytes()).map_err(malformed)?;
+    let body = whole(body, pouch::constants::BEAT_BYTES).await?;
+    let beat: Beat = serde_json::from_slice(&body).map_err(malformed)?;
     if beat.address.parse::<std::net::SocketAddr>().is_err() {
         return Err(malformed("address: not an address with a port"));
     }
@@ -99,18 +100,19 @@
     ))
 }
 
-#[dropshot::endpoint { method = POST, path = "/anisedyke/Instances.Deregister/{id}", request_body_max_bytes = pouch::constants::BEAT_BYTES }]
+#[dropshot::endpoint { method = POST, path = "/anisedyke/Instances.Deregister/{id}" }]
 pub async fn deregister(
     rq: dropshot::RequestContext<Context>,
     path: dropshot::Path<Id>,
-    body: dropshot::UntypedBody,
+    body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
     let id = path.into_inner().id;
-    let leave: Leave = if body.as_bytes().is_empty() {
+    let body = whole(body, pouch::constants::BEAT_BYTES).await?;
+    let leave: Leave = if body.is_empty() {
         Leave::default()
     } else {
-        serde_json::from_slice(body.as_bytes()).map_err(malformed)?
+        serde_json::from_slice(&body).map_err(malformed)?
     };
     let known = s.look(|n| n.engines.get(&id).cloned());
     let call = known.as_ref().map_or(0, |e| e.call);
--- a/crates/sorting/src/api/mod.rs
+++ b/crates/sorting/src/api/mod.rs
@@ -5,6 +5,7 @@
 mod weights;
 
 use crate::Sorting;
+use futures_util::StreamExt;
 use std::sync::Arc;
 
 pub type Context = Arc<Sorting>;
@@ -33,6 +34,23 @@
         .map_err(|e| dropshot::HttpError::for_internal_error(e.to_string()))
 }
 
+/// The body, or 413 where it holds more than it may.
+pub async fn whole(
+    body: dropshot::StreamingBody,
+    most: usize,
+) -> Result<bytes::Bytes, dropshot::HttpError> {
+    let mut parts = std::pin::pin!(body.into_stream());
+    let mut out = bytes::BytesMut::new();
+    while let Some(part) = parts.next().await {
+        out.extend_from_slice(&part?);
+        if out.len() > most {
+            let message = format!("more than {most} bytes");
+            return Err(rejected(http::StatusCode::PAYLOAD_TOO_LARGE, "too_large", message));
+        }
+    }
+    Ok(out.freeze())
+}
+
 pub fn serve(
     s: &Context,
     at: std::net::SocketAddr,
@@ -47,7 +65,7 @@
     registered.map_err(|e| std::io::Error::other(e.to_string()))?;
     let settings = dropshot::ConfigDropshot {
         bind_address: at,
-        default_request_body_max_bytes: pouch::constants::CONFIG_BYTES,
+        default_request_body_max_bytes: pouch::constants::CONFIG_BYTES * 2,
         default_handler_task_mode: dropshot::HandlerTaskMode::Detached,
         ..Default::default()
     };
--- a/crates/sorting/src/api/weights.rs
+++ b/crates/sorting/src/api/weights.rs
@@ -1,6 +1,6 @@
 //! New weights are named.
 
-use super::{Context, json, rejected};
+use super::{Context, json, rejected, whole};
 use crate::control::owner;
 use http::StatusCode;
 use pouch::wire::{ChangeKind, NameStamp, Outcome};
@@ -14,10 +14,11 @@
 #[dropshot::endpoint { method = POST, path = "/anisedyke/version-put" }]
 pub async fn put(
     rq: dropshot::RequestContext<Context>,
-    body: dropshot::UntypedBody,
+    body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
-    let p: Put = serde_json::from_slice(body.as_bytes())
+    let body = whole(body, pouch::constants::BEAT_BYTES).await?;
+    let p: Put = serde_json::from_slice(&body)
         .map_err(|e| rejected(StatusCode::BAD_REQUEST, "malformed", e.to_string()))?;
     let change = ChangeKind::Name(NameStamp { model: p.model, stamp: p.revision });
     match owner::submit(s, change).await.outcome() {
