--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -50,6 +50,19 @@
     engine >= n.stamp || now < n.since + bound.saturating_sub(k::STAMP_MARGIN)
 }
 
+/// An engine that may be chosen or fetched from.
+struct Found {
+    seat: Arc<Seat>,
+    stamp: Option<u64>,
+    silent: bool,
+}
+
+impl Found {
+    fn is_awake(&self, now: Instant) -> bool {
+        !self.silent && !self.seat.is_resting(now)
+    }
+}
+
 /// What the engines are weighed for.
 struct Ask<'a> {
     zone: &'a str,
@@ -62,10 +75,10 @@
 }
 
 /// The engines where heavy requests settle: alike at all carriers, and stable as engines come and go.
-fn heavy_side(found: &[(Arc<Seat>, Option<u64>, bool)]) -> hashbrown::HashSet<String> {
+fn heavy_side(found: &[Found]) -> hashbrown::HashSet<String> {
     let mut ids: Vec<(u64, &str)> = found
         .iter()
-        .map(|(s, _, _)| (pouch::node::stable_hash(&[s.id.as_bytes()]), s.id.as_str()))
+        .map(|f| (pouch::node::stable_hash(&[f.seat.id.as_bytes()]), f.seat.id.as_str()))
         .collect();
     ids.sort_unstable();
     let n = (ids.len() as f64 * k::HEAVY_SHARE).ceil() as usize;
@@ -103,8 +116,8 @@
     let bound = d.params().bounds.stamp;
     let named = prompt.model.as_deref().and_then(|m| d.sight.named(m));
     let wall = wall(tenant, table.wall);
-    let mut found: Vec<(Arc<Seat>, Option<u64>, bool)> = Vec::new();
-    let mut leaving: Vec<(Arc<Seat>, Option<u64>, bool)> = Vec::new();
+    let mut found: Vec<Found> = Vec::new();
+    let mut leaving: Vec<Found> = Vec::new();
     for s in d.sight.seats.read().values() {
         let n = s.news();
         if n.service != service || n.standing() == Standing::Gone || tried.contains(&s.id) {
@@ -122,15 +135,15 @@
             continue;
         }
         if n.standing() == Standing::Draining {
-            leaving.extend((!n.silent).then(|| (s.clone(), stamp, false)));
+            leaving.extend((!n.silent).then(|| Found { seat: s.clone(), stamp, silent: false }));
             continue;
         }
-        found.push((s.clone(), stamp, n.silent));
+        found.push(Found { seat: s.clone(), stamp, silent: n.silent });
     }
-    leaving.retain(|(s, _, _)| !s.is_resting(now));
-    let awake = found.iter().any(|(s, _, silent)| !silent && !s.is_resting(now));
+    leaving.retain(|f| !f.seat.is_resting(now));
+    let awake = found.iter().any(|f| f.is_awake(now));
     if awake {
-        found.retain(|(s, _, silent)| !silent && !s.is_resting(now));
+        found.retain(|f| f.is_awake(now));
     }
     if found.is_empty() {
         return Err(Nowhere::Unknown);
@@ -141,16 +154,12 @@
             let side = heavies.contains(&s.id) == prompt.is_heavy();
             (side, pouch::node::stable_hash(&[&p.to_be_bytes(), s.id.as_bytes()]))
         };
-        found
-            .iter()
-            .max_by_key(|(s, _, _)| rank(s))
-            .map(|(s, _, _)| s.id.clone())
-            .unwrap_or_default()
+        found.iter().max_by_key(|f| rank(&f.seat)).map(|f| f.seat.id.clone()).unwrap_or_default()
     });
-    let newest = found.iter().filter_map(|(_, stamp, _)| *stamp).max();
+    let newest = found.iter().filter_map(|f| f.stamp).max();
     let mut salts: hashbrown::HashMap<u64, Vec<recall::view::Part>> = hashbrown::HashMap::new();
     if let Some(m) = &prompt.model {
-        for stamp in found.iter().filter_map(|(_, s, _)| *s) {
+        for stamp in found.iter().filter_map(|f| f.stamp) {
             salts.entry(stamp).or_insert_with(|| {
                 let salt = recall::view::salt_text(m, stamp, &wall);
                 prompt.parts.iter().map(|p| recall::view::part_of(&salt, p.id)).collect()
@@ -173,14 +182,15 @@
     });
     let best = d.sight.shelf.look(|view| {
         let store = store.filter(|s| s.address.is_some_and(|a| view.knows(a)));
-        let keeps = |(seat, stamp, _): &(Arc<Seat>, Option<u64>, bool)| {
+        let keeps = |f: &Found| {
+            let Found { seat, stamp, .. } = f;
             let parts = stamp.and_then(|s| salts.get(&s));
             let at_home = home.as_ref().is_some_and(|h| *h == seat.id) && !seat.is_warming(now);
             held(view, &seat.id, prompt, parts, at_home)
         };
         let holders: Vec<_> = found.iter().chain(&leaving).map(|f| (f, keeps(f))).collect();
         let mut best: Option<Candidate> = None;
-        for (i, (seat, stamp, _)) in found.iter().enumerate() {
+        for (i, Found { seat, stamp, .. }) in found.iter().enumerate() {
             let parts = stamp.and_then(|s| salts.get(&s));
             let kept = store.as_ref().map(|s| held_at_store(view, s, prompt, parts));
             let source = source(&ask, &holders, i, store.as_ref().zip(kept));
@@ -270,11 +280,11 @@
 
 fn source(
     ask: &Ask,
-    holders: &[(&(Arc<Seat>, Option<u64>, bool), Held)],
+    holders: &[(&Found, Held)],
     at: usize,
     store: Option<(&Store, u64)>,
 ) -> Option<Source> {
-    let ((seat, own_stamp, _), held) = &holders[at];
+    let (Found { seat, stamp: own_stamp, .. }, held) = &holders[at];
     let zone = seat.news().zone.clone();
     let own = held.known;
     let ms = |tokens: u64, mbps: f64, there: &str| {
@@ -291,7 +301,7 @@
             best = Some(Source { address: address(), tokens, ms });
         }
     };
-    for (i, ((seat, stamp, _), held)) in holders.iter().enumerate() {
+    for (i, (Found { seat, stamp, .. }, held)) in holders.iter().enumerate() {
         if i != at && stamp == own_stamp && held.known > own {
             let t = held.known - own;
             offer(t, ms(t, ask.link_mbps, &seat.news().zone), &|| seat.address.to_string());
--- /dev/null
+++ b/crates/inspector/src/report.rs
@@ -0,0 +1,50 @@
+//! Findings for people and for programs, and the exit code that goes with them.
+
+use crate::findings::{Finding, Weight};
+
+pub const CLEAN: u8 = 0;
+pub const FOUND: u8 = 1;
+pub const UNCHECKED: u8 = 2;
+
+/// Warnings count only where the caller is strict.
+pub fn exit(findings: &[Finding], strict: bool) -> u8 {
+    let counts = |f: &Finding| strict || f.weight == Weight::Error;
+    if findings.iter().any(counts) { FOUND } else { CLEAN }
+}
+
+pub fn text(findings: &[Finding]) -> String {
+    if findings.is_empty() {
+        return "no findings\n".to_owned();
+    }
+    let line = |f: &Finding| {
+        let weight = match f.weight {
+            Weight::Error => "error",
+            Weight::Warning => "warning",
+        };
+        format!("{weight}: {} [{}]: {}\n", f.place, f.code, f.text)
+    };
+    findings.iter().map(line).collect()
+}
+
+pub fn json(findings: &[Finding]) -> String {
+    serde_json::json!({ "findings": findings }).to_string()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn warnings_count_only_when_strict() {
+        let f = |weight| Finding { weight, code: "c", place: "p".into(), text: "t".into() };
+        assert_eq!(exit(&[], true), CLEAN);
+        assert_eq!(exit(&[f(Weight::Warning)], false), CLEAN);
+        assert_eq!(exit(&[f(Weight::Warning)], true), FOUND);
+        assert_eq!(exit(&[f(Weight::Error)], false), FOUND);
+        assert_eq!(text(&[f(Weight::Error)]), "error: p [c]: t\n");
+        let printed = json(&[f(Weight::Warning)]);
+        let read: serde_json::Value = serde_json::from_str(&printed).unwrap();
+        let want = serde_json::json!({"weight": "warning", "code": "c", "place": "p", "text": "t"});
+        assert_eq!(read["findings"], serde_json::json!([want]));
+    }
+}
--- /dev/null
+++ b/crates/inspector/tests/ask.rs
@@ -0,0 +1,67 @@
+//! Nodes that are down, point elsewhere, or answer nonsense.
+
+use inspector::ask::{AskProblem, look};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+async fn node(answer: impl Fn(&str) -> String + Send + Sync + 'static) -> SocketAddr {
+    let l = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = l.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut s, _)) = l.accept().await {
+            let mut b = vec![0u8; 4096];
+            let n = s.read(&mut b).await.unwrap();
+            let head = String::from_utf8_lossy(&b[..n]).into_owned();
+            assert!(head.starts_with("GET "), "an inspector only reads");
+            s.write_all(answer(&head).as_bytes()).await.unwrap();
+        }
+    });
+    at
+}
+
+fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn well(head: &str) -> String {
+    if head.contains("Fleet.Look") {
+        return ok(
+            r#"{"revision":3,"carriers":2,"engines":[{"service":"s","standing":"ready","silent":false,"slots":4}]}"#,
+        );
+    }
+    ok(r#"{"revision":3,"routes":[],"services":[]}"#)
+}
+
+fn nowhere() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[tokio::test]
+async fn tries_the_others_and_follows_a_node_that_points_elsewhere() {
+    let good = node(well).await;
+    let points = node(move |_| {
+        format!("HTTP/1.1 307 Go\r\nLocation: http://{good}/x\r\nContent-Length: 0\r\n\r\n")
+    })
+    .await;
+    let now = look(&[nowhere(), points], LIMIT).await.unwrap();
+    assert_eq!(now.in_force.unwrap().revision, 3);
+    assert_eq!((now.fleet.carriers, now.fleet.engines.len()), (2, 1));
+}
+
+#[tokio::test]
+async fn no_node_and_nonsense_are_told_apart() {
+    let down = look(&[nowhere()], LIMIT).await.err();
+    assert!(matches!(down, Some(AskProblem::Unreachable(_))));
+    let loops = node(|h| {
+        let host = h.lines().find_map(|l| l.strip_prefix("host: ")).unwrap_or_default().to_owned();
+        format!("HTTP/1.1 307 Go\r\nLocation: http://{host}/x\r\nContent-Length: 0\r\n\r\n")
+    })
+    .await;
+    assert!(matches!(look(&[loops], LIMIT).await.err(), Some(AskProblem::Unreachable(_))));
+    let nonsense = node(|_| ok("nonsense")).await;
+    let got = look(&[nonsense], LIMIT).await.err();
+    assert!(matches!(got, Some(AskProblem::Malformed(at, _)) if at == nonsense));
+}
--- /dev/null
+++ b/crates/sorting/src/api/fleet.rs
@@ -0,0 +1,34 @@
+//! The fleet as this postmaster sees it; read-only, and made only when asked for.
+
+use super::{Context, json};
+use http::StatusCode;
+use pouch::wire::{Engine, Standing};
+
+fn row(e: &Engine) -> serde_json::Value {
+    let standing = match e.standing() {
+        Standing::Ready => "ready",
+        Standing::Draining => "draining",
+        Standing::Gone => "gone",
+    };
+    let models: Vec<_> = e
+        .weights
+        .iter()
+        .map(|w| serde_json::json!({"name": w.model, "revision": w.stamp}))
+        .collect();
+    serde_json::json!({"id": e.id, "service": e.service, "address": e.address, "zone": e.zone,
+        "slots": e.slots, "standing": standing, "silent": e.silent, "models": models})
+}
+
+#[dropshot::endpoint { method = GET, path = "/anisedyke/Fleet.Look" }]
+pub async fn look(
+    rq: dropshot::RequestContext<Context>,
+) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
+    let body = rq.context().look(|n| {
+        serde_json::json!({
+            "revision": n.config.map_or(0, |c| c.0),
+            "carriers": n.carriers,
+            "engines": n.engines.values().map(row).collect::<Vec<_>>(),
+        })
+    });
+    json(StatusCode::OK, body.to_string())
+}
--- a/crates/sorting/src/api/mod.rs
+++ b/crates/sorting/src/api/mod.rs
@@ -1,6 +1,7 @@
 //! What engines and the operator call: one handler object for each resource.
 
 mod config;
+mod fleet;
 mod instances;
 mod weights;
 
@@ -61,7 +62,8 @@
         .and_then(|()| api.register(instances::deregister))
         .and_then(|()| api.register(config::replace))
         .and_then(|()| api.register(config::fetch))
-        .and_then(|()| api.register(weights::put));
+        .and_then(|()| api.register(weights::put))
+        .and_then(|()| api.register(fleet::look));
     registered.map_err(|e| std::io::Error::other(e.to_string()))?;
     let settings = dropshot::ConfigDropshot {
         bind_address: at,
--- a/crates/sorting/src/engines/outside.rs
+++ b/crates/sorting/src/engines/outside.rs
@@ -28,6 +28,8 @@
 pub struct Answer {
     pub status: http::StatusCode,
     pub body: bytes::Bytes,
+    /// where a node that doesn't answer itself points to
+    pub location: Option<String>,
 }
 
 impl Line {
@@ -89,8 +91,10 @@
         let req = req.body(Body::new(body.into())).map_err(|_| OutsideProblem::Unreadable)?;
         let res = sender.send_request(req).await.map_err(|_| OutsideProblem::Broken)?;
         let status = res.status();
+        let location = res.headers().get(http::header::LOCATION);
+        let location = location.and_then(|v| v.to_str().ok()).map(str::to_owned);
         let body = res.into_body().collect().await.map_err(|_| OutsideProblem::Broken)?.to_bytes();
         self.sender = Some(sender);
-        Ok(Answer { status, body })
+        Ok(Answer { status, body, location })
     }
 }
