One relay loop for both kinds of stream; the store looked up once a placement

Found on reading the change once more: the loop that passes bytes on stood twice in relay.rs; each placement worked out what the store keeps, and wrote its address, for every engine; the inspector parsed one answer twice; a test overwrote the address it had just written. No behaviour changes.

--- a/crates/carrier/tests/whole.rs
+++ b/crates/carrier/tests/whole.rs
@@ -201,15 +201,11 @@
     let (status, text) = call(p.front, rq).await.unwrap();
     assert_eq!(status, 503, "no engine as yet");
     assert!(text.to_ascii_lowercase().contains("retry-after"));
-    let beat = |state: &str, call: u64| {
-        serde_json::json!({"service": "s", "address": p.range.0.to_string(), "zone": "z", "revision": "v1", "slots": 8,
-            "state": state, "coldLeftMs": 0, "models": [], "callSeq": call})
-    };
     let engine = stand_in().await;
-    let tell = |state: &str, n: u64| {
-        let mut b = beat(state, n);
-        b["address"] = engine.to_string().into();
-        post("Instances.Heartbeat/i-1", "", &b.to_string())
+    let tell = |state: &str, call: u64| {
+        let beat = serde_json::json!({"service": "s", "address": engine.to_string(), "zone": "z", "revision": "v1",
+            "slots": 8, "state": state, "coldLeftMs": 0, "models": [], "callSeq": call});
+        post("Instances.Heartbeat/i-1", "", &beat.to_string())
     };
     assert_eq!(call(p.control, &tell("ready", 1)).await.unwrap().0, 200);
     let (status, text) = until(p.front, rq, 200).await;
--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -99,7 +99,7 @@
     missing: u64,
     full: bool,
     source: Option<String>,
-    sink: Option<String>,
+    sinks: bool,
 }
 
 pub fn place(
@@ -189,10 +189,14 @@
             held(view, &seat.id, prompt, parts, at_home)
         };
         let holders: Vec<_> = found.iter().chain(&leaving).map(|f| (f, keeps(f))).collect();
+        let mut stored: hashbrown::HashMap<Option<u64>, u64> = hashbrown::HashMap::new();
         let mut best: Option<Candidate> = None;
         for (i, Found { seat, stamp, .. }) in found.iter().enumerate() {
-            let parts = stamp.and_then(|s| salts.get(&s));
-            let kept = store.as_ref().map(|s| held_at_store(view, s, prompt, parts));
+            let kept = store.as_ref().map(|s| {
+                *stored.entry(*stamp).or_insert_with(|| {
+                    held_at_store(view, s, prompt, stamp.and_then(|x| salts.get(&x)))
+                })
+            });
             let source = source(&ask, &holders, i, store.as_ref().zip(kept));
             let settles = source.is_some()
                 && seat.is_warming(now)
@@ -201,11 +205,7 @@
             if settles {
                 c.cost -= k::WARM_BONUS_MS;
             }
-            c.sink = store
-                .as_ref()
-                .filter(|_| wants_sink(prompt, kept))
-                .and_then(|s| s.address)
-                .map(str::to_owned);
+            c.sinks = wants_sink(prompt, kept);
             let better = best.as_ref().is_none_or(|b| (c.full, c.cost) < (b.full, b.cost));
             if better {
                 best = Some(c);
@@ -223,7 +223,8 @@
         (Some(m), Some(s)) => Some(recall::view::salt_text(m, s, &wall)),
         _ => None,
     };
-    let Candidate { seat, stamp, missing, source, sink, .. } = c;
+    let Candidate { seat, stamp, missing, source, sinks, .. } = c;
+    let sink = table.store().filter(|_| sinks).and_then(|s| s.kv_store.clone());
     Ok(Choice { seat, stamp, salt, missing, source, sink })
 }
 
@@ -366,7 +367,7 @@
         cost += k::WAIT_COST_MS;
     }
     let source = source.map(|s| s.address);
-    Candidate { seat: seat.clone(), stamp, cost, missing, full, source, sink: None }
+    Candidate { seat: seat.clone(), stamp, cost, missing, full, source, sinks: false }
 }
 
 #[cfg(test)]
--- a/crates/delivery/src/serve/relay.rs
+++ b/crates/delivery/src/serve/relay.rs
@@ -45,25 +45,7 @@
 /// Bytes as they come; a break is passed on as a break.
 async fn pump(d: &Delivery, b: Begun, tx: &Tx) {
     let Begun { job, run, session, mut body, .. } = b;
-    let end = tokio::time::timeout_at(job.deadline, async {
-        loop {
-            let frame = tokio::select! {
-                f = body.frame() => f,
-                () = tx.closed() => return End::Left,
-            };
-            match frame {
-                None => return End::Whole,
-                Some(Err(_)) => return End::Broken,
-                Some(Ok(f)) => {
-                    if let Ok(data) = f.into_data()
-                        && tx.send(Ok(data)).await.is_err()
-                    {
-                        return End::Left;
-                    }
-                }
-            }
-        }
-    });
+    let end = tokio::time::timeout_at(job.deadline, pass(&mut body, Some, tx));
     match end.await.unwrap_or(End::Left) {
         End::Whole => session.end(),
         End::Broken => {
@@ -85,7 +67,7 @@
     loop {
         let deadline = b.job.deadline;
         let end =
-            tokio::time::timeout_at(deadline, pass_events(&mut b.body, &mut cutter, tx)).await;
+            tokio::time::timeout_at(deadline, pass(&mut b.body, |d| cutter.take(&d), tx)).await;
         match end.unwrap_or(End::Left) {
             End::Whole => {
                 if let Some(rest) = cutter.rest() {
@@ -116,7 +98,12 @@
     }
 }
 
-async fn pass_events(body: &mut hyper::body::Incoming, cutter: &mut Cutter, tx: &Tx) -> End {
+/// What `cut` makes of the bytes, as they come.
+async fn pass(
+    body: &mut hyper::body::Incoming,
+    mut cut: impl FnMut(Bytes) -> Option<Bytes>,
+    tx: &Tx,
+) -> End {
     loop {
         let frame = tokio::select! {
             f = body.frame() => f,
@@ -127,8 +114,8 @@
             Some(Err(_)) => return End::Broken,
             Some(Ok(f)) => {
                 if let Ok(data) = f.into_data()
-                    && let Some(whole) = cutter.take(&data)
-                    && tx.send(Ok(whole)).await.is_err()
+                    && let Some(data) = cut(data)
+                    && tx.send(Ok(data)).await.is_err()
                 {
                     return End::Left;
                 }
--- a/crates/inspector/src/ask.rs
+++ b/crates/inspector/src/ask.rs
@@ -17,6 +17,9 @@
 #[derive(Debug, Clone, Default, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Fleet {
+    /// of the configuration in force; 0 for none
+    #[serde(default)]
+    pub revision: u64,
     #[serde(default)]
     pub carriers: u32,
     #[serde(default)]
@@ -77,11 +80,7 @@
     let (at, _, body) = first_of(nodes, "/anisedyke/Fleet.Look", limit, &[200]).await?;
     let fleet: Fleet =
         serde_json::from_slice(&body).map_err(|e| AskProblem::Malformed(at, e.to_string()))?;
-    let known = serde_json::from_slice::<serde_json::Value>(&body)
-        .ok()
-        .and_then(|v| v.get("revision").and_then(serde_json::Value::as_u64))
-        .unwrap_or(0);
-    if known == 0 {
+    if fleet.revision == 0 {
         return Ok(AsItIs { in_force: None, fleet });
     }
     let (at, _, body) = first_of(nodes, "/anisedyke/Config.Fetch", limit, &[200]).await?;
--- a/crates/inspector/src/findings.rs
+++ b/crates/inspector/src/findings.rs
@@ -151,7 +151,7 @@
         };
         AsItIs {
             in_force: Some(read(sheet(5).to_string().as_bytes()).unwrap()),
-            fleet: Fleet { carriers: 3, engines: vec![e("ready"), e("draining")] },
+            fleet: Fleet { revision: 5, carriers: 3, engines: vec![e("ready"), e("draining")] },
         }
     }
 
