--- /dev/null
+++ b/crates/pigeonhole/src/lib.rs
@@ -0,0 +1,17 @@
+//! The prompt index: which holders keep which blocks of a prompt, and how deep (docs/prompt-index.md).
+
+pub mod alive;
+pub mod bitmap;
+pub mod cell;
+pub mod chain;
+pub mod index;
+pub mod query;
+pub mod shard;
+pub mod sync;
+pub mod tier;
+
+pub use bitmap::HolderBitmap;
+pub use cell::{Cell, HolderNo};
+pub use chain::Chain;
+pub use index::{At, Index};
+pub use query::Depths;
--- /dev/null
+++ b/crates/pigeonhole/src/sync.rs
@@ -0,0 +1,14 @@
+#[cfg(feature = "checker")]
+pub use loom::sync::{
+    Mutex, MutexGuard,
+    atomic::{AtomicU32, AtomicU64, Ordering},
+};
+#[cfg(not(feature = "checker"))]
+pub use std::sync::{
+    Mutex, MutexGuard,
+    atomic::{AtomicU32, AtomicU64, Ordering},
+};
+
+pub fn held<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
--- a/crates/postmaster/src/main.rs
+++ b/crates/postmaster/src/main.rs
@@ -7,14 +7,7 @@
             version: env!("CARGO_PKG_VERSION"),
             what: "keeps anisedyke's control state and knows its engines",
             needs: |p| {
-                let mut out = Vec::new();
-                if p.control.is_none() {
-                    out.push("bindAddrs.control");
-                }
-                if p.data_dir.is_none() {
-                    out.push("dataDir");
-                }
-                out
+                if p.control.is_none() { vec!["bindAddrs.control"] } else { Vec::new() }
             },
         },
         |params, log, stop, reread| async move { sorting::run(params, log, stop, reread).await },
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -66,6 +66,8 @@
 pub const MEMBER_SILENT: Duration = Duration::from_millis(7000);
 /// ms; a joiner asks again this often.
 pub const JOIN_PAUSE: Duration = Duration::from_millis(400);
+/// s; a postmaster without a disk looks for a newer roster this often.
+pub const OBSERVE_PAUSE: Duration = Duration::from_secs(2);
 /// ms; the roll-out looks at its engines this often.
 pub const ROLL_TICK: Duration = Duration::from_millis(100);
 /// ms; carriers have heard that an engine changes before it is ordered to.
@@ -156,3 +158,15 @@
 pub const COUNTERS_PAUSE: Duration = Duration::from_secs(20);
 /// bytes of stack of a thread; calls are shallow and memory is dear.
 pub const STACK_BYTES: usize = 512 << 10;
+/// blocks of a prompt that are looked up; deeper ones are read without the index.
+pub const CHAIN_BLOCKS: usize = 64;
+/// entries of the prompt index in a carrier, of chains and of blocks each; about 6 MB when full.
+pub const INDEX_ENTRIES: usize = 32_768;
+/// blocks of one holder that are remembered as kept in part.
+pub const TIER_ENTRIES: usize = 256;
+/// salts whose seeds are remembered; weights of a few versions for each wall.
+pub const SALTS_KNOWN: usize = 4096;
+/// entries that one turn of the scrub looks at.
+pub const SCRUB_ENTRIES: usize = 2048;
+/// ms; pause between two turns of the scrub while there is work.
+pub const SCRUB_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/pouch/src/log.rs
+++ b/crates/pouch/src/log.rs
@@ -28,6 +28,7 @@
     DiskMended = 203, Info, "disk takes writes again";
     SlotDamaged = 204, Warning, "a slot is damaged";
     Voting = 205, Info, "this member votes";
+    DiskAbsent = 206, Info, "no disk: serves without a vote";
     OwnerTaken = 210, Info, "took a key over";
     OwnerLost = 211, Info, "gave a key away";
     ConfigTaken = 220, Info, "configuration taken";
--- a/crates/pouch/src/params.rs
+++ b/crates/pouch/src/params.rs
@@ -48,6 +48,8 @@
     pub heartbeat: Duration,
     pub cores: usize,
     pub max_fds: usize,
+    /// machines of the core that may be lost together
+    pub losses: usize,
     pub bounds: Bounds,
 }
 
@@ -170,6 +172,7 @@
             heartbeat: l.span("heartbeatMs", 1.0, 1000.0)?.max(Duration::from_millis(50)),
             cores: l.opt("limits.cores", "a whole number")?.unwrap_or(1usize).max(1),
             max_fds: l.opt("limits.maxFds", "a whole number")?.unwrap_or(1024),
+            losses: l.opt("tolerance.machines", "a whole number")?.unwrap_or(1),
             bounds: Bounds {
                 drain: l.span("bounds.drainMs", 1.0, 2000.0)?,
                 grace: l.span("bounds.graceS", 1000.0, 8.0)?,
--- a/crates/pouch/src/wire.rs
+++ b/crates/pouch/src/wire.rs
@@ -113,6 +113,8 @@
     pub roster: u64,
     #[prost(message, required, tag = "3")]
     pub ballot: Ballot,
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -125,6 +127,8 @@
     pub ballot: Ballot,
     #[prost(bytes = "bytes", tag = "4")]
     pub value: bytes::Bytes,
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Answer to Prepare and Accept.
@@ -136,6 +140,8 @@
     pub register: Option<Register>,
     #[prost(message, optional, tag = "3")]
     pub roster: Option<Roster>,
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -154,15 +160,20 @@
     pub registers: Vec<Register>,
     #[prost(message, optional, tag = "3")]
     pub roster: Option<Roster>,
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
-/// An empty disk asks for all, and ends what its former life had on the way.
+/// An empty disk asks for all, and ends what its former life had on the way: whoever answers is in
+/// the new era, and votes in no earlier one.
 #[derive(Clone, PartialEq, Message)]
 pub struct Recover {
     #[prost(uint64, tag = "1")]
     pub roster: u64,
     #[prost(uint64, tag = "2")]
     pub life: u64,
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -330,6 +341,9 @@
 pub struct Join {
     #[prost(message, required, tag = "1")]
     pub member: Member,
+    /// has no disk: wants to know the roster, never to be in it
+    #[prost(bool, tag = "2")]
+    pub observes: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/sorting/src/control/acceptor.rs
+++ b/crates/sorting/src/control/acceptor.rs
@@ -6,11 +6,15 @@
 
 /// Holds the roster in force; never a key of the control state itself.
 const ROSTER_IN_FORCE: &str = "\u{1}roster";
+/// Holds the era: it rises with each member that reads its lost disk back, and no vote of an earlier
+/// era counts together with one of a later.
+const ERA: &str = "\u{1}era";
 
 pub struct Acceptor {
     registers: hashbrown::HashMap<String, Register, ahash::RandomState>,
     roster: Roster,
     voting: bool,
+    era: u64,
     own: u64,
 }
 
@@ -26,11 +30,14 @@
             registers: hashbrown::HashMap::default(),
             roster: Roster::default(),
             voting: state.voting,
+            era: 0,
             own: u64::from(u32::from(own)),
         };
         for r in state.registers {
             if r.key == ROSTER_IN_FORCE {
                 a.roster = Roster::decode(r.value).unwrap_or_default();
+            } else if r.key == ERA {
+                a.era = r.promised.n;
             } else {
                 a.registers.insert(r.key.clone(), r);
             }
@@ -54,6 +61,27 @@
         self.voting && self.is_member()
     }
 
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Goes to a later era; what it votes from now on is of that.
+    pub fn advance(&mut self, era: u64) -> Option<Record> {
+        if era <= self.era {
+            return None;
+        }
+        self.era = era;
+        Some(self.record(vec![self.era_register()]))
+    }
+
+    fn era_register(&self) -> Register {
+        Register {
+            key: ERA.to_owned(),
+            promised: Ballot { n: self.era, ..Default::default() },
+            ..Default::default()
+        }
+    }
+
     pub fn register(&self, key: &str) -> Option<&Register> {
         self.registers.get(key)
     }
@@ -88,17 +116,28 @@
                 .get(key)
                 .map(|r| Register { value: Default::default(), ..r.clone() }),
             roster: Some(self.roster.clone()),
+            era: self.era,
         };
         Step { record: self.barrier(), answer }
     }
 
-    fn may_vote(&self, roster: u64) -> bool {
-        self.votes() && roster == self.roster.epoch
+    fn may_vote(&self, roster: u64, era: u64) -> bool {
+        self.votes() && roster == self.roster.epoch && era >= self.era
+    }
+
+    /// A vote of a later era takes its voter there.
+    fn voted(&mut self, r: Register, era: u64) -> Record {
+        let mut kept = vec![r];
+        if era > self.era {
+            self.era = era;
+            kept.push(self.era_register());
+        }
+        self.record(kept)
     }
 
     pub fn prepare(&mut self, p: &Prepare) -> Step<Vote> {
         let promised = self.registers.get(&p.key).map(|r| r.promised).unwrap_or_default();
-        if !self.may_vote(p.roster) || p.ballot.epoch() <= promised.epoch() {
+        if !self.may_vote(p.roster, p.era) || p.ballot.epoch() <= promised.epoch() {
             return self.refuse(&p.key);
         }
         let r = self
@@ -107,15 +146,15 @@
             .or_insert_with(|| Register { key: p.key.clone(), ..Default::default() });
         r.promised = p.ballot;
         let r = r.clone();
-        let record = self.record(vec![r.clone()]);
-        Step { record, answer: Vote { ok: true, register: Some(r), roster: None } }
+        let record = self.voted(r.clone(), p.era);
+        Step { record, answer: Vote { ok: true, register: Some(r), roster: None, era: self.era } }
     }
 
     pub fn accept(&mut self, a: &Accept) -> Step<Vote> {
         let (promised, accepted) =
             self.registers.get(&a.key).map(|r| (r.promised, r.accepted)).unwrap_or_default();
         let late = a.ballot.epoch() < promised.epoch() || a.ballot <= accepted;
-        if !self.may_vote(a.roster) || late {
+        if !self.may_vote(a.roster, a.era) || late {
             return self.refuse(&a.key);
         }
         let r = Register {
@@ -125,8 +164,8 @@
             value: a.value.clone(),
         };
         self.registers.insert(a.key.clone(), r.clone());
-        let record = self.record(vec![r]);
-        Step { record, answer: Vote { ok: true, register: None, roster: None } }
+        let record = self.voted(r, a.era);
+        Step { record, answer: Vote { ok: true, register: None, roster: None, era: self.era } }
     }
 
     pub fn peek(&self, values: bool) -> Step<Peeked> {
@@ -137,10 +176,21 @@
                 if values { r.clone() } else { Register { value: Default::default(), ..r.clone() } }
             })
             .collect();
-        let answer = Peeked { votes: self.votes(), registers, roster: Some(self.roster.clone()) };
+        let answer = Peeked {
+            votes: self.votes(),
+            registers,
+            roster: Some(self.roster.clone()),
+            era: self.era,
+        };
         Step { record: self.barrier(), answer }
     }
 
+    /// All that is held here, for a member that lost its disk; from now on in its era.
+    pub fn hand_over(&mut self, era: u64) -> Step<Peeked> {
+        let record = self.advance(era).unwrap_or_else(|| self.barrier());
+        Step { record, answer: self.peek(true).answer }
+    }
+
     /// A roster that was decided: one member at a time is exchanged.
     pub fn adopt(&mut self, roster: &Roster) -> Option<Record> {
         if roster.epoch <= self.roster.epoch {
@@ -167,13 +217,15 @@
         self.adopt(roster)
     }
 
-    /// Answers of all others that make up a majority, promises and values both: then it votes.
-    pub fn recover(&mut self, from: &[Peeked]) -> Option<Record> {
+    /// Answers in the new era from a majority without it, promises and values both: then it votes.
+    pub fn recover(&mut self, era: u64, from: &[Peeked]) -> Option<Record> {
         let most = self.roster.members.len() / 2 + 1;
-        if self.voting || !self.is_member() || from.iter().filter(|p| p.votes).count() < most {
+        let full = |p: &&Peeked| p.votes && p.era >= era;
+        if self.voting || !self.is_member() || from.iter().filter(full).count() < most {
             return None;
         }
-        for r in from.iter().filter(|p| p.votes).flat_map(|p| &p.registers) {
+        self.era = self.era.max(from.iter().map(|p| p.era).max().unwrap_or(0));
+        for r in from.iter().filter(full).flat_map(|p| &p.registers) {
             let own = self
                 .registers
                 .entry_ref(r.key.as_str())
@@ -185,6 +237,8 @@
             }
         }
         self.voting = true;
-        Some(self.record(self.registers.values().cloned().collect()))
+        let mut all: Vec<Register> = self.registers.values().cloned().collect();
+        all.push(self.era_register());
+        Some(self.record(all))
     }
 }
--- a/crates/sorting/src/control/owner.rs
+++ b/crates/sorting/src/control/owner.rs
@@ -12,6 +12,7 @@
     ballot: Ballot,
     value: bytes::Bytes,
     roster: u64,
+    era: u64,
 }
 
 #[derive(Default)]
@@ -81,6 +82,9 @@
         let Some((id, vote)) = rx.recv().await else { break };
         round.vote(id, vote.as_ref());
     }
+    if round.era > s.acceptor.lock().era() {
+        s.persist(|a| a.advance(round.era)).await;
+    }
     match round.verdict() {
         Verdict::Won => Ok(round),
         _ if round.highest > 0 => Err((OwnerProblem::Overtaken, round)),
@@ -94,8 +98,13 @@
     o: &Owned,
     value: &bytes::Bytes,
 ) -> Result<(), OwnerProblem> {
-    let a =
-        Accept { key: key.to_owned(), roster: o.roster, ballot: o.ballot, value: value.clone() };
+    let a = Accept {
+        key: key.to_owned(),
+        roster: o.roster,
+        ballot: o.ballot,
+        value: value.clone(),
+        era: o.era,
+    };
     phase(s, Ask::Accept(a)).await.map_err(|(p, _)| p)?;
     s.committed(key, o.ballot, value).await;
     Ok(())
@@ -107,13 +116,21 @@
     let mut above = s.acceptor.lock().highest(key);
     let mut pause = k::DUEL_PAUSE_MS;
     loop {
-        let roster = s.acceptor.lock().roster().epoch;
+        let (roster, era) = {
+            let a = s.acceptor.lock();
+            (a.roster().epoch, a.era())
+        };
         let ballot = Ballot { n: above + 1, node: s.node.id(), seq: 0 };
-        let p = Prepare { key: key.to_owned(), roster, ballot };
+        let p = Prepare { key: key.to_owned(), roster, ballot, era };
         let problem = match phase(s, Ask::Prepare(p)).await {
             Ok(round) => {
                 let value = round.best.map(|r| r.value).unwrap_or_default();
-                let o = Owned { ballot: Ballot { seq: 1, ..ballot }, value: value.clone(), roster };
+                let o = Owned {
+                    ballot: Ballot { seq: 1, ..ballot },
+                    value: value.clone(),
+                    roster,
+                    era,
+                };
                 match accept(s, key, &o, &value).await {
                     Ok(()) => {
                         pouch::note!(s.log, pouch::log::Event::OwnerTaken, "key" => key, "epoch" => ballot.n);
@@ -148,11 +165,12 @@
 ) -> Result<Changed, OwnerProblem> {
     let seat = s.owners.seat(key);
     let mut seat = seat.lock().await;
-    let (roster, promised) = {
+    let (roster, era, promised) = {
         let a = s.acceptor.lock();
-        (a.roster().epoch, a.register(key).map(|r| r.promised.epoch()))
+        (a.roster().epoch, a.era(), a.register(key).map(|r| r.promised.epoch()))
     };
-    let held = seat.take().filter(|o| o.roster == roster && promised == Some(o.ballot.epoch()));
+    let stands = |o: &Owned| o.roster == roster && o.era == era;
+    let held = seat.take().filter(|o| stands(o) && promised == Some(o.ballot.epoch()));
     let mut owned = match held {
         Some(o) => o,
         None => take_over(s, key).await?,
--- a/crates/sorting/src/control/schedules.rs
+++ b/crates/sorting/src/control/schedules.rs
@@ -1,5 +1,6 @@
 //! Registers under schedules of crashes, wiped disks, loss, delay and reordering:
-//! a change that was acknowledged is never lost, and changes form one chain.
+//! a change that was acknowledged is never lost, and changes form one chain; with one loss
+//! to be borne among three members, and with two among five.
 
 use super::acceptor::Acceptor;
 use super::round::{Round, Verdict};
@@ -7,15 +8,14 @@
 use pouch::wire::{Accept, Ballot, Member, Peeked, Prepare, Register, Roster, Vote};
 use std::net::Ipv4Addr;
 
-const N: usize = 3;
 const KEY: &str = "k";
 
 fn ip(i: usize) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, i as u8 + 1)
 }
 
-fn roster() -> Roster {
-    let members = (0..N).map(|i| Member { ip: ip(i).to_string(), ..Default::default() }).collect();
+fn roster(n: usize) -> Roster {
+    let members = (0..n).map(|i| Member { ip: ip(i).to_string(), ..Default::default() }).collect();
     Roster { epoch: 1, members }
 }
 
@@ -47,8 +47,8 @@
 
 enum Doing {
     Idle,
-    Preparing { ballot: Ballot, round: Round },
-    Accepting { ballot: Ballot, round: Round, value: Vec<u64>, adds: Option<u64> },
+    Preparing { ballot: Ballot, round: Round, era: u64 },
+    Accepting { ballot: Ballot, round: Round, value: Vec<u64>, adds: Option<u64>, era: u64 },
 }
 
 struct Node {
@@ -58,23 +58,20 @@
     acceptor: Acceptor,
     doing: Doing,
     phase: u64,
-    dead: std::collections::HashSet<(usize, u64)>,
 }
 
 impl Node {
-    fn founded(i: usize) -> Node {
+    fn founded(i: usize, n: usize) -> Node {
         let mut disk = Disk { state: State::default() };
         let mut acceptor = Acceptor::new(ip(i), State::default());
-        disk.keep(&acceptor.found(&roster()).unwrap());
-        let dead = std::collections::HashSet::new();
-        Node { life: 1, up: true, disk, acceptor, doing: Doing::Idle, phase: 0, dead }
+        disk.keep(&acceptor.found(&roster(n)).unwrap());
+        Node { life: 1, up: true, disk, acceptor, doing: Doing::Idle, phase: 0 }
     }
 
     fn restart(&mut self, i: usize) {
         self.life += 1;
         self.up = true;
         self.doing = Doing::Idle;
-        self.dead.clear();
         self.acceptor = Acceptor::new(ip(i), self.disk.state.clone());
     }
 }
@@ -93,17 +90,19 @@
     acknowledged: Vec<u64>,
     chains: Vec<Vec<u64>>,
     next: u64,
+    n: usize,
+    /// eras are kept apart, as they have to be
     careful: bool,
 }
 
 impl World {
-    fn new(careful: bool) -> World {
-        let nodes = (0..N).map(Node::founded).collect();
-        World { nodes, wires: vec![], acknowledged: vec![], chains: vec![], next: 1, careful }
+    fn new(n: usize, careful: bool) -> World {
+        let nodes = (0..n).map(|i| Node::founded(i, n)).collect();
+        World { nodes, wires: vec![], acknowledged: vec![], chains: vec![], next: 1, n, careful }
     }
 
     fn cast(&mut self, i: usize, message: &Message) {
-        for to in (0..N).filter(|t| *t != i) {
+        for to in (0..self.n).filter(|t| *t != i) {
             let (life, to_life) = (self.nodes[i].life, self.nodes[to].life);
             let phase = self.nodes[i].phase;
             self.wires.push(Wire { from: i, life, to, to_life, phase, message: message.clone() });
@@ -111,24 +110,24 @@
     }
 
     fn start(&mut self, i: usize) {
-        let n = &mut self.nodes[i];
+        let (members, n) = (self.n, &mut self.nodes[i]);
         if !n.up || !n.acceptor.votes() {
             return;
         }
         let ballot = Ballot { n: n.acceptor.highest(KEY) + 1, node: i as u64 + 1, seq: 0 };
-        let p = Prepare { key: KEY.into(), roster: 1, ballot };
+        let p = Prepare { key: KEY.into(), roster: 1, ballot, era: n.acceptor.era() };
         let step = n.acceptor.prepare(&p);
         n.disk.keep(&step.record);
         n.phase += 1;
-        let mut round = Round::new(N);
+        let mut round = Round::new(members);
         round.vote(i as u64, Some(&step.answer));
-        n.doing = Doing::Preparing { ballot, round };
+        n.doing = Doing::Preparing { ballot, round, era: p.era };
         self.cast(i, &Message::Prepare(p));
     }
 
-    fn accept(&mut self, i: usize, ballot: Ballot, value: Vec<u64>, adds: Option<u64>) {
-        let a = Accept { key: KEY.into(), roster: 1, ballot, value: pack(&value) };
-        let n = &mut self.nodes[i];
+    fn accept(&mut self, i: usize, ballot: Ballot, era: u64, value: Vec<u64>, adds: Option<u64>) {
+        let (members, n) = (self.n, &mut self.nodes[i]);
+        let a = Accept { key: KEY.into(), roster: 1, ballot, value: pack(&value), era };
         n.phase += 1;
         let step = n.acceptor.accept(&a);
         n.disk.keep(&step.record);
@@ -136,9 +135,9 @@
             n.doing = Doing::Idle;
             return;
         }
-        let mut round = Round::new(N);
+        let mut round = Round::new(members);
         round.vote(i as u64, Some(&step.answer));
-        n.doing = Doing::Accepting { ballot, round, value, adds };
+        n.doing = Doing::Accepting { ballot, round, value, adds, era };
         self.cast(i, &Message::Accept(a));
     }
 
@@ -148,7 +147,7 @@
         }
         let w = self.wires.swap_remove(at % self.wires.len());
         let n = &mut self.nodes[w.to];
-        if !n.up || n.life != w.to_life || n.dead.contains(&(w.from, w.life)) {
+        if !n.up || n.life != w.to_life {
             return;
         }
         let (from, phase) = (w.from, w.phase);
@@ -172,18 +171,20 @@
         let doing = std::mem::replace(&mut self.nodes[i].doing, Doing::Idle);
         match doing {
             Doing::Idle => {}
-            Doing::Preparing { ballot, mut round } => match round.vote(from as u64, Some(vote)) {
-                Verdict::Open => self.nodes[i].doing = Doing::Preparing { ballot, round },
-                Verdict::Lost => {}
-                Verdict::Won => {
-                    let value = round.best.map(|r| unpack(&r.value)).unwrap_or_default();
-                    self.accept(i, Ballot { seq: 1, ..ballot }, value, None);
+            Doing::Preparing { ballot, mut round, era } => {
+                match round.vote(from as u64, Some(vote)) {
+                    Verdict::Open => self.nodes[i].doing = Doing::Preparing { ballot, round, era },
+                    Verdict::Lost => {}
+                    Verdict::Won => {
+                        let value = round.best.map(|r| unpack(&r.value)).unwrap_or_default();
+                        self.accept(i, Ballot { seq: 1, ..ballot }, era, value, None);
+                    }
                 }
-            },
-            Doing::Accepting { ballot, mut round, value, adds } => {
+            }
+            Doing::Accepting { ballot, mut round, value, adds, era } => {
                 match round.vote(from as u64, Some(vote)) {
                     Verdict::Open => {
-                        self.nodes[i].doing = Doing::Accepting { ballot, round, value, adds };
+                        self.nodes[i].doing = Doing::Accepting { ballot, round, value, adds, era };
                     }
                     Verdict::Lost => {}
                     Verdict::Won => {
@@ -194,7 +195,7 @@
                         self.next += 1;
                         let b = Ballot { seq: ballot.seq + 1, ..ballot };
                         let adds = longer.last().copied();
-                        self.accept(i, b, longer, adds);
+                        self.accept(i, b, era, longer, adds);
                     }
                 }
             }
@@ -206,31 +207,41 @@
             return;
         }
         if self.nodes[i].acceptor.roster().epoch == 0 {
-            let r = self.nodes[i].acceptor.adopt(&roster()).unwrap();
+            let r = self.nodes[i].acceptor.adopt(&roster(self.n)).unwrap();
             self.nodes[i].disk.keep(&r);
         }
-        let life = self.nodes[i].life;
+        let others: Vec<usize> = (0..self.n).filter(|o| *o != i && self.nodes[*o].up).collect();
+        let before: Vec<Peeked> =
+            others.iter().map(|o| self.nodes[*o].acceptor.peek(false).answer).collect();
+        if before.iter().filter(|p| p.votes).count() <= self.n / 2 {
+            return;
+        }
+        let latest = before.iter().map(|p| p.era).max().unwrap_or(0);
+        let era = if self.careful { latest + 1 } else { 0 };
+        let (skipped, most) = (self.skip(others.len()), self.n / 2 + 1);
         let mut got: Vec<Peeked> = Vec::new();
-        for o in (0..N).filter(|o| *o != i) {
+        for o in others {
             let n = &mut self.nodes[o];
-            if n.up {
-                if self.careful {
-                    n.dead.extend((1..life).map(|l| (i, l)));
-                }
-                got.push(n.acceptor.peek(true).answer);
+            if n.acceptor.votes() && got.len() < most && Some(o) != skipped {
+                let step = n.acceptor.hand_over(era);
+                n.disk.keep(&step.record);
+                got.push(step.answer);
             }
         }
-        if let Some(r) = self.nodes[i].acceptor.recover(&got) {
+        if let Some(r) = self.nodes[i].acceptor.recover(era, &got) {
             self.nodes[i].disk.keep(&r);
         }
     }
 
-    /// At most one member at a time has lost its disk and not read it back.
+    /// Not always the same members are read from.
+    fn skip(&self, others: usize) -> Option<usize> {
+        (others > self.n / 2 + 1).then_some(self.wires.len() % self.n)
+    }
+
+    /// At most so many members at a time as may be lost have no disk that they have read back.
     fn wipe(&mut self, i: usize) {
-        if (0..N).any(|o| o != i && !self.nodes[o].acceptor.votes() && self.nodes[o].up) {
-            return;
-        }
-        if (0..N).any(|o| o != i && !self.nodes[o].disk.state.voting) {
+        let lost = |o: usize| !self.nodes[o].disk.state.voting;
+        if (0..self.n).filter(|o| *o != i && lost(*o)).count() >= (self.n - 1) / 2 {
             return;
         }
         self.nodes[i].disk.state = State::default();
@@ -238,7 +249,7 @@
     }
 
     fn step(&mut self, what: u8, a: usize) {
-        let i = a % N;
+        let i = a % self.n;
         match what {
             0 => self.start(i),
             1..=8 => self.deliver(a),
@@ -270,8 +281,8 @@
     }
 }
 
-fn run(steps: &[(u8, usize)], careful: bool) -> Result<(), String> {
-    let mut w = World::new(careful);
+fn run(n: usize, steps: &[(u8, usize)], careful: bool) -> Result<(), String> {
+    let mut w = World::new(n, careful);
     for (what, a) in steps {
         w.step(*what, *a);
         w.check()?;
@@ -285,13 +296,48 @@
     fn acknowledged_changes_survive(
         steps in proptest::collection::vec((0u8..14, 0usize..997), 20..400)
     ) {
-        run(&steps, true).map_err(proptest::test_runner::TestCaseError::fail)?;
+        for n in [3, 5] {
+            run(n, &steps, true).map_err(proptest::test_runner::TestCaseError::fail)?;
+        }
     }
 }
 
+/// A vote that a wiped member gave in its former life must not count beside votes given after it
+/// read its disk back from members that did not know of the change.
+#[test]
+fn former_vote_of_a_wiped_member_does_not_count_in_a_later_era() {
+    let lost = |careful: bool| {
+        let mut w = World::new(5, careful);
+        w.start(3);
+        while w.acknowledged.is_empty() {
+            let at = w.wires.iter().position(|x| x.to == 3).unwrap_or(0);
+            w.deliver(at);
+        }
+        let before = w.acknowledged.len();
+        let to = |w: &World, to: usize| w.wires.iter().rposition(|x| x.from == 3 && x.to == to);
+        let first = to(&w, 0).unwrap();
+        w.deliver(first);
+        let stale =
+            w.wires.iter().position(|x| x.from == 0 && x.to == 3).map(|p| w.wires.swap_remove(p));
+        w.wipe(0);
+        w.nodes[3].up = false;
+        w.recover(0);
+        w.nodes[3].up = true;
+        let second = to(&w, 1).unwrap();
+        w.deliver(second);
+        w.wires.extend(stale);
+        while let Some(at) = w.wires.iter().position(|x| x.to == 3 && (x.from < 2)) {
+            w.deliver(at);
+        }
+        (w.nodes[0].acceptor.votes(), w.acknowledged.len() > before)
+    };
+    assert_eq!(lost(false), (true, true), "counted where eras are not kept apart");
+    assert_eq!(lost(true), (true, false));
+}
+
 #[test]
 fn quiet_schedule_commits_and_survives_a_wipe() {
-    let mut w = World::new(true);
+    let mut w = World::new(3, true);
     w.start(0);
     for _ in 0..60 {
         w.deliver(0);
@@ -317,8 +363,9 @@
 #[test]
 fn empty_disk_does_not_vote_before_it_has_read_both_others() {
     let mut a = Acceptor::new(ip(0), State::default());
-    a.adopt(&roster()).unwrap();
-    let p = Prepare { key: KEY.into(), roster: 1, ballot: Ballot { n: 1, node: 2, seq: 0 } };
+    a.adopt(&roster(3)).unwrap();
+    let ballot = Ballot { n: 1, node: 2, seq: 0 };
+    let p = Prepare { key: KEY.into(), roster: 1, ballot, era: 4 };
     assert!(!a.prepare(&p).answer.ok);
     let held = |n| Peeked {
         votes: true,
@@ -328,10 +375,15 @@
             ..Default::default()
         }],
         roster: None,
+        era: 4,
     };
-    assert!(a.recover(&[held(1)]).is_none());
-    assert!(a.recover(&[held(1), Peeked { votes: false, ..held(7) }]).is_none());
-    assert!(a.recover(&[held(1), held(5)]).is_some());
+    assert!(a.recover(4, &[held(1)]).is_none());
+    assert!(a.recover(4, &[held(1), Peeked { votes: false, ..held(7) }]).is_none());
+    assert!(a.recover(4, &[held(1), Peeked { era: 3, ..held(7) }]).is_none());
+    assert!(a.recover(4, &[held(1), held(5)]).is_some());
+    assert!(
+        !a.prepare(&Prepare { ballot: Ballot { n: 9, ..ballot }, era: 3, ..p.clone() }).answer.ok
+    );
     let at = |n| Prepare { ballot: Ballot { n, node: 3, seq: 0 }, ..p.clone() };
     assert!(!a.prepare(&at(4)).answer.ok, "a promise made before the wipe holds");
     assert!(a.prepare(&at(6)).answer.ok);
@@ -339,15 +391,20 @@
 
 #[test]
 fn other_roster_epochs_get_no_vote() {
-    let mut n = Node::founded(0);
-    let p = |roster, n| Prepare { key: KEY.into(), roster, ballot: Ballot { n, node: 2, seq: 0 } };
+    let mut n = Node::founded(0, 3);
+    let p = |roster, n| Prepare {
+        key: KEY.into(),
+        roster,
+        ballot: Ballot { n, node: 2, seq: 0 },
+        era: 0,
+    };
     assert!(!n.acceptor.prepare(&p(2, 1)).answer.ok);
     assert!(n.acceptor.prepare(&p(1, 1)).answer.ok);
-    let mut next = roster();
+    let mut next = roster(3);
     next.epoch = 2;
     n.acceptor.adopt(&next).unwrap();
     let late = n.acceptor.prepare(&p(1, 2)).answer;
     assert!(!late.ok);
     assert_eq!(late.roster.unwrap().epoch, 2);
-    assert!(n.acceptor.adopt(&roster()).is_none());
+    assert!(n.acceptor.adopt(&roster(3)).is_none());
 }
--- a/crates/sorting/src/disk/mod.rs
+++ b/crates/sorting/src/disk/mod.rs
@@ -9,6 +9,8 @@
     Refused { what: &'static str, kind: std::io::ErrorKind },
     /// the thread of the disk has ended
     Ended,
+    /// this machine has no disk
+    Absent,
 }
 
 pub fn refused(what: &'static str) -> impl Fn(std::io::Error) -> DiskProblem {
--- a/crates/sorting/src/disk/writer.rs
+++ b/crates/sorting/src/disk/writer.rs
@@ -13,7 +13,8 @@
 
 #[derive(Clone)]
 pub struct Disk {
-    tx: std::sync::mpsc::Sender<Job>,
+    /// none where there is no disk: nothing is ever kept
+    tx: Option<std::sync::mpsc::Sender<Job>>,
     broken: std::sync::Arc<std::sync::atomic::AtomicBool>,
 }
 
@@ -185,15 +186,26 @@
             }
         };
         let _ = std::thread::Builder::new().stack_size(k::STACK_BYTES).spawn(run);
-        Disk { tx, broken }
+        Disk { tx: Some(tx), broken }
+    }
+
+    pub fn absent() -> Disk {
+        Disk { tx: None, broken: std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true)) }
+    }
+
+    pub fn is_absent(&self) -> bool {
+        self.tx.is_none()
     }
 
     /// Queued in the order of the calls; true once it is on the disk.
     pub fn keep(&self, record: Record) -> impl Future<Output = Result<(), DiskProblem>> + use<> {
         let (done, rx) = tokio::sync::oneshot::channel();
-        let sent = self.tx.send(Job { record, done });
+        let sent = match &self.tx {
+            Some(tx) => tx.send(Job { record, done }).map_err(|_| DiskProblem::Ended),
+            None => Err(DiskProblem::Absent),
+        };
         async move {
-            sent.map_err(|_| DiskProblem::Ended)?;
+            sent?;
             rx.await.map_err(|_| DiskProblem::Ended)?
         }
     }
--- a/crates/sorting/src/lib.rs
+++ b/crates/sorting/src/lib.rs
@@ -59,6 +59,11 @@
         self.disk.is_broken()
     }
 
+    /// Serves without a vote: what it is told it passes on.
+    pub fn disk_absent(&self) -> bool {
+        self.disk.is_absent()
+    }
+
     pub fn leaving(&self) -> tokio::sync::watch::Receiver<bool> {
         self.leaving.subscribe()
     }
@@ -114,6 +119,26 @@
     }
 }
 
+/// The disk, what it holds, and whether this is the first start of all.
+fn open_disk(
+    params: &pouch::params::Params,
+    log: &slog::Logger,
+) -> Result<(disk::writer::Disk, disk::format::State, bool), SortingProblem> {
+    let Some(dir) = &params.data_dir else {
+        pouch::note!(log, Event::DiskAbsent);
+        return Ok((disk::writer::Disk::absent(), disk::format::State::default(), false));
+    };
+    let (files, state) = disk::writer::Files::open(dir).map_err(SortingProblem::Disk)?;
+    let seeded = params.seeds.iter().any(|a| a.ip() == std::net::IpAddr::V4(params.ip));
+    let first = files.empty && !files.damaged && params.bootstrap && seeded;
+    if files.damaged {
+        pouch::note!(log, Event::SlotDamaged);
+    }
+    pouch::note!(log, if files.empty && !first { Event::DiskEmpty } else { Event::DiskOpened },
+        "registers" => state.registers.len());
+    Ok((disk::writer::Disk::start(files, log.clone()), state, first))
+}
+
 /// Runs a postmaster until it is told to stop.
 pub async fn run(
     params: pouch::params::Params,
@@ -122,20 +147,12 @@
     mut reread: tokio::sync::mpsc::Receiver<pouch::params::Params>,
 ) -> Result<(), SortingProblem> {
     let control = params.control.ok_or(SortingProblem::ParamMissing("bindAddrs.control"))?;
-    let dir = params.data_dir.clone().ok_or(SortingProblem::ParamMissing("dataDir"))?;
     let node = pouch::node::Node::start(&params, pouch::node::Role::Postmaster);
-    let (files, state) = disk::writer::Files::open(&dir).map_err(SortingProblem::Disk)?;
-    let first = files.empty && !files.damaged && params.bootstrap;
-    if files.damaged {
-        pouch::note!(log, Event::SlotDamaged);
-    }
-    pouch::note!(log, if files.empty && !first { Event::DiskEmpty } else { Event::DiskOpened },
-        "registers" => state.registers.len());
+    let (disk, state, first) = open_disk(&params, &log)?;
     let peer_at = params.peer_addr(node.ip.into());
     let listener =
         pouch::link::listen(peer_at).map_err(|e| SortingProblem::Listen(peer_at, e.kind()))?;
     let acceptor = control::acceptor::Acceptor::new(node.ip, state);
-    let disk = disk::writer::Disk::start(files, log.clone());
     let s = Arc::new(Sorting {
         engines: engines::registry::Registry::default(),
         members: members::Members::default(),
--- a/crates/sorting/src/members/desk.rs
+++ b/crates/sorting/src/members/desk.rs
@@ -46,7 +46,7 @@
                     return s.vote(|a| a.peek(false)).await.map(Body::Peeked);
                 }
                 s.members.bury(&origin.hello.ip, r.life);
-                s.vote(|a| a.peek(true)).await.map(Body::Peeked)
+                s.vote(|a| a.hand_over(r.era)).await.map(Body::Peeked)
             }
             Body::Fetch(f) if f.confirm => {
                 let got = s.read(&f.key).await;
@@ -86,7 +86,9 @@
             Body::Lease(l) => Some(Body::Leased(duties::grant(s, &l))),
             Body::Beats(b) => Some(Body::Beats(heard_beats(s, b))),
             Body::Join(j) => {
-                super::roster::heard_join(s, j.member);
+                if !j.observes {
+                    super::roster::heard_join(s, j.member);
+                }
                 Some(Body::Joined(Joined { roster: Some(s.acceptor.lock().roster().clone()) }))
             }
             Body::Alive(a) => {
