The prompt index answers who keeps what on the ordinary path; the keeper tells shared parts only

A postmaster's memory grew with digests x carriers, asked for again after 400 ms on a full line. Now pigeonhole names holders by depth, all stores count, an unseen part is asked for at its store (a miss costs a ms), carriers tell what their sends leave, and the keeper gives few digests at once.

--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -35,7 +35,7 @@
     pub heavy_wait_us: AtomicU64,
 }
 
-/// All state of a carrier. Lock order: table, engines, one engine's work, view; never two engines.
+/// All state of a carrier. Lock order: table, engines, one engine's work, inbox, index; never two engines.
 pub struct Delivery {
     pub node: pouch::node::Node,
     pub log: slog::Logger,
@@ -117,6 +117,8 @@
         tokio::spawn(serve::probes(d.clone(), probe)),
         tokio::spawn(sight::links::watching(d.clone())),
         tokio::spawn(sight::purge::reading(d.clone())),
+        tokio::spawn(sight::purge::telling(d.clone())),
+        tokio::spawn(sight::purge::scrubbing(d.clone())),
         tokio::spawn(pool::sweeping(d.clone())),
     ];
     let accepting = tokio::spawn(serve::accepting(d.clone(), front));
--- a/crates/delivery/src/place/prompt.rs
+++ b/crates/delivery/src/place/prompt.rs
@@ -41,6 +41,10 @@
         self.parts.get(n).map(|p| p.id)
     }
 
+    pub fn pairs(&self) -> smallvec::SmallVec<[(u64, u64); 8]> {
+        self.parts.iter().map(|p| (p.id, p.tokens)).collect()
+    }
+
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|p| p.tokens).sum()
     }
--- /dev/null
+++ b/crates/delivery/src/place/sources.rs
@@ -0,0 +1,160 @@
+//! Where the parts of a prompt that an engine lacks can be had cheaper than by reading them.
+
+use super::weigh::Ask;
+use crate::pool::Seat;
+use crate::sight::roll::{Roll, Row};
+use pigeonhole::{At, Chain, Depths, Index};
+use pouch::configuration::Service;
+use pouch::constants as k;
+use smallvec::SmallVec;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// A store that answers, as the configuration has it.
+pub struct Store<'a> {
+    pub address: &'a str,
+    zone: &'a str,
+    mbps: f64,
+    at: At,
+    pub rank: u64,
+}
+
+impl<'a> Store<'a> {
+    pub fn new(s: &'a Service, index: &Index, part: u64) -> Option<Store<'a>> {
+        let address = s.kv_store.as_deref()?;
+        Some(Store {
+            address,
+            zone: s.zone.as_deref().unwrap_or_default(),
+            mbps: s.link_mbps,
+            at: index.at(address)?,
+            rank: pouch::node::stable_hash(&[address.as_bytes(), &part.to_be_bytes()]),
+        })
+    }
+}
+
+/// A holder that keeps more of the prompt than some engines do.
+pub struct Source {
+    pub address: String,
+    /// none for a store
+    pub seat: Option<Arc<Seat>>,
+    zone: String,
+    mbps: f64,
+    tokens: u64,
+    moves: u32,
+}
+
+/// What a source offers one engine.
+#[derive(Clone, Copy)]
+pub struct Offer {
+    pub tokens: u64,
+    pub ms: f64,
+}
+
+impl Offer {
+    fn gain(&self) -> f64 {
+        self.tokens as f64 / k::READ_RATE - self.ms
+    }
+}
+
+impl Source {
+    pub fn for_row(&self, ask: &Ask, row: &Row, known: u64) -> Offer {
+        let tokens = self.tokens.saturating_sub(known);
+        let one = ask.move_ms(tokens, self.mbps, self.zone == row.news.zone);
+        Offer { tokens, ms: one * f64::from(1 + self.moves) }
+    }
+}
+
+#[derive(Default)]
+pub struct Sources {
+    found: SmallVec<[Source; 8]>,
+    /// tokens that the store where the prompt belongs keeps of it
+    stored: u64,
+}
+
+impl Sources {
+    /// The holders of one cell under these weights, a few of each depth.
+    #[allow(clippy::too_many_arguments)]
+    pub fn take(
+        &mut self,
+        found: &Depths,
+        chain: &Chain,
+        cell: usize,
+        roll: &Roll,
+        stamp: u64,
+        model: &str,
+        ask: &Ask,
+        now: Instant,
+    ) {
+        for (i, s) in ask.stores.iter().enumerate().filter(|(_, s)| s.at.cell == cell) {
+            let tokens = chain.tokens(found.of(s.at.no.index));
+            if i == 0 {
+                self.stored = tokens;
+            }
+            if tokens >= k::MOVE_TOKENS {
+                self.found.push(Source {
+                    address: s.address.to_owned(),
+                    seat: None,
+                    zone: s.zone.to_owned(),
+                    mbps: s.mbps.min(ask.link_mbps),
+                    tokens,
+                    moves: 0,
+                });
+            }
+        }
+        for (depth, holders) in &found.groups {
+            let tokens = chain.tokens(*depth);
+            if tokens < k::MOVE_TOKENS {
+                break;
+            }
+            let usable = |r: &&Row| {
+                !r.news.silent
+                    && !r.seat.is_resting(now)
+                    && pouch::fleet::stamp_of(&r.news, model) == Some(stamp)
+            };
+            let mut rows: SmallVec<[&Row; 16]> = holders
+                .iter()
+                .filter_map(|h| roll.row(cell, h).map(|r| &roll.rows[r]))
+                .filter(usable)
+                .collect();
+            rows.sort_by_key(|r| (r.seat.work().moves, !r.near));
+            for r in rows.into_iter().take(k::SOURCES_WEIGHED) {
+                self.found.push(Source {
+                    address: r.seat.address.to_string(),
+                    seat: Some(r.seat.clone()),
+                    zone: r.news.zone.clone(),
+                    mbps: ask.link_mbps,
+                    tokens,
+                    moves: r.seat.work().moves,
+                });
+            }
+        }
+    }
+
+    /// The source worth most to an engine, if any is worth a move.
+    pub fn best(&self, ask: &Ask, row: &Row, known: u64) -> Option<&Source> {
+        self.found
+            .iter()
+            .map(|s| (s, s.for_row(ask, row, known)))
+            .filter(|(_, o)| o.tokens >= k::MOVE_TOKENS && o.gain() > 0.0)
+            .max_by(|a, b| a.1.gain().total_cmp(&b.1.gain()))
+            .map(|(s, _)| s)
+    }
+}
+
+/// Nobody is known to keep what is missing: the part's home or its store may, and a miss costs little.
+pub fn unseen(ask: &Ask, known: u64, home: Option<&Row>) -> Option<(String, Option<Arc<Seat>>)> {
+    if ask.prompt.shared().saturating_sub(known) < k::MOVE_TOKENS {
+        return None;
+    }
+    if let Some(s) = ask.stores.first() {
+        return Some((s.address.to_owned(), None));
+    }
+    home.map(|r| (r.seat.address.to_string(), Some(r.seat.clone())))
+}
+
+/// Large shared parts that their store lacks are worth a place there.
+pub fn sink(ask: &Ask, sources: &Sources) -> Option<String> {
+    let shared = ask.prompt.shared();
+    let s = ask.stores.first()?;
+    (shared >= k::SINK_TOKENS && sources.stored < shared).then(|| s.address.to_owned())
+}
--- a/crates/delivery/src/pool/mod.rs
+++ b/crates/delivery/src/pool/mod.rs
@@ -40,6 +40,8 @@
     pub unread: u64,
     /// tokens of own sends that have no end yet
     pub tokens: u64,
+    /// moves of own sends that take from here and have no end yet
+    pub moves: u32,
     idle: VecDeque<Idle>,
     pub told: Option<Told>,
     rest_until: Option<Instant>,
@@ -84,11 +86,10 @@
         self.news.read()
     }
 
-    /// Weights seen in an answer.
-    pub fn saw_weights(&self, model: &str, stamp: u64) {
-        if pouch::fleet::stamp_of(&self.news(), model).is_some_and(|s| s < stamp) {
-            pouch::fleet::raise(&mut self.news.write(), model, stamp);
-        }
+    /// Weights seen in an answer; true if they are news.
+    pub fn saw_weights(&self, model: &str, stamp: u64) -> bool {
+        pouch::fleet::stamp_of(&self.news(), model).is_some_and(|s| s < stamp)
+            && pouch::fleet::raise(&mut self.news.write(), model, stamp)
     }
 
     /// Just started: what it was not seen to keep, it does not keep.
--- a/crates/delivery/src/serve/request.rs
+++ b/crates/delivery/src/serve/request.rs
@@ -96,29 +96,37 @@
 /// Burden of one send at its engine, until dropped.
 pub struct Run {
     pub seat: Arc<Seat>,
+    source: Option<Arc<Seat>>,
     unread: u64,
     tokens: u64,
 }
 
 impl Run {
-    fn start(seat: &Arc<Seat>, unread: u64, tokens: u64) -> Run {
-        let mut w = seat.work();
+    fn start(c: &Choice, tokens: u64) -> Run {
+        if let Some(s) = &c.source_seat {
+            s.work().moves += 1;
+        }
+        let mut w = c.seat.work();
         w.runs += 1;
-        w.unread += unread;
+        w.unread += c.missing;
         w.tokens += tokens;
-        Run { seat: seat.clone(), unread, tokens }
+        let (seat, source) = (c.seat.clone(), c.source_seat.clone());
+        Run { seat, source, unread: c.missing, tokens }
     }
 
     fn begun(&mut self) {
         self.seat.work().unread -= std::mem::take(&mut self.unread);
+        if let Some(s) = self.source.take() {
+            s.work().moves -= 1;
+        }
     }
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
+        self.begun();
         let mut w = self.seat.work();
         w.runs -= 1;
-        w.unread -= self.unread;
         w.tokens -= self.tokens;
     }
 }
@@ -301,7 +309,7 @@
     ) -> Fate {
         self.0.tried.push(c.seat.id.clone());
         let Some(rq) = self.head(&c, last) else { return Fate::Unsent(self) };
-        let mut run = Run::start(&c.seat, c.missing, self.0.prompt.burden());
+        let mut run = Run::start(&c, self.0.prompt.burden());
         self.0.sends += 1;
         let sent = Instant::now();
         let mut job = self.0;
@@ -320,7 +328,7 @@
             Err(_) => return Fate::Late(Offered(job)),
         };
         let (head, body) = res.into_parts();
-        hear(&c.seat, job.prompt.model.as_deref(), &head.headers);
+        hear(d, &c.seat, job.prompt.model.as_deref(), &head.headers);
         let not_run = head.status == StatusCode::MISDIRECTED_REQUEST
             || head.headers.contains_key(NOT_EXECUTED);
         let ours = match head.headers.get(ATTEMPT) {
@@ -353,8 +361,7 @@
             count_wait(d, &c.seat, sent.elapsed());
         }
         if let Some(salt) = c.salt.as_ref().filter(|_| head.status.is_success()) {
-            let parts = job.prompt.parts.iter().map(|p| p.id);
-            d.sight.shelf.look(|v| v.learn(&c.seat.id, salt, parts));
+            d.sight.shelf.sent(&c.seat.id, salt, &job.prompt.pairs());
         }
         d.counters.begun.fetch_add(1, Ordering::Relaxed);
         Fate::Begun(Box::new(Begun { job, run, session, head, body }))
@@ -420,13 +427,13 @@
 }
 
 /// What an engine tells of itself beside the answer.
-fn hear(seat: &Seat, model: Option<&str>, h: &HeaderMap) {
+fn hear(d: &Delivery, seat: &Seat, model: Option<&str>, h: &HeaderMap) {
     let text = |n: HeaderName| h.get(n).and_then(|v| v.to_str().ok());
     if let Some(t) = text(LOAD).and_then(|t| Told::read(t, Instant::now())) {
         seat.work().told = Some(t);
     }
     if let (Some(m), Some(s)) = (model, text(WEIGHTS).and_then(|t| t.trim().parse().ok())) {
-        seat.saw_weights(m, s);
+        d.sight.saw_weights(seat, m, s);
     }
 }
 
--- a/crates/delivery/src/sight/mod.rs
+++ b/crates/delivery/src/sight/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod links;
 pub mod purge;
+pub mod roll;
 pub mod table;
 
 use crate::pool::Seat;
@@ -29,6 +30,7 @@
     pub news: tokio::sync::Notify,
     carriers: AtomicUsize,
     pub shelf: purge::Shelf,
+    rolls: roll::Rolls,
     links: parking_lot::Mutex<hashbrown::HashMap<std::net::Ipv4Addr, Arc<pouch::link::Link>>>,
 }
 
@@ -44,6 +46,7 @@
             news: tokio::sync::Notify::new(),
             carriers: AtomicUsize::new(1),
             shelf: purge::Shelf::new(),
+            rolls: roll::Rolls::default(),
             links: parking_lot::Mutex::default(),
         }
     }
@@ -84,6 +87,7 @@
 
     fn hear_engine(&self, news: &Engine) {
         let known = self.seats.read().get(&news.id).cloned();
+        self.rolls.stale();
         match known {
             Some(seat) => {
                 seat.hear(news);
@@ -99,6 +103,18 @@
         }
     }
 
+    /// The engines of a service, as placement weighs them.
+    pub fn roll(&self, service: &str, zone: &str) -> Arc<roll::Roll> {
+        self.rolls.of(service, zone, &self.seats, self.shelf.look())
+    }
+
+    /// Weights seen in an answer of an engine.
+    pub fn saw_weights(&self, seat: &Seat, model: &str, stamp: u64) {
+        if seat.saw_weights(model, stamp) {
+            self.rolls.stale();
+        }
+    }
+
     fn hear_weights(&self, w: &NamedWeights) {
         let since = Instant::now()
             .checked_sub(std::time::Duration::from_millis(w.age_ms))
--- /dev/null
+++ b/crates/delivery/src/sight/roll.rs
@@ -0,0 +1,117 @@
+//! The engines of a service in dense rows, made anew only when something of them changes.
+
+use super::Seats;
+use crate::pool::Seat;
+use pigeonhole::{At, Index};
+use pouch::constants as k;
+use pouch::wire::{Engine, Standing};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+pub struct Row {
+    pub seat: Arc<Seat>,
+    pub at: At,
+    pub news: Engine,
+    pub near: bool,
+    /// heavy requests settle here: alike at all carriers, and stable as engines come and go
+    pub heavy: bool,
+    rank: u64,
+}
+
+impl Row {
+    /// Rendezvous of a part with this engine.
+    pub fn rank(&self, part: u64) -> u64 {
+        let x = (self.rank ^ part).wrapping_mul(0xff51_afd7_ed55_8ccd);
+        let x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+        x ^ (x >> 33)
+    }
+}
+
+const NONE: u16 = u16::MAX;
+
+pub struct Roll {
+    key: (u64, u64),
+    pub rows: Vec<Row>,
+    /// cell and holder's number, to the row
+    numbers: Vec<[u16; 256]>,
+}
+
+impl Roll {
+    pub fn new(
+        engines: Vec<(Arc<Seat>, Engine)>,
+        zone: &str,
+        index: &Index,
+        key: (u64, u64),
+    ) -> Self {
+        let mut rows: Vec<Row> = engines
+            .into_iter()
+            .map(|(seat, news)| Row {
+                at: index.admit(&seat.id),
+                near: news.zone == zone,
+                heavy: false,
+                rank: pouch::node::stable_hash(&[seat.id.as_bytes()]),
+                seat,
+                news,
+            })
+            .collect();
+        let ready = |r: &Row| r.news.standing() == Standing::Ready && !r.news.silent;
+        let mut order: Vec<(u64, usize)> =
+            rows.iter().enumerate().filter(|(_, r)| ready(r)).map(|(i, r)| (r.rank, i)).collect();
+        order.sort_unstable();
+        let heavies = (order.len() as f64 * k::HEAVY_SHARE).ceil() as usize;
+        for (_, i) in order.into_iter().take(heavies) {
+            rows[i].heavy = true;
+        }
+        let cells = rows.iter().map(|r| r.at.cell + 1).max().unwrap_or(0);
+        let mut numbers = vec![[NONE; 256]; cells];
+        for (i, r) in rows.iter().enumerate() {
+            numbers[r.at.cell][usize::from(r.at.no.index)] = i as u16;
+        }
+        Roll { key, rows, numbers }
+    }
+
+    pub fn row(&self, cell: usize, number: u8) -> Option<usize> {
+        let n = *self.numbers.get(cell)?.get(usize::from(number))?;
+        (n != NONE).then_some(usize::from(n))
+    }
+}
+
+/// The rolls in use; a count that rises with all news of engines tells when one is out of date.
+#[derive(Default)]
+pub struct Rolls {
+    news: AtomicU64,
+    made: parking_lot::Mutex<hashbrown::HashMap<String, Arc<Roll>, ahash::RandomState>>,
+}
+
+impl Rolls {
+    pub fn stale(&self) {
+        self.news.fetch_add(1, Ordering::Release);
+    }
+
+    pub fn of(
+        &self,
+        service: &str,
+        zone: &str,
+        seats: &parking_lot::RwLock<Seats>,
+        index: &Index,
+    ) -> Arc<Roll> {
+        let key = (self.news.load(Ordering::Acquire), index.moves());
+        if let Some(r) = self.made.lock().get(service).filter(|r| r.key == key) {
+            return r.clone();
+        }
+        let engines = seats
+            .read()
+            .values()
+            .filter_map(|s| {
+                let n = s.news();
+                let wanted = n.service == service && n.standing() != Standing::Gone;
+                wanted.then(|| (s.clone(), n.clone()))
+            })
+            .collect();
+        let news = key.0;
+        let roll = Roll::new(engines, zone, index, (news, 0));
+        let roll = Arc::new(Roll { key: (news, index.moves()), ..roll });
+        self.made.lock().insert(service.to_owned(), roll.clone());
+        roll
+    }
+}
--- /dev/null
+++ b/crates/delivery/tests/purge.rs
@@ -0,0 +1,108 @@
+//! A reader of the ring: what it keeps after lost answers, overruns and new lives of the keeper.
+
+use delivery::sight::purge::{Change, Place, Shelf, step};
+use pigeonhole::HolderBitmap;
+use pouch::wire::{HeldParts, PartAt, Purge, RingEntry, RingGive, RingHead};
+use recall::view::View;
+
+fn head(fence: u64, life: u64, head: u64) -> Option<RingHead> {
+    Some(RingHead { fence, life, head, ..Default::default() })
+}
+
+#[test]
+fn another_life_counts_only_with_a_reset() {
+    let at = Place::new(2, 7, 5, 0);
+    let g = RingGive { head: head(2, 8, 9), cursor: 9, ..Default::default() };
+    assert!(step(at, g.clone()).is_none());
+    let (next, change) = step(at, RingGive { reset: true, ..g }).unwrap();
+    assert_eq!(next, Place::new(2, 8, 9, 0));
+    assert!(change.is_some_and(|c| c.reset));
+    let old = RingGive { head: head(1, 3, 9), reset: true, ..Default::default() };
+    assert!(step(at, old).is_none());
+}
+
+#[test]
+fn entries_are_applied_before_the_view_is_looked_at() {
+    let s = Shelf::new();
+    let holds = |s: &Shelf| {
+        let index = s.look();
+        let chain = index.chain("m|1|#1", [(4, 10)]);
+        index.learn("m|1|#1", &chain);
+        index.cells().iter().any(|c| !c.query(&chain, &HolderBitmap::ALL).groups.is_empty())
+    };
+    assert!(!holds(&s));
+    s.put(Change {
+        reset: true,
+        digest: vec![HeldParts {
+            holder: "e".into(),
+            salt: "m|1|#1".into(),
+            parts: vec![4],
+            kept: vec![10],
+        }],
+        entries: Vec::new(),
+    });
+    assert!(holds(&s));
+    let gone = Purge::Part(PartAt { holder: "e".into(), salt: "m|1|#1".into(), part: 4, kept: 0 });
+    s.put(Change {
+        reset: false,
+        digest: Vec::new(),
+        entries: vec![RingEntry { scope: 0, what: Some(gone) }],
+    });
+    assert!(!holds(&s));
+}
+
+proptest::proptest! {
+    /// A reader's view never holds what a published entry before its cursor removed,
+    /// over lost answers, overruns and new lives of the keeper.
+    #[test]
+    fn view_never_holds_what_was_purged(steps in proptest::collection::vec((0u8..6, 0u64..6), 1..120)) {
+        use recall::ring::{Read, Ring};
+        let entry = |p: u64| RingEntry {
+            scope: 0,
+            what: Some(Purge::Part(PartAt { holder: "e".into(), salt: "m|1|#1".into(), part: p, kept: 0 })),
+        };
+        let (mut ring, mut life) = (Ring::<RingEntry>::new(8, 2, 4), 1u64);
+        let mut truth = std::collections::HashSet::<u64>::new();
+        let mut view = View::new(100);
+        let mut at = Place::default();
+        for (what, p) in steps {
+            match what {
+                0 => { truth.insert(p); }
+                1 | 2 => {
+                    truth.remove(&p);
+                    ring.publish(&[entry(p)]);
+                }
+                3 => {
+                    ring = Ring::new(8, 2, 4);
+                    life += 1;
+                }
+                _ => {
+                    let lost = what == 5;
+                    let same = at.life() == life && at.fence() == 1;
+                    let cursor = if same { ring.cursor(1).filter(|c| c.next() == at.cursor()) } else { None };
+                    let mut g = RingGive { head: head(1, life, ring.head()), ..Default::default() };
+                    match cursor.as_ref().map(|c| (c, ring.read(c, 3))) {
+                        Some((c, Read::Entries(e))) => { g.entries = e; g.cursor = c.next(); }
+                        Some((c, Read::Nothing)) => g.cursor = c.next(),
+                        _ => {
+                            let (_, cur) = ring.enter(1);
+                            g.reset = true;
+                            g.cursor = cur;
+                            g.digest = vec![HeldParts { holder: "e".into(), salt: "m|1|#1".into(), parts: truth.iter().copied().collect(), kept: Vec::new() }];
+                        }
+                    }
+                    if lost { continue; }
+                    let Some((next, change)) = step(at, g) else { continue };
+                    at = next;
+                    if let Some(c) = change { c.apply(&mut view); }
+                    if at.cursor() == ring.head() && at.life() == life {
+                        for q in 0..6 {
+                            let held = view.holds("e", recall::view::part_of("m|1|#1", q));
+                            proptest::prop_assert!(!held || truth.contains(&q));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -94,6 +94,18 @@
 pub const RING_LAG: u64 = 2048;
 /// findings remembered for readers; more than come between two fetches.
 pub const FINDINGS_KEPT: usize = 4096;
+/// parts that no carrier has named as shared yet, of each of two generations; a minute of traffic.
+pub const UNSHARED_KEPT: usize = 16_384;
+/// digests given within a `REFILL_SPAN`; all carriers at once would fill the keeper's line for seconds.
+pub const REFILLS_AT_ONCE: usize = 8;
+/// ms; see `REFILLS_AT_ONCE`.
+pub const REFILL_SPAN: Duration = Duration::from_millis(100);
+/// s; a digest may take this long on a busy line before it is asked for again.
+pub const REFILL_LIMIT: Duration = Duration::from_secs(2);
+/// ms; carriers tell what their sends leave behind this often.
+pub const FOUND_PAUSE: Duration = Duration::from_millis(100);
+/// findings of own sends that wait to be told; more are only slower to come by.
+pub const FOUND_KEPT: usize = 512;
 /// s; a reader that has not come for so long loses its cursor.
 pub const READER_LIMIT: Duration = Duration::from_secs(10);
 /// ms; carriers fetch published entries this long after they hear of a new head.
@@ -118,6 +130,8 @@
 pub const ZONE_COST_MS: f64 = 4.0;
 /// tokens; a move of fewer costs about as much as reading them.
 pub const MOVE_TOKENS: u64 = 400;
+/// holders of one depth that are weighed as sources; more hardly differ.
+pub const SOURCES_WEIGHED: usize = 3;
 /// tokens; shared parts of this size are worth a place in the store.
 pub const SINK_TOKENS: u64 = 1500;
 /// tokens read for each token put out, above which a request counts as heavy to read.
--- a/crates/pouch/src/wire.rs
+++ b/crates/pouch/src/wire.rs
@@ -482,6 +482,9 @@
     pub salt: String,
     #[prost(uint64, tag = "3")]
     pub part: u64,
+    /// tokens of it that are left
+    #[prost(uint64, tag = "4")]
+    pub kept: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -492,6 +495,16 @@
     pub salt: String,
     #[prost(fixed64, repeated, tag = "3")]
     pub parts: Vec<u64>,
+    /// tokens kept of each
+    #[prost(uint64, repeated, tag = "4")]
+    pub kept: Vec<u64>,
+}
+
+/// Shared parts that a carrier's own sends leave at a holder.
+#[derive(Clone, PartialEq, Message)]
+pub struct Found {
+    #[prost(message, repeated, tag = "1")]
+    pub held: Vec<HeldParts>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -506,7 +519,7 @@
     pub answer: bool,
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
     )]
     pub body: Option<Body>,
 }
@@ -559,4 +572,6 @@
     Done(Done),
     #[prost(message, tag = "25")]
     Nothing(Done),
+    #[prost(message, tag = "26")]
+    Found(Found),
 }
--- a/crates/recall/src/view.rs
+++ b/crates/recall/src/view.rs
@@ -1,6 +1,7 @@
 //! What a reader believes that holders keep, and how it unlearns.
 
-use pouch::wire::{HeldParts, PartAt, Purge, RingEntry};
+use crate::cache::Cache;
+use pouch::wire::RingEntry;
 
 pub type Holder = u32;
 
@@ -12,10 +13,10 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Salt {
-    model: String,
-    stamp: u64,
-    wall: Option<u64>,
+pub struct Salt {
+    pub model: String,
+    pub stamp: u64,
+    pub wall: Option<u64>,
 }
 
 /// The salt names weights and wall, so that an entry can void all kept under it.
@@ -27,7 +28,7 @@
     format!("#{generation}")
 }
 
-fn read_salt(text: &str) -> Option<Salt> {
+pub fn read_salt(text: &str) -> Option<Salt> {
     let mut it = text.splitn(3, '|');
     let (model, stamp, wall) = (it.next()?, it.next()?, it.next()?);
     Some(Salt {
@@ -116,54 +117,34 @@
         self.holders.get(holder).is_some_and(|s| s.parts.contains_key(&part))
     }
 
-    pub fn forget_holder(&mut self, holder: &str) {
-        self.holders.remove(holder);
+    pub fn apply(&mut self, e: &RingEntry, in_scope: impl Fn(u64) -> bool) {
+        if crate::cache::apply(self, e, in_scope) {
+            self.applied += 1;
+        }
     }
+}
 
-    /// An overrun reader, or one that sees another life of the ring, starts from nothing.
-    pub fn reset(&mut self) {
-        self.holders.clear();
-        self.salts.clear();
-        self.numbers.clear();
-        self.resets += 1;
+impl Cache for View {
+    fn meet(&mut self, holder: &str) {
+        self.holders.entry_ref(holder).or_default();
     }
 
-    pub fn refill(&mut self, digest: &[HeldParts]) {
-        for h in digest {
-            if h.salt.is_empty() {
-                self.holders.entry_ref(h.holder.as_str()).or_default();
-                continue;
-            }
-            self.learn(&h.holder, &h.salt, h.parts.iter().copied());
-        }
+    fn found(&mut self, holder: &str, salt: &str, part: u64, _: Option<u64>) {
+        self.learn(holder, salt, std::iter::once(part));
     }
 
-    pub fn apply(&mut self, e: &RingEntry, in_scope: impl Fn(u64) -> bool) {
-        if e.scope != 0 && !in_scope(e.scope) {
-            return;
-        }
-        self.applied += 1;
-        match &e.what {
-            Some(Purge::Part(PartAt { holder, salt, part })) => {
-                if let Some(s) = self.holders.get_mut(holder.as_str()) {
-                    s.parts.remove(&part_of(salt, *part));
-                }
-            }
-            Some(Purge::Holder(h)) => self.forget_holder(h),
-            Some(Purge::Weights(w)) => {
-                self.drop_salts(|s| s.model == w.model && s.stamp < w.stamp);
-            }
-            Some(Purge::Wall(g)) => self.drop_salts(|s| s.wall.is_some_and(|x| x < *g)),
-            None => {}
-        }
-        for f in &self.derived {
-            f(e);
+    fn evict(&mut self, holder: &str, salt: &str, part: u64, _: u64) {
+        if let Some(s) = self.holders.get_mut(holder) {
+            s.parts.remove(&part_of(salt, part));
         }
     }
 
-    fn drop_salts(&mut self, void: impl Fn(&Salt) -> bool) {
-        let dead: Vec<bool> =
-            self.salts.iter().map(|s| read_salt(s).is_some_and(|s| void(&s))).collect();
+    fn drop_holder(&mut self, holder: &str) {
+        self.holders.remove(holder);
+    }
+
+    fn drop_salts(&mut self, void: &dyn Fn(&str) -> bool) {
+        let dead: Vec<bool> = self.salts.iter().map(|s| void(s)).collect();
         if !dead.contains(&true) {
             return;
         }
@@ -171,11 +152,26 @@
             s.parts.retain(|_, k| !dead[k.salt as usize]);
         }
     }
+
+    /// An overrun reader, or one that sees another life of the ring, starts from nothing.
+    fn reset(&mut self) {
+        self.holders.clear();
+        self.salts.clear();
+        self.numbers.clear();
+        self.resets += 1;
+    }
+
+    fn derive(&mut self, e: &RingEntry) {
+        for f in &self.derived {
+            f(e);
+        }
+    }
 }
 
 #[cfg(all(test, not(feature = "checker")))]
 mod tests {
     use super::*;
+    use pouch::wire::{PartAt, Purge};
 
     fn entry(what: Purge) -> RingEntry {
         RingEntry { scope: 0, what: Some(what) }
@@ -192,7 +188,7 @@
         };
         fill(&mut v);
         v.apply(
-            &entry(Purge::Part(PartAt { holder: "e1".into(), salt: a.clone(), part: 1 })),
+            &entry(Purge::Part(PartAt { holder: "e1".into(), salt: a.clone(), part: 1, kept: 0 })),
             |_| true,
         );
         assert!(!v.holds("e1", part_of(&a, 1)));
--- a/crates/sorting/src/members/desk.rs
+++ b/crates/sorting/src/members/desk.rs
@@ -95,6 +95,10 @@
                 heard_carrier(s, origin, a);
                 Some(Body::Nothing(Done {}))
             }
+            Body::Found(f) => {
+                duties::keeper::hear_found(s, &f);
+                None
+            }
             Body::RingAsk(a) => duties::keeper::give(s, &a).map(Body::RingGive),
             _ => None,
         }
