Loads of engines are shared by all carriers every 100 ms, through one postmaster each

Cause: 78 carriers with five requests a second each placed blind; the busiest engine had 2.4 times the mean and rulings waited 2 s while three in four engines were idle. Own sends in flight now go to one postmaster (own zone first), postmasters add up, and the sum comes back to placement.

--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -118,6 +118,7 @@
         tokio::spawn(sight::links::watching(d.clone())),
         tokio::spawn(sight::purge::reading(d.clone())),
         tokio::spawn(sight::purge::telling(d.clone())),
+        tokio::spawn(sight::loads::telling(d.clone())),
         tokio::spawn(sight::purge::scrubbing(d.clone())),
         tokio::spawn(pool::sweeping(d.clone())),
     ];
--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -183,7 +183,8 @@
             known,
             guessed: if at_home && !row.seat.is_warming(now) { prompt.shared() } else { 0 },
         };
-        let mut w = weigh::weigh(&ask, row, &held, source.map(|s| s.for_row(&ask, row, known)));
+        let mut w =
+            weigh::weigh(&ask, row, &held, source.map(|s| s.for_row(&ask, row, known)), now);
         if o.stamp < newest {
             w.cost += k::WAIT_COST_MS;
         }
--- a/crates/delivery/src/place/weigh.rs
+++ b/crates/delivery/src/place/weigh.rs
@@ -7,6 +7,7 @@
 use pigeonhole::Index;
 use pouch::constants as k;
 use smallvec::SmallVec;
+use tokio::time::Instant;
 
 /// What the engines are weighed for.
 pub struct Ask<'a> {
@@ -61,11 +62,12 @@
     pub full: bool,
 }
 
-pub fn weigh(ask: &Ask, row: &Row, held: &Held, offer: Option<Offer>) -> Weighed {
+pub fn weigh(ask: &Ask, row: &Row, held: &Held, offer: Option<Offer>, now: Instant) -> Weighed {
     let all = ask.prompt.tokens();
     let w = row.seat.work();
-    let told = w.told.filter(|t| t.at.elapsed() < k::CARRIER_BEAT);
-    let running = told.map_or(0, |t| t.running).max(w.runs);
+    let load = w.all(now);
+    let told = w.told.filter(|t| now.duration_since(t.at) < k::TOLD_LIMIT);
+    let running = told.map_or(0, |t| t.running).max(load.runs);
     let waiting = told.map_or(0, |t| t.waiting);
     let slots = row.news.slots;
     let full = slots > 0 && (running + waiting) > slots.saturating_mul(2);
@@ -85,7 +87,7 @@
         None => (unheld, likely),
     };
     let mut cost = read
-        + w.unread as f64 / k::READ_RATE
+        + load.unread as f64 / k::READ_RATE
         + f64::from(running) * k::RUN_COST_MS
         + f64::from(waiting) * k::WAIT_COST_MS;
     if !row.near {
--- a/crates/delivery/src/pool/mod.rs
+++ b/crates/delivery/src/pool/mod.rs
@@ -3,6 +3,7 @@
 pub mod session;
 
 use pouch::constants as k;
+use pouch::load::Load;
 use pouch::wire::{Engine, Standing};
 use session::Idle;
 use std::collections::VecDeque;
@@ -42,6 +43,13 @@
     pub tokens: u64,
     /// moves of own sends that take from here and have no end yet
     pub moves: u32,
+    /// own sends in flight that somebody waits for
+    pub interactive: u32,
+    /// own load as it was told last
+    pub reported: Load,
+    /// load of all other carriers, and when it was heard
+    pub others: Load,
+    pub others_at: Option<Instant>,
     idle: VecDeque<Idle>,
     pub told: Option<Told>,
     rest_until: Option<Instant>,
@@ -50,9 +58,26 @@
     firsts: (u64, Duration),
 }
 
+impl Work {
+    pub fn own(&self) -> Load {
+        Load { unread: self.unread, runs: self.runs, interactive: self.interactive }
+    }
+
+    /// Load of all carriers, as far as it is known now.
+    pub fn all(&self, now: Instant) -> Load {
+        let mut out = self.own();
+        if self.others_at.is_some_and(|t| now.duration_since(t) < k::LOAD_LIMIT) {
+            out.add(&self.others);
+        }
+        out
+    }
+}
+
 /// One instance of an engine.
 pub struct Seat {
     pub id: String,
+    /// names it among loads
+    pub key: u32,
     pub address: SocketAddr,
     met: Instant,
     newcomer: bool,
@@ -66,6 +91,7 @@
     pub fn new(e: &Engine) -> Option<Seat> {
         Some(Seat {
             id: e.id.clone(),
+            key: pouch::load::key_of(&e.id),
             address: e.address.parse().ok()?,
             met: Instant::now(),
             newcomer: e.call <= k::NEWCOMER_CALLS,
--- a/crates/delivery/src/serve/request.rs
+++ b/crates/delivery/src/serve/request.rs
@@ -99,19 +99,21 @@
     source: Option<Arc<Seat>>,
     unread: u64,
     tokens: u64,
+    interactive: u32,
 }
 
 impl Run {
-    fn start(c: &Choice, tokens: u64) -> Run {
+    fn start(c: &Choice, tokens: u64, interactive: bool) -> Run {
         if let Some(s) = &c.source_seat {
             s.work().moves += 1;
         }
         let mut w = c.seat.work();
         w.runs += 1;
+        w.interactive += u32::from(interactive);
         w.unread += c.missing;
         w.tokens += tokens;
         let (seat, source) = (c.seat.clone(), c.source_seat.clone());
-        Run { seat, source, unread: c.missing, tokens }
+        Run { seat, source, unread: c.missing, tokens, interactive: interactive.into() }
     }
 
     fn begun(&mut self) {
@@ -127,6 +129,7 @@
         self.begun();
         let mut w = self.seat.work();
         w.runs -= 1;
+        w.interactive -= self.interactive;
         w.tokens -= self.tokens;
     }
 }
@@ -309,7 +312,8 @@
     ) -> Fate {
         self.0.tried.push(c.seat.id.clone());
         let Some(rq) = self.head(&c, last) else { return Fate::Unsent(self) };
-        let mut run = Run::start(&c, self.0.prompt.burden());
+        let mut run =
+            Run::start(&c, self.0.prompt.burden(), self.0.table.is_interactive(&self.0.route));
         self.0.sends += 1;
         let sent = Instant::now();
         let mut job = self.0;
--- a/crates/delivery/src/sight/links.rs
+++ b/crates/delivery/src/sight/links.rs
@@ -4,7 +4,7 @@
 use pouch::constants as k;
 use pouch::link::Link;
 use pouch::log::Event;
-use pouch::wire::{Alive, Body, Burden, ConfigValue, Fetch};
+use pouch::wire::{Alive, Body, ConfigValue, Fetch};
 use prost::Message;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -42,7 +42,6 @@
         let alive = Alive {
             stamp: d.sight.table().map_or(0, |t| t.stamp),
             leaving: d.leaving.load(std::sync::atomic::Ordering::Relaxed),
-            burdens: burdens(&d),
         };
         for l in links {
             let alive = alive.clone();
@@ -54,17 +53,6 @@
     }
 }
 
-fn burdens(d: &Delivery) -> Vec<Burden> {
-    let seats = d.sight.seats.read();
-    seats
-        .iter()
-        .filter_map(|(id, s)| {
-            let runs = s.work().runs;
-            (runs > 0).then(|| Burden { id: id.clone(), runs })
-        })
-        .collect()
-}
-
 async fn hearing(
     d: Arc<Delivery>,
     link: std::sync::Weak<Link>,
@@ -85,11 +73,14 @@
                 continue;
             }
         };
-        let Some(Body::View(v)) = body else {
-            if body.is_none() {
-                return;
+        let v = match body {
+            Some(Body::View(v)) => v,
+            Some(Body::Loads(l)) => {
+                d.sight.hear_loads(&l);
+                continue;
             }
-            continue;
+            Some(_) => continue,
+            None => return,
         };
         if !d.sight.hear(&v) {
             continue;
--- /dev/null
+++ b/crates/delivery/src/sight/loads.rs
@@ -0,0 +1,67 @@
+//! What all carriers have in flight at each engine: told to one postmaster, heard back as a sum.
+
+use super::Sight;
+use crate::Delivery;
+use pouch::constants as k;
+use pouch::link::Link;
+use pouch::load::{self, ByEngine, Last};
+use pouch::wire::{Body, Loads, Member};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// The postmaster to tell: one of the own zone before others, by rendezvous among those that are up.
+pub fn chosen<'a>(
+    members: impl Iterator<Item = &'a Member>,
+    zone: &str,
+    name: &str,
+    is_up: impl Fn(&Member) -> bool,
+) -> Option<&'a Member> {
+    let rank = |m: &Member| pouch::node::stable_hash(&[m.ip.as_bytes(), name.as_bytes()]);
+    members.filter(|m| is_up(m)).max_by_key(|m| (m.zone == zone, rank(m)))
+}
+
+impl Sight {
+    fn load_link(&self, zone: &str, name: &str) -> Option<Arc<Link>> {
+        let roster = self.roster.lock().clone();
+        let links = self.links.lock();
+        let link = |m: &Member| links.get(&m.addr()?).cloned();
+        let m = chosen(roster.members.iter(), zone, name, |m| link(m).is_some_and(|l| l.is_up()));
+        link(m?)
+    }
+
+    /// The sum over all carriers; the own part is counted as it is now, not as it was told.
+    pub fn hear_loads(&self, l: &Loads) {
+        let all: ByEngine = load::unpack(l).collect();
+        let now = Instant::now();
+        for seat in self.seats.read().values() {
+            let total = all.get(&seat.key).copied().unwrap_or_default();
+            let mut w = seat.work();
+            w.others = total.less(&w.reported);
+            w.others_at = Some(now);
+        }
+    }
+
+    fn own_loads(&self) -> ByEngine {
+        let mut out = ByEngine::default();
+        for seat in self.seats.read().values() {
+            let mut w = seat.work();
+            w.reported = w.own();
+            out.entry(seat.key).or_default().add(&w.reported);
+        }
+        out
+    }
+}
+
+pub async fn telling(d: Arc<Delivery>) {
+    let mut last = Last::default();
+    loop {
+        tokio::time::sleep(k::LOAD_PAUSE).await;
+        let own = load::pack(&d.sight.own_loads());
+        if !last.is_due(Instant::now(), &own) {
+            continue;
+        }
+        if let Some(l) = d.sight.load_link(&d.node.zone, &d.node.name) {
+            let _ = l.tell(Body::Loads(own));
+        }
+    }
+}
--- a/crates/delivery/src/sight/mod.rs
+++ b/crates/delivery/src/sight/mod.rs
@@ -1,6 +1,7 @@
 //! What a carrier sees of the fleet; it never goes back within a life.
 
 pub mod links;
+pub mod loads;
 pub mod purge;
 pub mod roll;
 pub mod table;
--- a/crates/delivery/src/sight/table.rs
+++ b/crates/delivery/src/sight/table.rs
@@ -18,6 +18,8 @@
     tenants: Vec<Arc<Tenant>>,
     services: hashbrown::HashMap<String, Service, ahash::RandomState>,
     stores: Vec<Service>,
+    /// by service, rank and aim of its least urgent routes
+    least: hashbrown::HashMap<String, (i64, u64), ahash::RandomState>,
 }
 
 /// May a second engine run it too?
@@ -36,6 +38,14 @@
         for r in c.routes {
             routes.entry(r.host.to_ascii_lowercase()).or_default().push(Arc::new(r));
         }
+        let mut least: hashbrown::HashMap<String, (i64, u64), ahash::RandomState> =
+            hashbrown::HashMap::default();
+        for r in routes.values().flatten() {
+            for (s, _) in r.shares() {
+                let l = least.entry_ref(s).or_insert((r.priority, r.target_ms));
+                *l = (*l).max((r.priority, r.target_ms));
+            }
+        }
         for v in routes.values_mut() {
             v.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
         }
@@ -59,6 +69,7 @@
             tenants,
             services,
             stores,
+            least,
         })
     }
 
@@ -81,6 +92,12 @@
         self.tenants.get(*self.keys.get(key)?)
     }
 
+    /// Somebody waits for it: not among the least urgent routes of its service, by rank and aim.
+    pub fn is_interactive(&self, r: &Route) -> bool {
+        let least = r.shares().into_iter().filter_map(|(s, _)| self.least.get(s)).max();
+        least.is_none_or(|l| (r.priority, r.target_ms) < *l)
+    }
+
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
--- /dev/null
+++ b/crates/delivery/tests/loads.rs
@@ -0,0 +1,48 @@
+//! Which postmaster a carrier tells its loads, and what it makes of the sum it hears.
+
+use delivery::sight::loads::chosen;
+use pouch::wire::{Engine, Member, View};
+
+fn members() -> Vec<Member> {
+    [("10.0.0.1", "a"), ("10.0.0.2", "b"), ("10.0.0.3", "b"), ("10.0.0.4", "c")]
+        .map(|(ip, zone)| Member { ip: ip.into(), zone: zone.into(), ..Default::default() })
+        .into()
+}
+
+#[test]
+fn own_zone_first_and_another_when_it_is_lost() {
+    let all = members();
+    let ip = |zone: &str, down: &[&str]| {
+        let up = |m: &Member| !down.contains(&m.ip.as_str());
+        chosen(all.iter(), zone, "n1", up).map(|m| m.ip.clone())
+    };
+    assert_eq!(ip("a", &[]).as_deref(), Some("10.0.0.1"));
+    assert!(["10.0.0.2", "10.0.0.3"].contains(&ip("b", &[]).unwrap().as_str()));
+    let first = ip("b", &[]).unwrap();
+    let second = ip("b", &[&first]).unwrap();
+    assert!(second != first && ["10.0.0.2", "10.0.0.3"].contains(&second.as_str()));
+    assert_ne!(ip("a", &["10.0.0.1"]), None);
+    assert_eq!(ip("a", &["10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"]), None);
+}
+
+#[test]
+fn own_sends_are_counted_once_in_the_sum() {
+    let sight = delivery::sight::Sight::new();
+    let e = Engine { id: "e".into(), address: "10.0.0.9:80".into(), ..Default::default() };
+    sight.hear(&View { engines: vec![e], ..Default::default() });
+    let seat = sight.seats.read()["e"].clone();
+    {
+        let mut w = seat.work();
+        w.runs = 2;
+        w.reported = w.own();
+        w.runs = 3;
+    }
+    let told = pouch::load::Load { unread: 640, runs: 5, interactive: 0 };
+    let sum = std::iter::once((seat.key, told)).collect();
+    sight.hear_loads(&pouch::load::pack(&sum));
+    let now = tokio::time::Instant::now();
+    let all = seat.work().all(now);
+    assert_eq!((all.runs, all.unread), (6, 640));
+    let late = seat.work().all(now + pouch::constants::LOAD_LIMIT);
+    assert_eq!((late.runs, late.unread), (3, 0), "old news of others count no more");
+}
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -116,6 +116,14 @@
 pub const BUDGET_SHARE: f64 = 0.8;
 /// carriers; how many may join before the others hear of it.
 pub const BUDGET_SPARES: usize = 3;
+/// ms; loads of engines are told on this often, twice on their way; most reads take longer.
+pub const LOAD_PAUSE: Duration = Duration::from_millis(100);
+/// ms; loads that have not changed are told again this often.
+pub const LOAD_REFRESH: Duration = Duration::from_millis(500);
+/// ms; loads older than this count no more.
+pub const LOAD_LIMIT: Duration = Duration::from_millis(1500);
+/// tokens; unit in which loads are told.
+pub const LOAD_TOKENS: u64 = 64;
 /// connections kept idle to one engine.
 pub const IDLE_SESSIONS: usize = 12;
 /// s; an idle connection is given up before engines usually close it.
@@ -126,6 +134,8 @@
 pub const RUN_COST_MS: f64 = 2.0;
 /// ms; what a request waiting at an engine costs.
 pub const WAIT_COST_MS: f64 = 40.0;
+/// ms; what an engine told of its own load counts this long.
+pub const TOLD_LIMIT: Duration = Duration::from_millis(500);
 /// ms; what leaving the zone costs in bytes and time.
 pub const ZONE_COST_MS: f64 = 4.0;
 /// tokens; a move of fewer costs about as much as reading them.
--- a/crates/pouch/src/lib.rs
+++ b/crates/pouch/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod journal;
 pub mod link;
+pub mod load;
 pub mod log;
 pub mod node;
 pub mod params;
--- a/crates/pouch/src/wire.rs
+++ b/crates/pouch/src/wire.rs
@@ -359,17 +359,23 @@
     pub stamp: u64,
     #[prost(bool, tag = "2")]
     pub leaving: bool,
-    #[prost(message, repeated, tag = "3")]
-    pub burdens: Vec<Burden>,
 }
 
-/// What a carrier has in flight at an engine.
-#[derive(Clone, PartialEq, Message)]
-pub struct Burden {
-    #[prost(string, tag = "1")]
-    pub id: String,
-    #[prost(uint32, tag = "2")]
-    pub runs: u32,
+/// Loads of engines, in parallel lists: from a carrier its own sends in flight, from a postmaster the
+/// sum over its carriers, to a carrier the sum over all.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Loads {
+    /// of the engine's id; two that share a key only look busier than they are
+    #[prost(fixed32, repeated, tag = "1")]
+    pub keys: Vec<u32>,
+    /// tokens of sends that have not begun, in units of `LOAD_TOKENS`
+    #[prost(uint32, repeated, tag = "2")]
+    pub unread: Vec<u32>,
+    #[prost(uint32, repeated, tag = "3")]
+    pub runs: Vec<u32>,
+    /// of these, sends that somebody waits for
+    #[prost(uint32, repeated, tag = "4")]
+    pub interactive: Vec<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -519,7 +525,7 @@
     pub answer: bool,
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27"
     )]
     pub body: Option<Body>,
 }
@@ -574,4 +580,6 @@
     Nothing(Done),
     #[prost(message, tag = "26")]
     Found(Found),
+    #[prost(message, tag = "27")]
+    Loads(Loads),
 }
--- /dev/null
+++ b/crates/pouch/tests/load.rs
@@ -0,0 +1,53 @@
+//! Loads of engines, added up over carriers and postmasters.
+
+use pouch::constants as k;
+use pouch::load::{Book, ByEngine, Last, Load, key_of, pack, unpack};
+use tokio::time::Instant;
+
+fn load(unread: u64, runs: u32) -> Load {
+    Load { unread, runs, interactive: runs / 2 }
+}
+
+fn one(id: &str, l: Load) -> ByEngine {
+    std::iter::once((key_of(id), l)).collect()
+}
+
+#[test]
+fn packed_loads_keep_their_sums_rounded_up() {
+    let l = pack(&one("e", load(65, 4)));
+    let back: ByEngine = unpack(&l).collect();
+    assert_eq!(back[&key_of("e")], Load { unread: 128, runs: 4, interactive: 2 });
+    assert!(pack(&one("e", Load::default())).keys.is_empty());
+}
+
+#[test]
+fn lists_of_unequal_length_are_read_as_far_as_all_reach() {
+    let mut l = pack(&one("e", load(64, 1)));
+    l.keys.push(7);
+    l.runs.clear();
+    assert_eq!(unpack(&l).count(), 0);
+}
+
+#[test]
+fn tellers_add_up_until_they_fall_silent() {
+    let t = Instant::now();
+    let mut b = Book::default();
+    b.hear(1, t, pack(&one("e", load(64, 1))));
+    b.hear(2, t, pack(&one("e", load(64, 9))));
+    b.hear(2, t + k::LOAD_REFRESH, pack(&one("e", load(64, 2))));
+    assert_eq!(b.sum(t + k::LOAD_REFRESH)[&key_of("e")].runs, 3);
+    assert_eq!(b.sum(t + k::LOAD_LIMIT)[&key_of("e")].runs, 2);
+    assert_eq!(b.tellers().collect::<Vec<_>>(), [2]);
+    assert!(b.sum(t + k::LOAD_LIMIT * 2).is_empty());
+}
+
+#[test]
+fn nothing_goes_out_while_nothing_changes_but_now_and_then() {
+    let t = Instant::now();
+    let mut last = Last::default();
+    let (a, b) = (pack(&one("e", load(64, 1))), pack(&one("e", load(64, 2))));
+    assert!(last.is_due(t, &a));
+    assert!(!last.is_due(t + k::LOAD_PAUSE, &a));
+    assert!(last.is_due(t + k::LOAD_PAUSE, &b));
+    assert!(last.is_due(t + k::LOAD_PAUSE + k::LOAD_REFRESH, &b));
+}
--- a/crates/sorting/src/duties/rollout.rs
+++ b/crates/sorting/src/duties/rollout.rs
@@ -58,24 +58,15 @@
                 .filter(|e| pouch::fleet::stamp_of(e, model).is_some_and(|x| x < *stamp))
                 .filter(|e| !s.duties.turns.lock().contains(&e.id))
                 .collect();
-            let burden = burdens(s);
-            old.sort_by_key(|e| (burden.get(&e.id).copied().unwrap_or(0), e.id.clone()));
+            let loads = s.members.loads.total();
+            let runs = |e: &Engine| loads.get(&pouch::load::key_of(&e.id)).map_or(0, |l| l.runs);
+            old.sort_by_key(|e| (runs(e), e.id.clone()));
             out.extend(old.into_iter().take(room).map(|e| (e.clone(), model.clone(), *stamp)));
         }
         out
     })
 }
 
-fn burdens(s: &Sorting) -> hashbrown::HashMap<String, u32> {
-    let mut out = hashbrown::HashMap::new();
-    for c in s.members.carriers.lock().values() {
-        for b in &c.burdens {
-            *out.entry_ref(b.id.as_str()).or_insert(0) += b.runs;
-        }
-    }
-    out
-}
-
 pub async fn rolling(s: Arc<Sorting>) {
     let mut news = s.news();
     loop {
--- a/crates/sorting/src/lib.rs
+++ b/crates/sorting/src/lib.rs
@@ -185,6 +185,7 @@
         tokio::spawn(members::joining(s.clone())),
         tokio::spawn(members::exchanging(s.clone())),
         tokio::spawn(learner::learning(s.clone())),
+        tokio::spawn(members::loads::sharing(s.clone())),
         tokio::spawn(engines::registry::sharing(s.clone())),
         tokio::spawn(engines::registry::watching(s.clone())),
         tokio::spawn(duties::holding(s.clone(), duties::ROLL_OUT)),
--- a/crates/sorting/src/members/desk.rs
+++ b/crates/sorting/src/members/desk.rs
@@ -7,7 +7,7 @@
 use pouch::constants as k;
 use pouch::link::{LinkProblem, Origin};
 use pouch::log::Event;
-use pouch::wire::{Alive, Beats, Body, Done, Fetched, Joined};
+use pouch::wire::{Beats, Body, Done, Fetched, Joined};
 use std::sync::Arc;
 
 pub struct Desk(pub Arc<Sorting>);
@@ -91,14 +91,18 @@
                 }
                 Some(Body::Joined(Joined { roster: Some(s.acceptor.lock().roster().clone()) }))
             }
-            Body::Alive(a) => {
-                heard_carrier(s, origin, a);
+            Body::Alive(_) => {
+                heard_carrier(s, origin);
                 Some(Body::Nothing(Done {}))
             }
             Body::Found(f) => {
                 duties::keeper::hear_found(s, &f);
                 None
             }
+            Body::Loads(l) => {
+                s.members.loads.hear(origin, l);
+                None
+            }
             Body::RingAsk(a) => duties::keeper::give(s, &a).map(Body::RingGive),
             _ => None,
         }
@@ -118,14 +122,10 @@
     Beats { engines, ask: false }
 }
 
-fn heard_carrier(s: &Arc<Sorting>, origin: &Origin, a: Alive) {
+fn heard_carrier(s: &Arc<Sorting>, origin: &Origin) {
     let n = {
         let mut c = s.members.carriers.lock();
-        let seen = CarrierSeen {
-            life: origin.hello.life,
-            heard: tokio::time::Instant::now(),
-            burdens: a.burdens,
-        };
+        let seen = CarrierSeen { life: origin.hello.life, heard: tokio::time::Instant::now() };
         c.insert(origin.hello.name.clone(), seen);
         c.retain(|_, x| x.heard.elapsed() < k::CARRIER_SILENT);
         c.len() as u32
--- /dev/null
+++ b/crates/sorting/src/members/loads.rs
@@ -0,0 +1,59 @@
+//! Loads of engines: each postmaster adds up its carriers', and gives them the sum over all.
+
+use crate::Sorting;
+use pouch::constants as k;
+use pouch::link::Origin;
+use pouch::load::{self, Book, ByEngine, Last};
+use pouch::wire::{Body, Loads};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+#[derive(Default)]
+pub struct Desk {
+    carriers: parking_lot::Mutex<Book>,
+    peers: parking_lot::Mutex<Book>,
+}
+
+impl Desk {
+    pub fn hear(&self, origin: &Origin, l: Loads) {
+        let from_peer = origin.hello.role == pouch::node::Role::Postmaster as u32;
+        let book = if from_peer { &self.peers } else { &self.carriers };
+        book.lock().hear(origin.hello.life, Instant::now(), l);
+    }
+
+    /// Over all carriers, as far as they are heard of.
+    pub fn total(&self) -> ByEngine {
+        let now = Instant::now();
+        let mut all = self.carriers.lock().sum(now);
+        for (key, l) in self.peers.lock().sum(now) {
+            all.entry(key).or_default().add(&l);
+        }
+        all
+    }
+}
+
+pub async fn sharing(s: Arc<Sorting>) {
+    let (mut to_peers, mut to_carriers) = (Last::default(), Last::default());
+    loop {
+        tokio::time::sleep(k::LOAD_PAUSE).await;
+        let now = Instant::now();
+        let desk = &s.members.loads;
+        let own = load::pack(&desk.carriers.lock().sum(now));
+        if to_peers.is_due(now, &own) {
+            let members = s.acceptor.lock().roster().members.clone();
+            for (_, link) in s.peers(&members) {
+                let _ = link.tell(Body::Loads(own.clone()));
+            }
+        }
+        let all = load::pack(&desk.total());
+        if !to_carriers.is_due(now, &all) {
+            continue;
+        }
+        let origins = s.members.origins.lock();
+        for life in desk.carriers.lock().tellers() {
+            if let Some(o) = origins.get(&life) {
+                let _ = o.push(Body::Loads(all.clone()));
+            }
+        }
+    }
+}
--- a/crates/sorting/src/members/mod.rs
+++ b/crates/sorting/src/members/mod.rs
@@ -1,6 +1,7 @@
 //! The other postmasters: links, joining, exchange of a lost member; and the desk that answers.
 
 mod desk;
+pub mod loads;
 mod roster;
 
 pub use desk::Desk;
@@ -13,7 +14,6 @@
 pub struct CarrierSeen {
     pub life: u64,
     pub heard: tokio::time::Instant,
-    pub burdens: Vec<pouch::wire::Burden>,
 }
 
 #[derive(Default)]
@@ -23,6 +23,7 @@
     lives: parking_lot::Mutex<hashbrown::HashMap<String, Lives>>,
     joiners:
         parking_lot::Mutex<hashbrown::HashMap<String, (pouch::wire::Member, tokio::time::Instant)>>,
+    pub loads: loads::Desk,
     pub origins: parking_lot::Mutex<hashbrown::HashMap<u64, pouch::link::Origin>>,
     pub carriers: parking_lot::Mutex<hashbrown::HashMap<String, CarrierSeen>>,
 }
