A new index-keeper hears holders and carriers before it gives a digest, under a short lease

Now carriers tell a new keeper their own findings, it gives no digest in its first 800 ms, and its lease is 1.5 s.

--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -31,6 +31,11 @@
     pub sessions: AtomicU64,
     pub parts_held: AtomicU64,
     pub parts_missing: AtomicU64,
+    /// sends with a source that is known to keep what is missing, with a guessed one, with a sink
+    pub moves: AtomicU64,
+    pub guesses: AtomicU64,
+    pub sinks: AtomicU64,
+    pub shared_missing: AtomicU64,
     pub heavy_answers: AtomicU64,
     pub heavy_wait_us: AtomicU64,
 }
@@ -95,7 +100,9 @@
             "taken" => get(&c.taken), "begun" => get(&c.begun), "refused" => get(&c.refused),
             "failed" => get(&c.failed), "resumed" => get(&c.resumed), "again" => get(&c.again),
             "sessions" => get(&c.sessions), "parts_held" => get(&c.parts_held),
-            "parts_missing" => get(&c.parts_missing));
+            "parts_missing" => get(&c.parts_missing), "moves" => get(&c.moves),
+            "guesses" => get(&c.guesses), "sinks" => get(&c.sinks),
+            "shared_missing" => get(&c.shared_missing), "index" => self.sight.shelf.look().entries());
     }
 }
 
--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -204,14 +204,22 @@
     let memory = o.stamp.and_then(|s| memories.iter().find(|m| m.stamp == s));
     let seat = roll.rows[o.row].seat.clone();
     let guess = home.filter(|h| *h != o.row).map(|h| &roll.rows[h]);
+    let known = memory.map_or(0, |m| m.chain.tokens(usize::from(m.depths[o.row])));
     let asked = match (source, memory) {
-        (Some(s), _) => Some((s.address.clone(), s.seat.clone())),
-        (None, Some(m)) => {
-            sources::unseen(&ask, m.chain.tokens(usize::from(m.depths[o.row])), guess)
+        (Some(s), _) => {
+            d.counters.moves.fetch_add(1, Ordering::Relaxed);
+            Some((s.address.clone(), s.seat.clone()))
         }
+        (None, Some(_)) => sources::unseen(&ask, known, guess),
         (None, None) => None,
     };
+    if source.is_none() && asked.is_some() {
+        d.counters.guesses.fetch_add(1, Ordering::Relaxed);
+        let shared = prompt.shared().saturating_sub(known);
+        d.counters.shared_missing.fetch_add(shared, Ordering::Relaxed);
+    }
     let sink = memory.and_then(|m| sources::sink(&ask, &m.sources));
+    d.counters.sinks.fetch_add(u64::from(sink.is_some()), Ordering::Relaxed);
     let (source, source_seat) = asked.map_or((None, None), |(a, s)| (Some(a), s));
     Ok(Choice {
         seat,
--- a/crates/delivery/src/sight/purge.rs
+++ b/crates/delivery/src/sight/purge.rs
@@ -63,6 +63,8 @@
     pending: AtomicBool,
     inbox: parking_lot::Mutex<Vec<Change>>,
     found: parking_lot::Mutex<Vec<HeldParts>>,
+    /// own findings, newest last, for a keeper that starts from nothing
+    again: parking_lot::Mutex<std::collections::VecDeque<HeldParts>>,
 }
 
 impl Shelf {
@@ -72,6 +74,7 @@
             pending: AtomicBool::new(false),
             inbox: parking_lot::Mutex::default(),
             found: parking_lot::Mutex::default(),
+            again: parking_lot::Mutex::default(),
         }
     }
 
@@ -108,15 +111,26 @@
         let mut found = self.found.lock();
         if depth < shared.len() && found.len() < k::FOUND_KEPT {
             let news = &shared[depth..];
-            found.push(HeldParts {
+            let held = HeldParts {
                 holder: holder.to_owned(),
                 salt: salt.to_owned(),
                 parts: news.iter().map(|p| p.0).collect(),
                 kept: news.iter().map(|p| p.1).collect(),
-            });
+            };
+            found.push(held.clone());
+            let mut again = self.again.lock();
+            again.push_back(held);
+            if again.len() > k::FOUND_AGAIN {
+                again.pop_front();
+            }
         }
     }
 
+    /// What own sends have left behind lately.
+    pub fn found_before(&self) -> Vec<HeldParts> {
+        self.again.lock().iter().cloned().collect()
+    }
+
     pub fn forget(&self, holder: &str) {
         self.index.gone(holder);
     }
@@ -195,11 +209,17 @@
 /// Fetches behind the head whenever it has moved or the keeper has nudged.
 pub async fn reading(d: Arc<Delivery>) {
     let mut at = Place::default();
+    let mut told = (0, 0);
     loop {
         let _ = tokio::time::timeout(k::READER_LIMIT / 4, d.sight.news.notified()).await;
         tokio::time::sleep(k::RING_FETCH_PAUSE).await;
         let Some(head) = d.sight.ring.lock().clone() else { continue };
         let Some(link) = d.sight.link_to(&head.keeper) else { continue };
+        if told != (head.fence, head.life) {
+            told = (head.fence, head.life);
+            let held = d.sight.shelf.found_before();
+            let _ = link.tell(Body::Found(Found { held }));
+        }
         loop {
             let ask = RingAsk {
                 fence: at.fence,
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -58,6 +58,12 @@
 pub const LEASE_RENEW: f64 = 0.3;
 /// share of a lease that its holder leaves unused at its end.
 pub const LEASE_MARGIN: f64 = 0.25;
+/// ms; lease of the index-keeper, who orders nothing: short, since carriers miss what it would tell.
+pub const KEEPER_LEASE: Duration = Duration::from_millis(1500);
+/// ms; a new index-keeper hears holders and carriers this long before it gives a digest.
+pub const KEEPER_WARM: Duration = Duration::from_millis(800);
+/// own findings that a carrier remembers, to tell a new index-keeper.
+pub const FOUND_AGAIN: usize = 256;
 /// ms; pause of the loop that holds duties.
 pub const DUTY_TICK: Duration = Duration::from_millis(250);
 /// ms; a member silent for this long may be replaced by a joiner of its own zone.
--- a/crates/sorting/src/duties/keeper.rs
+++ b/crates/sorting/src/duties/keeper.rs
@@ -190,6 +190,7 @@
 }
 
 pub struct Keeper {
+    started: tokio::time::Instant,
     fence: u64,
     life: u64,
     ring: Ring<RingEntry>,
@@ -283,6 +284,7 @@
 }
 
 /// What a carrier asks of the ring: entries behind its cursor, or a reset with a digest.
+/// An answer without a head means later.
 pub fn give(s: &Arc<Sorting>, a: &RingAsk) -> Option<RingGive> {
     let keeper = s.duties.keeper.lock().clone()?;
     s.duties.fence(INDEX_KEEPER)?;
@@ -302,8 +304,9 @@
             return Some(RingGive { head, reset: false, cursor: c.next(), entries, digest });
         }
     }
-    if !keeper.may_refill(tokio::time::Instant::now()) {
-        return None;
+    let now = tokio::time::Instant::now();
+    if now.duration_since(keeper.started) < k::KEEPER_WARM || !keeper.may_refill(now) {
+        return Some(RingGive::default());
     }
     let (digest, cursor) = {
         let index = keeper.index.lock();
@@ -318,6 +321,7 @@
         tokio::time::sleep(k::DUTY_TICK).await;
         let Some(fence) = s.duties.fence(INDEX_KEEPER) else { continue };
         let keeper = Arc::new(Keeper {
+            started: tokio::time::Instant::now(),
             fence,
             life: pouch::node::fresh(),
             ring: Ring::new(k::RING_SLOTS, k::RING_BATCH, k::RING_LAG),
--- a/crates/sorting/src/duties/mod.rs
+++ b/crates/sorting/src/duties/mod.rs
@@ -93,15 +93,21 @@
     }
 }
 
+/// How long a duty is leased: as the platform bounds orders, or short where none are given.
+fn lease_of(s: &Sorting, duty: &str) -> Duration {
+    let bound = s.params().bounds.lease;
+    if orders(duty) { bound } else { bound.min(k::KEEPER_LEASE) }
+}
+
 pub fn grant(s: &Sorting, l: &Lease) -> Leased {
-    let lease = s.params().bounds.lease;
+    let lease = lease_of(s, &l.duty);
     let votes = s.acceptor.lock().votes();
     Leased { ok: votes && s.duties.grants.lock().grant(l, Instant::now(), lease) }
 }
 
 /// Asks all members; true with a majority.
 async fn ask(s: &Arc<Sorting>, duty: &str, leave: bool) -> bool {
-    let lease = s.params().bounds.lease;
+    let lease = lease_of(s, duty);
     let l = Lease {
         duty: duty.to_owned(),
         life: s.node.life,
@@ -146,7 +152,7 @@
         if *s.leaving().borrow() {
             return;
         }
-        let lease = s.params().bounds.lease;
+        let lease = lease_of(&s, duty);
         let now = Instant::now();
         let held = s.duties.held.lock().get(duty).copied().unwrap_or_default();
         let margin = lease.mul_f64(k::LEASE_MARGIN);
