A second holder is named for what an engine may have dropped; fewer sinks

Cause: nearly all tokens read again were believed to be kept: engines drop parts within a second under load, and the news of it takes half a second.

--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -35,6 +35,8 @@
     pub moves: AtomicU64,
     pub guesses: AtomicU64,
     pub sinks: AtomicU64,
+    /// sends whose prompt a store is known to keep some of
+    pub stored: AtomicU64,
     pub shared_missing: AtomicU64,
     pub heavy_answers: AtomicU64,
     pub heavy_wait_us: AtomicU64,
@@ -101,7 +103,7 @@
             "failed" => get(&c.failed), "resumed" => get(&c.resumed), "again" => get(&c.again),
             "sessions" => get(&c.sessions), "parts_held" => get(&c.parts_held),
             "parts_missing" => get(&c.parts_missing), "moves" => get(&c.moves),
-            "guesses" => get(&c.guesses), "sinks" => get(&c.sinks),
+            "guesses" => get(&c.guesses), "sinks" => get(&c.sinks), "stored" => get(&c.stored),
             "shared_missing" => get(&c.shared_missing), "index" => self.sight.shelf.look().entries());
     }
 }
--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -210,7 +210,10 @@
             d.counters.moves.fetch_add(1, Ordering::Relaxed);
             Some((s.address.clone(), s.seat.clone()))
         }
-        (None, Some(_)) => sources::unseen(&ask, known, guess),
+        (None, Some(m)) => match m.sources.second(&roll.rows[o.row]) {
+            Some(s) => Some((s.address.clone(), s.seat.clone())),
+            None => sources::unseen(&ask, known, guess),
+        },
         (None, None) => None,
     };
     if source.is_none() && asked.is_some() {
@@ -219,6 +222,8 @@
         d.counters.shared_missing.fetch_add(shared, Ordering::Relaxed);
     }
     let sink = memory.and_then(|m| sources::sink(&ask, &m.sources));
+    let stored = memory.is_some_and(|m| m.sources.is_stored());
+    d.counters.stored.fetch_add(u64::from(stored), Ordering::Relaxed);
     d.counters.sinks.fetch_add(u64::from(sink.is_some()), Ordering::Relaxed);
     let (source, source_seat) = asked.map_or((None, None), |(a, s)| (Some(a), s));
     Ok(Choice {
--- a/crates/delivery/src/place/sources.rs
+++ b/crates/delivery/src/place/sources.rs
@@ -130,6 +130,20 @@
         }
     }
 
+    /// Another holder of as much, for the case that the engine has dropped what it is believed to keep.
+    pub fn second(&self, row: &Row) -> Option<&Source> {
+        self.found
+            .iter()
+            .filter(|s| s.seat.as_ref().is_none_or(|x| x.id != row.seat.id))
+            .max_by_key(|s| {
+                (s.tokens, s.seat.is_none(), s.zone == row.news.zone, u32::MAX - s.moves)
+            })
+    }
+
+    pub fn is_stored(&self) -> bool {
+        self.found.iter().any(|s| s.seat.is_none())
+    }
+
     /// The source worth most to an engine, if any is worth a move.
     pub fn best(&self, ask: &Ask, row: &Row, known: u64) -> Option<&Source> {
         self.found
@@ -141,20 +155,21 @@
     }
 }
 
-/// Nobody is known to keep what is missing: the part's home or its store may, and a miss costs little.
+/// Nobody is known to keep what is missing: the part's home may, and a miss costs little. A store is
+/// never guessed at: its one line is shared by all engines.
 pub fn unseen(ask: &Ask, known: u64, home: Option<&Row>) -> Option<(String, Option<Arc<Seat>>)> {
     if ask.prompt.shared().saturating_sub(known) < k::MOVE_TOKENS {
         return None;
     }
-    if let Some(s) = ask.stores.first() {
-        return Some((s.address.to_owned(), None));
-    }
     home.map(|r| (r.seat.address.to_string(), Some(r.seat.clone())))
 }
 
-/// Large shared parts that their store lacks are worth a place there.
+/// Large shared parts that their store lacks are worth a place there, unless too much of what would
+/// go along is this request's own: that would only push others out.
 pub fn sink(ask: &Ask, sources: &Sources) -> Option<String> {
     let shared = ask.prompt.shared();
+    let own = ask.prompt.tokens().saturating_sub(shared) as f64;
     let s = ask.stores.first()?;
-    (shared >= k::SINK_TOKENS && sources.stored < shared).then(|| s.address.to_owned())
+    let worth = shared >= k::SINK_TOKENS && own <= shared as f64 * k::SINK_OWN_SHARE;
+    (worth && sources.stored < shared).then(|| s.address.to_owned())
 }
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -146,6 +146,8 @@
 pub const ZONE_COST_MS: f64 = 4.0;
 /// tokens; a move of fewer costs about as much as reading them.
 pub const MOVE_TOKENS: u64 = 400;
+/// own tokens that may go along to the store with shared ones, as their share.
+pub const SINK_OWN_SHARE: f64 = 0.25;
 /// holders of one depth that are weighed as sources; more hardly differ.
 pub const SOURCES_WEIGHED: usize = 3;
 /// tokens; shared parts of this size are worth a place in the store.
