Roll-out in explicit steps, interactive engines first, width learnt; runs beyond the slots cost

Engines now fade (no more long streams) before they turn, a wave is bounded by what was learnt and by the time left.

--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -63,6 +63,7 @@
     row: usize,
     stamp: Option<u64>,
     awake: bool,
+    fading: bool,
 }
 
 /// What the index tells of a prompt under one version of the weights.
@@ -100,7 +101,11 @@
         if stamp.is_some_and(|x| !stamp_allowed(x, named, now, bound)) {
             continue;
         }
-        out.push(Open { row, stamp, awake: !r.news.silent && !r.seat.is_resting(now) });
+        let fading = prompt
+            .model
+            .as_deref()
+            .is_some_and(|m| pouch::fleet::is_fading(&r.news, m, named.map(|x| x.stamp)));
+        out.push(Open { row, stamp, fading, awake: !r.news.silent && !r.seat.is_resting(now) });
     }
     if out.iter().any(|o| o.awake) {
         out.retain(|o| o.awake);
@@ -188,6 +193,9 @@
         if o.stamp < newest {
             w.cost += k::WAIT_COST_MS;
         }
+        if o.fading && !prompt.is_heavy() {
+            w.cost += k::FADE_COST_MS;
+        }
         if at_home && source.is_some() && row.seat.is_warming(now) {
             w.cost -= k::WARM_BONUS_MS;
         }
--- a/crates/delivery/src/place/weigh.rs
+++ b/crates/delivery/src/place/weigh.rs
@@ -90,6 +90,9 @@
         + load.unread as f64 / k::READ_RATE
         + f64::from(running) * k::RUN_COST_MS
         + f64::from(waiting) * k::WAIT_COST_MS;
+    if slots > 0 && running >= slots {
+        cost += f64::from(running - slots + 1) * k::SLOT_COST_MS;
+    }
     if !row.near {
         cost += k::ZONE_COST_MS;
     }
--- a/crates/pouch/src/fleet.rs
+++ b/crates/pouch/src/fleet.rs
@@ -6,13 +6,14 @@
 pub fn merge(known: &mut Engine, news: &Engine) -> bool {
     let before = known.clone();
     if news.call > known.call {
-        let (weights, turn, gone) =
-            (std::mem::take(&mut known.weights), known.turn, known.standing() == Standing::Gone);
+        let (weights, turn, fade) = (std::mem::take(&mut known.weights), known.turn, known.fade);
+        let gone = known.standing() == Standing::Gone;
         *known = news.clone();
         for w in weights {
             raise(known, &w.model, w.stamp);
         }
         known.turn = known.turn.max(turn);
+        known.fade = known.fade.max(fade);
         if gone {
             known.set_standing(Standing::Gone);
         }
@@ -24,6 +25,7 @@
             raise(known, &w.model, w.stamp);
         }
         known.turn = known.turn.max(news.turn);
+        known.fade = known.fade.max(news.fade);
         if news.standing() == Standing::Gone {
             known.set_standing(Standing::Gone);
         }
@@ -54,6 +56,11 @@
     e.weights.iter().find(|w| w.model == model).map(|w| w.stamp)
 }
 
+/// To be ordered soon, and not yet at the named weights.
+pub fn is_fading(e: &Engine, model: &str, named: Option<u64>) -> bool {
+    e.fade % 2 == 1 && stamp_of(e, model).is_some_and(|s| named.is_some_and(|n| s < n))
+}
+
 /// Under order, and not yet at the named weights: who ordered it may have died before telling the end.
 pub fn is_changing(e: &Engine, model: &str, named: Option<u64>) -> bool {
     e.turn % 2 == 1 && stamp_of(e, model).is_none_or(|s| named.is_none_or(|n| s < n))
--- a/crates/pouch/src/wire.rs
+++ b/crates/pouch/src/wire.rs
@@ -318,6 +318,9 @@
     /// under an order of the roll-out: rises with each turn, odd while one runs
     #[prost(uint64, tag = "10")]
     pub turn: u64,
+    /// about to be ordered: rises with each time, odd while it gets no more long streams
+    #[prost(uint64, tag = "11")]
+    pub fade: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, prost::Enumeration)]
--- a/crates/sorting/src/duties/mod.rs
+++ b/crates/sorting/src/duties/mod.rs
@@ -71,7 +71,7 @@
     grants: parking_lot::Mutex<Grants>,
     held: parking_lot::Mutex<hashbrown::HashMap<&'static str, Holding>>,
     pub keeper: parking_lot::Mutex<Option<Arc<keeper::Keeper>>>,
-    pub turns: parking_lot::Mutex<hashbrown::HashSet<String>>,
+    pub plan: parking_lot::Mutex<rollout::plan::Plan>,
 }
 
 impl Duties {
@@ -84,7 +84,7 @@
             }),
             held: parking_lot::Mutex::default(),
             keeper: parking_lot::Mutex::default(),
-            turns: parking_lot::Mutex::default(),
+            plan: parking_lot::Mutex::default(),
         }
     }
 
--- a/crates/sorting/src/duties/rollout.rs
+++ b/crates/sorting/src/duties/rollout/mod.rs
@@ -1,13 +1,17 @@
 //! Bringing engines to named weights, a few at a time, under the fence of the duty.
 
+pub mod plan;
+
 use super::ROLL_OUT;
 use crate::Sorting;
 use crate::engines::{outside::Line, registry};
 use crate::facts::Fact;
+use plan::{Action, Old, Plan};
 use pouch::constants as k;
 use pouch::log::Event;
 use pouch::wire::{Engine, Standing};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 #[derive(Debug, serde::Deserialize)]
@@ -19,6 +23,8 @@
     busy: bool,
     #[serde(default)]
     call_seq: u64,
+    #[serde(default)]
+    active: u32,
 }
 
 #[derive(Debug, serde::Deserialize)]
@@ -37,34 +43,45 @@
     Late,
 }
 
-/// Engines that still lack the named weights, and how many of them may turn now.
-fn due(s: &Sorting) -> Vec<(Engine, String, u64)> {
-    s.look(|n| {
-        let mut out = Vec::new();
-        for (model, (stamp, _)) in &n.weights {
-            let of = |e: &&Engine| {
-                e.standing() == Standing::Ready
-                    && !e.silent
-                    && pouch::fleet::stamp_of(e, model).is_some()
-            };
-            let all = n.engines.values().filter(of).count();
-            let turning = s.duties.turns.lock().len();
-            let room =
-                ((all as f64 * k::ROLL_SHARE).ceil() as usize).max(1).saturating_sub(turning);
-            let mut old: Vec<&Engine> = n
-                .engines
-                .values()
-                .filter(of)
-                .filter(|e| pouch::fleet::stamp_of(e, model).is_some_and(|x| x < *stamp))
-                .filter(|e| !s.duties.turns.lock().contains(&e.id))
-                .collect();
-            let loads = s.members.loads.total();
-            let runs = |e: &Engine| loads.get(&pouch::load::key_of(&e.id)).map_or(0, |l| l.runs);
-            old.sort_by_key(|e| (runs(e), e.id.clone()));
-            out.extend(old.into_iter().take(room).map(|e| (e.clone(), model.clone(), *stamp)));
+/// An engine that is neither gone nor silent and serves the model.
+fn serves(e: &Engine, model: &str) -> bool {
+    e.standing() == Standing::Ready && !e.silent && pouch::fleet::stamp_of(e, model).is_some()
+}
+
+/// What to begin now for each model, by its engines as they are known.
+fn due(s: &Sorting, plan: &mut Plan) -> Vec<(Action, String, u64)> {
+    let now = Instant::now();
+    let loads = s.members.loads.total();
+    let bound = s.params().bounds.stamp.saturating_sub(k::STAMP_MARGIN + k::ROLL_MARGIN);
+    let models: Vec<(String, u64, Option<Instant>)> =
+        s.look(|n| n.weights.iter().map(|(m, (v, at))| (m.clone(), *v, *at)).collect());
+    let mut out = Vec::new();
+    for (model, stamp, named) in models {
+        let engines: Vec<Engine> =
+            s.look(|n| n.engines.values().filter(|e| serves(e, &model)).cloned().collect());
+        let mut old = Vec::new();
+        for e in &engines {
+            if pouch::fleet::stamp_of(e, &model).is_none_or(|v| v >= stamp) {
+                continue;
+            }
+            if pouch::fleet::is_fading(e, &model, Some(stamp)) {
+                plan.adopt(&e.id, now);
+            }
+            let key = pouch::load::key_of(&e.id);
+            let load = loads.get(&key).copied().unwrap_or_default();
+            old.push(Old {
+                id: e.id.clone(),
+                zone: e.zone.clone(),
+                interactive: s.members.loads.interactive_share(key),
+                waits: load.interactive,
+                runs: load.runs,
+            });
         }
-        out
-    })
+        let left = named.map_or(bound, |t| bound.saturating_sub(now.duration_since(t)));
+        let next = plan.next(now, engines.len(), &old, left);
+        out.extend(next.into_iter().map(|a| (a, model.clone(), stamp)));
+    }
+    out
 }
 
 pub async fn rolling(s: Arc<Sorting>) {
@@ -80,18 +97,24 @@
             })
         });
         if !work {
+            s.duties.plan.lock().rest();
             if news.changed().await.is_err() {
                 return;
             }
             continue;
         }
         if s.duties.fence(ROLL_OUT).is_some() {
-            for (e, model, stamp) in due(&s) {
-                s.duties.turns.lock().insert(e.id.clone());
+            let actions = due(&s, &mut s.duties.plan.lock());
+            for (a, model, stamp) in actions {
                 let s = s.clone();
                 tokio::spawn(async move {
-                    turn(&s, &e, &model, stamp).await;
-                    s.duties.turns.lock().remove(&e.id);
+                    match a {
+                        Action::Fade(id) => tell(&s, &id, |x| x.fade += 1 + x.fade % 2).await,
+                        Action::Turn(id) => {
+                            let load = turn(&s, &id, &model, stamp).await;
+                            s.duties.plan.lock().ended(&id, Instant::now(), load);
+                        }
+                    }
                 });
             }
         }
@@ -100,23 +123,28 @@
 }
 
 /// Tells all carriers of the turn, orders, waits for its end, and tells that.
-async fn turn(s: &Arc<Sorting>, e: &Engine, model: &str, stamp: u64) {
-    let Ok(to) = e.address.parse() else { return };
+async fn turn(s: &Arc<Sorting>, id: &str, model: &str, stamp: u64) -> Option<Duration> {
+    let e = &s.look(|n| n.engines.get(id).cloned())?;
+    let to = e.address.parse().ok()?;
     let mut line = Line::new(s.node.ip, to);
     tell(s, &e.id, |x| x.turn += 1 + x.turn % 2).await;
     tokio::time::sleep(k::ROLL_NOTICE).await;
     let done = order(s, &mut line, e, model, stamp).await;
     match &done {
-        Ok(()) => pouch::note!(s.log, Event::RollDone, "id" => &e.id, "stamp" => stamp),
+        Ok(took) => {
+            pouch::note!(s.log, Event::RollDone, "ms" => took.as_millis() as u64, "id" => &e.id, "stamp" => stamp)
+        }
         Err(p) => pouch::note!(s.log, Event::RollProblem, "id" => &e.id, "why" => p.to_string()),
     }
     tell(s, &e.id, |x| {
         x.turn += x.turn % 2;
+        x.fade += x.fade % 2;
         if done.is_ok() {
             pouch::fleet::raise(x, model, stamp);
         }
     })
     .await;
+    done.ok()
 }
 
 async fn tell(s: &Arc<Sorting>, id: &str, f: impl FnOnce(&mut Engine)) {
@@ -132,13 +160,22 @@
     e: &Engine,
     model: &str,
     stamp: u64,
-) -> Result<(), RollProblem> {
+) -> Result<Duration, RollProblem> {
     let until = Instant::now() + k::ORDER_LIMIT;
     let mut ordered = false;
+    // since it has been ordered and runs nothing any more
+    let mut alone: Option<Instant> = None;
+    let took = |alone: Option<Instant>| alone.map_or(Duration::ZERO, |t| t.elapsed());
     while Instant::now() < until {
         if let Some(r) = report(line).await {
             if r.models.iter().any(|m| m.name == model && m.revision >= stamp) {
-                return Ok(());
+                return Ok(took(alone));
+            }
+            if ordered && r.active > 0 {
+                alone = None;
+            }
+            if ordered && r.active == 0 {
+                alone = alone.or_else(|| Some(Instant::now()));
             }
             if !r.busy && !ordered {
                 let fence = s.duties.fence(ROLL_OUT).ok_or(RollProblem::NoDuty)?;
@@ -159,8 +196,9 @@
                     Ok(202) => {
                         pouch::note!(s.log, Event::RollOrdered, "id" => &e.id, "stamp" => stamp);
                         ordered = true;
+                        alone = (r.active == 0).then(Instant::now);
                     }
-                    Ok(200) => return Ok(()),
+                    Ok(200) => return Ok(Duration::ZERO),
                     Ok(412) => return Err(RollProblem::Fenced),
                     Ok(_) | Err(_) => {}
                 }
--- a/crates/sorting/src/members/loads.rs
+++ b/crates/sorting/src/members/loads.rs
@@ -12,6 +12,8 @@
 pub struct Desk {
     carriers: parking_lot::Mutex<Book>,
     peers: parking_lot::Mutex<Book>,
+    /// by engine, recent runs and those that somebody waits for
+    mix: parking_lot::Mutex<hashbrown::HashMap<u32, (f32, f32), ahash::RandomState>>,
 }
 
 impl Desk {
@@ -21,6 +23,25 @@
         book.lock().hear(origin.hello.life, Instant::now(), l);
     }
 
+    fn remember(&self, all: &ByEngine) {
+        let mut mix = self.mix.lock();
+        mix.retain(|_, (runs, waits)| {
+            *runs *= k::MIX_DECAY;
+            *waits *= k::MIX_DECAY;
+            *runs > 0.01
+        });
+        for (key, l) in all {
+            let m = mix.entry(*key).or_insert((0.0, 0.0));
+            m.0 += l.runs as f32 * (1.0 - k::MIX_DECAY);
+            m.1 += l.interactive as f32 * (1.0 - k::MIX_DECAY);
+        }
+    }
+
+    /// Share of an engine's recent runs that somebody waits for.
+    pub fn interactive_share(&self, key: u32) -> f64 {
+        self.mix.lock().get(&key).map_or(0.0, |(runs, waits)| f64::from(waits / runs.max(0.01)))
+    }
+
     /// Over all carriers, as far as they are heard of.
     pub fn total(&self) -> ByEngine {
         let now = Instant::now();
@@ -45,7 +66,9 @@
                 let _ = link.tell(Body::Loads(own.clone()));
             }
         }
-        let all = load::pack(&desk.total());
+        let total = desk.total();
+        desk.remember(&total);
+        let all = load::pack(&total);
         if !to_carriers.is_due(now, &all) {
             continue;
         }
