--- a/crates/delivery/src/place/mod.rs
+++ b/crates/delivery/src/place/mod.rs
@@ -91,7 +91,8 @@
             continue;
         }
         let changing = |m| pouch::fleet::is_changing(&r.news, m, named.map(|x| x.stamp));
-        if prompt.model.as_deref().is_some_and(changing) {
+        let marked = r.seat.is_marked(now);
+        if marked && prompt.model.as_deref().is_some_and(changing) {
             continue;
         }
         let stamp = prompt.model.as_deref().and_then(|m| pouch::fleet::stamp_of(&r.news, m));
@@ -101,10 +102,8 @@
         if stamp.is_some_and(|x| !stamp_allowed(x, named, now, bound)) {
             continue;
         }
-        let fading = prompt
-            .model
-            .as_deref()
-            .is_some_and(|m| pouch::fleet::is_fading(&r.news, m, named.map(|x| x.stamp)));
+        let fades = |m| pouch::fleet::is_fading(&r.news, m, named.map(|x| x.stamp));
+        let fading = marked && prompt.model.as_deref().is_some_and(fades);
         out.push(Open { row, stamp, fading, awake: !r.news.silent && !r.seat.is_resting(now) });
     }
     if out.iter().any(|o| o.awake) {
--- a/crates/delivery/src/pool/mod.rs
+++ b/crates/delivery/src/pool/mod.rs
@@ -73,6 +73,13 @@
     }
 }
 
+/// What the roll-out last said of an engine, and when.
+struct Marked {
+    fade: u64,
+    turn: u64,
+    at: Instant,
+}
+
 /// One instance of an engine.
 pub struct Seat {
     pub id: String,
@@ -82,6 +89,7 @@
     met: Instant,
     newcomer: bool,
     news: parking_lot::RwLock<Engine>,
+    marked: parking_lot::Mutex<Marked>,
     work: parking_lot::Mutex<Work>,
     /// connections open, used or not; outside the lock, for they also end under it
     open: AtomicU32,
@@ -96,18 +104,37 @@
             met: Instant::now(),
             newcomer: e.call <= k::NEWCOMER_CALLS,
             news: parking_lot::RwLock::new(e.clone()),
+            marked: parking_lot::Mutex::new(Marked {
+                fade: e.fade,
+                turn: e.turn,
+                at: Instant::now(),
+            }),
             work: parking_lot::Mutex::default(),
             open: AtomicU32::new(0),
         })
     }
 
     pub fn hear(&self, news: &Engine) {
-        pouch::fleet::merge(&mut self.news.write(), news);
+        let (fade, turn) = {
+            let mut n = self.news.write();
+            pouch::fleet::merge(&mut n, news);
+            (n.fade, n.turn)
+        };
+        let mut m = self.marked.lock();
+        if (m.fade, m.turn) != (fade, turn) {
+            *m = Marked { fade, turn, at: Instant::now() };
+        }
+        drop(m);
         if news.standing() == Standing::Gone {
             self.work().idle.clear();
         }
     }
 
+    /// Marks of the roll-out count only so long: who set them may be gone.
+    pub fn is_marked(&self, now: Instant) -> bool {
+        now.duration_since(self.marked.lock().at) < k::MARK_LIMIT
+    }
+
     pub fn news(&self) -> parking_lot::RwLockReadGuard<'_, Engine> {
         self.news.read()
     }
--- a/crates/delivery/src/sight/loads.rs
+++ b/crates/delivery/src/sight/loads.rs
@@ -5,7 +5,7 @@
 use pouch::constants as k;
 use pouch::link::Link;
 use pouch::load::{self, ByEngine, Last};
-use pouch::wire::{Body, Loads, Member};
+use pouch::wire::{Body, Loads, Member, Standing};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -33,12 +33,21 @@
     pub fn hear_loads(&self, l: &Loads) {
         let all: ByEngine = load::unpack(l).collect();
         let now = Instant::now();
+        let (mut engines, mut slots) = (0, 0);
         for seat in self.seats.read().values() {
+            let news = seat.news();
+            if news.standing() == Standing::Ready && !news.silent {
+                engines += 1;
+                slots = news.slots.max(slots);
+            }
+            drop(news);
             let total = all.get(&seat.key).copied().unwrap_or_default();
             let mut w = seat.work();
             w.others = total.less(&w.reported);
             w.others_at = Some(now);
         }
+        let runs = all.values().map(|l| l.interactive).sum();
+        self.rolls.hear_interactive(runs, engines, slots);
     }
 
     fn own_loads(&self) -> ByEngine {
--- a/crates/delivery/src/sight/roll.rs
+++ b/crates/delivery/src/sight/roll.rs
@@ -27,6 +27,13 @@
     }
 }
 
+/// Engines that heavy requests settle at: two thirds, or fewer where long streams fill the others.
+pub fn heavies(engines: usize, slots: u32, interactive: f64) -> usize {
+    let all = engines as f64;
+    let light = (interactive / (f64::from(slots.max(1)) * k::LIGHT_FILL)).ceil();
+    (all * k::HEAVY_SHARE).min(all - light).max(all * k::HEAVY_LEAST).ceil() as usize
+}
+
 const NONE: u16 = u16::MAX;
 
 pub struct Roll {
@@ -41,6 +48,7 @@
         engines: Vec<(Arc<Seat>, Engine)>,
         zone: &str,
         index: &Index,
+        interactive: f64,
         key: (u64, u64),
     ) -> Self {
         let mut rows: Vec<Row> = engines
@@ -58,7 +66,8 @@
         let mut order: Vec<(u64, usize)> =
             rows.iter().enumerate().filter(|(_, r)| ready(r)).map(|(i, r)| (r.rank, i)).collect();
         order.sort_unstable();
-        let heavies = (order.len() as f64 * k::HEAVY_SHARE).ceil() as usize;
+        let slots = rows.iter().map(|r| r.news.slots).max().unwrap_or(0);
+        let heavies = heavies(order.len(), slots, interactive);
         for (_, i) in order.into_iter().take(heavies) {
             rows[i].heavy = true;
         }
@@ -80,6 +89,8 @@
 #[derive(Default)]
 pub struct Rolls {
     news: AtomicU64,
+    /// runs that people wait for: as they are, and as the division goes by
+    interactive: parking_lot::Mutex<(f64, f64)>,
     made: parking_lot::Mutex<hashbrown::HashMap<String, Arc<Roll>, ahash::RandomState>>,
 }
 
@@ -88,6 +99,18 @@
         self.news.fetch_add(1, Ordering::Release);
     }
 
+    /// The newest sum of runs that people wait for, at so many engines.
+    pub fn hear_interactive(&self, runs: u32, engines: usize, slots: u32) {
+        let mut i = self.interactive.lock();
+        i.0 += (f64::from(runs) - i.0) * k::DIVISION_WEIGHT;
+        let off = heavies(engines, slots, i.0).abs_diff(heavies(engines, slots, i.1));
+        if off as f64 >= (engines as f64 * k::DIVISION_STEP).max(1.0) {
+            i.1 = i.0;
+            drop(i);
+            self.stale();
+        }
+    }
+
     pub fn of(
         &self,
         service: &str,
@@ -109,7 +132,8 @@
             })
             .collect();
         let news = key.0;
-        let roll = Roll::new(engines, zone, index, (news, 0));
+        let interactive = self.interactive.lock().1;
+        let roll = Roll::new(engines, zone, index, interactive, (news, 0));
         let roll = Arc::new(Roll { key: (news, index.moves()), ..roll });
         self.made.lock().insert(service.to_owned(), roll.clone());
         roll
--- a/crates/delivery/tests/loads.rs
+++ b/crates/delivery/tests/loads.rs
@@ -25,6 +25,16 @@
     assert_eq!(ip("a", &["10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"]), None);
 }
 
+#[test]
+fn long_streams_get_more_engines_when_they_fill_a_third() {
+    use delivery::sight::roll::heavies;
+    assert_eq!(heavies(18, 48, 0.0), 13);
+    assert_eq!(heavies(18, 48, 100.0), 13, "a few engines are enough");
+    assert_eq!(heavies(140, 12, 500.0), 84);
+    assert_eq!(heavies(140, 12, 9000.0), 82, "heavy requests keep their half");
+    assert_eq!(heavies(0, 0, 5.0), 0);
+}
+
 #[test]
 fn own_sends_are_counted_once_in_the_sum() {
     let sight = delivery::sight::Sight::new();
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -84,10 +84,12 @@
 pub const ROLL_SHARE: f64 = 0.3;
 /// engines' share of a service that turn together when the bound would else be missed.
 pub const ROLL_SHARE_LATE: f64 = 0.5;
-/// engines' share of a service that get no more long streams, or turn.
+/// share of the interactive engines that get no more long streams, or turn: the others take theirs.
 pub const FADE_SHARE: f64 = 0.34;
 /// ms; long streams get this long to end before their engine is ordered all the same.
 pub const FADE_LIMIT: Duration = Duration::from_millis(2500);
+/// ms; carriers heed what the roll-out said of an engine this long; who said it may have died since.
+pub const MARK_LIMIT: Duration = Duration::from_millis(4000);
 /// ms; what a turn is taken to last until some were seen.
 pub const TURN_FIRST: Duration = Duration::from_millis(1000);
 /// times the fastest load: slower than this, and fewer engines load together.
@@ -182,6 +184,14 @@
 pub const HEAVY_RATIO: u64 = 10;
 /// share of a service's engines that heavy requests settle at.
 pub const HEAVY_SHARE: f64 = 0.67;
+/// share of their slots that long streams may fill, before more engines are kept for them.
+pub const LIGHT_FILL: f64 = 0.75;
+/// share of a service's engines that heavy requests keep in any case.
+pub const HEAVY_LEAST: f64 = 0.58;
+/// engines by which the division has to be off before it moves, as a share of all.
+pub const DIVISION_STEP: f64 = 0.05;
+/// weight of the newest sum of runs in what the division goes by; a second or two of news.
+pub const DIVISION_WEIGHT: f64 = 0.05;
 /// ms; what it costs to leave the half of the engines where one belongs.
 pub const ASTRAY_COST_MS: f64 = 120.0;
 /// calls; an engine met with no more of them behind it has just started.
--- a/crates/sorting/src/duties/rollout/plan.rs
+++ b/crates/sorting/src/duties/rollout/plan.rs
@@ -135,8 +135,11 @@
             old.iter().filter(|o| !self.steps.contains_key(&o.id)).collect();
         waiting.sort_by(|a, b| (a.waits, a.runs, &a.id).cmp(&(b.waits, b.runs, &b.id)));
         spread(&mut waiting);
-        let fading = self.steps.len();
-        let fades = share(k::FADE_SHARE).saturating_sub(fading);
+        let people = self.kinds.values().filter(|k| **k).count();
+        let left_over = old.iter().filter(|o| interactive(self, o)).count();
+        let away = old.iter().filter(|o| interactive(self, o) && self.steps.contains_key(&o.id));
+        let spared = ((people as f64 * k::FADE_SHARE).ceil() as usize).max(1);
+        let fades = spared.saturating_sub(away.count());
         for o in waiting.iter().filter(|o| interactive(self, o)).take(fades) {
             out.push(Action::Fade(o.id.clone()));
         }
@@ -158,9 +161,8 @@
             out.push(Action::Turn(o.id.clone()));
             room -= 1;
         }
-        let all_begun =
-            !waiting.iter().any(|o| interactive(self, o) && !self.steps.contains_key(&o.id));
-        if all_begun || late {
+        let first_are_ready = people - left_over.min(people) >= spared.min(people);
+        if first_are_ready || late {
             let rest = waiting.iter().filter(|o| !interactive(self, o)).take(room);
             out.extend(rest.map(|o| Action::Turn(o.id.clone())));
         }
