--- a/crates/sorting/src/members/mod.rs
+++ b/crates/sorting/src/members/mod.rs
@@ -59,22 +59,25 @@
         self.links.lock().iter().map(|(ip, l)| (*ip, l.clone())).collect()
     }
 
-    fn enter(&self, hello: &pouch::wire::Hello) {
-        self.lives.lock().entry_ref(hello.ip.as_str()).or_default().seen.insert(hello.life);
+    /// A carrier of the same machine has a life of its own, which no disk ends.
+    pub fn enter(&self, hello: &pouch::wire::Hello) {
+        if hello.role == pouch::node::Role::Postmaster as u32 {
+            self.lives.lock().entry_ref(hello.ip.as_str()).or_default().seen.insert(hello.life);
+        }
         if let Ok(ip) = hello.ip.parse() {
             self.zones.lock().insert(ip, hello.zone.clone());
         }
     }
 
     /// A life that came back with an empty disk ends all earlier ones of its address.
-    fn bury(&self, ip: &str, but: u64) {
+    pub fn bury(&self, ip: &str, but: u64) {
         let mut l = self.lives.lock();
         let l = l.entry_ref(ip).or_default();
         let dead: Vec<u64> = l.seen.iter().copied().filter(|x| *x != but).collect();
         l.dead.extend(dead);
     }
 
-    fn is_dead(&self, hello: &pouch::wire::Hello) -> bool {
+    pub fn is_dead(&self, hello: &pouch::wire::Hello) -> bool {
         self.lives.lock().get(&hello.ip).is_some_and(|l| l.dead.contains(&hello.life))
     }
 }
