--- a/crates/inspector/src/ask.rs
+++ b/crates/inspector/src/ask.rs
@@ -71,6 +71,24 @@
     Err(AskProblem::Unreachable(why.join("; ")))
 }
 
+/// What each node answers, one after the other.
+pub async fn answers(
+    nodes: &[SocketAddr],
+    path: &str,
+    limit: Duration,
+) -> Vec<(SocketAddr, Result<Vec<u8>, String>)> {
+    let mut out = Vec::new();
+    for n in nodes {
+        let got = match get(*n, path, limit).await {
+            Ok((200, body)) => Ok(body),
+            Ok((s, _)) => Err(format!("{n}: status {s}")),
+            Err(e) => Err(e),
+        };
+        out.push((*n, got));
+    }
+    out
+}
+
 pub struct AsItIs {
     pub in_force: Option<pouch::configuration::Configuration>,
     pub fleet: Fleet,
--- a/crates/inspector/src/main.rs
+++ b/crates/inspector/src/main.rs
@@ -1,4 +1,4 @@
-//! `inspector check FILE --control ADDR[,ADDR…]`
+//! `inspector check FILE --control ADDR[,ADDR…]` and `inspector rollout --control ADDR[,ADDR…]`
 
 use gumdrop::Options;
 use inspector::report;
@@ -20,6 +20,8 @@
 enum Verb {
     /// check a configuration against the fleet as it is
     Check(Check),
+    /// tell how far named weights have come
+    Rollout(Rollout),
 }
 
 #[derive(Debug, Options)]
@@ -43,6 +45,64 @@
     limit_ms: u64,
 }
 
+#[derive(Debug, Options)]
+struct Rollout {
+    /// print this help
+    help: bool,
+    /// control addresses; the node that carries the roll-out out is looked for among them
+    #[options(meta = "ADDR[,ADDR...]", required)]
+    control: String,
+    /// ask again every second until all is done or something is stuck
+    #[options(no_short)]
+    watch: bool,
+    /// print the roll-out as JSON
+    #[options(no_short)]
+    json: bool,
+    /// longest wait for each call
+    #[options(no_short, meta = "MS", default = "2000")]
+    limit_ms: u64,
+}
+
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
+
+const USAGE: &str =
+    "usage: inspector check FILE --control ADDR[,ADDR...] [--json] [--strict] [--limit-ms MS]
+       inspector rollout --control ADDR[,ADDR...] [--watch] [--json] [--limit-ms MS]";
+
+fn nodes(control: &str) -> Result<Vec<std::net::SocketAddr>, String> {
+    let read = |a: &str| {
+        a.trim().parse().map_err(|_| format!("--control: `{a}` is not an address with a port"))
+    };
+    control.split(',').map(read).collect()
+}
+
+fn rollout(c: &Rollout) -> ExitCode {
+    let nodes = match nodes(&c.control) {
+        Ok(n) => n,
+        Err(e) => return unchecked(e),
+    };
+    let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(rt) => rt,
+        Err(e) => return unchecked(e),
+    };
+    loop {
+        let ask = inspector::rollout::ask(&nodes, Duration::from_millis(c.limit_ms));
+        let r = match rt.block_on(ask) {
+            Ok(r) => r,
+            Err(e) => return unchecked(e),
+        };
+        if c.json {
+            println!("{}", r.json());
+        } else {
+            print!("{}", r.text());
+        }
+        if !c.watch || r.is_done() || r.exit() != report::CLEAN {
+            return ExitCode::from(r.exit());
+        }
+        std::thread::sleep(WATCH_PAUSE);
+    }
+}
+
 fn unchecked(why: impl std::fmt::Display) -> ExitCode {
     eprintln!("inspector: {why}");
     ExitCode::from(report::UNCHECKED)
@@ -59,21 +119,23 @@
         return ExitCode::SUCCESS;
     }
     let asked = words.help_requested();
-    let Some(Verb::Check(c)) = words.verb.filter(|_| !asked) else {
-        println!(
-            "usage: inspector check FILE --control ADDR[,ADDR...] [--json] [--strict] [--limit-ms MS]\n\n{}\n\n{}\n\nexit codes: 0 clean, 1 findings, 2 could not check",
-            Words::usage(),
-            Check::usage()
-        );
-        return if asked { ExitCode::SUCCESS } else { ExitCode::from(report::UNCHECKED) };
-    };
-    let mut nodes = Vec::new();
-    for a in c.control.split(',') {
-        match a.trim().parse() {
-            Ok(a) => nodes.push(a),
-            Err(_) => return unchecked(format!("--control: `{a}` is not an address with a port")),
+    let c = match words.verb.filter(|_| !asked) {
+        Some(Verb::Check(c)) => c,
+        Some(Verb::Rollout(r)) => return rollout(&r),
+        None => {
+            println!(
+                "{USAGE}\n\n{}\n\ncheck:\n{}\n\nrollout:\n{}\n\nexit codes: 0 clean, 1 findings, 2 could not check",
+                Words::usage(),
+                Check::usage(),
+                Rollout::usage()
+            );
+            return if asked { ExitCode::SUCCESS } else { ExitCode::from(report::UNCHECKED) };
         }
-    }
+    };
+    let nodes = match nodes(&c.control) {
+        Ok(n) => n,
+        Err(e) => return unchecked(e),
+    };
     let body = match std::fs::read(&c.file) {
         Ok(b) => b,
         Err(e) => return unchecked(format!("{}: {e}", c.file)),
--- a/crates/pouch/src/constants.rs
+++ b/crates/pouch/src/constants.rs
@@ -90,6 +90,8 @@
 pub const FADE_LIMIT: Duration = Duration::from_millis(2500);
 /// ms; carriers heed what the roll-out said of an engine this long; who said it may have died since.
 pub const MARK_LIMIT: Duration = Duration::from_millis(4000);
+/// ms; a turn longer than this is shown to the operator as stuck.
+pub const TURN_SLOW: Duration = Duration::from_millis(4000);
 /// ms; what a turn is taken to last until some were seen.
 pub const TURN_FIRST: Duration = Duration::from_millis(1000);
 /// times the fastest load: slower than this, and fewer engines load together.
--- a/crates/sorting/src/api/mod.rs
+++ b/crates/sorting/src/api/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod fleet;
 mod instances;
+mod rollout;
 mod weights;
 
 use crate::Sorting;
@@ -63,7 +64,8 @@
         .and_then(|()| api.register(config::replace))
         .and_then(|()| api.register(config::fetch))
         .and_then(|()| api.register(weights::put))
-        .and_then(|()| api.register(fleet::look));
+        .and_then(|()| api.register(fleet::look))
+        .and_then(|()| api.register(rollout::look));
     registered.map_err(|e| std::io::Error::other(e.to_string()))?;
     let settings = dropshot::ConfigDropshot {
         bind_address: at,
--- a/crates/sorting/src/duties/rollout/mod.rs
+++ b/crates/sorting/src/duties/rollout/mod.rs
@@ -1,5 +1,6 @@
 //! Bringing engines to named weights, a few at a time, under the fence of the duty.
 
+pub mod look;
 pub mod plan;
 
 use super::ROLL_OUT;
@@ -41,6 +42,8 @@
     Fenced,
     /// no end of the order in time
     Late,
+    /// the engine is no longer known
+    Unknown,
 }
 
 /// An engine that is neither gone nor silent and serves the model.
@@ -112,7 +115,11 @@
                         Action::Fade(id) => tell(&s, &id, |x| x.fade += 1 + x.fade % 2).await,
                         Action::Turn(id) => {
                             let load = turn(&s, &id, &model, stamp).await;
-                            s.duties.plan.lock().ended(&id, Instant::now(), load);
+                            let mut plan = s.duties.plan.lock();
+                            match load {
+                                Ok(took) => plan.ended(&id, Instant::now(), Some(took)),
+                                Err(p) => plan.failed(&id, Instant::now(), &p.to_string()),
+                            }
                         }
                     }
                 });
@@ -123,9 +130,14 @@
 }
 
 /// Tells all carriers of the turn, orders, waits for its end, and tells that.
-async fn turn(s: &Arc<Sorting>, id: &str, model: &str, stamp: u64) -> Option<Duration> {
-    let e = &s.look(|n| n.engines.get(id).cloned())?;
-    let to = e.address.parse().ok()?;
+async fn turn(
+    s: &Arc<Sorting>,
+    id: &str,
+    model: &str,
+    stamp: u64,
+) -> Result<Duration, RollProblem> {
+    let e = &s.look(|n| n.engines.get(id).cloned()).ok_or(RollProblem::Unknown)?;
+    let to = e.address.parse().map_err(|_| RollProblem::Unknown)?;
     let mut line = Line::new(s.node.ip, to);
     tell(s, &e.id, |x| x.turn += 1 + x.turn % 2).await;
     tokio::time::sleep(k::ROLL_NOTICE).await;
@@ -144,7 +156,7 @@
         }
     })
     .await;
-    done.ok()
+    done
 }
 
 async fn tell(s: &Arc<Sorting>, id: &str, f: impl FnOnce(&mut Engine)) {
--- a/crates/sorting/src/duties/rollout/plan.rs
+++ b/crates/sorting/src/duties/rollout/plan.rs
@@ -68,6 +68,8 @@
     kinds: hashbrown::HashMap<String, bool>,
     width: Option<Width>,
     turn: Duration,
+    /// why the last turn of an engine failed
+    problems: hashbrown::HashMap<String, String>,
 }
 
 impl Default for Plan {
@@ -77,6 +79,7 @@
             kinds: hashbrown::HashMap::new(),
             width: None,
             turn: k::TURN_FIRST,
+            problems: hashbrown::HashMap::new(),
         }
     }
 }
@@ -110,6 +113,15 @@
         }
     }
 
+    pub fn failed(&mut self, id: &str, now: Instant, why: &str) {
+        self.ended(id, now, None);
+        self.problems.insert(id.to_owned(), why.to_owned());
+    }
+
+    pub fn problem(&self, id: &str) -> Option<&str> {
+        self.problems.get(id).map(String::as_str)
+    }
+
     /// All are there: what was learnt of kinds and width is of this roll-out only.
     pub fn rest(&mut self) {
         *self = Plan { turn: self.turn, ..Plan::default() };
--- /dev/null
+++ b/crates/sorting/tests/rollout_look.rs
@@ -0,0 +1,42 @@
+//! What the operator is shown of an engine in a roll-out.
+
+use pouch::constants as k;
+use pouch::wire::{Engine, Weights};
+use sorting::duties::rollout::look::{State, state_of, stuck};
+use sorting::duties::rollout::plan::Step;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn engine(stamp: u64, turn: u64, fade: u64) -> Engine {
+    let weights = vec![Weights { model: "m".into(), stamp }];
+    Engine { id: "e".into(), weights, turn, fade, ..Default::default() }
+}
+
+#[test]
+fn states_follow_from_weights_and_marks() {
+    let table = [
+        (engine(2, 0, 0), State::Ready),
+        (engine(2, 1, 1), State::Ready),
+        (engine(1, 1, 1), State::Turning),
+        (engine(1, 2, 1), State::Fading),
+        (engine(1, 2, 2), State::Waiting),
+        (Engine { silent: true, ..engine(2, 0, 0) }, State::Silent),
+    ];
+    for (e, want) in table {
+        assert_eq!(state_of(&e, "m", 2), want, "{e:?}");
+    }
+}
+
+#[test]
+fn stuck_names_what_is_wrong_and_nothing_else() {
+    let t = Instant::now();
+    let turning = |ms| Some((Step::Turning(t), t + Duration::from_millis(ms)));
+    assert_eq!(stuck(State::Turning, turning(100), Some("late")), None, "it is tried again");
+    let slow = stuck(State::Turning, turning(k::TURN_SLOW.as_millis() as u64 + 1), None);
+    assert_eq!(slow.as_deref(), Some("turns since 4001 ms"));
+    let failed = stuck(State::Waiting, None, Some("a higher fence was seen"));
+    assert_eq!(failed.as_deref(), Some("last turn failed: a higher fence was seen"));
+    assert_eq!(stuck(State::Waiting, None, None), None);
+    assert_eq!(stuck(State::Ready, None, Some("late")), None);
+    assert!(stuck(State::Silent, None, None).is_some());
+}
