--- /dev/null
+++ b/crates/pouch/tests/sizes.rs
@@ -0,0 +1,66 @@
+//! Bytes on the wire for each item, at three sizes: what docs/CAPACITY.md reckons with.
+//! `cargo test -p pouch --test sizes -- --nocapture` prints them.
+
+use pouch::load::{ByEngine, Load, pack};
+use pouch::wire::{Engine, HeldParts, PartAt, Purge, RingEntry, View, Weights};
+use prost::Message;
+
+const SIZES: [usize; 3] = [90, 280, 760];
+
+/// Bytes of each more item, the same between all sizes.
+fn slope(what: &str, bytes: impl Fn(usize) -> usize) -> f64 {
+    let at: Vec<usize> = SIZES.iter().map(|n| bytes(*n)).collect();
+    let per = |a: usize, b: usize| (at[b] - at[a]) as f64 / (SIZES[b] - SIZES[a]) as f64;
+    let (low, high) = (per(0, 1).min(per(1, 2)), per(0, 1).max(per(1, 2)));
+    println!("{what}: {at:?} bytes at {SIZES:?}, {low:.2} to {high:.2} each");
+    assert!(high <= low * 1.1 + 0.1, "{what} grows faster than its items");
+    high
+}
+
+#[test]
+fn loads_take_a_few_bytes_an_engine() {
+    let bytes = |n: usize| {
+        let all: ByEngine = (0..n as u32)
+            .map(|i| (i * 7919, Load { unread: 6000, runs: 6, interactive: 4 }))
+            .collect();
+        pack(&all).encoded_len()
+    };
+    assert!(slope("loads, an engine", bytes) <= 8.0);
+}
+
+#[test]
+fn news_of_an_engine_and_entries_of_the_ring_are_bounded() {
+    let engine = |n: usize| View {
+        engines: (0..n)
+            .map(|i| Engine {
+                id: format!("i-{i:010x}"),
+                call: 100,
+                service: "huvo11a".into(),
+                address: "10.128.100.100:8080".into(),
+                zone: "zone-a".into(),
+                slots: 12,
+                weights: vec![Weights { model: "daka510000".into(), stamp: 2 }],
+                ..Default::default()
+            })
+            .collect(),
+        ..Default::default()
+    };
+    assert!(slope("view, an engine", |n| engine(n).encoded_len()) <= 96.0);
+    let entry = |i: usize| RingEntry {
+        scope: 0,
+        what: Some(Purge::Part(PartAt {
+            holder: format!("i-{i:010x}"),
+            salt: "daka510000|2|#1".into(),
+            part: u64::MAX >> 16,
+            kept: 0,
+        })),
+    };
+    let ring = |n: usize| (0..n).map(|i| entry(i).encoded_len() + 2).sum::<usize>();
+    assert!(slope("ring, an evicted part", ring) <= 48.0);
+    let held = |n: usize| {
+        let parts: Vec<u64> = (0..n as u64).map(|i| i << 20).collect();
+        let kept = vec![3780; n];
+        HeldParts { holder: "i-00".into(), salt: "m|2|#1".into(), parts, kept }.encoded_len()
+    };
+    assert!(slope("finding at one holder, a part", held) <= 11.0);
+}
