--- a/crates/inspector/src/rollout.rs
+++ b/crates/inspector/src/rollout.rs
@@ -2,6 +2,7 @@
 
 use crate::ask::{AskProblem, answers};
 use crate::report;
+pub use sorting::duties::rollout::look::State;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,16 +33,6 @@
     pub stuck: Option<String>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum State {
-    Ready,
-    Waiting,
-    Fading,
-    Turning,
-    Silent,
-}
-
 impl Model {
     fn count(&self, s: State) -> usize {
         self.engines.iter().filter(|e| e.state == s).count()
--- a/crates/sorting/src/duties/rollout/look.rs
+++ b/crates/sorting/src/duties/rollout/look.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// at the named weights
