Whole-path test takes ports that no connection can be given meanwhile

One run of the checks failed: the control port, chosen among those that the system hands to connections, was taken before the postmaster listened. Ports now come from below that range.

--- a/crates/carrier/tests/whole.rs
+++ b/crates/carrier/tests/whole.rs
@@ -12,8 +12,17 @@
     range: (u16, u16),
 }
 
+/// Below the ports that the system gives to connections, so that none of these takes it meanwhile.
 fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    loop {
+        let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let port = 20_000 + (std::process::id().wrapping_mul(61).wrapping_add(n)) % 12_000;
+        let at = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if std::net::TcpListener::bind(at).is_ok() {
+            return at;
+        }
+    }
 }
 
 impl Place {
