Reread: marks, rolls, rosters, loads and the inspector's stand-in node written once

An engine's mark is the moment its marks changed, no copy of them; a roll makes its own key; an exchange is a growth without the lost member; carriers' loads are added up once a round, not twice; the inspector's tests share one node.

--- a/crates/delivery/src/pool/mod.rs
+++ b/crates/delivery/src/pool/mod.rs
@@ -73,13 +73,6 @@
     }
 }
 
-/// What the roll-out last said of an engine, and when.
-struct Marked {
-    fade: u64,
-    turn: u64,
-    at: Instant,
-}
-
 /// One instance of an engine.
 pub struct Seat {
     pub id: String,
@@ -89,7 +82,8 @@
     met: Instant,
     newcomer: bool,
     news: parking_lot::RwLock<Engine>,
-    marked: parking_lot::Mutex<Marked>,
+    /// when the roll-out last said something new of it
+    marked: parking_lot::Mutex<Instant>,
     work: parking_lot::Mutex<Work>,
     /// connections open, used or not; outside the lock, for they also end under it
     open: AtomicU32,
@@ -104,27 +98,20 @@
             met: Instant::now(),
             newcomer: e.call <= k::NEWCOMER_CALLS,
             news: parking_lot::RwLock::new(e.clone()),
-            marked: parking_lot::Mutex::new(Marked {
-                fade: e.fade,
-                turn: e.turn,
-                at: Instant::now(),
-            }),
+            marked: parking_lot::Mutex::new(Instant::now()),
             work: parking_lot::Mutex::default(),
             open: AtomicU32::new(0),
         })
     }
 
     pub fn hear(&self, news: &Engine) {
-        let (fade, turn) = {
-            let mut n = self.news.write();
-            pouch::fleet::merge(&mut n, news);
-            (n.fade, n.turn)
-        };
-        let mut m = self.marked.lock();
-        if (m.fade, m.turn) != (fade, turn) {
-            *m = Marked { fade, turn, at: Instant::now() };
+        let mut n = self.news.write();
+        let before = (n.fade, n.turn);
+        pouch::fleet::merge(&mut n, news);
+        if (n.fade, n.turn) != before {
+            *self.marked.lock() = Instant::now();
         }
-        drop(m);
+        drop(n);
         if news.standing() == Standing::Gone {
             self.work().idle.clear();
         }
@@ -132,7 +119,7 @@
 
     /// Marks of the roll-out count only so long: who set them may be gone.
     pub fn is_marked(&self, now: Instant) -> bool {
-        now.duration_since(self.marked.lock().at) < k::MARK_LIMIT
+        now.duration_since(*self.marked.lock()) < k::MARK_LIMIT
     }
 
     pub fn news(&self) -> parking_lot::RwLockReadGuard<'_, Engine> {
--- a/crates/delivery/src/sight/roll.rs
+++ b/crates/delivery/src/sight/roll.rs
@@ -49,7 +49,7 @@
         zone: &str,
         index: &Index,
         interactive: f64,
-        key: (u64, u64),
+        news: u64,
     ) -> Self {
         let mut rows: Vec<Row> = engines
             .into_iter()
@@ -76,7 +76,7 @@
         for (i, r) in rows.iter().enumerate() {
             numbers[r.at.cell][usize::from(r.at.no.index)] = i as u16;
         }
-        Roll { key, rows, numbers }
+        Roll { key: (news, index.moves()), rows, numbers }
     }
 
     pub fn row(&self, cell: usize, number: u8) -> Option<usize> {
@@ -131,10 +131,8 @@
                 wanted.then(|| (s.clone(), n.clone()))
             })
             .collect();
-        let news = key.0;
         let interactive = self.interactive.lock().1;
-        let roll = Roll::new(engines, zone, index, interactive, (news, 0));
-        let roll = Arc::new(Roll { key: (news, index.moves()), ..roll });
+        let roll = Arc::new(Roll::new(engines, zone, index, interactive, key.0));
         self.made.lock().insert(service.to_owned(), roll.clone());
         roll
     }
--- a/crates/inspector/tests/ask.rs
+++ b/crates/inspector/tests/ask.rs
@@ -1,31 +1,13 @@
 //! Nodes that are down, point elsewhere, or answer nonsense.
 
+mod stand;
+
 use inspector::ask::{AskProblem, look};
-use std::net::SocketAddr;
+use stand::{node, nowhere, ok};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const LIMIT: Duration = Duration::from_secs(5);
 
-async fn node(answer: impl Fn(&str) -> String + Send + Sync + 'static) -> SocketAddr {
-    let l = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let at = l.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((mut s, _)) = l.accept().await {
-            let mut b = vec![0u8; 4096];
-            let n = s.read(&mut b).await.unwrap();
-            let head = String::from_utf8_lossy(&b[..n]).into_owned();
-            assert!(head.starts_with("GET "), "an inspector only reads");
-            s.write_all(answer(&head).as_bytes()).await.unwrap();
-        }
-    });
-    at
-}
-
-fn ok(body: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-}
-
 fn well(head: &str) -> String {
     if head.contains("Fleet.Look") {
         return ok(
@@ -35,10 +17,6 @@
     ok(r#"{"revision":3,"routes":[],"services":[]}"#)
 }
 
-fn nowhere() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 #[tokio::test]
 async fn tries_the_others_and_follows_a_node_that_points_elsewhere() {
     let good = node(well).await;
--- a/crates/inspector/tests/rollout.rs
+++ b/crates/inspector/tests/rollout.rs
@@ -1,30 +1,21 @@
 //! A roll-out as several nodes tell it, some of them wrong, gone or not the one that carries it out.
 
+mod stand;
+
 use inspector::ask::AskProblem;
 use inspector::rollout::{Rollout, ask};
+use stand::{nowhere, ok};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const LIMIT: Duration = Duration::from_secs(5);
 
 async fn node(body: String) -> SocketAddr {
-    let l = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let at = l.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((mut s, _)) = l.accept().await {
-            let mut b = vec![0u8; 4096];
-            let n = s.read(&mut b).await.unwrap();
-            assert!(b[..n].starts_with(b"GET /anisedyke/Rollout.Look "));
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-            s.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
-        }
-    });
-    at
-}
-
-fn nowhere() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    stand::node(move |head| {
+        assert!(head.starts_with("GET /anisedyke/Rollout.Look "));
+        ok(&body)
+    })
+    .await
 }
 
 fn told(holds: bool, left: u64, states: &[(&str, Option<&str>)]) -> String {
--- a/crates/sorting/src/members/loads.rs
+++ b/crates/sorting/src/members/loads.rs
@@ -45,7 +45,11 @@
     /// Over all carriers, as far as they are heard of.
     pub fn total(&self) -> ByEngine {
         let now = Instant::now();
-        let mut all = self.carriers.lock().sum(now);
+        let own = self.carriers.lock().sum(now);
+        self.with_peers(own, now)
+    }
+
+    fn with_peers(&self, mut all: ByEngine, now: Instant) -> ByEngine {
         for (key, l) in self.peers.lock().sum(now) {
             all.entry(key).or_default().add(&l);
         }
@@ -59,14 +63,15 @@
         tokio::time::sleep(k::LOAD_PAUSE).await;
         let now = Instant::now();
         let desk = &s.members.loads;
-        let own = load::pack(&desk.carriers.lock().sum(now));
+        let sum = desk.carriers.lock().sum(now);
+        let own = load::pack(&sum);
         if to_peers.is_due(now, &own) {
             let members = s.acceptor.lock().roster().members.clone();
             for (_, link) in s.peers(&members) {
                 let _ = link.tell(Body::Loads(own.clone()));
             }
         }
-        let total = desk.total();
+        let total = desk.with_peers(sum, now);
         desk.remember(&total);
         let all = load::pack(&total);
         if !to_carriers.is_due(now, &all) {
--- a/crates/sorting/src/members/roster.rs
+++ b/crates/sorting/src/members/roster.rs
@@ -152,11 +152,7 @@
             return None;
         }
         let joiner = joiners.iter().filter(outside).min_by_key(|m| (in_zone(m), m.ip.clone()))?;
-        let mut next = roster.clone();
-        next.epoch += 1;
-        next.members.push(joiner.clone());
-        next.members.sort_by(|a, b| a.ip.cmp(&b.ip));
-        return Some(next);
+        return Some(grown(roster, joiner));
     }
     if voters < roster.members.len() / 2 + 1 {
         return None;
@@ -219,9 +215,14 @@
 }
 
 fn exchanged(roster: &Roster, lost: &Member, joiner: &Member) -> Roster {
+    let mut next = grown(roster, joiner);
+    next.members.retain(|m| m.ip != lost.ip);
+    next
+}
+
+fn grown(roster: &Roster, joiner: &Member) -> Roster {
     let mut next = roster.clone();
     next.epoch += 1;
-    next.members.retain(|m| m.ip != lost.ip);
     next.members.push(joiner.clone());
     next.members.sort_by(|a, b| a.ip.cmp(&b.ip));
     next
