--- a/crates/sorting/src/api/config.rs
+++ b/crates/control-plane/src/api/config.rs
@@ -2,9 +2,9 @@
 
 use super::{Context, json, rejected, whole};
 use crate::control::{owner, values};
+use fleet_core::log::Event;
+use fleet_core::wire::{ChangeKind, ConfigValue, Outcome, ReplaceConfig};
 use http::StatusCode;
-use pouch::log::Event;
-use pouch::wire::{ChangeKind, ConfigValue, Outcome, ReplaceConfig};
 use prost::Message;
 
 #[dropshot::endpoint { method = POST, path = "/anisedyke/Config.Replace" }]
@@ -21,9 +21,9 @@
             "X-Base-Revision: not a version".to_owned(),
         ));
     };
-    let body = whole(body, pouch::constants::CONFIG_BYTES).await?;
-    let c = pouch::configuration::Configuration::read(&body).map_err(|p| {
-        pouch::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
+    let body = whole(body, fleet_core::constants::CONFIG_BYTES).await?;
+    let c = fleet_core::configuration::Configuration::read(&body).map_err(|p| {
+        fleet_core::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
         rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string())
     })?;
     let r = ReplaceConfig { base, stamp: c.revision, body };
@@ -37,7 +37,7 @@
         )),
         Outcome::Invalid => {
             let p = values::problem_of(&r, &changed);
-            pouch::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
+            fleet_core::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
             Err(rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string()))
         }
         Outcome::Unknown => Err(rejected(
@@ -54,7 +54,9 @@
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
     let got =
-        match tokio::time::timeout(pouch::constants::CHANGE_LIMIT, s.read(values::CONFIG)).await {
+        match tokio::time::timeout(fleet_core::constants::CHANGE_LIMIT, s.read(values::CONFIG))
+            .await
+        {
             Ok(Some((_, v))) => ConfigValue::decode(v).ok(),
             _ => None,
         };
--- a/crates/sorting/src/api/fleet.rs
+++ b/crates/control-plane/src/api/fleet.rs
@@ -1,8 +1,8 @@
-//! The fleet as this postmaster sees it; read-only, and made only when asked for.
+//! The fleet as this controller sees it; read-only, and made only when asked for.
 
 use super::{Context, json};
+use fleet_core::wire::{Engine, Standing};
 use http::StatusCode;
-use pouch::wire::{Engine, Standing};
 
 fn row(e: &Engine) -> serde_json::Value {
     let standing = match e.standing() {
@@ -26,7 +26,7 @@
     let body = rq.context().look(|n| {
         serde_json::json!({
             "revision": n.config.map_or(0, |c| c.0),
-            "carriers": n.carriers,
+            "routers": n.routers,
             "engines": n.engines.values().map(row).collect::<Vec<_>>(),
         })
     });
--- a/crates/sorting/src/api/instances.rs
+++ b/crates/control-plane/src/api/instances.rs
@@ -2,8 +2,8 @@
 
 use super::{Context, json, rejected, whole};
 use crate::engines::registry;
+use fleet_core::wire::{Engine, Standing, Weights};
 use http::StatusCode;
-use pouch::wire::{Engine, Standing, Weights};
 
 #[derive(serde::Deserialize, schemars::JsonSchema)]
 pub struct Id {
@@ -56,7 +56,7 @@
     body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
-    let body = whole(body, pouch::constants::BEAT_BYTES).await?;
+    let body = whole(body, fleet_core::constants::BEAT_BYTES).await?;
     let beat: Beat = serde_json::from_slice(&body).map_err(malformed)?;
     if beat.address.parse::<std::net::SocketAddr>().is_err() {
         return Err(malformed("address: not an address with a port"));
@@ -87,7 +87,7 @@
     json(StatusCode::OK, "{}")
 }
 
-/// Acknowledged only when a majority of the postmasters has it.
+/// Acknowledged only when a majority of the controllers has it.
 async fn told(s: &Context, id: &str) -> Result<(), dropshot::HttpError> {
     let Some(e) = s.look(|n| n.engines.get(id).cloned()) else { return Ok(()) };
     if registry::share_now(s, e).await {
@@ -108,7 +108,7 @@
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
     let id = path.into_inner().id;
-    let body = whole(body, pouch::constants::BEAT_BYTES).await?;
+    let body = whole(body, fleet_core::constants::BEAT_BYTES).await?;
     let leave: Leave = if body.is_empty() {
         Leave::default()
     } else {
--- a/crates/sorting/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -69,7 +69,7 @@
     registered.map_err(|e| std::io::Error::other(e.to_string()))?;
     let settings = dropshot::ConfigDropshot {
         bind_address: at,
-        default_request_body_max_bytes: pouch::constants::CONFIG_BYTES * 2,
+        default_request_body_max_bytes: fleet_core::constants::CONFIG_BYTES * 2,
         default_handler_task_mode: dropshot::HandlerTaskMode::Detached,
         ..Default::default()
     };
--- a/crates/sorting/src/api/weights.rs
+++ b/crates/control-plane/src/api/weights.rs
@@ -2,8 +2,8 @@
 
 use super::{Context, json, rejected, whole};
 use crate::control::owner;
+use fleet_core::wire::{ChangeKind, NameStamp, Outcome};
 use http::StatusCode;
-use pouch::wire::{ChangeKind, NameStamp, Outcome};
 
 #[derive(serde::Deserialize)]
 struct Put {
@@ -17,7 +17,7 @@
     body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
-    let body = whole(body, pouch::constants::BEAT_BYTES).await?;
+    let body = whole(body, fleet_core::constants::BEAT_BYTES).await?;
     let p: Put = serde_json::from_slice(&body)
         .map_err(|e| rejected(StatusCode::BAD_REQUEST, "malformed", e.to_string()))?;
     let change = ChangeKind::Name(NameStamp { model: p.model, stamp: p.revision });
--- a/crates/sorting/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -1,7 +1,7 @@
 //! The part of a register that every member holds and votes with.
 
 use crate::disk::format::Record;
-use pouch::wire::{Accept, Ballot, Member, Peeked, Prepare, Register, Roster, Vote};
+use fleet_core::wire::{Accept, Ballot, Member, Peeked, Prepare, Register, Roster, Vote};
 use prost::Message;
 
 /// Holds the roster in force; never a key of the control state itself.
--- a/crates/sorting/src/control/owner.rs
+++ b/crates/control-plane/src/control/owner.rs
@@ -3,11 +3,11 @@
 use super::round::{Round, Verdict};
 use super::values::{self, Decision};
 use crate::Sorting;
-use pouch::constants as k;
-use pouch::wire::{Accept, Ballot, Body, ChangeKind, Changed, Outcome, Prepare, Vote};
+use fleet_core::constants as k;
+use fleet_core::wire::{Accept, Ballot, Body, ChangeKind, Changed, Outcome, Prepare, Vote};
 use std::sync::Arc;
 
-/// A key that this postmaster has prepared on a majority, and its committed value.
+/// A key that this controller has prepared on a majority, and its committed value.
 pub struct Owned {
     ballot: Ballot,
     value: bytes::Bytes,
@@ -133,7 +133,7 @@
                 };
                 match accept(s, key, &o, &value).await {
                     Ok(()) => {
-                        pouch::note!(s.log, pouch::log::Event::OwnerTaken, "key" => key, "epoch" => ballot.n);
+                        fleet_core::note!(s.log, fleet_core::log::Event::OwnerTaken, "key" => key, "epoch" => ballot.n);
                         return Ok(o);
                     }
                     Err(e) => e,
@@ -242,17 +242,17 @@
     s: &Arc<Sorting>,
     change: &ChangeKind,
     to: u64,
-    members: &[pouch::wire::Member],
+    members: &[fleet_core::wire::Member],
 ) -> Option<Changed> {
     let (_, link) = s.peers(members).into_iter().find(|(id, _)| *id == to)?;
-    let body = Body::Change(pouch::wire::Change { kind: Some(change.clone()) });
+    let body = Body::Change(fleet_core::wire::Change { kind: Some(change.clone()) });
     match link.call(body, k::OWNER_LIMIT).await {
         Ok(Body::Changed(c)) if c.outcome() != Outcome::Unknown => Some(c),
         _ => None,
     }
 }
 
-/// A change that another postmaster passed here: no further passing.
+/// A change that another controller passed here: no further passing.
 pub async fn settle_passed(s: &Arc<Sorting>, change: &ChangeKind) -> Changed {
     if s.disk_broken() {
         return values::unknown();
--- a/crates/sorting/src/control/round.rs
+++ b/crates/control-plane/src/control/round.rs
@@ -1,6 +1,6 @@
 //! Counting the votes of one phase.
 
-use pouch::wire::{Ballot, Register, Vote};
+use fleet_core::wire::{Ballot, Register, Vote};
 
 #[derive(Debug, PartialEq, Eq, Clone, Copy)]
 pub enum Verdict {
--- a/crates/sorting/src/control/schedules.rs
+++ b/crates/control-plane/src/control/schedules.rs
@@ -5,7 +5,7 @@
 use super::acceptor::Acceptor;
 use super::round::{Round, Verdict};
 use crate::disk::format::{Record, State};
-use pouch::wire::{Accept, Ballot, Member, Peeked, Prepare, Register, Roster, Vote};
+use fleet_core::wire::{Accept, Ballot, Member, Peeked, Prepare, Register, Roster, Vote};
 use std::net::Ipv4Addr;
 
 const KEY: &str = "k";
--- a/crates/sorting/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -1,7 +1,7 @@
 //! What each key holds, and the rules of changing it.
 
-use pouch::configuration::{ConfigProblem, Configuration};
-use pouch::wire::{
+use fleet_core::configuration::{ConfigProblem, Configuration};
+use fleet_core::wire::{
     ChangeKind, Changed, ConfigValue, DutyValue, Outcome, RaiseFence, ReplaceConfig, Taken,
     WeightsValue,
 };
@@ -41,7 +41,7 @@
 }
 
 pub fn digest(body: &[u8]) -> u64 {
-    pouch::node::stable_hash(&[body, &(body.len() as u64).to_be_bytes()])
+    fleet_core::node::stable_hash(&[body, &(body.len() as u64).to_be_bytes()])
 }
 
 /// Decides on the committed value alone.
@@ -85,7 +85,7 @@
     let old = Configuration::read(&now.body).ok();
     let mut taken = now.taken;
     taken.push(own);
-    if taken.len() > pouch::constants::TAKEN_KEPT {
+    if taken.len() > fleet_core::constants::TAKEN_KEPT {
         taken.remove(0);
     }
     let rises = old.as_ref().is_none_or(|old| newly_isolated(old, &c));
@@ -180,7 +180,8 @@
     #[test]
     fn named_weights_never_fall() {
         let mut now = bytes::Bytes::new();
-        let name = |s| ChangeKind::Name(pouch::wire::NameStamp { model: "m".into(), stamp: s });
+        let name =
+            |s| ChangeKind::Name(fleet_core::wire::NameStamp { model: "m".into(), stamp: s });
         assert_eq!(step(&mut now, &name(3)), (Outcome::Done, 3));
         assert_eq!(step(&mut now, &name(2)), (Outcome::Done, 3));
         assert_eq!(WeightsValue::decode(now).unwrap().stamp, 3);
--- a/crates/sorting/src/disk/format.rs
+++ b/crates/control-plane/src/disk/format.rs
@@ -1,6 +1,6 @@
 //! Bytes on the disk.
 
-use pouch::wire::Register;
+use fleet_core::wire::Register;
 use prost::Message;
 
 const MAGIC: u32 = 0xA215_ED01;
--- a/crates/sorting/src/disk/writer.rs
+++ b/crates/control-plane/src/disk/writer.rs
@@ -2,7 +2,7 @@
 
 use super::format::{self, Record, Slot, State};
 use super::{DiskProblem, refused};
-use pouch::constants as k;
+use fleet_core::constants as k;
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
@@ -175,9 +175,9 @@
                 flag.store(bad, std::sync::atomic::Ordering::Relaxed);
                 match (&out, was) {
                     (Err(e), false) => {
-                        pouch::note!(log, pouch::log::Event::DiskProblem, "problem" => e.to_string());
+                        fleet_core::note!(log, fleet_core::log::Event::DiskProblem, "problem" => e.to_string());
                     }
-                    (Ok(()), true) => pouch::note!(log, pouch::log::Event::DiskMended),
+                    (Ok(()), true) => fleet_core::note!(log, fleet_core::log::Event::DiskMended),
                     _ => {}
                 }
                 for j in jobs {
@@ -218,10 +218,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use pouch::wire::{Ballot, Register};
+    use fleet_core::wire::{Ballot, Register};
 
     fn dir(name: &str) -> PathBuf {
-        let d = std::env::temp_dir().join(format!("sorting-{}-{name}", std::process::id()));
+        let d = std::env::temp_dir().join(format!("control_plane-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&d);
         d
     }
--- a/crates/sorting/src/duties/keeper.rs
+++ b/crates/control-plane/src/duties/keeper.rs
@@ -5,14 +5,14 @@
 use crate::Sorting;
 use crate::engines::outside::Line;
 use crate::facts::Fact;
-use pouch::constants as k;
-use pouch::log::Event;
-use pouch::wire::{
+use fleet_core::constants as k;
+use fleet_core::log::Event;
+use fleet_core::wire::{
     HeldParts, PartAt, Purge, RingAsk, RingEntry, RingGive, RingHead, Standing, Weights,
 };
-use recall::cache::Cache;
-use recall::draft::{Draft, Local};
-use recall::ring::{Read, Ring};
+use invalidation::cache::Cache;
+use invalidation::draft::{Draft, Local};
+use invalidation::ring::{Read, Ring};
 use std::sync::Arc;
 
 type Parts = hashbrown::HashMap<u64, u64, ahash::RandomState>;
@@ -20,7 +20,7 @@
 type Unshared = hashbrown::HashMap<u64, Vec<Held>, ahash::RandomState>;
 
 /// holder, then salt, then parts with the tokens kept: what the keeper believes of the parts that
-/// requests share. Parts of single requests wait apart, bounded, until a carrier names them.
+/// requests share. Parts of single requests wait apart, bounded, until a router names them.
 #[derive(Default)]
 pub struct Index {
     holders: hashbrown::HashMap<Arc<str>, hashbrown::HashMap<Arc<str>, Parts>>,
@@ -32,7 +32,7 @@
 
 impl Local<RingEntry> for Index {
     fn apply(&mut self, e: &RingEntry) {
-        recall::cache::apply(self, e, |_| true);
+        invalidation::cache::apply(self, e, |_| true);
     }
 
     /// Unlearning twice does no harm.
@@ -129,7 +129,7 @@
         v.push(held);
     }
 
-    /// What a carrier's own sends leave: it also names these parts as shared.
+    /// What a router's own sends leave: it also names these parts as shared.
     pub fn hear(&mut self, found: &[HeldParts]) {
         for part in found.iter().flat_map(|h| &h.parts) {
             if !self.shared.insert(*part) {
@@ -141,7 +141,7 @@
                 self.found(&holder, &salt, *part, Some(kept).filter(|k| *k > 0));
             }
         }
-        recall::cache::refill(self, found);
+        invalidation::cache::refill(self, found);
     }
 
     fn find(&mut self, holder: Arc<str>, salt: Arc<str>, part: u64, kept: u64) {
@@ -232,7 +232,7 @@
         };
         for reader in nudged {
             if let Some(o) = s.members.origins.lock().get(&reader) {
-                let _ = o.push(pouch::wire::Body::View(pouch::wire::View {
+                let _ = o.push(fleet_core::wire::Body::View(fleet_core::wire::View {
                     nudge: true,
                     ..Default::default()
                 }));
@@ -276,14 +276,14 @@
     }
 }
 
-/// What a carrier's own sends leave behind; nothing where another is the keeper.
-pub fn hear_found(s: &Sorting, f: &pouch::wire::Found) {
+/// What a router's own sends leave behind; nothing where another is the keeper.
+pub fn hear_found(s: &Sorting, f: &fleet_core::wire::Found) {
     if let Some(keeper) = s.duties.keeper.lock().clone() {
         keeper.index.lock().hear(&f.held);
     }
 }
 
-/// What a carrier asks of the ring: entries behind its cursor, or a reset with a digest.
+/// What a router asks of the ring: entries behind its cursor, or a reset with a digest.
 /// An answer without a head means later.
 pub fn give(s: &Arc<Sorting>, a: &RingAsk) -> Option<RingGive> {
     let keeper = s.duties.keeper.lock().clone()?;
@@ -323,14 +323,14 @@
         let keeper = Arc::new(Keeper {
             started: tokio::time::Instant::now(),
             fence,
-            life: pouch::node::fresh(),
+            life: fleet_core::node::fresh(),
             ring: Ring::new(k::RING_SLOTS, k::RING_BATCH, k::RING_LAG),
             index: parking_lot::Mutex::default(),
             readers: parking_lot::Mutex::default(),
             refills: parking_lot::Mutex::default(),
         });
         *s.duties.keeper.lock() = Some(keeper.clone());
-        pouch::note!(s.log, Event::RingStarted, "fence" => fence, "life" => keeper.life);
+        fleet_core::note!(s.log, Event::RingStarted, "fence" => fence, "life" => keeper.life);
         s.append(Fact::Ring(keeper.head(&s)));
         keep(&s, &keeper).await;
         *s.duties.keeper.lock() = None;
@@ -371,7 +371,7 @@
             for (model, (stamp, _)) in &n.weights {
                 let all_there = !n.engines.values().any(|e| {
                     e.standing() == Standing::Ready
-                        && pouch::fleet::stamp_of(e, model).is_some_and(|x| x < *stamp)
+                        && fleet_core::fleet::stamp_of(e, model).is_some_and(|x| x < *stamp)
                 });
                 if all_there && seen_weights.insert(model.clone(), *stamp) != Some(*stamp) {
                     purges.push(Purge::Weights(Weights { model: model.clone(), stamp: *stamp }));
@@ -415,10 +415,10 @@
 fn stores(s: &Sorting) -> Vec<(String, String)> {
     let learned = s.learned.lock();
     let Some((_, v)) = learned.get(crate::control::values::CONFIG) else { return Vec::new() };
-    let Ok(c) = <pouch::wire::ConfigValue as prost::Message>::decode(v.clone()) else {
+    let Ok(c) = <fleet_core::wire::ConfigValue as prost::Message>::decode(v.clone()) else {
         return Vec::new();
     };
-    let Ok(c) = pouch::configuration::Configuration::read(&c.body) else { return Vec::new() };
+    let Ok(c) = fleet_core::configuration::Configuration::read(&c.body) else { return Vec::new() };
     c.services.into_iter().filter_map(|x| x.kv_store.map(|a| (a.clone(), a))).collect()
 }
 
@@ -437,7 +437,7 @@
             .and_then(|a| serde_json::from_slice::<Events>(&a.body).ok());
         let Some(e) = got else {
             if at.take().is_some() {
-                pouch::note!(s.log, Event::HolderReset, "holder" => &holder);
+                fleet_core::note!(s.log, Event::HolderReset, "holder" => &holder);
                 keeper.commit(&s, [Purge::Holder(holder.clone())]);
             }
             tokio::time::sleep(k::ENGINE_CALL_LIMIT).await;
@@ -447,7 +447,7 @@
         let gap = at.is_some() && e.lost;
         at = Some((e.epoch, if other_life { 0 } else { e.next_token }));
         if other_life || gap {
-            pouch::note!(s.log, Event::HolderReset, "holder" => &holder);
+            fleet_core::note!(s.log, Event::HolderReset, "holder" => &holder);
             keeper.commit(&s, [Purge::Holder(holder.clone())]);
         }
         if !other_life {
@@ -505,7 +505,7 @@
     }
 
     #[test]
-    fn parts_of_single_requests_are_told_only_once_a_carrier_names_them() {
+    fn parts_of_single_requests_are_told_only_once_a_router_names_them() {
         let mut index = Index::default();
         let purges =
             Keeper::take_events(&mut index, "a", &events(r#"[1,"+","m|1|#1","aa",8,"m"]"#));
--- a/crates/sorting/src/duties/mod.rs
+++ b/crates/control-plane/src/duties/mod.rs
@@ -5,9 +5,9 @@
 
 use crate::Sorting;
 use crate::control::owner;
-use pouch::constants as k;
-use pouch::log::Event;
-use pouch::wire::{Body, ChangeKind, Lease, Leased, Outcome, RaiseFence};
+use fleet_core::constants as k;
+use fleet_core::log::Event;
+use fleet_core::wire::{Body, ChangeKind, Lease, Leased, Outcome, RaiseFence};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -168,7 +168,7 @@
         }
         if held.until.is_some() {
             s.duties.held.lock().remove(duty);
-            pouch::note!(s.log, Event::DutyLeft, "duty" => duty);
+            fleet_core::note!(s.log, Event::DutyLeft, "duty" => duty);
         }
         let free = s.duties.grants.lock().free(duty, &s.node.name, now);
         if !free || !s.acceptor.lock().votes() || s.disk_broken() {
@@ -208,7 +208,7 @@
         fence: c.number,
     };
     s.duties.held.lock().insert(duty, held);
-    pouch::note!(s.log, Event::DutyTaken, "duty" => duty, "fence" => c.number);
+    fleet_core::note!(s.log, Event::DutyTaken, "duty" => duty, "fence" => c.number);
 }
 
 #[cfg(test)]
--- a/crates/sorting/src/duties/rollout/look.rs
+++ b/crates/control-plane/src/duties/rollout/look.rs
@@ -1,9 +1,9 @@
-//! The roll-out as this postmaster sees it; made only when asked for, and changes nothing.
+//! The roll-out as this controller sees it; made only when asked for, and changes nothing.
 
 use super::plan::{Plan, Step};
 use crate::Sorting;
-use pouch::constants as k;
-use pouch::wire::{Engine, Standing};
+use fleet_core::constants as k;
+use fleet_core::wire::{Engine, Standing};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -26,13 +26,13 @@
     if e.silent {
         return State::Silent;
     }
-    if pouch::fleet::stamp_of(e, model).is_some_and(|v| v >= named) {
+    if fleet_core::fleet::stamp_of(e, model).is_some_and(|v| v >= named) {
         return State::Ready;
     }
-    if pouch::fleet::is_changing(e, model, Some(named)) {
+    if fleet_core::fleet::is_changing(e, model, Some(named)) {
         return State::Turning;
     }
-    if pouch::fleet::is_fading(e, model, Some(named)) { State::Fading } else { State::Waiting }
+    if fleet_core::fleet::is_fading(e, model, Some(named)) { State::Fading } else { State::Waiting }
 }
 
 /// Why an engine is no further, where something is wrong with it.
@@ -53,7 +53,7 @@
     let step = plan.step(&e.id).map(|s| (s, now));
     serde_json::json!({
         "id": e.id, "zone": e.zone, "state": state,
-        "revision": pouch::fleet::stamp_of(e, model),
+        "revision": fleet_core::fleet::stamp_of(e, model),
         "stuck": stuck(state, step, plan.problem(&e.id)),
     })
 }
@@ -71,7 +71,7 @@
                 .engines
                 .values()
                 .filter(|e| e.standing() == Standing::Ready)
-                .filter(|e| pouch::fleet::stamp_of(e, model).is_some())
+                .filter(|e| fleet_core::fleet::stamp_of(e, model).is_some())
                 .collect();
             engines.sort_by(|a, b| a.id.cmp(&b.id));
             let age = at.map_or(Duration::ZERO, |t| now.duration_since(t));
--- a/crates/sorting/src/duties/rollout/mod.rs
+++ b/crates/control-plane/src/duties/rollout/mod.rs
@@ -7,10 +7,10 @@
 use crate::Sorting;
 use crate::engines::{outside::Line, registry};
 use crate::facts::Fact;
+use fleet_core::constants as k;
+use fleet_core::log::Event;
+use fleet_core::wire::{Engine, Standing};
 use plan::{Action, Old, Plan};
-use pouch::constants as k;
-use pouch::log::Event;
-use pouch::wire::{Engine, Standing};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -48,7 +48,7 @@
 
 /// An engine that is neither gone nor silent and serves the model.
 fn serves(e: &Engine, model: &str) -> bool {
-    e.standing() == Standing::Ready && !e.silent && pouch::fleet::stamp_of(e, model).is_some()
+    e.standing() == Standing::Ready && !e.silent && fleet_core::fleet::stamp_of(e, model).is_some()
 }
 
 /// What to begin now for each model, by its engines as they are known.
@@ -64,13 +64,13 @@
             s.look(|n| n.engines.values().filter(|e| serves(e, &model)).cloned().collect());
         let mut old = Vec::new();
         for e in &engines {
-            if pouch::fleet::stamp_of(e, &model).is_none_or(|v| v >= stamp) {
+            if fleet_core::fleet::stamp_of(e, &model).is_none_or(|v| v >= stamp) {
                 continue;
             }
-            if pouch::fleet::is_fading(e, &model, Some(stamp)) {
+            if fleet_core::fleet::is_fading(e, &model, Some(stamp)) {
                 plan.adopt(&e.id, now);
             }
-            let key = pouch::load::key_of(&e.id);
+            let key = fleet_core::load::key_of(&e.id);
             let load = loads.get(&key).copied().unwrap_or_default();
             old.push(Old {
                 id: e.id.clone(),
@@ -95,7 +95,7 @@
             n.weights.iter().any(|(m, (stamp, _))| {
                 n.engines.values().any(|e| {
                     e.standing() != Standing::Gone
-                        && pouch::fleet::stamp_of(e, m).is_some_and(|x| x < *stamp)
+                        && fleet_core::fleet::stamp_of(e, m).is_some_and(|x| x < *stamp)
                 })
             })
         });
@@ -129,7 +129,7 @@
     }
 }
 
-/// Tells all carriers of the turn, orders, waits for its end, and tells that.
+/// Tells all routers of the turn, orders, waits for its end, and tells that.
 async fn turn(
     s: &Arc<Sorting>,
     id: &str,
@@ -144,15 +144,17 @@
     let done = order(s, &mut line, e, model, stamp).await;
     match &done {
         Ok(took) => {
-            pouch::note!(s.log, Event::RollDone, "ms" => took.as_millis() as u64, "id" => &e.id, "stamp" => stamp)
+            fleet_core::note!(s.log, Event::RollDone, "ms" => took.as_millis() as u64, "id" => &e.id, "stamp" => stamp)
+        }
+        Err(p) => {
+            fleet_core::note!(s.log, Event::RollProblem, "id" => &e.id, "why" => p.to_string())
         }
-        Err(p) => pouch::note!(s.log, Event::RollProblem, "id" => &e.id, "why" => p.to_string()),
     }
     tell(s, &e.id, |x| {
         x.turn += x.turn % 2;
         x.fade += x.fade % 2;
         if done.is_ok() {
-            pouch::fleet::raise(x, model, stamp);
+            fleet_core::fleet::raise(x, model, stamp);
         }
     })
     .await;
@@ -206,7 +208,7 @@
                     .await;
                 match answer.map(|a| a.status.as_u16()) {
                     Ok(202) => {
-                        pouch::note!(s.log, Event::RollOrdered, "id" => &e.id, "stamp" => stamp);
+                        fleet_core::note!(s.log, Event::RollOrdered, "id" => &e.id, "stamp" => stamp);
                         ordered = true;
                         alone = (r.active == 0).then(Instant::now);
                     }
--- a/crates/sorting/src/duties/rollout/plan.rs
+++ b/crates/control-plane/src/duties/rollout/plan.rs
@@ -1,7 +1,7 @@
 //! Which engines turn to new weights next: those that serve people who wait come first.
 //! Serving, then (with long streams) Fading, then Turning, then at the named weights.
 
-use pouch::constants as k;
+use fleet_core::constants as k;
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/sorting/src/engines/outside.rs
+++ b/crates/control-plane/src/engines/outside.rs
@@ -1,14 +1,14 @@
 //! Calls to engines and the store: one kept connection each.
 
+use fleet_core::constants as k;
 use http_body_util::BodyExt;
-use pouch::constants as k;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum OutsideProblem {
     /// cannot connect: {0}
-    Connect(pouch::link::LinkProblem),
+    Connect(fleet_core::link::LinkProblem),
     /// the call broke off
     Broken,
     /// no answer in time
@@ -45,7 +45,7 @@
         {
             return Ok(s);
         }
-        let io = pouch::link::connect(self.own, self.to, k::CONNECT_LIMIT)
+        let io = fleet_core::link::connect(self.own, self.to, k::CONNECT_LIMIT)
             .await
             .map_err(OutsideProblem::Connect)?;
         let (s, conn) = hyper::client::conn::http1::Builder::new()
--- a/crates/sorting/src/engines/registry.rs
+++ b/crates/control-plane/src/engines/registry.rs
@@ -2,9 +2,9 @@
 
 use crate::Sorting;
 use crate::facts::Fact;
-use pouch::constants as k;
-use pouch::log::Event;
-use pouch::wire::{Beats, Body, Engine, Standing};
+use fleet_core::constants as k;
+use fleet_core::log::Event;
+use fleet_core::wire::{Beats, Body, Engine, Standing};
 use std::sync::Arc;
 
 #[derive(Default)]
@@ -13,7 +13,7 @@
     outbox: parking_lot::Mutex<hashbrown::HashMap<String, Engine>>,
 }
 
-/// Takes news of an engine; its own heartbeats are told on, those of other postmasters are not.
+/// Takes news of an engine; its own heartbeats are told on, those of other controllers are not.
 pub fn hear(s: &Sorting, news: Engine, own: bool) -> bool {
     let known = s.look(|n| n.engines.get(&news.id).cloned());
     let fresh = known.as_ref().is_none_or(|e| news.call > e.call);
@@ -26,7 +26,7 @@
     let (merged, changed) = match known {
         None => (news, true),
         Some(mut e) => {
-            let changed = pouch::fleet::merge(&mut e, &news);
+            let changed = fleet_core::fleet::merge(&mut e, &news);
             (e, changed)
         }
     };
@@ -36,7 +36,7 @@
             Standing::Draining => Event::EngineDraining,
             Standing::Gone => Event::EngineGone,
         };
-        pouch::note!(s.log, event, "id" => &merged.id, "at" => &merged.address);
+        fleet_core::note!(s.log, event, "id" => &merged.id, "at" => &merged.address);
     }
     if changed {
         s.append(Fact::Engine(merged));
@@ -47,7 +47,7 @@
 }
 
 impl Sorting {
-    /// A call number without other news moves no view of the carriers.
+    /// A call number without other news moves no view of the routers.
     fn touch(&self, e: Engine) {
         self.known.lock().amend(|n| {
             n.engines.insert(e.id.clone(), e);
@@ -55,7 +55,7 @@
     }
 }
 
-/// Tells the others at once, and waits until a majority of the postmasters has it.
+/// Tells the others at once, and waits until a majority of the controllers has it.
 pub async fn share_now(s: &Arc<Sorting>, e: Engine) -> bool {
     s.engines.outbox.lock().remove(&e.id);
     let members = s.acceptor.lock().roster().members.clone();
@@ -128,7 +128,7 @@
             if silent != e.silent {
                 e.silent = silent;
                 if silent {
-                    pouch::note!(s.log, Event::EngineSilent, "id" => &e.id);
+                    fleet_core::note!(s.log, Event::EngineSilent, "id" => &e.id);
                 }
                 s.append(Fact::Engine(e));
             }
--- a/crates/sorting/src/facts.rs
+++ b/crates/control-plane/src/facts.rs
@@ -1,6 +1,6 @@
-//! Events of a postmaster, and the view folded from them.
+//! Events of a controller, and the view folded from them.
 
-use pouch::wire::{Engine, NamedWeights, RingHead, Roster, View};
+use fleet_core::wire::{Engine, NamedWeights, RingHead, Roster, View};
 
 #[derive(Debug, Clone)]
 pub enum Fact {
@@ -9,7 +9,7 @@
     Roster(Roster),
     Engine(Engine),
     Ring(RingHead),
-    Carriers(u32),
+    Routers(u32),
 }
 
 #[derive(Debug, Default)]
@@ -19,10 +19,10 @@
     pub roster: Roster,
     pub engines: hashbrown::HashMap<String, Engine>,
     pub ring: Option<RingHead>,
-    pub carriers: u32,
+    pub routers: u32,
 }
 
-impl pouch::journal::Fold for Known {
+impl fleet_core::journal::Fold for Known {
     type Event = Fact;
     fn fold(&mut self, fact: &Fact) {
         match fact {
@@ -36,7 +36,7 @@
                 self.engines.insert(e.id.clone(), e.clone());
             }
             Fact::Ring(h) => self.ring = Some(h.clone()),
-            Fact::Carriers(n) => self.carriers = *n,
+            Fact::Routers(n) => self.routers = *n,
         }
     }
 }
@@ -55,7 +55,7 @@
             weights: self.weights.keys().filter_map(|m| self.named(m)).collect(),
             engines: self.engines.values().cloned().collect(),
             ring: self.ring.clone(),
-            carriers: self.carriers,
+            routers: self.routers,
             nudge: false,
         }
     }
@@ -76,7 +76,7 @@
                     v.engines.extend(self.engines.get(&e.id).cloned());
                 }
                 Fact::Ring(_) => v.ring = self.ring.clone(),
-                Fact::Carriers(_) => v.carriers = self.carriers,
+                Fact::Routers(_) => v.routers = self.routers,
             }
         }
         v
--- a/crates/sorting/src/learner.rs
+++ b/crates/control-plane/src/learner.rs
@@ -3,9 +3,9 @@
 use crate::control::{owner, values};
 use crate::facts::Fact;
 use crate::{Sorting, members};
-use pouch::constants as k;
-use pouch::log::Event;
-use pouch::wire::{
+use fleet_core::constants as k;
+use fleet_core::log::Event;
+use fleet_core::wire::{
     Ballot, Body, Committed, ConfigValue, Fetch, Peek, Peeked, Roster, WeightsValue,
 };
 use prost::Message;
@@ -133,7 +133,7 @@
             && self.look(|n| n.config.is_none_or(|(s, _)| s < c.stamp))
             && c.stamp > 0
         {
-            pouch::note!(self.log, Event::ConfigTaken, "stamp" => c.stamp);
+            fleet_core::note!(self.log, Event::ConfigTaken, "stamp" => c.stamp);
             self.append(Fact::Config { stamp: c.stamp, wall: c.wall });
         }
         if let Some(m) = values::model_of(key)
@@ -141,7 +141,7 @@
             && self.look(|n| n.weights.get(m).is_none_or(|(s, _)| *s < w.stamp))
             && w.stamp > 0
         {
-            pouch::note!(self.log, Event::StampNamed, "model" => m, "stamp" => w.stamp);
+            fleet_core::note!(self.log, Event::StampNamed, "model" => m, "stamp" => w.stamp);
             self.append(Fact::Weights { model: m.to_owned(), stamp: w.stamp });
         }
         if key == values::ROSTER
--- a/crates/sorting/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,4 +1,4 @@
-//! The control plane: what the postmaster program is made of.
+//! The control plane: what the controller program is made of.
 
 pub mod api;
 pub mod control;
@@ -9,14 +9,14 @@
 pub mod learner;
 pub mod members;
 
-use pouch::log::Event;
-use pouch::wire::{Ballot, Roster};
+use fleet_core::log::Event;
+use fleet_core::wire::{Ballot, Roster};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum SortingProblem {
-    /// {0}: not in the settings, which a postmaster needs
+    /// {0}: not in the settings, which a controller needs
     ParamMissing(&'static str),
     /// the disk can't be used: {0}
     Disk(disk::DiskProblem),
@@ -26,16 +26,16 @@
     Control(std::io::ErrorKind),
 }
 
-/// All state of a postmaster. Lock order: acceptor, learned, known, then the rest one at a time.
+/// All state of a controller. Lock order: acceptor, learned, known, then the rest one at a time.
 pub struct Sorting {
-    pub node: pouch::node::Node,
+    pub node: fleet_core::node::Node,
     pub log: slog::Logger,
-    params: parking_lot::RwLock<Arc<pouch::params::Params>>,
+    params: parking_lot::RwLock<Arc<fleet_core::params::Params>>,
     pub acceptor: parking_lot::Mutex<control::acceptor::Acceptor>,
     disk: disk::writer::Disk,
     pub owners: control::owner::Owners,
     learned: parking_lot::Mutex<hashbrown::HashMap<String, (Ballot, bytes::Bytes)>>,
-    known: parking_lot::Mutex<pouch::journal::Journal<facts::Known>>,
+    known: parking_lot::Mutex<fleet_core::journal::Journal<facts::Known>>,
     head: tokio::sync::watch::Sender<u64>,
     pub engines: engines::registry::Registry,
     pub members: members::Members,
@@ -46,13 +46,13 @@
 }
 
 impl Sorting {
-    pub fn params(&self) -> Arc<pouch::params::Params> {
+    pub fn params(&self) -> Arc<fleet_core::params::Params> {
         self.params.read().clone()
     }
 
     pub fn chance(&self, below: u64) -> u64 {
         let x = self.dice.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
-        pouch::node::stable_hash(&[&x.to_le_bytes()]) % below.max(1)
+        fleet_core::node::stable_hash(&[&x.to_le_bytes()]) % below.max(1)
     }
 
     pub fn disk_broken(&self) -> bool {
@@ -99,7 +99,7 @@
             return;
         }
         if self.persist(|a| a.adopt(roster)).await {
-            pouch::note!(self.log, Event::RosterMoved, "epoch" => roster.epoch);
+            fleet_core::note!(self.log, Event::RosterMoved, "epoch" => roster.epoch);
         }
         self.members.relink(self);
         self.append(facts::Fact::Roster(roster.clone()));
@@ -121,37 +121,37 @@
 
 /// The disk, what it holds, and whether this is the first start of all.
 fn open_disk(
-    params: &pouch::params::Params,
+    params: &fleet_core::params::Params,
     log: &slog::Logger,
 ) -> Result<(disk::writer::Disk, disk::format::State, bool), SortingProblem> {
     let Some(dir) = &params.data_dir else {
-        pouch::note!(log, Event::DiskAbsent);
+        fleet_core::note!(log, Event::DiskAbsent);
         return Ok((disk::writer::Disk::absent(), disk::format::State::default(), false));
     };
     let (files, state) = disk::writer::Files::open(dir).map_err(SortingProblem::Disk)?;
     let seeded = params.seeds.iter().any(|a| a.ip() == std::net::IpAddr::V4(params.ip));
     let first = files.empty && !files.damaged && params.bootstrap && seeded;
     if files.damaged {
-        pouch::note!(log, Event::SlotDamaged);
+        fleet_core::note!(log, Event::SlotDamaged);
     }
-    pouch::note!(log, if files.empty && !first { Event::DiskEmpty } else { Event::DiskOpened },
+    fleet_core::note!(log, if files.empty && !first { Event::DiskEmpty } else { Event::DiskOpened },
         "registers" => state.registers.len());
     Ok((disk::writer::Disk::start(files, log.clone()), state, first))
 }
 
-/// Runs a postmaster until it is told to stop.
+/// Runs a controller until it is told to stop.
 pub async fn run(
-    params: pouch::params::Params,
+    params: fleet_core::params::Params,
     log: slog::Logger,
     mut stop: tokio::sync::watch::Receiver<bool>,
-    mut reread: tokio::sync::mpsc::Receiver<pouch::params::Params>,
+    mut reread: tokio::sync::mpsc::Receiver<fleet_core::params::Params>,
 ) -> Result<(), SortingProblem> {
     let control = params.control.ok_or(SortingProblem::ParamMissing("bindAddrs.control"))?;
-    let node = pouch::node::Node::start(&params, pouch::node::Role::Postmaster);
+    let node = fleet_core::node::Node::start(&params, fleet_core::node::Role::Controller);
     let (disk, state, first) = open_disk(&params, &log)?;
     let peer_at = params.peer_addr(node.ip.into());
     let listener =
-        pouch::link::listen(peer_at).map_err(|e| SortingProblem::Listen(peer_at, e.kind()))?;
+        fleet_core::link::listen(peer_at).map_err(|e| SortingProblem::Listen(peer_at, e.kind()))?;
     let acceptor = control::acceptor::Acceptor::new(node.ip, state);
     let s = Arc::new(Sorting {
         engines: engines::registry::Registry::default(),
@@ -161,7 +161,10 @@
         dice: AtomicU64::new(node.life),
         head: tokio::sync::watch::channel(0).0,
         leaving: tokio::sync::watch::channel(false).0,
-        known: parking_lot::Mutex::new(pouch::journal::Journal::new(facts::Known::default(), 512)),
+        known: parking_lot::Mutex::new(fleet_core::journal::Journal::new(
+            facts::Known::default(),
+            512,
+        )),
         learned: parking_lot::Mutex::default(),
         owners: control::owner::Owners::default(),
         acceptor: parking_lot::Mutex::new(acceptor),
@@ -181,7 +184,7 @@
     s.members.relink(&s);
     let server = api::serve(&s, control).map_err(|e| SortingProblem::Control(e.kind()))?;
     let tasks = [
-        tokio::spawn(pouch::link::host(listener, Arc::new(members::Desk(s.clone())))),
+        tokio::spawn(fleet_core::link::host(listener, Arc::new(members::Desk(s.clone())))),
         tokio::spawn(members::joining(s.clone())),
         tokio::spawn(members::exchanging(s.clone())),
         tokio::spawn(learner::learning(s.clone())),
@@ -193,7 +196,7 @@
         tokio::spawn(duties::rollout::rolling(s.clone())),
         tokio::spawn(duties::keeper::keeping(s.clone())),
     ];
-    pouch::note!(log, Event::Started, "life" => s.node.life);
+    fleet_core::note!(log, Event::Started, "life" => s.node.life);
     loop {
         tokio::select! {
             _ = stop.wait_for(|s| *s) => break,
@@ -203,10 +206,10 @@
             }
         }
     }
-    pouch::note!(log, Event::Stopping);
+    fleet_core::note!(log, Event::Stopping);
     s.leaving.send_replace(true);
     duties::leave_all(&s).await;
-    let _ = tokio::time::timeout(pouch::constants::PHASE_LIMIT, server.close()).await;
+    let _ = tokio::time::timeout(fleet_core::constants::PHASE_LIMIT, server.close()).await;
     for t in tasks {
         t.abort();
     }
--- a/crates/sorting/src/members/desk.rs
+++ b/crates/control-plane/src/members/desk.rs
@@ -1,31 +1,31 @@
 //! Answers what other processes of the system say.
 
-use super::CarrierSeen;
+use super::RouterSeen;
 use crate::control::owner;
 use crate::facts::Fact;
 use crate::{Sorting, duties, engines};
-use pouch::constants as k;
-use pouch::link::{LinkProblem, Origin};
-use pouch::log::Event;
-use pouch::wire::{Beats, Body, Done, Fetched, Joined};
+use fleet_core::constants as k;
+use fleet_core::link::{LinkProblem, Origin};
+use fleet_core::log::Event;
+use fleet_core::wire::{Beats, Body, Done, Fetched, Joined};
 use std::sync::Arc;
 
 pub struct Desk(pub Arc<Sorting>);
 
-impl pouch::link::Host for Desk {
+impl fleet_core::link::Host for Desk {
     fn joined(self: &Arc<Self>, origin: &Origin) {
         let s = &self.0;
         s.members.enter(&origin.hello);
-        if origin.hello.role == pouch::node::Role::Carrier as u32 {
+        if origin.hello.role == fleet_core::node::Role::Router as u32 {
             s.members.origins.lock().insert(origin.hello.life, origin.clone());
-            tokio::spawn(tell_carrier(s.clone(), origin.clone()));
+            tokio::spawn(tell_router(s.clone(), origin.clone()));
         }
     }
 
     fn left(self: &Arc<Self>, origin: &Origin) {
         let s = &self.0;
         s.members.origins.lock().remove(&origin.hello.life);
-        let mut c = s.members.carriers.lock();
+        let mut c = s.members.routers.lock();
         if c.get(&origin.hello.name).is_some_and(|c| c.life == origin.hello.life) {
             c.remove(&origin.hello.name);
         }
@@ -34,7 +34,7 @@
     async fn answer(self: &Arc<Self>, origin: &Origin, body: Body) -> Option<Body> {
         let s = &self.0;
         if s.members.is_dead(&origin.hello) {
-            pouch::note!(s.log, Event::PeerRejected, "from" => &origin.hello.ip, "why" => "former life");
+            fleet_core::note!(s.log, Event::PeerRejected, "from" => &origin.hello.ip, "why" => "former life");
             return None;
         }
         match body {
@@ -50,7 +50,7 @@
             }
             Body::Fetch(f) if f.confirm => {
                 let got = s.read(&f.key).await;
-                let register = got.map(|(accepted, value)| pouch::wire::Register {
+                let register = got.map(|(accepted, value)| fleet_core::wire::Register {
                     key: f.key,
                     accepted,
                     value,
@@ -63,9 +63,9 @@
                 let register = s.acceptor.lock().register(&f.key).cloned();
                 let register = match (register, learned) {
                     (Some(r), Some((b, value))) if b > r.accepted => {
-                        Some(pouch::wire::Register { accepted: b, value, ..r })
+                        Some(fleet_core::wire::Register { accepted: b, value, ..r })
                     }
-                    (None, Some((b, value))) => Some(pouch::wire::Register {
+                    (None, Some((b, value))) => Some(fleet_core::wire::Register {
                         key: f.key,
                         accepted: b,
                         value,
@@ -92,7 +92,7 @@
                 Some(Body::Joined(Joined { roster: Some(s.acceptor.lock().roster().clone()) }))
             }
             Body::Alive(_) => {
-                heard_carrier(s, origin);
+                heard_router(s, origin);
                 Some(Body::Nothing(Done {}))
             }
             Body::Found(f) => {
@@ -109,7 +109,7 @@
     }
 
     fn spoilt(self: &Arc<Self>, problem: &LinkProblem) {
-        pouch::note!(self.0.log, Event::PeerRejected, "why" => problem.to_string());
+        fleet_core::note!(self.0.log, Event::PeerRejected, "why" => problem.to_string());
     }
 }
 
@@ -122,21 +122,21 @@
     Beats { engines, ask: false }
 }
 
-fn heard_carrier(s: &Arc<Sorting>, origin: &Origin) {
+fn heard_router(s: &Arc<Sorting>, origin: &Origin) {
     let n = {
-        let mut c = s.members.carriers.lock();
-        let seen = CarrierSeen { life: origin.hello.life, heard: tokio::time::Instant::now() };
+        let mut c = s.members.routers.lock();
+        let seen = RouterSeen { life: origin.hello.life, heard: tokio::time::Instant::now() };
         c.insert(origin.hello.name.clone(), seen);
-        c.retain(|_, x| x.heard.elapsed() < k::CARRIER_SILENT);
+        c.retain(|_, x| x.heard.elapsed() < k::ROUTER_SILENT);
         c.len() as u32
     };
-    if s.look(|x| x.carriers) != n {
-        s.append(Fact::Carriers(n));
+    if s.look(|x| x.routers) != n {
+        s.append(Fact::Routers(n));
     }
 }
 
-/// Pushes what is new to one carrier, as it comes.
-async fn tell_carrier(s: Arc<Sorting>, origin: Origin) {
+/// Pushes what is new to one router, as it comes.
+async fn tell_router(s: Arc<Sorting>, origin: Origin) {
     let mut news = s.news();
     let mut seen = None;
     loop {
@@ -150,7 +150,7 @@
         }
         tokio::select! {
             changed = news.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep(k::CARRIER_SILENT) => {}
+            () = tokio::time::sleep(k::ROUTER_SILENT) => {}
         }
         if origin.is_closed() {
             return;
--- a/crates/sorting/src/members/loads.rs
+++ b/crates/control-plane/src/members/loads.rs
@@ -1,16 +1,16 @@
-//! Loads of engines: each postmaster adds up its carriers', and gives them the sum over all.
+//! Loads of engines: each controller adds up its routers', and gives them the sum over all.
 
 use crate::Sorting;
-use pouch::constants as k;
-use pouch::link::Origin;
-use pouch::load::{self, Book, ByEngine, Last};
-use pouch::wire::{Body, Loads};
+use fleet_core::constants as k;
+use fleet_core::link::Origin;
+use fleet_core::load::{self, Book, ByEngine, Last};
+use fleet_core::wire::{Body, Loads};
 use std::sync::Arc;
 use tokio::time::Instant;
 
 #[derive(Default)]
 pub struct Desk {
-    carriers: parking_lot::Mutex<Book>,
+    routers: parking_lot::Mutex<Book>,
     peers: parking_lot::Mutex<Book>,
     /// by engine, recent runs and those that somebody waits for
     mix: parking_lot::Mutex<hashbrown::HashMap<u32, (f32, f32), ahash::RandomState>>,
@@ -18,8 +18,8 @@
 
 impl Desk {
     pub fn hear(&self, origin: &Origin, l: Loads) {
-        let from_peer = origin.hello.role == pouch::node::Role::Postmaster as u32;
-        let book = if from_peer { &self.peers } else { &self.carriers };
+        let from_peer = origin.hello.role == fleet_core::node::Role::Controller as u32;
+        let book = if from_peer { &self.peers } else { &self.routers };
         book.lock().hear(origin.hello.life, Instant::now(), l);
     }
 
@@ -42,10 +42,10 @@
         self.mix.lock().get(&key).map_or(0.0, |(runs, waits)| f64::from(waits / runs.max(0.01)))
     }
 
-    /// Over all carriers, as far as they are heard of.
+    /// Over all routers, as far as they are heard of.
     pub fn total(&self) -> ByEngine {
         let now = Instant::now();
-        let own = self.carriers.lock().sum(now);
+        let own = self.routers.lock().sum(now);
         self.with_peers(own, now)
     }
 
@@ -58,12 +58,12 @@
 }
 
 pub async fn sharing(s: Arc<Sorting>) {
-    let (mut to_peers, mut to_carriers) = (Last::default(), Last::default());
+    let (mut to_peers, mut to_routers) = (Last::default(), Last::default());
     loop {
         tokio::time::sleep(k::LOAD_PAUSE).await;
         let now = Instant::now();
         let desk = &s.members.loads;
-        let sum = desk.carriers.lock().sum(now);
+        let sum = desk.routers.lock().sum(now);
         let own = load::pack(&sum);
         if to_peers.is_due(now, &own) {
             let members = s.acceptor.lock().roster().members.clone();
@@ -74,11 +74,11 @@
         let total = desk.with_peers(sum, now);
         desk.remember(&total);
         let all = load::pack(&total);
-        if !to_carriers.is_due(now, &all) {
+        if !to_routers.is_due(now, &all) {
             continue;
         }
         let origins = s.members.origins.lock();
-        for life in desk.carriers.lock().tellers() {
+        for life in desk.routers.lock().tellers() {
             if let Some(o) = origins.get(&life) {
                 let _ = o.push(Body::Loads(all.clone()));
             }
--- a/crates/sorting/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -1,4 +1,4 @@
-//! The other postmasters: links, joining, exchange of a lost member; and the desk that answers.
+//! The other controllers: links, joining, exchange of a lost member; and the desk that answers.
 
 mod desk;
 pub mod loads;
@@ -7,11 +7,11 @@
 pub use desk::Desk;
 pub use roster::{exchanging, founding, is_first_alive, joining};
 
-use pouch::link::Link;
+use fleet_core::link::Link;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-pub struct CarrierSeen {
+pub struct RouterSeen {
     pub life: u64,
     pub heard: tokio::time::Instant,
 }
@@ -21,11 +21,12 @@
     links: parking_lot::Mutex<hashbrown::HashMap<Ipv4Addr, Arc<Link>>>,
     zones: parking_lot::Mutex<hashbrown::HashMap<Ipv4Addr, String>>,
     lives: parking_lot::Mutex<hashbrown::HashMap<String, Lives>>,
-    joiners:
-        parking_lot::Mutex<hashbrown::HashMap<String, (pouch::wire::Member, tokio::time::Instant)>>,
+    joiners: parking_lot::Mutex<
+        hashbrown::HashMap<String, (fleet_core::wire::Member, tokio::time::Instant)>,
+    >,
     pub loads: loads::Desk,
-    pub origins: parking_lot::Mutex<hashbrown::HashMap<u64, pouch::link::Origin>>,
-    pub carriers: parking_lot::Mutex<hashbrown::HashMap<String, CarrierSeen>>,
+    pub origins: parking_lot::Mutex<hashbrown::HashMap<u64, fleet_core::link::Origin>>,
+    pub routers: parking_lot::Mutex<hashbrown::HashMap<String, RouterSeen>>,
 }
 
 /// Lives of one address; those before an empty disk are dead, with all they had on the way.
@@ -59,9 +60,9 @@
         self.links.lock().iter().map(|(ip, l)| (*ip, l.clone())).collect()
     }
 
-    /// A carrier of the same machine has a life of its own, which no disk ends.
-    pub fn enter(&self, hello: &pouch::wire::Hello) {
-        if hello.role == pouch::node::Role::Postmaster as u32 {
+    /// A router of the same machine has a life of its own, which no disk ends.
+    pub fn enter(&self, hello: &fleet_core::wire::Hello) {
+        if hello.role == fleet_core::node::Role::Controller as u32 {
             self.lives.lock().entry_ref(hello.ip.as_str()).or_default().seen.insert(hello.life);
         }
         if let Ok(ip) = hello.ip.parse() {
@@ -77,14 +78,14 @@
         l.dead.extend(dead);
     }
 
-    pub fn is_dead(&self, hello: &pouch::wire::Hello) -> bool {
+    pub fn is_dead(&self, hello: &fleet_core::wire::Hello) -> bool {
         self.lives.lock().get(&hello.ip).is_some_and(|l| l.dead.contains(&hello.life))
     }
 }
 
 impl crate::Sorting {
     /// Links to these members but the own one.
-    pub fn peers(&self, members: &[pouch::wire::Member]) -> Vec<(u64, Arc<Link>)> {
+    pub fn peers(&self, members: &[fleet_core::wire::Member]) -> Vec<(u64, Arc<Link>)> {
         let links = self.members.links.lock();
         members
             .iter()
--- a/crates/sorting/src/members/roster.rs
+++ b/crates/control-plane/src/members/roster.rs
@@ -1,16 +1,16 @@
-//! Who the postmasters are, and how a lost one is exchanged: one at a time, by the roster's own key.
+//! Who the controllers are, and how a lost one is exchanged: one at a time, by the roster's own key.
 
 use crate::Sorting;
 use crate::control::{owner, values};
-use pouch::constants as k;
-use pouch::log::Event;
-use pouch::wire::{Body, Join, Member, Peek, Peeked, Recover, Roster};
+use fleet_core::constants as k;
+use fleet_core::log::Event;
+use fleet_core::wire::{Body, Join, Member, Peek, Peeked, Recover, Roster};
 use prost::Message;
 use std::net::IpAddr;
 use std::sync::Arc;
 
 /// The roster of the first start: the seeds.
-pub fn founding(p: &pouch::params::Params) -> Roster {
+pub fn founding(p: &fleet_core::params::Params) -> Roster {
     let mut members: Vec<Member> = p
         .seeds
         .iter()
@@ -41,7 +41,7 @@
     s.peers(&members).iter().all(|(id, l)| *id > s.node.id() || !l.is_up())
 }
 
-/// Until it votes, a postmaster asks to join, or reads all from the others if its disk is empty.
+/// Until it votes, a controller asks to join, or reads all from the others if its disk is empty.
 pub async fn joining(s: Arc<Sorting>) {
     let mut told = u64::MAX;
     loop {
@@ -58,7 +58,7 @@
         } else {
             if told != epoch {
                 told = epoch;
-                pouch::note!(s.log, Event::Joining, "epoch" => epoch);
+                fleet_core::note!(s.log, Event::Joining, "epoch" => epoch);
             }
             for (_, l) in s.members.links() {
                 if let Ok(Body::Joined(j)) = l
@@ -95,7 +95,7 @@
         return;
     }
     if s.persist(|a| a.recover(era, &got)).await {
-        pouch::note!(s.log, Event::Voting, "era" => era);
+        fleet_core::note!(s.log, Event::Voting, "era" => era);
         s.members.relink(s);
     }
 }
--- a/crates/sorting/tests/plan.rs
+++ b/crates/control-plane/tests/plan.rs
@@ -1,7 +1,7 @@
 //! The order, width and steps of a roll-out, on a clock of the test's own.
 
-use pouch::constants as k;
-use sorting::duties::rollout::plan::{Action, Old, Plan, Step, Width};
+use control_plane::duties::rollout::plan::{Action, Old, Plan, Step, Width};
+use fleet_core::constants as k;
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/sorting/tests/rollout_look.rs
+++ b/crates/control-plane/tests/rollout_look.rs
@@ -1,9 +1,9 @@
 //! What the operator is shown of an engine in a roll-out.
 
-use pouch::constants as k;
-use pouch::wire::{Engine, Weights};
-use sorting::duties::rollout::look::{State, state_of, stuck};
-use sorting::duties::rollout::plan::Step;
+use control_plane::duties::rollout::look::{State, state_of, stuck};
+use control_plane::duties::rollout::plan::Step;
+use fleet_core::constants as k;
+use fleet_core::wire::{Engine, Weights};
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/postmaster/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,15 +1,15 @@
 //! The control plane's program.
 
 fn main() -> std::process::ExitCode {
-    pouch::program::start(
-        pouch::program::About {
-            name: "postmaster",
+    fleet_core::program::start(
+        fleet_core::program::About {
+            name: "controller",
             version: env!("CARGO_PKG_VERSION"),
             what: "keeps anisedyke's control state and knows its engines",
             needs: |p| {
                 if p.control.is_none() { vec!["bindAddrs.control"] } else { Vec::new() }
             },
         },
-        |params, log, stop, reread| async move { sorting::run(params, log, stop, reread).await },
+        |params, log, stop, reread| async move { control_plane::run(params, log, stop, reread).await },
     )
 }
--- a/crates/delivery/src/budget.rs
+++ b/crates/data-plane/src/budget.rs
@@ -1,6 +1,6 @@
-//! Second sends, held in common by all carriers: each uses its own share.
+//! Second sends, held in common by all routers: each uses its own share.
 
-use pouch::constants as k;
+use fleet_core::constants as k;
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -10,7 +10,7 @@
     pub ratio: f64,
     pub window: Duration,
     pub slack: f64,
-    pub carriers: usize,
+    pub routers: usize,
     pub up: Duration,
 }
 
@@ -20,7 +20,7 @@
         if self.up < self.window {
             return 0.0;
         }
-        let n = (self.carriers + k::BUDGET_SPARES).max(1) as f64;
+        let n = (self.routers + k::BUDGET_SPARES).max(1) as f64;
         (self.slack * k::BUDGET_SHARE / n).floor()
     }
 }
@@ -69,7 +69,7 @@
             ratio: p.bounds.retry_ratio,
             window: p.bounds.retry_window,
             slack: p.bounds.retry_slack,
-            carriers: self.sight.carriers(),
+            routers: self.sight.routers(),
             up: self.started.elapsed(),
         }
     }
@@ -90,18 +90,18 @@
 mod tests {
     use super::*;
 
-    fn terms(carriers: usize, up: u64) -> Terms {
+    fn terms(routers: usize, up: u64) -> Terms {
         Terms {
             ratio: 0.2,
             window: Duration::from_secs(10),
             slack: 50.0,
-            carriers,
+            routers,
             up: Duration::from_secs(up),
         }
     }
 
     #[test]
-    fn young_carrier_has_no_slack() {
+    fn young_router_has_no_slack() {
         let t = Instant::now();
         let mut b = Budget::default();
         assert!(!b.charge(t, &terms(1, 3)));
@@ -114,9 +114,9 @@
     }
 
     proptest::proptest! {
-        /// Over all carriers and any sliding window, second sends stay within the rule.
+        /// Over all routers and any sliding window, second sends stay within the rule.
         #[test]
-        fn all_carriers_together_keep_the_budget(
+        fn all_routers_together_keep_the_budget(
             steps in proptest::collection::vec((0usize..6, 0u8..3, 0u64..700), 1..600)
         ) {
             let t0 = Instant::now();
--- a/crates/delivery/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -1,4 +1,4 @@
-//! The traffic plane: what the carrier program is made of.
+//! The traffic plane: what the router program is made of.
 
 pub mod budget;
 pub mod place;
@@ -6,14 +6,14 @@
 pub mod serve;
 pub mod sight;
 
-use pouch::constants as k;
-use pouch::log::Event;
+use fleet_core::constants as k;
+use fleet_core::log::Event;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum DeliveryProblem {
-    /// {0}: not in the settings, which a carrier needs
+    /// {0}: not in the settings, which a router needs
     ParamMissing(&'static str),
     /// cannot listen at {0}: {1}
     Listen(std::net::SocketAddr, std::io::ErrorKind),
@@ -42,11 +42,11 @@
     pub heavy_wait_us: AtomicU64,
 }
 
-/// All state of a carrier. Lock order: table, engines, one engine's work, inbox, index; never two engines.
+/// All state of a router. Lock order: table, engines, one engine's work, inbox, index; never two engines.
 pub struct Delivery {
-    pub node: pouch::node::Node,
+    pub node: fleet_core::node::Node,
     pub log: slog::Logger,
-    params: parking_lot::RwLock<Arc<pouch::params::Params>>,
+    params: parking_lot::RwLock<Arc<fleet_core::params::Params>>,
     pub sight: sight::Sight,
     pub budgets: budget::Budgets,
     pub counters: Counters,
@@ -59,9 +59,9 @@
 }
 
 impl Delivery {
-    /// A carrier that as yet listens nowhere and sees nothing.
-    pub fn assemble(params: pouch::params::Params, log: slog::Logger) -> Arc<Delivery> {
-        let node = pouch::node::Node::start(&params, pouch::node::Role::Carrier);
+    /// A router that as yet listens nowhere and sees nothing.
+    pub fn assemble(params: fleet_core::params::Params, log: slog::Logger) -> Arc<Delivery> {
+        let node = fleet_core::node::Node::start(&params, fleet_core::node::Role::Router);
         Arc::new(Delivery {
             dice: AtomicU64::new(node.life),
             sight: sight::Sight::new(),
@@ -78,19 +78,19 @@
         })
     }
 
-    pub fn params(&self) -> Arc<pouch::params::Params> {
+    pub fn params(&self) -> Arc<fleet_core::params::Params> {
         self.params.read().clone()
     }
 
     pub fn dice(&self) -> u64 {
         let x = self.dice.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
-        pouch::node::stable_hash(&[&x.to_le_bytes()])
+        fleet_core::node::stable_hash(&[&x.to_le_bytes()])
     }
 
     pub fn is_ready(&self) -> bool {
         let now = !self.leaving.load(Ordering::Relaxed) && self.sight.table().is_some();
         if self.ready.swap(now, Ordering::Relaxed) != now {
-            pouch::note!(self.log, if now { Event::Ready } else { Event::Unready });
+            fleet_core::note!(self.log, if now { Event::Ready } else { Event::Unready });
         }
         now
     }
@@ -98,7 +98,7 @@
     fn count_out(&self) {
         let c = &self.counters;
         let get = |a: &AtomicU64| a.load(Ordering::Relaxed);
-        pouch::note!(self.log, Event::Counters,
+        fleet_core::note!(self.log, Event::Counters,
             "taken" => get(&c.taken), "begun" => get(&c.begun), "refused" => get(&c.refused),
             "failed" => get(&c.failed), "resumed" => get(&c.resumed), "again" => get(&c.again),
             "sessions" => get(&c.sessions), "parts_held" => get(&c.parts_held),
@@ -108,17 +108,18 @@
     }
 }
 
-/// Runs a carrier until it is told to stop.
+/// Runs a router until it is told to stop.
 pub async fn run(
-    params: pouch::params::Params,
+    params: fleet_core::params::Params,
     log: slog::Logger,
     mut stop: tokio::sync::watch::Receiver<bool>,
-    mut reread: tokio::sync::mpsc::Receiver<pouch::params::Params>,
+    mut reread: tokio::sync::mpsc::Receiver<fleet_core::params::Params>,
 ) -> Result<(), DeliveryProblem> {
     let front = params.front.ok_or(DeliveryProblem::ParamMissing("bindAddrs.frontHttp"))?;
     let probe = params.readiness.ok_or(DeliveryProblem::ParamMissing("bindAddrs.readiness"))?;
     let listen = |a| {
-        pouch::link::listen(a).map_err(|e: std::io::Error| DeliveryProblem::Listen(a, e.kind()))
+        fleet_core::link::listen(a)
+            .map_err(|e: std::io::Error| DeliveryProblem::Listen(a, e.kind()))
     };
     let (front, probe) = (listen(front)?, listen(probe)?);
     let d = Delivery::assemble(params, log.clone());
@@ -132,7 +133,7 @@
         tokio::spawn(pool::sweeping(d.clone())),
     ];
     let accepting = tokio::spawn(serve::accepting(d.clone(), front));
-    pouch::note!(log, Event::Started, "life" => d.node.life);
+    fleet_core::note!(log, Event::Started, "life" => d.node.life);
     let mut counted = tokio::time::interval(k::COUNTERS_PAUSE);
     counted.tick().await;
     loop {
@@ -142,7 +143,7 @@
             _ = counted.tick() => d.count_out(),
         }
     }
-    pouch::note!(log, Event::Stopping);
+    fleet_core::note!(log, Event::Stopping);
     leave(&d, accepting).await;
     d.count_out();
     for t in tasks {
--- a/crates/delivery/src/place/mod.rs
+++ b/crates/data-plane/src/place/mod.rs
@@ -9,10 +9,10 @@
 use crate::sight::Named;
 use crate::sight::roll::{Roll, Row};
 use crate::sight::table::{Table, Tenant};
-use pigeonhole::{Chain, HolderBitmap, Index};
-use pouch::constants as k;
-use pouch::wire::Standing;
+use fleet_core::constants as k;
+use fleet_core::wire::Standing;
 use prompt::Prompt;
+use prompt_index::{Chain, HolderBitmap, Index};
 use smallvec::SmallVec;
 use sources::{Source, Sources};
 use std::sync::Arc;
@@ -43,7 +43,7 @@
 pub fn wall(t: Option<&Tenant>, generation: u64) -> String {
     match t.filter(|t| t.isolated) {
         Some(t) => format!("t/{}", t.name),
-        None => recall::view::shared_wall(generation),
+        None => invalidation::view::shared_wall(generation),
     }
 }
 
@@ -90,19 +90,19 @@
         if r.news.standing() != Standing::Ready || tried.contains(&r.seat.id) {
             continue;
         }
-        let changing = |m| pouch::fleet::is_changing(&r.news, m, named.map(|x| x.stamp));
+        let changing = |m| fleet_core::fleet::is_changing(&r.news, m, named.map(|x| x.stamp));
         let marked = r.seat.is_marked(now);
         if marked && prompt.model.as_deref().is_some_and(changing) {
             continue;
         }
-        let stamp = prompt.model.as_deref().and_then(|m| pouch::fleet::stamp_of(&r.news, m));
+        let stamp = prompt.model.as_deref().and_then(|m| fleet_core::fleet::stamp_of(&r.news, m));
         if prompt.model.is_some() && !r.news.weights.is_empty() && stamp.is_none() {
             continue;
         }
         if stamp.is_some_and(|x| !stamp_allowed(x, named, now, bound)) {
             continue;
         }
-        let fades = |m| pouch::fleet::is_fading(&r.news, m, named.map(|x| x.stamp));
+        let fades = |m| fleet_core::fleet::is_fading(&r.news, m, named.map(|x| x.stamp));
         let fading = marked && prompt.model.as_deref().is_some_and(fades);
         out.push(Open { row, stamp, fading, awake: !r.news.silent && !r.seat.is_resting(now) });
     }
@@ -129,7 +129,7 @@
         if out.iter().any(|m| m.stamp == stamp) {
             continue;
         }
-        let salt = recall::view::salt_text(model, stamp, wall);
+        let salt = invalidation::view::salt_text(model, stamp, wall);
         let chain = index.chain(&salt, pairs.iter().copied());
         let shared = chain.len().min(pairs.len().saturating_sub(1));
         if shared > 0 {
--- a/crates/delivery/src/place/prompt.rs
+++ b/crates/data-plane/src/place/prompt.rs
@@ -57,7 +57,7 @@
 
     /// More to read than to write: kept apart from the long streams, whose pace reading slows.
     pub fn is_heavy(&self) -> bool {
-        self.read.max(self.tokens()) > self.put_out * pouch::constants::HEAVY_RATIO
+        self.read.max(self.tokens()) > self.put_out * fleet_core::constants::HEAVY_RATIO
     }
 
     pub fn burden(&self) -> u64 {
--- a/crates/delivery/src/place/sources.rs
+++ b/crates/data-plane/src/place/sources.rs
@@ -3,9 +3,9 @@
 use super::weigh::Ask;
 use crate::pool::Seat;
 use crate::sight::roll::{Roll, Row};
-use pigeonhole::{At, Chain, Depths, Index};
-use pouch::configuration::Service;
-use pouch::constants as k;
+use fleet_core::configuration::Service;
+use fleet_core::constants as k;
+use prompt_index::{At, Chain, Depths, Index};
 use smallvec::SmallVec;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -27,7 +27,7 @@
             zone: s.zone.as_deref().unwrap_or_default(),
             mbps: s.link_mbps,
             at: index.at(address)?,
-            rank: pouch::node::stable_hash(&[address.as_bytes(), &part.to_be_bytes()]),
+            rank: fleet_core::node::stable_hash(&[address.as_bytes(), &part.to_be_bytes()]),
         })
     }
 }
@@ -109,7 +109,7 @@
             let usable = |r: &&Row| {
                 !r.news.silent
                     && !r.seat.is_resting(now)
-                    && pouch::fleet::stamp_of(&r.news, model) == Some(stamp)
+                    && fleet_core::fleet::stamp_of(&r.news, model) == Some(stamp)
             };
             let mut rows: SmallVec<[&Row; 16]> = holders
                 .iter()
--- a/crates/delivery/src/place/weigh.rs
+++ b/crates/data-plane/src/place/weigh.rs
@@ -4,8 +4,8 @@
 use super::sources::{Offer, Store};
 use crate::sight::roll::Row;
 use crate::sight::table::Table;
-use pigeonhole::Index;
-use pouch::constants as k;
+use fleet_core::constants as k;
+use prompt_index::Index;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
--- a/crates/delivery/src/pool/mod.rs
+++ b/crates/data-plane/src/pool/mod.rs
@@ -1,10 +1,10 @@
-//! Engines as a carrier uses them: their burden, their rests, and the sessions to them.
+//! Engines as a router uses them: their burden, their rests, and the sessions to them.
 
 pub mod session;
 
-use pouch::constants as k;
-use pouch::load::Load;
-use pouch::wire::{Engine, Standing};
+use fleet_core::constants as k;
+use fleet_core::load::Load;
+use fleet_core::wire::{Engine, Standing};
 use session::Idle;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -47,7 +47,7 @@
     pub interactive: u32,
     /// own load as it was told last
     pub reported: Load,
-    /// load of all other carriers, and when it was heard
+    /// load of all other routers, and when it was heard
     pub others: Load,
     pub others_at: Option<Instant>,
     idle: VecDeque<Idle>,
@@ -63,7 +63,7 @@
         Load { unread: self.unread, runs: self.runs, interactive: self.interactive }
     }
 
-    /// Load of all carriers, as far as it is known now.
+    /// Load of all routers, as far as it is known now.
     pub fn all(&self, now: Instant) -> Load {
         let mut out = self.own();
         if self.others_at.is_some_and(|t| now.duration_since(t) < k::LOAD_LIMIT) {
@@ -93,7 +93,7 @@
     pub fn new(e: &Engine) -> Option<Seat> {
         Some(Seat {
             id: e.id.clone(),
-            key: pouch::load::key_of(&e.id),
+            key: fleet_core::load::key_of(&e.id),
             address: e.address.parse().ok()?,
             met: Instant::now(),
             newcomer: e.call <= k::NEWCOMER_CALLS,
@@ -107,7 +107,7 @@
     pub fn hear(&self, news: &Engine) {
         let mut n = self.news.write();
         let before = (n.fade, n.turn);
-        pouch::fleet::merge(&mut n, news);
+        fleet_core::fleet::merge(&mut n, news);
         if (n.fade, n.turn) != before {
             *self.marked.lock() = Instant::now();
         }
@@ -128,8 +128,8 @@
 
     /// Weights seen in an answer; true if they are news.
     pub fn saw_weights(&self, model: &str, stamp: u64) -> bool {
-        pouch::fleet::stamp_of(&self.news(), model).is_some_and(|s| s < stamp)
-            && pouch::fleet::raise(&mut self.news.write(), model, stamp)
+        fleet_core::fleet::stamp_of(&self.news(), model).is_some_and(|s| s < stamp)
+            && fleet_core::fleet::raise(&mut self.news.write(), model, stamp)
     }
 
     /// Just started: what it was not seen to keep, it does not keep.
--- a/crates/delivery/src/pool/session.rs
+++ b/crates/data-plane/src/pool/session.rs
@@ -2,9 +2,9 @@
 
 use super::Seat;
 use crate::Delivery;
+use fleet_core::constants as k;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use pouch::constants as k;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,8 +15,8 @@
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum SessionProblem {
     /// no connection came up: {0}
-    Connect(pouch::link::LinkProblem),
-    /// no connection is left for this carrier
+    Connect(fleet_core::link::LinkProblem),
+    /// no connection is left for this router
     Full,
     /// the engine closed before anything was sent
     Unsent,
@@ -59,7 +59,7 @@
     }
 }
 
-/// An idle connection if there is one, else a new one within this carrier's share.
+/// An idle connection if there is one, else a new one within this router's share.
 pub async fn lease(d: &Delivery, seat: &Arc<Seat>, share: u32) -> Result<Leased, SessionProblem> {
     if let Some(i) = seat.take_idle(Instant::now()) {
         return Ok(Leased { wire: i.wire });
@@ -68,7 +68,7 @@
     if seat.open.fetch_add(1, Ordering::Relaxed) >= share {
         return Err(SessionProblem::Full);
     }
-    let io = pouch::link::connect(d.node.ip, seat.address, k::CONNECT_LIMIT)
+    let io = fleet_core::link::connect(d.node.ip, seat.address, k::CONNECT_LIMIT)
         .await
         .map_err(SessionProblem::Connect)?;
     d.counters.sessions.fetch_add(1, Ordering::Relaxed);
--- a/crates/delivery/src/serve/answer.rs
+++ b/crates/data-plane/src/serve/answer.rs
@@ -73,7 +73,7 @@
         if self.retry {
             h.insert(
                 http::header::RETRY_AFTER,
-                http::HeaderValue::from_static(pouch::constants::RETRY_AFTER),
+                http::HeaderValue::from_static(fleet_core::constants::RETRY_AFTER),
             );
         }
         if self.close {
--- a/crates/delivery/src/serve/mod.rs
+++ b/crates/data-plane/src/serve/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::Delivery;
 use answer::Out;
-use pouch::constants as k;
+use fleet_core::constants as k;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -20,7 +20,7 @@
             tokio::time::sleep(k::RELINK_PAUSE).await;
             continue;
         };
-        if pouch::link::tame(&s).is_err() {
+        if fleet_core::link::tame(&s).is_err() {
             continue;
         }
         let d = d.clone();
--- a/crates/delivery/src/serve/relay.rs
+++ b/crates/data-plane/src/serve/relay.rs
@@ -6,9 +6,9 @@
 use crate::Delivery;
 use crate::sight::table::Repeat;
 use bytes::Bytes;
+use fleet_core::log::Event;
 use http::header;
 use http_body_util::BodyExt;
-use pouch::log::Event;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -50,7 +50,7 @@
         End::Whole => session.end(),
         End::Broken => {
             run.seat.broke(tokio::time::Instant::now());
-            pouch::note!(d.log, Event::EngineProblem, "id" => &run.seat.id, "why" => "stream broken");
+            fleet_core::note!(d.log, Event::EngineProblem, "id" => &run.seat.id, "why" => "stream broken");
             let _ = tx.send(Err(AnswerProblem::BrokenOff)).await;
         }
         End::Left => {
@@ -83,7 +83,7 @@
             End::Broken => {}
         }
         b.run.seat.broke(tokio::time::Instant::now());
-        pouch::note!(d.log, Event::EngineProblem, "id" => &b.run.seat.id, "why" => "stream broken");
+        fleet_core::note!(d.log, Event::EngineProblem, "id" => &b.run.seat.id, "why" => "stream broken");
         cutter.drop_half();
         match go_on(d, b, cutter.last()).await {
             Some(next) => {
--- a/crates/delivery/src/serve/request.rs
+++ b/crates/data-plane/src/serve/request.rs
@@ -9,12 +9,12 @@
 use crate::pool::{Seat, Told};
 use crate::sight::table::{Repeat, Table, Tenant, repeat};
 use bytes::Bytes;
+use fleet_core::configuration::Route;
+use fleet_core::constants as k;
+use fleet_core::log::Event;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use pouch::configuration::Route;
-use pouch::constants as k;
-use pouch::log::Event;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -256,13 +256,13 @@
                 Err(Nowhere::Unknown | Nowhere::Full) => return Err(self),
             };
             let most = j.table.service(&j.service).map_or(0, |s| s.max_conns) as usize;
-            let share = (most / (d.sight.carriers() + k::BUDGET_SPARES)).max(2) as u32;
+            let share = (most / (d.sight.routers() + k::BUDGET_SPARES)).max(2) as u32;
             match session::lease(d, &choice.seat, share).await {
                 Ok(l) => return Ok((choice, l, self)),
                 Err(e) => {
                     if !matches!(e, SessionProblem::Full) {
                         choice.seat.broke(Instant::now());
-                        pouch::note!(d.log, Event::EngineProblem, "id" => &choice.seat.id, "why" => e.to_string());
+                        fleet_core::note!(d.log, Event::EngineProblem, "id" => &choice.seat.id, "why" => e.to_string());
                     }
                     self.0.tried.push(choice.seat.id.clone());
                 }
@@ -340,7 +340,7 @@
             None => not_run,
         };
         if !ours || head.headers.contains_key(header::CONTENT_ENCODING) {
-            pouch::note!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
+            fleet_core::note!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
             return Fate::Unsure(Offered(job));
         }
         if not_run {
@@ -350,7 +350,7 @@
             return Fate::Back(Taken(job));
         }
         if head.status.is_success() && !head.headers.contains_key(SEAL) {
-            pouch::note!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
+            fleet_core::note!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
             return Fate::Unsure(Offered(job));
         }
         if head.status.is_server_error()
@@ -413,7 +413,7 @@
 
     pub fn fail(self, d: &Delivery, status: StatusCode) -> http::Response<Out> {
         d.counters.failed.fetch_add(1, Ordering::Relaxed);
-        pouch::note!(d.log, Event::PassProblem, "status" => status.as_u16());
+        fleet_core::note!(d.log, Event::PassProblem, "status" => status.as_u16());
         Answer::plain(status).write()
     }
 }
@@ -425,7 +425,7 @@
     let us = wait.as_micros() as u64;
     let all = c.heavy_wait_us.fetch_add(us, Ordering::Relaxed) + us;
     if let Some(own) = seat.first_waits(wait) {
-        pouch::note!(d.log, Event::EngineTakenIn, "id" => &seat.id,
+        fleet_core::note!(d.log, Event::EngineTakenIn, "id" => &seat.id,
             "own_ms" => own.as_millis() as u64, "all_ms" => all / n / 1000);
     }
 }
--- a/crates/delivery/src/sight/links.rs
+++ b/crates/data-plane/src/sight/links.rs
@@ -1,15 +1,15 @@
-//! Links to the postmasters: views come in, signs of life go out.
+//! Links to the controllers: views come in, signs of life go out.
 
 use crate::Delivery;
-use pouch::constants as k;
-use pouch::link::Link;
-use pouch::log::Event;
-use pouch::wire::{Alive, Body, ConfigValue, Fetch};
+use fleet_core::constants as k;
+use fleet_core::link::Link;
+use fleet_core::log::Event;
+use fleet_core::wire::{Alive, Body, ConfigValue, Fetch};
 use prost::Message;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-/// The postmasters to be linked with: the roster's, and the seeds while they may help.
+/// The controllers to be linked with: the roster's, and the seeds while they may help.
 fn wanted(d: &Delivery) -> hashbrown::HashSet<Ipv4Addr> {
     let mut out: hashbrown::HashSet<Ipv4Addr> =
         d.sight.roster.lock().members.iter().filter_map(|m| m.addr()).collect();
@@ -46,10 +46,10 @@
         for l in links {
             let alive = alive.clone();
             tokio::spawn(async move {
-                let _ = l.call(Body::Alive(alive), k::CARRIER_BEAT).await;
+                let _ = l.call(Body::Alive(alive), k::ROUTER_BEAT).await;
             });
         }
-        tokio::time::sleep(k::CARRIER_BEAT).await;
+        tokio::time::sleep(k::ROUTER_BEAT).await;
     }
 }
 
@@ -65,7 +65,7 @@
             changed = up.changed() => {
                 if changed.is_ok() && !*up.borrow_and_update() {
                     d.sight.disturb();
-                    pouch::note!(d.log, Event::LinkDown);
+                    fleet_core::note!(d.log, Event::LinkDown);
                 }
                 if changed.is_err() {
                     return;
@@ -107,12 +107,12 @@
         Ok(t) => {
             let stamp = t.stamp;
             if d.sight.set_table(t) {
-                pouch::note!(d.log, Event::ConfigInForce, "stamp" => stamp);
+                fleet_core::note!(d.log, Event::ConfigInForce, "stamp" => stamp);
             }
             true
         }
         Err(p) => {
-            pouch::note!(d.log, Event::PeerRejected, "why" => p.to_string());
+            fleet_core::note!(d.log, Event::PeerRejected, "why" => p.to_string());
             false
         }
     }
--- a/crates/delivery/src/sight/loads.rs
+++ b/crates/data-plane/src/sight/loads.rs
@@ -1,22 +1,22 @@
-//! What all carriers have in flight at each engine: told to one postmaster, heard back as a sum.
+//! What all routers have in flight at each engine: told to one controller, heard back as a sum.
 
 use super::Sight;
 use crate::Delivery;
-use pouch::constants as k;
-use pouch::link::Link;
-use pouch::load::{self, ByEngine, Last};
-use pouch::wire::{Body, Loads, Member, Standing};
+use fleet_core::constants as k;
+use fleet_core::link::Link;
+use fleet_core::load::{self, ByEngine, Last};
+use fleet_core::wire::{Body, Loads, Member, Standing};
 use std::sync::Arc;
 use tokio::time::Instant;
 
-/// The postmaster to tell: one of the own zone before others, by rendezvous among those that are up.
+/// The controller to tell: one of the own zone before others, by rendezvous among those that are up.
 pub fn chosen<'a>(
     members: impl Iterator<Item = &'a Member>,
     zone: &str,
     name: &str,
     is_up: impl Fn(&Member) -> bool,
 ) -> Option<&'a Member> {
-    let rank = |m: &Member| pouch::node::stable_hash(&[m.ip.as_bytes(), name.as_bytes()]);
+    let rank = |m: &Member| fleet_core::node::stable_hash(&[m.ip.as_bytes(), name.as_bytes()]);
     members.filter(|m| is_up(m)).max_by_key(|m| (m.zone == zone, rank(m)))
 }
 
@@ -29,7 +29,7 @@
         link(m?)
     }
 
-    /// The sum over all carriers; the own part is counted as it is now, not as it was told.
+    /// The sum over all routers; the own part is counted as it is now, not as it was told.
     pub fn hear_loads(&self, l: &Loads) {
         let all: ByEngine = load::unpack(l).collect();
         let now = Instant::now();
--- a/crates/delivery/src/sight/mod.rs
+++ b/crates/data-plane/src/sight/mod.rs
@@ -1,4 +1,4 @@
-//! What a carrier sees of the fleet; it never goes back within a life.
+//! What a router sees of the fleet; it never goes back within a life.
 
 pub mod links;
 pub mod loads;
@@ -7,7 +7,7 @@
 pub mod table;
 
 use crate::pool::Seat;
-use pouch::wire::{Engine, NamedWeights, RingHead, Roster, Standing, View};
+use fleet_core::wire::{Engine, NamedWeights, RingHead, Roster, Standing, View};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::Instant;
@@ -29,10 +29,10 @@
     roster: parking_lot::Mutex<Roster>,
     pub ring: parking_lot::Mutex<Option<RingHead>>,
     pub news: tokio::sync::Notify,
-    carriers: AtomicUsize,
+    routers: AtomicUsize,
     pub shelf: purge::Shelf,
     rolls: roll::Rolls,
-    links: parking_lot::Mutex<hashbrown::HashMap<std::net::Ipv4Addr, Arc<pouch::link::Link>>>,
+    links: parking_lot::Mutex<hashbrown::HashMap<std::net::Ipv4Addr, Arc<fleet_core::link::Link>>>,
 }
 
 impl Sight {
@@ -45,7 +45,7 @@
             roster: parking_lot::Mutex::default(),
             ring: parking_lot::Mutex::default(),
             news: tokio::sync::Notify::new(),
-            carriers: AtomicUsize::new(1),
+            routers: AtomicUsize::new(1),
             shelf: purge::Shelf::new(),
             rolls: roll::Rolls::default(),
             links: parking_lot::Mutex::default(),
@@ -72,16 +72,16 @@
         Some(Named { since, ..n })
     }
 
-    /// A postmaster was lost: the roll-out may be held up, and its bound counts anew from here.
+    /// A controller was lost: the roll-out may be held up, and its bound counts anew from here.
     pub fn disturb(&self) {
         *self.disturbed.lock() = Some(Instant::now());
     }
 
-    pub fn carriers(&self) -> usize {
-        self.carriers.load(Ordering::Relaxed).max(1)
+    pub fn routers(&self) -> usize {
+        self.routers.load(Ordering::Relaxed).max(1)
     }
 
-    pub fn link_to(&self, ip: &str) -> Option<Arc<pouch::link::Link>> {
+    pub fn link_to(&self, ip: &str) -> Option<Arc<fleet_core::link::Link>> {
         let ip: std::net::Ipv4Addr = ip.parse().ok()?;
         self.links.lock().get(&ip).cloned()
     }
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Takes what a postmaster pushed; true if its configuration is newer than ours.
+    /// Takes what a controller pushed; true if its configuration is newer than ours.
     pub fn hear(&self, v: &View) -> bool {
         for e in &v.engines {
             self.hear_engine(e);
@@ -147,8 +147,8 @@
                 *now = Some(h.clone());
             }
         }
-        if v.carriers > 0 {
-            self.carriers.store(v.carriers as usize, Ordering::Relaxed);
+        if v.routers > 0 {
+            self.routers.store(v.routers as usize, Ordering::Relaxed);
         }
         if v.ring.is_some() || v.nudge {
             self.news.notify_one();
--- a/crates/delivery/src/sight/purge.rs
+++ b/crates/data-plane/src/sight/purge.rs
@@ -1,11 +1,11 @@
-//! The carrier's end of the ring: entries are fetched in the background, applied before a placement.
+//! The router's end of the ring: entries are fetched in the background, applied before a placement.
 
 use crate::Delivery;
-use pigeonhole::Index;
-use pouch::constants as k;
-use pouch::log::Event;
-use pouch::wire::{Body, Found, HeldParts, RingAsk, RingEntry, RingGive};
-use recall::cache::Cache;
+use fleet_core::constants as k;
+use fleet_core::log::Event;
+use fleet_core::wire::{Body, Found, HeldParts, RingAsk, RingEntry, RingGive};
+use invalidation::cache::Cache;
+use prompt_index::Index;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -21,9 +21,9 @@
         if self.reset {
             cache.reset();
         }
-        recall::cache::refill(cache, &self.digest);
+        invalidation::cache::refill(cache, &self.digest);
         for e in &self.entries {
-            recall::cache::apply(cache, e, |_| true);
+            invalidation::cache::apply(cache, e, |_| true);
         }
     }
 }
@@ -103,7 +103,7 @@
         let shared = &parts[..parts.len().saturating_sub(1)];
         let chain = index.chain(salt, parts.iter().copied());
         index.learn(salt, &chain);
-        let one = pigeonhole::HolderBitmap::one(at.no.index);
+        let one = prompt_index::HolderBitmap::one(at.no.index);
         let depth = cell.query(&chain, &one).of(at.no.index);
         for (part, _) in &parts[depth.min(parts.len())..] {
             index.registered(holder, salt, *part, None);
@@ -161,7 +161,7 @@
 pub async fn scrubbing(d: Arc<Delivery>) {
     loop {
         let done = d.sight.shelf.index.scrub(k::SCRUB_ENTRIES);
-        tokio::time::sleep(if done { k::CARRIER_BEAT } else { k::SCRUB_PAUSE }).await;
+        tokio::time::sleep(if done { k::ROUTER_BEAT } else { k::SCRUB_PAUSE }).await;
     }
 }
 
@@ -238,7 +238,7 @@
             at = next;
             let Some(c) = change else { break };
             if c.reset {
-                pouch::note!(d.log, Event::ReaderReset, "cursor" => at.cursor);
+                fleet_core::note!(d.log, Event::ReaderReset, "cursor" => at.cursor);
             }
             d.sight.shelf.put(c);
             if at.cursor >= top {
--- a/crates/delivery/src/sight/roll.rs
+++ b/crates/data-plane/src/sight/roll.rs
@@ -2,9 +2,9 @@
 
 use super::Seats;
 use crate::pool::Seat;
-use pigeonhole::{At, Index};
-use pouch::constants as k;
-use pouch::wire::{Engine, Standing};
+use fleet_core::constants as k;
+use fleet_core::wire::{Engine, Standing};
+use prompt_index::{At, Index};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -13,7 +13,7 @@
     pub at: At,
     pub news: Engine,
     pub near: bool,
-    /// heavy requests settle here: alike at all carriers, and stable as engines come and go
+    /// heavy requests settle here: alike at all routers, and stable as engines come and go
     pub heavy: bool,
     rank: u64,
 }
@@ -57,7 +57,7 @@
                 at: index.admit(&seat.id),
                 near: news.zone == zone,
                 heavy: false,
-                rank: pouch::node::stable_hash(&[seat.id.as_bytes()]),
+                rank: fleet_core::node::stable_hash(&[seat.id.as_bytes()]),
                 seat,
                 news,
             })
--- a/crates/delivery/src/sight/table.rs
+++ b/crates/data-plane/src/sight/table.rs
@@ -1,6 +1,6 @@
 //! A configuration as requests ask for it.
 
-use pouch::configuration::{ConfigProblem, Configuration, Kind, Limits, Route, Service};
+use fleet_core::configuration::{ConfigProblem, Configuration, Kind, Limits, Route, Service};
 use std::sync::Arc;
 
 pub struct Tenant {
--- a/crates/delivery/tests/engines.rs
+++ b/crates/data-plane/tests/engines.rs
@@ -70,11 +70,11 @@
     }
 }
 
-/// What the postmasters tell of an engine decides whether it gets anything.
+/// What the controllers tell of an engine decides whether it gets anything.
 #[tokio::test]
 async fn draining_changing_and_outdated_engines_get_nothing() {
-    use pouch::wire::{NamedWeights, Standing, View};
-    type Edit = fn(&mut pouch::wire::Engine);
+    use fleet_core::wire::{NamedWeights, Standing, View};
+    type Edit = fn(&mut fleet_core::wire::Engine);
     let table: Vec<(&str, Edit, u64, bool)> = vec![
         ("ready", |_| {}, 0, true),
         ("draining", |e| e.set_standing(Standing::Draining), 0, false),
@@ -273,14 +273,14 @@
 /// The parts of an engine that drains are fetched while it still answers.
 #[tokio::test]
 async fn newcomer_fetches_from_the_engine_that_leaves() {
-    use pouch::wire::{HeldParts, Standing, View};
+    use fleet_core::wire::{HeldParts, Standing, View};
     let old = StandIn::start("e1", |_, s| (whole(s, 1..=1), Then::Keep)).await;
     let new = StandIn::start("e2", |_, s| (whole(s, 1..=1), Then::Keep)).await;
     let f = Fleet::start(&[&old, &new]).await;
     let heavy = request("/once/", "")
         .replace("aa:10,bb:10,cc:10", "aa:2000,bb:3000,cc:100")
         .replace("30,5", "5100,5");
-    f.d.sight.shelf.put(delivery::sight::purge::Change {
+    f.d.sight.shelf.put(data_plane::sight::purge::Change {
         reset: false,
         digest: vec![HeldParts {
             holder: "e1".into(),
--- a/crates/delivery/tests/loads.rs
+++ b/crates/data-plane/tests/loads.rs
@@ -1,7 +1,7 @@
-//! Which postmaster a carrier tells its loads, and what it makes of the sum it hears.
+//! Which controller a router tells its loads, and what it makes of the sum it hears.
 
-use delivery::sight::loads::chosen;
-use pouch::wire::{Engine, Member, View};
+use data_plane::sight::loads::chosen;
+use fleet_core::wire::{Engine, Member, View};
 
 fn members() -> Vec<Member> {
     [("10.0.0.1", "a"), ("10.0.0.2", "b"), ("10.0.0.3", "b"), ("10.0.0.4", "c")]
@@ -27,7 +27,7 @@
 
 #[test]
 fn long_streams_get_more_engines_when_they_fill_a_third() {
-    use delivery::sight::roll::heavies;
+    use data_plane::sight::roll::heavies;
     assert_eq!(heavies(18, 48, 0.0), 13);
     assert_eq!(heavies(18, 48, 100.0), 13, "a few engines are enough");
     assert_eq!(heavies(140, 12, 500.0), 84);
@@ -37,7 +37,7 @@
 
 #[test]
 fn own_sends_are_counted_once_in_the_sum() {
-    let sight = delivery::sight::Sight::new();
+    let sight = data_plane::sight::Sight::new();
     let e = Engine { id: "e".into(), address: "10.0.0.9:80".into(), ..Default::default() };
     sight.hear(&View { engines: vec![e], ..Default::default() });
     let seat = sight.seats.read()["e"].clone();
@@ -47,12 +47,12 @@
         w.reported = w.own();
         w.runs = 3;
     }
-    let told = pouch::load::Load { unread: 640, runs: 5, interactive: 0 };
+    let told = fleet_core::load::Load { unread: 640, runs: 5, interactive: 0 };
     let sum = std::iter::once((seat.key, told)).collect();
-    sight.hear_loads(&pouch::load::pack(&sum));
+    sight.hear_loads(&fleet_core::load::pack(&sum));
     let now = tokio::time::Instant::now();
     let all = seat.work().all(now);
     assert_eq!((all.runs, all.unread), (6, 640));
-    let late = seat.work().all(now + pouch::constants::LOAD_LIMIT);
+    let late = seat.work().all(now + fleet_core::constants::LOAD_LIMIT);
     assert_eq!((late.runs, late.unread), (3, 0), "old news of others count no more");
 }
--- a/crates/delivery/tests/purge.rs
+++ b/crates/data-plane/tests/purge.rs
@@ -1,9 +1,9 @@
 //! A reader of the ring: what it keeps after lost answers, overruns and new lives of the keeper.
 
-use delivery::sight::purge::{Change, Place, Shelf, step};
-use pigeonhole::HolderBitmap;
-use pouch::wire::{HeldParts, PartAt, Purge, RingEntry, RingGive, RingHead};
-use recall::view::View;
+use data_plane::sight::purge::{Change, Place, Shelf, step};
+use fleet_core::wire::{HeldParts, PartAt, Purge, RingEntry, RingGive, RingHead};
+use invalidation::view::View;
+use prompt_index::HolderBitmap;
 
 fn head(fence: u64, life: u64, head: u64) -> Option<RingHead> {
     Some(RingHead { fence, life, head, ..Default::default() })
@@ -56,7 +56,7 @@
     /// over lost answers, overruns and new lives of the keeper.
     #[test]
     fn view_never_holds_what_was_purged(steps in proptest::collection::vec((0u8..6, 0u64..6), 1..120)) {
-        use recall::ring::{Read, Ring};
+        use invalidation::ring::{Read, Ring};
         let entry = |p: u64| RingEntry {
             scope: 0,
             what: Some(Purge::Part(PartAt { holder: "e".into(), salt: "m|1|#1".into(), part: p, kept: 0 })),
@@ -97,7 +97,7 @@
                     if let Some(c) = change { c.apply(&mut view); }
                     if at.cursor() == ring.head() && at.life() == life {
                         for q in 0..6 {
-                            let held = view.holds("e", recall::view::part_of("m|1|#1", q));
+                            let held = view.holds("e", invalidation::view::part_of("m|1|#1", q));
                             proptest::prop_assert!(!held || truth.contains(&q));
                         }
                     }
--- a/crates/delivery/tests/stand/mod.rs
+++ b/crates/data-plane/tests/stand/mod.rs
@@ -1,8 +1,8 @@
-//! A carrier on loopback, stand-in engines that play scripts, and a plain origin.
+//! A router on loopback, stand-in engines that play scripts, and a plain origin.
 
-use delivery::Delivery;
-use delivery::sight::table::Table;
-use pouch::wire::{Engine, NamedWeights, View, Weights};
+use data_plane::Delivery;
+use data_plane::sight::table::Table;
+use fleet_core::wire::{Engine, NamedWeights, View, Weights};
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -137,7 +137,7 @@
     pub async fn start(engines: &[&StandIn]) -> Fleet {
         let text = "nodeName=c1\nip=127.0.0.1\nzone=z\nportRange=1,9\nbounds.retryRatio=10\n\
             bounds.retryWindowS=10\nbounds.retrySlack=0\nbounds.versionMs=8000\n";
-        let params = pouch::params::Params::parse(text).unwrap();
+        let params = fleet_core::params::Params::parse(text).unwrap();
         let d = Delivery::assemble(params, slog::Logger::root(slog::Discard, slog::o!()));
         let route = |prefix: &str, resumable: bool, attempts: u32| {
             serde_json::json!({"host": "h.example", "pathPrefix": prefix, "kind": "streaming",
@@ -159,11 +159,11 @@
         d.sight.hear(&view);
         let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let front = l.local_addr().unwrap();
-        tokio::spawn(delivery::serve::accepting(d.clone(), l));
+        tokio::spawn(data_plane::serve::accepting(d.clone(), l));
         Fleet { d, front }
     }
 
-    /// Sends bytes and gives all that comes until the carrier closes or the answer is whole.
+    /// Sends bytes and gives all that comes until the router closes or the answer is whole.
     pub async fn raw(&self, bytes: &[u8]) -> String {
         let mut s = TcpStream::connect(self.front).await.unwrap();
         s.write_all(bytes).await.unwrap();
--- a/crates/pouch/src/constants.rs
+++ b/crates/fleet-core/src/constants.rs
@@ -28,7 +28,7 @@
 pub const CHANGE_LIMIT: Duration = Duration::from_millis(900);
 /// ms; longest first pause of a duel between two owners; doubles.
 pub const DUEL_PAUSE_MS: u64 = 40;
-/// ms; how often a postmaster compares what it knows with what its peers hold.
+/// ms; how often a controller compares what it knows with what its peers hold.
 pub const LEARN_PAUSE: Duration = Duration::from_millis(500);
 /// ms; how often a refused disk is tried again.
 pub const DISK_RETRY: Duration = Duration::from_millis(300);
@@ -42,7 +42,7 @@
 pub const BEAT_BYTES: usize = 4096;
 /// bytes; largest configuration read, above any limit an operator sets on bodies.
 pub const CONFIG_BYTES: usize = 6 << 20;
-/// ms; routine heartbeats are shared with the other postmasters this often.
+/// ms; routine heartbeats are shared with the other controllers this often.
 pub const BEAT_SHARE_PAUSE: Duration = Duration::from_millis(300);
 /// ms; a drain is told to a majority within this, inside the second engines wait.
 pub const BEAT_SHARE_LIMIT: Duration = Duration::from_millis(700);
@@ -50,19 +50,19 @@
 pub const SILENT_BEATS: f64 = 3.5;
 /// s; a gone instance is remembered this long so that no late call brings it back.
 pub const TOMBSTONE: Duration = Duration::from_secs(300);
-/// ms; carriers tell the postmasters that they live this often.
-pub const CARRIER_BEAT: Duration = Duration::from_millis(1000);
-/// ms; a carrier silent for this long no longer counts.
-pub const CARRIER_SILENT: Duration = Duration::from_millis(4000);
+/// ms; routers tell the controllers that they live this often.
+pub const ROUTER_BEAT: Duration = Duration::from_millis(1000);
+/// ms; a router silent for this long no longer counts.
+pub const ROUTER_SILENT: Duration = Duration::from_millis(4000);
 /// share of a lease after which its holder renews it.
 pub const LEASE_RENEW: f64 = 0.3;
 /// share of a lease that its holder leaves unused at its end.
 pub const LEASE_MARGIN: f64 = 0.25;
-/// ms; lease of the index-keeper, who orders nothing: short, since carriers miss what it would tell.
+/// ms; lease of the index-keeper, who orders nothing: short, since routers miss what it would tell.
 pub const KEEPER_LEASE: Duration = Duration::from_millis(1500);
-/// ms; a new index-keeper hears holders and carriers this long before it gives a digest.
+/// ms; a new index-keeper hears holders and routers this long before it gives a digest.
 pub const KEEPER_WARM: Duration = Duration::from_millis(800);
-/// own findings that a carrier remembers, to tell a new index-keeper.
+/// own findings that a router remembers, to tell a new index-keeper.
 pub const FOUND_AGAIN: usize = 256;
 /// ms; pause of the loop that holds duties.
 pub const DUTY_TICK: Duration = Duration::from_millis(250);
@@ -72,11 +72,11 @@
 pub const MEMBER_SILENT: Duration = Duration::from_millis(7000);
 /// ms; a joiner asks again this often.
 pub const JOIN_PAUSE: Duration = Duration::from_millis(400);
-/// s; a postmaster without a disk looks for a newer roster this often.
+/// s; a controller without a disk looks for a newer roster this often.
 pub const OBSERVE_PAUSE: Duration = Duration::from_secs(2);
 /// ms; the roll-out looks at its engines this often.
 pub const ROLL_TICK: Duration = Duration::from_millis(100);
-/// ms; carriers have heard that an engine changes before it is ordered to.
+/// ms; routers have heard that an engine changes before it is ordered to.
 pub const ROLL_NOTICE: Duration = Duration::from_millis(120);
 /// engines' share of a service that turn to new weights together at first; learnt from there.
 pub const ROLL_START: f64 = 0.15;
@@ -88,7 +88,7 @@
 pub const FADE_SHARE: f64 = 0.34;
 /// ms; long streams get this long to end before their engine is ordered all the same.
 pub const FADE_LIMIT: Duration = Duration::from_millis(2500);
-/// ms; carriers heed what the roll-out said of an engine this long; who said it may have died since.
+/// ms; routers heed what the roll-out said of an engine this long; who said it may have died since.
 pub const MARK_LIMIT: Duration = Duration::from_millis(4000);
 /// ms; a turn longer than this is shown to the operator as stuck.
 pub const TURN_SLOW: Duration = Duration::from_millis(4000);
@@ -108,7 +108,7 @@
 pub const FADE_COST_MS: f64 = 400.0;
 /// ms; what each run beyond an engine's slots costs: one of them has to end first.
 pub const SLOT_COST_MS: f64 = 120.0;
-/// ms; the roll-out means to end this long before carriers stop offering to old weights.
+/// ms; the roll-out means to end this long before routers stop offering to old weights.
 pub const ROLL_MARGIN: Duration = Duration::from_millis(500);
 /// ms; an engine under order is asked for its report this often.
 pub const REPORT_PAUSE: Duration = Duration::from_millis(250);
@@ -116,7 +116,7 @@
 pub const ORDER_LIMIT: Duration = Duration::from_secs(6);
 /// ms; answers to orders and reports come within a round trip and a step.
 pub const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(800);
-/// ms; carriers stop offering to old weights this long before the bound.
+/// ms; routers stop offering to old weights this long before the bound.
 pub const STAMP_MARGIN: Duration = Duration::from_millis(1500);
 /// ms; how long a call for events is held by an engine: the longest the protocol allows.
 pub const EVENTS_WAIT_MS: u64 = 1000;
@@ -130,27 +130,27 @@
 pub const RING_LAG: u64 = 2048;
 /// findings remembered for readers; more than come between two fetches.
 pub const FINDINGS_KEPT: usize = 4096;
-/// parts that no carrier has named as shared yet, of each of two generations; a minute of traffic.
+/// parts that no router has named as shared yet, of each of two generations; a minute of traffic.
 pub const UNSHARED_KEPT: usize = 16_384;
-/// digests given within a `REFILL_SPAN`; all carriers at once would fill the keeper's line for seconds.
+/// digests given within a `REFILL_SPAN`; all routers at once would fill the keeper's line for seconds.
 pub const REFILLS_AT_ONCE: usize = 8;
 /// ms; see `REFILLS_AT_ONCE`.
 pub const REFILL_SPAN: Duration = Duration::from_millis(100);
 /// s; a digest may take this long on a busy line before it is asked for again.
 pub const REFILL_LIMIT: Duration = Duration::from_secs(2);
-/// ms; carriers tell what their sends leave behind this often.
+/// ms; routers tell what their sends leave behind this often.
 pub const FOUND_PAUSE: Duration = Duration::from_millis(100);
 /// findings of own sends that wait to be told; more are only slower to come by.
 pub const FOUND_KEPT: usize = 512;
 /// s; a reader that has not come for so long loses its cursor.
 pub const READER_LIMIT: Duration = Duration::from_secs(10);
-/// ms; carriers fetch published entries this long after they hear of a new head.
+/// ms; routers fetch published entries this long after they hear of a new head.
 pub const RING_FETCH_PAUSE: Duration = Duration::from_millis(20);
 /// ms; the index-keeper tells of a new head at most this often.
 pub const RING_TELL_PAUSE: Duration = Duration::from_millis(250);
 /// share of a budget that is used; the rest covers windows that slide against each other.
 pub const BUDGET_SHARE: f64 = 0.8;
-/// carriers; how many may join before the others hear of it.
+/// routers; how many may join before the others hear of it.
 pub const BUDGET_SPARES: usize = 3;
 /// ms; loads of engines are told on this often, twice on their way; most reads take longer.
 pub const LOAD_PAUSE: Duration = Duration::from_millis(100);
@@ -230,7 +230,7 @@
 pub const STACK_BYTES: usize = 512 << 10;
 /// blocks of a prompt that are looked up; deeper ones are read without the index.
 pub const CHAIN_BLOCKS: usize = 64;
-/// entries of the prompt index in a carrier, of chains and of blocks each; about 6 MB when full.
+/// entries of the prompt index in a router, of chains and of blocks each; about 6 MB when full.
 pub const INDEX_ENTRIES: usize = 32_768;
 /// blocks of one holder that are remembered as kept in part.
 pub const TIER_ENTRIES: usize = 256;
--- a/crates/pouch/src/fleet.rs
+++ b/crates/fleet-core/src/fleet.rs
@@ -1,4 +1,4 @@
-//! What is believed of an engine, and how news of it merge; alike at postmasters and carriers.
+//! What is believed of an engine, and how news of it merge; alike at controllers and routers.
 
 use crate::wire::{Engine, Standing};
 
--- a/crates/pouch/src/lib.rs
+++ b/crates/fleet-core/src/lib.rs
@@ -1,4 +1,4 @@
-//! Shared ground of the postmaster and the carrier.
+//! Shared ground of the controller and the router.
 
 pub mod configuration;
 pub mod constants;
--- a/crates/pouch/src/load.rs
+++ b/crates/fleet-core/src/load.rs
@@ -1,4 +1,4 @@
-//! Loads of engines, as carriers and postmasters add them up.
+//! Loads of engines, as routers and controllers add them up.
 
 use crate::constants as k;
 use crate::wire::Loads;
--- a/crates/pouch/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -49,8 +49,8 @@
     RingStarted = 280, Info, "ring of invalidations started";
     HolderReset = 281, Info, "coverage of a holder dropped";
     ReaderReset = 282, Info, "reader of the ring reset";
-    LinkUp = 300, Debug, "link to a postmaster up";
-    LinkDown = 301, Info, "link to a postmaster down";
+    LinkUp = 300, Debug, "link to a controller up";
+    LinkDown = 301, Info, "link to a controller down";
     Ready = 310, Info, "ready";
     Unready = 311, Info, "not ready";
     ConfigInForce = 320, Info, "configuration in force";
--- a/crates/pouch/src/node.rs
+++ b/crates/fleet-core/src/node.rs
@@ -5,8 +5,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u16)]
 pub enum Role {
-    Postmaster = 0,
-    Carrier = 1,
+    Controller = 0,
+    Router = 1,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/pouch/src/wire.rs
+++ b/crates/fleet-core/src/wire.rs
@@ -355,7 +355,7 @@
     pub roster: Option<Roster>,
 }
 
-/// A carrier tells that it lives, and what it has.
+/// A router tells that it lives, and what it has.
 #[derive(Clone, PartialEq, Message)]
 pub struct Alive {
     #[prost(uint64, tag = "1")]
@@ -364,8 +364,8 @@
     pub leaving: bool,
 }
 
-/// Loads of engines, in parallel lists: from a carrier its own sends in flight, from a postmaster the
-/// sum over its carriers, to a carrier the sum over all.
+/// Loads of engines, in parallel lists: from a router its own sends in flight, from a controller the
+/// sum over its routers, to a router the sum over all.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Loads {
     /// of the engine's id; two that share a key only look busier than they are
@@ -391,7 +391,7 @@
     pub age_ms: u64,
 }
 
-/// Pushed to carriers; each field only when it has news.
+/// Pushed to routers; each field only when it has news.
 #[derive(Clone, PartialEq, Message)]
 pub struct View {
     #[prost(message, optional, tag = "1")]
@@ -405,7 +405,7 @@
     #[prost(message, optional, tag = "5")]
     pub ring: Option<RingHead>,
     #[prost(uint32, tag = "6")]
-    pub carriers: u32,
+    pub routers: u32,
     /// the reader is behind by more than half of the ring
     #[prost(bool, tag = "7")]
     pub nudge: bool,
@@ -509,7 +509,7 @@
     pub kept: Vec<u64>,
 }
 
-/// Shared parts that a carrier's own sends leave at a holder.
+/// Shared parts that a router's own sends leave at a holder.
 #[derive(Clone, PartialEq, Message)]
 pub struct Found {
     #[prost(message, repeated, tag = "1")]
--- a/crates/pouch/tests/load.rs
+++ b/crates/fleet-core/tests/load.rs
@@ -1,7 +1,7 @@
-//! Loads of engines, added up over carriers and postmasters.
+//! Loads of engines, added up over routers and controllers.
 
-use pouch::constants as k;
-use pouch::load::{Book, ByEngine, Last, Load, key_of, pack, unpack};
+use fleet_core::constants as k;
+use fleet_core::load::{Book, ByEngine, Last, Load, key_of, pack, unpack};
 use tokio::time::Instant;
 
 fn load(unread: u64, runs: u32) -> Load {
--- a/crates/pouch/tests/sizes.rs
+++ b/crates/fleet-core/tests/sizes.rs
@@ -1,8 +1,8 @@
 //! Bytes on the wire for each item, at three sizes: what docs/CAPACITY.md reckons with.
-//! `cargo test -p pouch --test sizes -- --nocapture` prints them.
+//! `cargo test -p fleet_core --test sizes -- --nocapture` prints them.
 
-use pouch::load::{ByEngine, Load, pack};
-use pouch::wire::{Engine, HeldParts, PartAt, Purge, RingEntry, View, Weights};
+use fleet_core::load::{ByEngine, Load, pack};
+use fleet_core::wire::{Engine, HeldParts, PartAt, Purge, RingEntry, View, Weights};
 use prost::Message;
 
 const SIZES: [usize; 3] = [90, 280, 760];
--- a/crates/inspector/src/ask.rs
+++ b/crates/fleetctl/src/ask.rs
@@ -1,6 +1,6 @@
 //! Reads what is in force and the fleet as seen; never writes.
 
-use sorting::engines::outside::Line;
+use control_plane::engines::outside::Line;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
     #[serde(default)]
     pub revision: u64,
     #[serde(default)]
-    pub carriers: u32,
+    pub routers: u32,
     #[serde(default)]
     pub engines: Vec<SeenEngine>,
 }
@@ -90,7 +90,7 @@
 }
 
 pub struct AsItIs {
-    pub in_force: Option<pouch::configuration::Configuration>,
+    pub in_force: Option<fleet_core::configuration::Configuration>,
     pub fleet: Fleet,
 }
 
@@ -102,7 +102,7 @@
         return Ok(AsItIs { in_force: None, fleet });
     }
     let (at, _, body) = first_of(nodes, "/anisedyke/Config.Fetch", limit, &[200]).await?;
-    let in_force = pouch::configuration::Configuration::read(&body)
+    let in_force = fleet_core::configuration::Configuration::read(&body)
         .map_err(|e| AskProblem::Malformed(at, e.to_string()))?;
     Ok(AsItIs { in_force: Some(in_force), fleet })
 }
--- a/crates/inspector/src/findings.rs
+++ b/crates/fleetctl/src/findings.rs
@@ -1,7 +1,7 @@
 //! What is wrong with a configuration, and what is valid but unwise now.
 
 use crate::ask::AsItIs;
-use pouch::configuration::{ConfigProblem, Configuration, Route};
+use fleet_core::configuration::{ConfigProblem, Configuration, Route};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -28,7 +28,7 @@
     Finding { weight: Weight::Error, code: p.code(), place, text }
 }
 
-/// Invalid by itself: the postmaster's own check, and nothing else can be said then.
+/// Invalid by itself: the controller's own check, and nothing else can be said then.
 pub fn read(body: &[u8]) -> Result<Configuration, Finding> {
     Configuration::read(body).map_err(|p| error(&p))
 }
@@ -52,9 +52,9 @@
         }
     }
     for (i, s) in c.services.iter().enumerate() {
-        if s.kv_store.is_none() && s.max_conns < now.fleet.carriers {
+        if s.kv_store.is_none() && s.max_conns < now.fleet.routers {
             let text =
-                format!("{} connections for {} live carriers", s.max_conns, now.fleet.carriers);
+                format!("{} connections for {} live routers", s.max_conns, now.fleet.routers);
             out.push(warn("conns_too_few", format!("services[{i}].maxConns"), text));
         }
     }
@@ -151,7 +151,7 @@
         };
         AsItIs {
             in_force: Some(read(sheet(5).to_string().as_bytes()).unwrap()),
-            fleet: Fleet { revision: 5, carriers: 3, engines: vec![e("ready"), e("draining")] },
+            fleet: Fleet { revision: 5, routers: 3, engines: vec![e("ready"), e("draining")] },
         }
     }
 
--- a/crates/inspector/src/main.rs
+++ b/crates/fleetctl/src/main.rs
@@ -1,7 +1,7 @@
-//! `inspector check FILE --control ADDR[,ADDR…]` and `inspector rollout --control ADDR[,ADDR…]`
+//! `fleetctl check FILE --control ADDR[,ADDR…]` and `fleetctl rollout --control ADDR[,ADDR…]`
 
+use fleetctl::report;
 use gumdrop::Options;
-use inspector::report;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -66,8 +66,8 @@
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
 const USAGE: &str =
-    "usage: inspector check FILE --control ADDR[,ADDR...] [--json] [--strict] [--limit-ms MS]
-       inspector rollout --control ADDR[,ADDR...] [--watch] [--json] [--limit-ms MS]";
+    "usage: fleetctl check FILE --control ADDR[,ADDR...] [--json] [--strict] [--limit-ms MS]
+       fleetctl rollout --control ADDR[,ADDR...] [--watch] [--json] [--limit-ms MS]";
 
 fn nodes(control: &str) -> Result<Vec<std::net::SocketAddr>, String> {
     let read = |a: &str| {
@@ -86,7 +86,7 @@
         Err(e) => return unchecked(e),
     };
     loop {
-        let ask = inspector::rollout::ask(&nodes, Duration::from_millis(c.limit_ms));
+        let ask = fleetctl::rollout::ask(&nodes, Duration::from_millis(c.limit_ms));
         let r = match rt.block_on(ask) {
             Ok(r) => r,
             Err(e) => return unchecked(e),
@@ -104,7 +104,7 @@
 }
 
 fn unchecked(why: impl std::fmt::Display) -> ExitCode {
-    eprintln!("inspector: {why}");
+    eprintln!("fleetctl: {why}");
     ExitCode::from(report::UNCHECKED)
 }
 
@@ -112,10 +112,10 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let words = match Words::parse_args_default(&args) {
         Ok(w) => w,
-        Err(e) => return unchecked(format!("{e}\ntry inspector --help")),
+        Err(e) => return unchecked(format!("{e}\ntry fleetctl --help")),
     };
     if words.version {
-        println!("inspector {}", env!("CARGO_PKG_VERSION"));
+        println!("fleetctl {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let asked = words.help_requested();
@@ -144,12 +144,12 @@
         Ok(rt) => rt,
         Err(e) => return unchecked(e),
     };
-    let found = match inspector::findings::read(&body) {
+    let found = match fleetctl::findings::read(&body) {
         Err(f) => vec![f],
         Ok(sheet) => {
-            let look = inspector::ask::look(&nodes, Duration::from_millis(c.limit_ms));
+            let look = fleetctl::ask::look(&nodes, Duration::from_millis(c.limit_ms));
             match rt.block_on(look) {
-                Ok(now) => inspector::findings::findings(&sheet, &now),
+                Ok(now) => fleetctl::findings::findings(&sheet, &now),
                 Err(e) => return unchecked(e),
             }
         }
--- a/crates/inspector/src/rollout.rs
+++ b/crates/fleetctl/src/rollout.rs
@@ -2,7 +2,7 @@
 
 use crate::ask::{AskProblem, answers};
 use crate::report;
-pub use sorting::duties::rollout::look::State;
+pub use control_plane::duties::rollout::look::State;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/inspector/tests/ask.rs
+++ b/crates/fleetctl/tests/ask.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 
-use inspector::ask::{AskProblem, look};
+use fleetctl::ask::{AskProblem, look};
 use stand::{node, nowhere, ok};
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 fn well(head: &str) -> String {
     if head.contains("Fleet.Look") {
         return ok(
-            r#"{"revision":3,"carriers":2,"engines":[{"service":"s","standing":"ready","silent":false,"slots":4}]}"#,
+            r#"{"revision":3,"routers":2,"engines":[{"service":"s","standing":"ready","silent":false,"slots":4}]}"#,
         );
     }
     ok(r#"{"revision":3,"routes":[],"services":[]}"#)
@@ -26,7 +26,7 @@
     .await;
     let now = look(&[nowhere(), points], LIMIT).await.unwrap();
     assert_eq!(now.in_force.unwrap().revision, 3);
-    assert_eq!((now.fleet.carriers, now.fleet.engines.len()), (2, 1));
+    assert_eq!((now.fleet.routers, now.fleet.engines.len()), (2, 1));
 }
 
 #[tokio::test]
--- a/crates/inspector/tests/rollout.rs
+++ b/crates/fleetctl/tests/rollout.rs
@@ -2,8 +2,8 @@
 
 mod stand;
 
-use inspector::ask::AskProblem;
-use inspector::rollout::{Rollout, ask};
+use fleetctl::ask::AskProblem;
+use fleetctl::rollout::{Rollout, ask};
 use stand::{nowhere, ok};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/inspector/tests/stand/mod.rs
+++ b/crates/fleetctl/tests/stand/mod.rs
@@ -1,4 +1,4 @@
-//! Nodes of the tests' own, asked by an inspector.
+//! Nodes of the tests' own, asked by an fleetctl.
 
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -11,7 +11,7 @@
             let mut b = vec![0u8; 4096];
             let n = s.read(&mut b).await.unwrap();
             let head = String::from_utf8_lossy(&b[..n]).into_owned();
-            assert!(head.starts_with("GET "), "an inspector only reads");
+            assert!(head.starts_with("GET "), "an fleetctl only reads");
             s.write_all(answer(&head).as_bytes()).await.unwrap();
         }
     });
--- a/crates/recall/src/cache.rs
+++ b/crates/invalidation/src/cache.rs
@@ -1,6 +1,6 @@
-//! What a reader keeps, as the ring's entries change it: the view of this crate, or a carrier's index.
+//! What a reader keeps, as the ring's entries change it: the view of this crate, or a router's index.
 
-use pouch::wire::{HeldParts, PartAt, Purge, RingEntry};
+use fleet_core::wire::{HeldParts, PartAt, Purge, RingEntry};
 
 pub trait Cache {
     /// A holder that answers, with or without anything kept.
@@ -16,7 +16,7 @@
     fn derive(&mut self, _entry: &RingEntry) {}
 }
 
-pub fn is_older(salt: &str, w: &pouch::wire::Weights) -> bool {
+pub fn is_older(salt: &str, w: &fleet_core::wire::Weights) -> bool {
     crate::view::read_salt(salt).is_some_and(|s| s.model == w.model && s.stamp < w.stamp)
 }
 
--- a/crates/recall/src/view.rs
+++ b/crates/invalidation/src/view.rs
@@ -1,7 +1,7 @@
 //! What a reader believes that holders keep, and how it unlearns.
 
 use crate::cache::Cache;
-use pouch::wire::RingEntry;
+use fleet_core::wire::RingEntry;
 
 pub type Holder = u32;
 
@@ -9,7 +9,7 @@
 pub type Part = u64;
 
 pub fn part_of(salt: &str, part: u64) -> Part {
-    pouch::node::stable_hash(&[salt.as_bytes(), &part.to_be_bytes()])
+    fleet_core::node::stable_hash(&[salt.as_bytes(), &part.to_be_bytes()])
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -171,7 +171,7 @@
 #[cfg(all(test, not(feature = "checker")))]
 mod tests {
     use super::*;
-    use pouch::wire::{PartAt, Purge};
+    use fleet_core::wire::{PartAt, Purge};
 
     fn entry(what: Purge) -> RingEntry {
         RingEntry { scope: 0, what: Some(what) }
@@ -194,7 +194,7 @@
         assert!(!v.holds("e1", part_of(&a, 1)));
         assert!(v.holds("e1", part_of(&a, 2)) && v.holds("e1", part_of(&b, 1)));
         v.apply(
-            &entry(Purge::Weights(pouch::wire::Weights { model: "m".into(), stamp: 2 })),
+            &entry(Purge::Weights(fleet_core::wire::Weights { model: "m".into(), stamp: 2 })),
             |_| true,
         );
         assert!(!v.holds("e1", part_of(&a, 2)) && !v.holds("e2", part_of(&a, 1)));
--- a/crates/pigeonhole/benches/query.rs
+++ b/crates/prompt-index/benches/query.rs
@@ -1,7 +1,7 @@
 //! Relative figures: the index against a naive scan of every block at every holder.
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use pigeonhole::{Cell, Chain, HolderBitmap};
+use prompt_index::{Cell, Chain, HolderBitmap};
 use std::hint::black_box;
 
 const BLOCKS: usize = 32;
--- a/crates/pigeonhole/src/chain.rs
+++ b/crates/prompt-index/src/chain.rs
@@ -1,6 +1,6 @@
 //! Cumulative hashes: each block's names its own content and all that goes before it.
 
-use pouch::constants as k;
+use fleet_core::constants as k;
 use smallvec::SmallVec;
 
 /// One block of a prompt. `raw` names the block alone, `hash` the whole prefix up to it.
@@ -24,7 +24,7 @@
 
 /// Weights and wall stand in the salt, so they seed chains that never meet.
 pub fn seed(salt: &str) -> u64 {
-    pouch::node::stable_hash(&[salt.as_bytes()])
+    fleet_core::node::stable_hash(&[salt.as_bytes()])
 }
 
 pub fn raw(seed: u64, part: u64) -> u64 {
--- a/crates/pigeonhole/src/index.rs
+++ b/crates/prompt-index/src/index.rs
@@ -1,8 +1,8 @@
-//! All cells of a carrier: who has which number where, and what the ring of purges does to them.
+//! All cells of a router: who has which number where, and what the ring of purges does to them.
 
 use crate::cell::{Cell, HolderNo};
 use crate::chain::{self, Chain};
-use pouch::constants as k;
+use fleet_core::constants as k;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
@@ -77,7 +77,7 @@
             return *at;
         }
         let mut cells = write(&self.cells);
-        let rank = |n: usize| pouch::node::stable_hash(&[holder.as_bytes(), &n.to_be_bytes()]);
+        let rank = |n: usize| fleet_core::node::stable_hash(&[holder.as_bytes(), &n.to_be_bytes()]);
         let mut order: Vec<usize> = (0..cells.len()).filter(|n| cells[*n].room() > 0).collect();
         order.sort_by_key(|n| rank(*n));
         let found = order.into_iter().find_map(|n| Some(At { cell: n, no: cells[n].admit()? }));
--- a/crates/pigeonhole/src/tier.rs
+++ b/crates/prompt-index/src/tier.rs
@@ -2,7 +2,7 @@
 
 use crate::shard::Map;
 use crate::sync::{Mutex, held};
-use pouch::constants as k;
+use fleet_core::constants as k;
 
 /// Tokens of blocks that a holder keeps in part only; these set no bit.
 #[derive(Default)]
--- a/crates/pigeonhole/tests/index.rs
+++ b/crates/prompt-index/tests/index.rs
@@ -1,7 +1,7 @@
 //! The index against a naive model, and what each of its promises costs.
 #![cfg(not(feature = "checker"))]
 
-use pigeonhole::{Cell, Chain, HolderBitmap, HolderNo, Index};
+use prompt_index::{Cell, Chain, HolderBitmap, HolderNo, Index};
 
 const SEED: u64 = 9;
 
@@ -47,7 +47,7 @@
 #[test]
 fn hundreds_of_parts_are_bounded() {
     let c = Chain::new(SEED, (0..900).map(|i| (i, 1)));
-    assert_eq!(c.len(), pouch::constants::CHAIN_BLOCKS);
+    assert_eq!(c.len(), fleet_core::constants::CHAIN_BLOCKS);
     let again = Chain::new(SEED, (0..9).map(|_| (4, 1)));
     let cell = Cell::new(1000);
     let h = cell.admit().unwrap();
@@ -225,7 +225,7 @@
         let mut former: Vec<HolderNo> = Vec::new();
         let mut model = vec![Naive::default(); 5];
         for (what, h, part, c) in steps {
-            let raw = pigeonhole::chain::raw(SEED, part);
+            let raw = prompt_index::chain::raw(SEED, part);
             match what {
                 0..=2 => {
                     for _ in 0..=(what % 2) {
--- a/crates/pigeonhole/tests/interleavings.rs
+++ b/crates/prompt-index/tests/interleavings.rs
@@ -2,9 +2,9 @@
 #![cfg(feature = "checker")]
 
 use loom::sync::Arc;
-use pigeonhole::alive::Alive;
-use pigeonhole::shard::Shards;
-use pigeonhole::{Cell, Chain, HolderBitmap};
+use prompt_index::alive::Alive;
+use prompt_index::shard::Shards;
+use prompt_index::{Cell, Chain, HolderBitmap};
 
 #[test]
 fn alive_bits_of_one_word_are_never_lost() {
--- a/crates/carrier/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,9 +1,9 @@
 //! The traffic plane's program.
 
 fn main() -> std::process::ExitCode {
-    pouch::program::start(
-        pouch::program::About {
-            name: "carrier",
+    fleet_core::program::start(
+        fleet_core::program::About {
+            name: "router",
             version: env!("CARGO_PKG_VERSION"),
             what: "carries requests from origins to engines and answers back",
             needs: |p| {
@@ -17,6 +17,6 @@
                 out
             },
         },
-        |params, log, stop, reread| async move { delivery::run(params, log, stop, reread).await },
+        |params, log, stop, reread| async move { data_plane::run(params, log, stop, reread).await },
     )
 }
--- a/crates/carrier/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -1,4 +1,4 @@
-//! A postmaster, a carrier and a stand-in engine on loopback: the whole path, and what is kept on disk.
+//! A controller, a router and a stand-in engine on loopback: the whole path, and what is kept on disk.
 
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -39,7 +39,7 @@
         }
     }
 
-    fn params(&self, bootstrap: bool) -> pouch::params::Params {
+    fn params(&self, bootstrap: bool) -> fleet_core::params::Params {
         let text = format!(
             "nodeName=n1\nip=127.0.0.1\nzone=z\nportRange={},{}\nseeds={}\nbootstrap={bootstrap}\n\
              dataDir={}\nbindAddrs.control={}\nbindAddrs.frontHttp={}\nbindAddrs.readiness={}\n\
@@ -52,22 +52,22 @@
             self.front,
             self.probe
         );
-        pouch::params::Params::parse(&text).unwrap()
+        fleet_core::params::Params::parse(&text).unwrap()
     }
 
-    fn postmaster(&self, bootstrap: bool) -> Running {
+    fn controller(&self, bootstrap: bool) -> Running {
         let (stop, stopped) = tokio::sync::watch::channel(false);
         let (_, reread) = tokio::sync::mpsc::channel(1);
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let run = sorting::run(self.params(bootstrap), log, stopped, reread);
+        let run = control_plane::run(self.params(bootstrap), log, stopped, reread);
         Running { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 
-    fn carrier(&self) -> Running {
+    fn router(&self) -> Running {
         let (stop, stopped) = tokio::sync::watch::channel(false);
         let (_, reread) = tokio::sync::mpsc::channel(1);
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let run = delivery::run(self.params(false), log, stopped, reread);
+        let run = data_plane::run(self.params(false), log, stopped, reread);
         Running { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 }
@@ -137,7 +137,7 @@
 #[tokio::test]
 async fn configurations_are_taken_refused_and_kept_over_a_restart() {
     let p = Place::new("config");
-    let running = p.postmaster(true);
+    let running = p.controller(true);
     assert_eq!(until(p.control, &get("Config.Fetch"), 503).await.0, 503);
     assert_eq!(until(p.control, &replace(0, &sheet(5, 100)), 200).await.0, 200);
     let cut = sheet(9, 100);
@@ -163,7 +163,7 @@
     let (_, before) = call(p.control, &get("Config.Fetch")).await.unwrap();
     assert!(before.ends_with(&sheet(5, 100)), "what was refused changed nothing: {before}");
     running.end().await;
-    let running = p.postmaster(false);
+    let running = p.controller(false);
     let (status, after) = until(p.control, &get("Config.Fetch"), 200).await;
     assert_eq!(status, 200);
     assert!(after.ends_with(&sheet(5, 100)));
@@ -201,8 +201,8 @@
 #[tokio::test]
 async fn a_request_finds_its_engine_through_the_whole_system() {
     let p = Place::new("path");
-    let postmaster = p.postmaster(true);
-    let carrier = p.carrier();
+    let controller = p.controller(true);
+    let router = p.router();
     assert_eq!(until(p.probe, &get("readyz"), 503).await.0, 503, "no configuration as yet");
     assert_eq!(until(p.control, &replace(0, &sheet(5, 5000)), 200).await.0, 200);
     assert_eq!(until(p.probe, &get("readyz"), 200).await.0, 200);
@@ -230,6 +230,6 @@
     assert_eq!(call(p.front, rq).await.unwrap().0, 503, "and changes nothing");
     assert_eq!(call(p.control, &post("Instances.Deregister/i-1", "", "")).await.unwrap().0, 200);
     assert_eq!(call(p.front, rq).await.unwrap().0, 503);
-    carrier.task.abort();
-    postmaster.end().await;
+    router.task.abort();
+    controller.end().await;
 }
