--- a/crates/control-plane/src/api/config.rs
+++ b/crates/control-plane/src/api/config.rs
@@ -23,21 +23,21 @@
     };
     let body = whole(body, fleet_core::constants::CONFIG_BYTES).await?;
     let c = fleet_core::configuration::Configuration::read(&body).map_err(|p| {
-        fleet_core::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
+        fleet_core::log_event!(s.log, Event::ConfigRejected, "why" => p.to_string());
         rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string())
     })?;
-    let r = ReplaceConfig { base, stamp: c.revision, body };
+    let r = ReplaceConfig { base, version: c.revision, body };
     let changed = owner::submit(s, ChangeKind::Replace(r.clone())).await;
     match changed.outcome() {
-        Outcome::Done => json(StatusCode::OK, format!("{{\"revision\":{}}}", r.stamp)),
+        Outcome::Done => json(StatusCode::OK, format!("{{\"revision\":{}}}", r.version)),
         Outcome::Stale => Err(rejected(
             StatusCode::PRECONDITION_FAILED,
             "stale_base",
             format!("version {} is in place", changed.number),
         )),
         Outcome::Invalid => {
-            let p = values::problem_of(&r, &changed);
-            fleet_core::note!(s.log, Event::ConfigRejected, "why" => p.to_string());
+            let p = values::error_of(&r, &changed);
+            fleet_core::log_event!(s.log, Event::ConfigRejected, "why" => p.to_string());
             Err(rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string()))
         }
         Outcome::Unknown => Err(rejected(
@@ -61,7 +61,7 @@
             _ => None,
         };
     match got {
-        Some(c) if c.stamp > 0 => json(StatusCode::OK, c.body.to_vec()),
+        Some(c) if c.version > 0 => json(StatusCode::OK, c.body.to_vec()),
         _ => Err(rejected(
             StatusCode::SERVICE_UNAVAILABLE,
             "unknown",
--- a/crates/control-plane/src/api/fleet.rs
+++ b/crates/control-plane/src/api/fleet.rs
@@ -13,7 +13,7 @@
     let models: Vec<_> = e
         .weights
         .iter()
-        .map(|w| serde_json::json!({"name": w.model, "revision": w.stamp}))
+        .map(|w| serde_json::json!({"name": w.model, "revision": w.version}))
         .collect();
     serde_json::json!({"id": e.id, "service": e.service, "address": e.address, "zone": e.zone,
         "slots": e.slots, "standing": standing, "silent": e.silent, "models": models})
--- a/crates/control-plane/src/api/instances.rs
+++ b/crates/control-plane/src/api/instances.rs
@@ -72,7 +72,7 @@
         weights: beat
             .models
             .into_iter()
-            .map(|m| Weights { model: m.name, stamp: m.revision })
+            .map(|m| Weights { model: m.name, version: m.revision })
             .collect(),
         ..Default::default()
     };
--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -6,11 +6,11 @@
 mod rollout;
 mod weights;
 
-use crate::Sorting;
+use crate::Controller;
 use futures_util::StreamExt;
 use std::sync::Arc;
 
-pub type Context = Arc<Sorting>;
+pub type Context = Arc<Controller>;
 
 /// Typed answer to what can't be taken.
 pub fn rejected(status: http::StatusCode, code: &str, message: String) -> dropshot::HttpError {
--- a/crates/control-plane/src/api/weights.rs
+++ b/crates/control-plane/src/api/weights.rs
@@ -2,7 +2,7 @@
 
 use super::{Context, json, rejected, whole};
 use crate::control::owner;
-use fleet_core::wire::{ChangeKind, NameStamp, Outcome};
+use fleet_core::wire::{ChangeKind, NameVersion, Outcome};
 use http::StatusCode;
 
 #[derive(serde::Deserialize)]
@@ -20,7 +20,7 @@
     let body = whole(body, fleet_core::constants::BEAT_BYTES).await?;
     let p: Put = serde_json::from_slice(&body)
         .map_err(|e| rejected(StatusCode::BAD_REQUEST, "malformed", e.to_string()))?;
-    let change = ChangeKind::Name(NameStamp { model: p.model, stamp: p.revision });
+    let change = ChangeKind::Name(NameVersion { model: p.model, version: p.revision });
     match owner::submit(s, change).await.outcome() {
         Outcome::Done => json(StatusCode::OK, "{}"),
         _ => Err(rejected(
--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -1,20 +1,20 @@
 //! The part of a register that every member holds and votes with.
 
 use crate::disk::format::Record;
-use fleet_core::wire::{Accept, Ballot, Member, Peeked, Prepare, Register, Roster, Vote};
+use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
 use prost::Message;
 
-/// Holds the roster in force; never a key of the control state itself.
-const ROSTER_IN_FORCE: &str = "\u{1}roster";
-/// Holds the era: it rises with each member that reads its lost disk back, and no vote of an earlier
-/// era counts together with one of a later.
-const ERA: &str = "\u{1}era";
+/// Holds the membership in force; never a key of the control state itself.
+const MEMBERSHIP_IN_FORCE: &str = "\u{1}membership";
+/// Holds the recovery_epoch: it rises with each member that reads its lost disk back, and no vote of an earlier
+/// recovery_epoch counts together with one of a later.
+const RECOVERY_EPOCH: &str = "\u{1}recovery_epoch";
 
 pub struct Acceptor {
     registers: hashbrown::HashMap<String, Register, ahash::RandomState>,
-    roster: Roster,
+    membership: Membership,
     voting: bool,
-    era: u64,
+    recovery_epoch: u64,
     own: u64,
 }
 
@@ -28,16 +28,16 @@
     pub fn new(own: std::net::Ipv4Addr, state: crate::disk::format::State) -> Self {
         let mut a = Acceptor {
             registers: hashbrown::HashMap::default(),
-            roster: Roster::default(),
+            membership: Membership::default(),
             voting: state.voting,
-            era: 0,
+            recovery_epoch: 0,
             own: u64::from(u32::from(own)),
         };
         for r in state.registers {
-            if r.key == ROSTER_IN_FORCE {
-                a.roster = Roster::decode(r.value).unwrap_or_default();
-            } else if r.key == ERA {
-                a.era = r.promised.n;
+            if r.key == MEMBERSHIP_IN_FORCE {
+                a.membership = Membership::decode(r.value).unwrap_or_default();
+            } else if r.key == RECOVERY_EPOCH {
+                a.recovery_epoch = r.promised.n;
             } else {
                 a.registers.insert(r.key.clone(), r);
             }
@@ -45,12 +45,12 @@
         a
     }
 
-    pub fn roster(&self) -> &Roster {
-        &self.roster
+    pub fn membership(&self) -> &Membership {
+        &self.membership
     }
 
     pub fn is_member(&self) -> bool {
-        self.roster.members.iter().any(|m| self.is_own(m))
+        self.membership.members.iter().any(|m| self.is_own(m))
     }
 
     fn is_own(&self, m: &Member) -> bool {
@@ -61,23 +61,23 @@
         self.voting && self.is_member()
     }
 
-    pub fn era(&self) -> u64 {
-        self.era
+    pub fn recovery_epoch(&self) -> u64 {
+        self.recovery_epoch
     }
 
-    /// Goes to a later era; what it votes from now on is of that.
-    pub fn advance(&mut self, era: u64) -> Option<Record> {
-        if era <= self.era {
+    /// Goes to a later recovery_epoch; what it votes from now on is of that.
+    pub fn advance(&mut self, recovery_epoch: u64) -> Option<Record> {
+        if recovery_epoch <= self.recovery_epoch {
             return None;
         }
-        self.era = era;
-        Some(self.record(vec![self.era_register()]))
+        self.recovery_epoch = recovery_epoch;
+        Some(self.record(vec![self.recovery_epoch_register()]))
     }
 
-    fn era_register(&self) -> Register {
+    fn recovery_epoch_register(&self) -> Register {
         Register {
-            key: ERA.to_owned(),
-            promised: Ballot { n: self.era, ..Default::default() },
+            key: RECOVERY_EPOCH.to_owned(),
+            promised: Ballot { n: self.recovery_epoch, ..Default::default() },
             ..Default::default()
         }
     }
@@ -115,29 +115,29 @@
                 .registers
                 .get(key)
                 .map(|r| Register { value: Default::default(), ..r.clone() }),
-            roster: Some(self.roster.clone()),
-            era: self.era,
+            membership: Some(self.membership.clone()),
+            recovery_epoch: self.recovery_epoch,
         };
         Step { record: self.barrier(), answer }
     }
 
-    fn may_vote(&self, roster: u64, era: u64) -> bool {
-        self.votes() && roster == self.roster.epoch && era >= self.era
+    fn may_vote(&self, membership: u64, recovery_epoch: u64) -> bool {
+        self.votes() && membership == self.membership.epoch && recovery_epoch >= self.recovery_epoch
     }
 
-    /// A vote of a later era takes its voter there.
-    fn voted(&mut self, r: Register, era: u64) -> Record {
+    /// A vote of a later recovery_epoch takes its voter there.
+    fn voted(&mut self, r: Register, recovery_epoch: u64) -> Record {
         let mut kept = vec![r];
-        if era > self.era {
-            self.era = era;
-            kept.push(self.era_register());
+        if recovery_epoch > self.recovery_epoch {
+            self.recovery_epoch = recovery_epoch;
+            kept.push(self.recovery_epoch_register());
         }
         self.record(kept)
     }
 
     pub fn prepare(&mut self, p: &Prepare) -> Step<Vote> {
         let promised = self.registers.get(&p.key).map(|r| r.promised).unwrap_or_default();
-        if !self.may_vote(p.roster, p.era) || p.ballot.epoch() <= promised.epoch() {
+        if !self.may_vote(p.membership, p.recovery_epoch) || p.ballot.epoch() <= promised.epoch() {
             return self.refuse(&p.key);
         }
         let r = self
@@ -146,15 +146,23 @@
             .or_insert_with(|| Register { key: p.key.clone(), ..Default::default() });
         r.promised = p.ballot;
         let r = r.clone();
-        let record = self.voted(r.clone(), p.era);
-        Step { record, answer: Vote { ok: true, register: Some(r), roster: None, era: self.era } }
+        let record = self.voted(r.clone(), p.recovery_epoch);
+        Step {
+            record,
+            answer: Vote {
+                ok: true,
+                register: Some(r),
+                membership: None,
+                recovery_epoch: self.recovery_epoch,
+            },
+        }
     }
 
     pub fn accept(&mut self, a: &Accept) -> Step<Vote> {
         let (promised, accepted) =
             self.registers.get(&a.key).map(|r| (r.promised, r.accepted)).unwrap_or_default();
         let late = a.ballot.epoch() < promised.epoch() || a.ballot <= accepted;
-        if !self.may_vote(a.roster, a.era) || late {
+        if !self.may_vote(a.membership, a.recovery_epoch) || late {
             return self.refuse(&a.key);
         }
         let r = Register {
@@ -164,8 +172,16 @@
             value: a.value.clone(),
         };
         self.registers.insert(a.key.clone(), r.clone());
-        let record = self.voted(r, a.era);
-        Step { record, answer: Vote { ok: true, register: None, roster: None, era: self.era } }
+        let record = self.voted(r, a.recovery_epoch);
+        Step {
+            record,
+            answer: Vote {
+                ok: true,
+                register: None,
+                membership: None,
+                recovery_epoch: self.recovery_epoch,
+            },
+        }
     }
 
     pub fn peek(&self, values: bool) -> Step<Peeked> {
@@ -179,52 +195,53 @@
         let answer = Peeked {
             votes: self.votes(),
             registers,
-            roster: Some(self.roster.clone()),
-            era: self.era,
+            membership: Some(self.membership.clone()),
+            recovery_epoch: self.recovery_epoch,
         };
         Step { record: self.barrier(), answer }
     }
 
-    /// All that is held here, for a member that lost its disk; from now on in its era.
-    pub fn hand_over(&mut self, era: u64) -> Step<Peeked> {
-        let record = self.advance(era).unwrap_or_else(|| self.barrier());
+    /// All that is held here, for a member that lost its disk; from now on in its recovery_epoch.
+    pub fn hand_over(&mut self, recovery_epoch: u64) -> Step<Peeked> {
+        let record = self.advance(recovery_epoch).unwrap_or_else(|| self.barrier());
         Step { record, answer: self.peek(true).answer }
     }
 
-    /// A roster that was decided: one member at a time is exchanged.
-    pub fn adopt(&mut self, roster: &Roster) -> Option<Record> {
-        if roster.epoch <= self.roster.epoch {
+    /// A membership that was decided: one member at a time is exchanged.
+    pub fn adopt(&mut self, membership: &Membership) -> Option<Record> {
+        if membership.epoch <= self.membership.epoch {
             return None;
         }
-        self.roster = roster.clone();
+        self.membership = membership.clone();
         if !self.is_member() {
             self.voting = false;
         }
         let kept = Register {
-            key: ROSTER_IN_FORCE.to_owned(),
-            value: roster.encode_to_vec().into(),
+            key: MEMBERSHIP_IN_FORCE.to_owned(),
+            value: membership.encode_to_vec().into(),
             ..Default::default()
         };
         Some(self.record(vec![kept]))
     }
 
     /// The first start of all, on empty disks.
-    pub fn found(&mut self, roster: &Roster) -> Option<Record> {
-        if self.roster.epoch != 0 || !self.registers.is_empty() {
+    pub fn found(&mut self, membership: &Membership) -> Option<Record> {
+        if self.membership.epoch != 0 || !self.registers.is_empty() {
             return None;
         }
         self.voting = true;
-        self.adopt(roster)
+        self.adopt(membership)
     }
 
-    /// Answers in the new era from a majority without it, promises and values both: then it votes.
-    pub fn recover(&mut self, era: u64, from: &[Peeked]) -> Option<Record> {
-        let most = self.roster.members.len() / 2 + 1;
-        let full = |p: &&Peeked| p.votes && p.era >= era;
+    /// Answers in the new recovery_epoch from a majority without it, promises and values both: then it votes.
+    pub fn recover(&mut self, recovery_epoch: u64, from: &[Peeked]) -> Option<Record> {
+        let most = self.membership.members.len() / 2 + 1;
+        let full = |p: &&Peeked| p.votes && p.recovery_epoch >= recovery_epoch;
         if self.voting || !self.is_member() || from.iter().filter(full).count() < most {
             return None;
         }
-        self.era = self.era.max(from.iter().map(|p| p.era).max().unwrap_or(0));
+        self.recovery_epoch =
+            self.recovery_epoch.max(from.iter().map(|p| p.recovery_epoch).max().unwrap_or(0));
         for r in from.iter().filter(full).flat_map(|p| &p.registers) {
             let own = self
                 .registers
@@ -238,7 +255,7 @@
         }
         self.voting = true;
         let mut all: Vec<Register> = self.registers.values().cloned().collect();
-        all.push(self.era_register());
+        all.push(self.recovery_epoch_register());
         Some(self.record(all))
     }
 }
--- a/crates/control-plane/src/control/mod.rs
+++ b/crates/control-plane/src/control/mod.rs
@@ -6,4 +6,5 @@
 pub mod values;
 
 #[cfg(test)]
+#[path = "schedules_tests.rs"]
 mod schedules;
--- a/crates/control-plane/src/control/round.rs
+++ b/crates/control-plane/src/control/round.rs
@@ -19,8 +19,8 @@
     pub best: Option<Register>,
     /// epoch to go above next time
     pub highest: u64,
-    /// latest era that a voter is in
-    pub era: u64,
+    /// latest recovery_epoch that a voter is in
+    pub recovery_epoch: u64,
 }
 
 impl Round {
@@ -32,12 +32,12 @@
             no: hashbrown::HashSet::new(),
             best: None,
             highest: 0,
-            era: 0,
+            recovery_epoch: 0,
         }
     }
 
     pub fn vote(&mut self, from: u64, vote: Option<&Vote>) -> Verdict {
-        self.era = self.era.max(vote.map_or(0, |v| v.era));
+        self.recovery_epoch = self.recovery_epoch.max(vote.map_or(0, |v| v.recovery_epoch));
         let Some(v) = vote.filter(|v| v.ok) else {
             if let Some(r) = vote.and_then(|v| v.register.as_ref()) {
                 self.highest = self.highest.max(r.promised.n);
--- a/crates/control-plane/src/control/schedules.rs
+++ b/crates/control-plane/src/control/schedules_tests.rs
@@ -5,7 +5,7 @@
 use super::acceptor::Acceptor;
 use super::round::{Round, Verdict};
 use crate::disk::format::{Record, State};
-use fleet_core::wire::{Accept, Ballot, Member, Peeked, Prepare, Register, Roster, Vote};
+use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
 use std::net::Ipv4Addr;
 
 const KEY: &str = "k";
@@ -14,9 +14,9 @@
     Ipv4Addr::new(10, 0, 0, i as u8 + 1)
 }
 
-fn roster(n: usize) -> Roster {
+fn membership(n: usize) -> Membership {
     let members = (0..n).map(|i| Member { ip: ip(i).to_string(), ..Default::default() }).collect();
-    Roster { epoch: 1, members }
+    Membership { epoch: 1, members }
 }
 
 struct Disk {
@@ -38,21 +38,31 @@
 
 struct Wire {
     from: usize,
-    life: u64,
+    incarnation: u64,
     to: usize,
-    to_life: u64,
+    to_incarnation: u64,
     phase: u64,
     message: Message,
 }
 
 enum Doing {
     Idle,
-    Preparing { ballot: Ballot, round: Round, era: u64 },
-    Accepting { ballot: Ballot, round: Round, value: Vec<u64>, adds: Option<u64>, era: u64 },
+    Preparing {
+        ballot: Ballot,
+        round: Round,
+        recovery_epoch: u64,
+    },
+    Accepting {
+        ballot: Ballot,
+        round: Round,
+        value: Vec<u64>,
+        adds: Option<u64>,
+        recovery_epoch: u64,
+    },
 }
 
 struct Node {
-    life: u64,
+    incarnation: u64,
     up: bool,
     disk: Disk,
     acceptor: Acceptor,
@@ -64,12 +74,12 @@
     fn founded(i: usize, n: usize) -> Node {
         let mut disk = Disk { state: State::default() };
         let mut acceptor = Acceptor::new(ip(i), State::default());
-        disk.keep(&acceptor.found(&roster(n)).unwrap());
-        Node { life: 1, up: true, disk, acceptor, doing: Doing::Idle, phase: 0 }
+        disk.keep(&acceptor.found(&membership(n)).unwrap());
+        Node { incarnation: 1, up: true, disk, acceptor, doing: Doing::Idle, phase: 0 }
     }
 
     fn restart(&mut self, i: usize) {
-        self.life += 1;
+        self.incarnation += 1;
         self.up = true;
         self.doing = Doing::Idle;
         self.acceptor = Acceptor::new(ip(i), self.disk.state.clone());
@@ -91,7 +101,7 @@
     chains: Vec<Vec<u64>>,
     next: u64,
     n: usize,
-    /// eras are kept apart, as they have to be
+    /// recovery_epochs are kept apart, as they have to be
     careful: bool,
 }
 
@@ -103,9 +113,17 @@
 
     fn cast(&mut self, i: usize, message: &Message) {
         for to in (0..self.n).filter(|t| *t != i) {
-            let (life, to_life) = (self.nodes[i].life, self.nodes[to].life);
+            let (incarnation, to_incarnation) =
+                (self.nodes[i].incarnation, self.nodes[to].incarnation);
             let phase = self.nodes[i].phase;
-            self.wires.push(Wire { from: i, life, to, to_life, phase, message: message.clone() });
+            self.wires.push(Wire {
+                from: i,
+                incarnation,
+                to,
+                to_incarnation,
+                phase,
+                message: message.clone(),
+            });
         }
     }
 
@@ -115,19 +133,32 @@
             return;
         }
         let ballot = Ballot { n: n.acceptor.highest(KEY) + 1, node: i as u64 + 1, seq: 0 };
-        let p = Prepare { key: KEY.into(), roster: 1, ballot, era: n.acceptor.era() };
+        let p = Prepare {
+            key: KEY.into(),
+            membership: 1,
+            ballot,
+            recovery_epoch: n.acceptor.recovery_epoch(),
+        };
         let step = n.acceptor.prepare(&p);
         n.disk.keep(&step.record);
         n.phase += 1;
         let mut round = Round::new(members);
         round.vote(i as u64, Some(&step.answer));
-        n.doing = Doing::Preparing { ballot, round, era: p.era };
+        n.doing = Doing::Preparing { ballot, round, recovery_epoch: p.recovery_epoch };
         self.cast(i, &Message::Prepare(p));
     }
 
-    fn accept(&mut self, i: usize, ballot: Ballot, era: u64, value: Vec<u64>, adds: Option<u64>) {
+    fn accept(
+        &mut self,
+        i: usize,
+        ballot: Ballot,
+        recovery_epoch: u64,
+        value: Vec<u64>,
+        adds: Option<u64>,
+    ) {
         let (members, n) = (self.n, &mut self.nodes[i]);
-        let a = Accept { key: KEY.into(), roster: 1, ballot, value: pack(&value), era };
+        let a =
+            Accept { key: KEY.into(), membership: 1, ballot, value: pack(&value), recovery_epoch };
         n.phase += 1;
         let step = n.acceptor.accept(&a);
         n.disk.keep(&step.record);
@@ -137,7 +168,7 @@
         }
         let mut round = Round::new(members);
         round.vote(i as u64, Some(&step.answer));
-        n.doing = Doing::Accepting { ballot, round, value, adds, era };
+        n.doing = Doing::Accepting { ballot, round, value, adds, recovery_epoch };
         self.cast(i, &Message::Accept(a));
     }
 
@@ -147,7 +178,7 @@
         }
         let w = self.wires.swap_remove(at % self.wires.len());
         let n = &mut self.nodes[w.to];
-        if !n.up || n.life != w.to_life {
+        if !n.up || n.incarnation != w.to_incarnation {
             return;
         }
         let (from, phase) = (w.from, w.phase);
@@ -163,28 +194,38 @@
         };
         n.disk.keep(&step.record);
         let message = Message::Vote { phase, vote: step.answer };
-        let life = n.life;
-        self.wires.push(Wire { from: w.to, life, to: from, to_life: w.life, phase, message });
+        let incarnation = n.incarnation;
+        self.wires.push(Wire {
+            from: w.to,
+            incarnation,
+            to: from,
+            to_incarnation: w.incarnation,
+            phase,
+            message,
+        });
     }
 
     fn count(&mut self, i: usize, from: usize, vote: &Vote) {
         let doing = std::mem::replace(&mut self.nodes[i].doing, Doing::Idle);
         match doing {
             Doing::Idle => {}
-            Doing::Preparing { ballot, mut round, era } => {
+            Doing::Preparing { ballot, mut round, recovery_epoch } => {
                 match round.vote(from as u64, Some(vote)) {
-                    Verdict::Open => self.nodes[i].doing = Doing::Preparing { ballot, round, era },
+                    Verdict::Open => {
+                        self.nodes[i].doing = Doing::Preparing { ballot, round, recovery_epoch }
+                    }
                     Verdict::Lost => {}
                     Verdict::Won => {
                         let value = round.best.map(|r| unpack(&r.value)).unwrap_or_default();
-                        self.accept(i, Ballot { seq: 1, ..ballot }, era, value, None);
+                        self.accept(i, Ballot { seq: 1, ..ballot }, recovery_epoch, value, None);
                     }
                 }
             }
-            Doing::Accepting { ballot, mut round, value, adds, era } => {
+            Doing::Accepting { ballot, mut round, value, adds, recovery_epoch } => {
                 match round.vote(from as u64, Some(vote)) {
                     Verdict::Open => {
-                        self.nodes[i].doing = Doing::Accepting { ballot, round, value, adds, era };
+                        self.nodes[i].doing =
+                            Doing::Accepting { ballot, round, value, adds, recovery_epoch };
                     }
                     Verdict::Lost => {}
                     Verdict::Won => {
@@ -195,7 +236,7 @@
                         self.next += 1;
                         let b = Ballot { seq: ballot.seq + 1, ..ballot };
                         let adds = longer.last().copied();
-                        self.accept(i, b, era, longer, adds);
+                        self.accept(i, b, recovery_epoch, longer, adds);
                     }
                 }
             }
@@ -206,8 +247,8 @@
         if !self.nodes[i].up || self.nodes[i].acceptor.votes() {
             return;
         }
-        if self.nodes[i].acceptor.roster().epoch == 0 {
-            let r = self.nodes[i].acceptor.adopt(&roster(self.n)).unwrap();
+        if self.nodes[i].acceptor.membership().epoch == 0 {
+            let r = self.nodes[i].acceptor.adopt(&membership(self.n)).unwrap();
             self.nodes[i].disk.keep(&r);
         }
         let others: Vec<usize> = (0..self.n).filter(|o| *o != i && self.nodes[*o].up).collect();
@@ -216,19 +257,19 @@
         if before.iter().filter(|p| p.votes).count() <= self.n / 2 {
             return;
         }
-        let latest = before.iter().map(|p| p.era).max().unwrap_or(0);
-        let era = if self.careful { latest + 1 } else { 0 };
+        let latest = before.iter().map(|p| p.recovery_epoch).max().unwrap_or(0);
+        let recovery_epoch = if self.careful { latest + 1 } else { 0 };
         let (skipped, most) = (self.skip(others.len()), self.n / 2 + 1);
         let mut got: Vec<Peeked> = Vec::new();
         for o in others {
             let n = &mut self.nodes[o];
             if n.acceptor.votes() && got.len() < most && Some(o) != skipped {
-                let step = n.acceptor.hand_over(era);
+                let step = n.acceptor.hand_over(recovery_epoch);
                 n.disk.keep(&step.record);
                 got.push(step.answer);
             }
         }
-        if let Some(r) = self.nodes[i].acceptor.recover(era, &got) {
+        if let Some(r) = self.nodes[i].acceptor.recover(recovery_epoch, &got) {
             self.nodes[i].disk.keep(&r);
         }
     }
@@ -302,10 +343,10 @@
     }
 }
 
-/// A vote that a wiped member gave in its former life must not count beside votes given after it
+/// A vote that a wiped member gave in its former incarnation must not count beside votes given after it
 /// read its disk back from members that did not know of the change.
 #[test]
-fn former_vote_of_a_wiped_member_does_not_count_in_a_later_era() {
+fn former_vote_of_a_wiped_member_does_not_count_in_a_later_recovery_epoch() {
     let lost = |careful: bool| {
         let mut w = World::new(5, careful);
         w.start(3);
@@ -331,7 +372,7 @@
         }
         (w.nodes[0].acceptor.votes(), w.acknowledged.len() > before)
     };
-    assert_eq!(lost(false), (true, true), "counted where eras are not kept apart");
+    assert_eq!(lost(false), (true, true), "counted where recovery_epochs are not kept apart");
     assert_eq!(lost(true), (true, false));
 }
 
@@ -363,9 +404,9 @@
 #[test]
 fn empty_disk_does_not_vote_before_it_has_read_both_others() {
     let mut a = Acceptor::new(ip(0), State::default());
-    a.adopt(&roster(3)).unwrap();
+    a.adopt(&membership(3)).unwrap();
     let ballot = Ballot { n: 1, node: 2, seq: 0 };
-    let p = Prepare { key: KEY.into(), roster: 1, ballot, era: 4 };
+    let p = Prepare { key: KEY.into(), membership: 1, ballot, recovery_epoch: 4 };
     assert!(!a.prepare(&p).answer.ok);
     let held = |n| Peeked {
         votes: true,
@@ -374,15 +415,17 @@
             promised: Ballot { n, node: 2, seq: 0 },
             ..Default::default()
         }],
-        roster: None,
-        era: 4,
+        membership: None,
+        recovery_epoch: 4,
     };
     assert!(a.recover(4, &[held(1)]).is_none());
     assert!(a.recover(4, &[held(1), Peeked { votes: false, ..held(7) }]).is_none());
-    assert!(a.recover(4, &[held(1), Peeked { era: 3, ..held(7) }]).is_none());
+    assert!(a.recover(4, &[held(1), Peeked { recovery_epoch: 3, ..held(7) }]).is_none());
     assert!(a.recover(4, &[held(1), held(5)]).is_some());
     assert!(
-        !a.prepare(&Prepare { ballot: Ballot { n: 9, ..ballot }, era: 3, ..p.clone() }).answer.ok
+        !a.prepare(&Prepare { ballot: Ballot { n: 9, ..ballot }, recovery_epoch: 3, ..p.clone() })
+            .answer
+            .ok
     );
     let at = |n| Prepare { ballot: Ballot { n, node: 3, seq: 0 }, ..p.clone() };
     assert!(!a.prepare(&at(4)).answer.ok, "a promise made before the wipe holds");
@@ -390,21 +433,21 @@
 }
 
 #[test]
-fn other_roster_epochs_get_no_vote() {
+fn other_membership_epochs_get_no_vote() {
     let mut n = Node::founded(0, 3);
-    let p = |roster, n| Prepare {
+    let p = |membership, n| Prepare {
         key: KEY.into(),
-        roster,
+        membership,
         ballot: Ballot { n, node: 2, seq: 0 },
-        era: 0,
+        recovery_epoch: 0,
     };
     assert!(!n.acceptor.prepare(&p(2, 1)).answer.ok);
     assert!(n.acceptor.prepare(&p(1, 1)).answer.ok);
-    let mut next = roster(3);
+    let mut next = membership(3);
     next.epoch = 2;
     n.acceptor.adopt(&next).unwrap();
     let late = n.acceptor.prepare(&p(1, 2)).answer;
     assert!(!late.ok);
-    assert_eq!(late.roster.unwrap().epoch, 2);
-    assert!(n.acceptor.adopt(&roster(3)).is_none());
+    assert_eq!(late.membership.unwrap().epoch, 2);
+    assert!(n.acceptor.adopt(&membership(3)).is_none());
 }
--- a/crates/control-plane/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -1,6 +1,6 @@
 //! What each key holds, and the rules of changing it.
 
-use fleet_core::configuration::{ConfigProblem, Configuration};
+use fleet_core::configuration::{ConfigError, Configuration};
 use fleet_core::wire::{
     ChangeKind, Changed, ConfigValue, DutyValue, Outcome, RaiseFence, ReplaceConfig, Taken,
     WeightsValue,
@@ -8,7 +8,7 @@
 use prost::Message;
 
 pub const CONFIG: &str = "config";
-pub const ROSTER: &str = "roster";
+pub const MEMBERSHIP: &str = "membership";
 
 pub fn weights_key(model: &str) -> String {
     format!("weights/{model}")
@@ -50,11 +50,11 @@
         ChangeKind::Replace(r) => replace(r, now),
         ChangeKind::Name(n) => {
             let now = WeightsValue::decode(now).unwrap_or_default();
-            if n.stamp <= now.stamp {
-                return Decision::Answer(answer(Outcome::Done, now.stamp));
+            if n.version <= now.version {
+                return Decision::Answer(answer(Outcome::Done, now.version));
             }
-            let v = WeightsValue { stamp: n.stamp };
-            Decision::Write(v.encode_to_vec().into(), answer(Outcome::Done, n.stamp))
+            let v = WeightsValue { version: n.version };
+            Decision::Write(v.encode_to_vec().into(), answer(Outcome::Done, n.version))
         }
         ChangeKind::Raise(r) => raise(r, now),
     }
@@ -69,18 +69,18 @@
 
 fn replace(r: &ReplaceConfig, now: &[u8]) -> Decision {
     let now = ConfigValue::decode(now).unwrap_or_default();
-    let own = Taken { stamp: r.stamp, digest: digest(&r.body) };
+    let own = Taken { version: r.version, digest: digest(&r.body) };
     if now.taken.contains(&own) {
-        return Decision::Answer(answer(Outcome::Done, r.stamp));
+        return Decision::Answer(answer(Outcome::Done, r.version));
     }
-    if r.base != now.stamp {
-        return Decision::Answer(answer(Outcome::Stale, now.stamp));
+    if r.base != now.version {
+        return Decision::Answer(answer(Outcome::Stale, now.version));
     }
-    if r.stamp <= now.stamp {
-        return Decision::Answer(answer(Outcome::Invalid, now.stamp));
+    if r.version <= now.version {
+        return Decision::Answer(answer(Outcome::Invalid, now.version));
     }
     let Ok(c) = Configuration::read(&r.body) else {
-        return Decision::Answer(answer(Outcome::Invalid, now.stamp));
+        return Decision::Answer(answer(Outcome::Invalid, now.version));
     };
     let old = Configuration::read(&now.body).ok();
     let mut taken = now.taken;
@@ -90,12 +90,12 @@
     }
     let rises = old.as_ref().is_none_or(|old| newly_isolated(old, &c));
     let v = ConfigValue {
-        stamp: r.stamp,
+        version: r.version,
         body: r.body.clone(),
         taken,
-        wall: now.wall + u64::from(rises),
+        isolation: now.isolation + u64::from(rises),
     };
-    Decision::Write(v.encode_to_vec().into(), answer(Outcome::Done, r.stamp))
+    Decision::Write(v.encode_to_vec().into(), answer(Outcome::Done, r.version))
 }
 
 fn newly_isolated(old: &Configuration, new: &Configuration) -> bool {
@@ -106,84 +106,10 @@
 }
 
 /// Why a change was refused, for the answer.
-pub fn problem_of(r: &ReplaceConfig, changed: &Changed) -> ConfigProblem {
-    ConfigProblem::StampNotAbove { stamp: r.stamp, current: changed.number }
+pub fn error_of(r: &ReplaceConfig, changed: &Changed) -> ConfigError {
+    ConfigError::VersionNotAbove { version: r.version, current: changed.number }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn body(stamp: u64, isolated: &[&str]) -> bytes::Bytes {
-        let tenants: Vec<_> = ["a", "b"]
-            .iter()
-            .map(|n| serde_json::json!({"name": n, "apiKeys": [format!("k-{n}")], "isolated": isolated.contains(n)}))
-            .collect();
-        serde_json::json!({"revision": stamp, "routes": [], "services": [], "tenants": tenants})
-            .to_string()
-            .into()
-    }
-
-    fn put(base: u64, stamp: u64, isolated: &[&str]) -> ChangeKind {
-        ChangeKind::Replace(ReplaceConfig { base, stamp, body: body(stamp, isolated) })
-    }
-
-    fn step(now: &mut bytes::Bytes, c: &ChangeKind) -> (Outcome, u64) {
-        let (v, a) = match decide(c, now) {
-            Decision::Answer(a) => (None, a),
-            Decision::Write(v, a) => (Some(v), a),
-        };
-        if let Some(v) = v {
-            *now = v;
-        }
-        (a.outcome(), a.number)
-    }
-
-    #[test]
-    fn config_rules() {
-        let mut now = bytes::Bytes::new();
-        assert_eq!(step(&mut now, &put(1, 3, &[])), (Outcome::Stale, 0));
-        assert_eq!(step(&mut now, &put(0, 3, &[])), (Outcome::Done, 3));
-        assert_eq!(step(&mut now, &put(0, 3, &[])), (Outcome::Done, 3), "resent");
-        assert_eq!(step(&mut now, &put(0, 3, &["a"])), (Outcome::Stale, 3), "other body");
-        assert_eq!(step(&mut now, &put(3, 3, &["a"])), (Outcome::Invalid, 3));
-        assert_eq!(step(&mut now, &put(3, 7, &["a"])), (Outcome::Done, 7));
-        assert_eq!(step(&mut now, &put(0, 3, &[])), (Outcome::Done, 3), "resent late");
-        assert_eq!(ConfigValue::decode(now).unwrap().stamp, 7);
-    }
-
-    #[test]
-    fn shared_wall_rises_only_when_a_tenant_becomes_isolated() {
-        let mut now = bytes::Bytes::new();
-        let wall = |now: &bytes::Bytes| ConfigValue::decode(now.clone()).unwrap().wall;
-        step(&mut now, &put(0, 1, &["a"]));
-        assert_eq!(wall(&now), 1);
-        step(&mut now, &put(1, 2, &["a"]));
-        assert_eq!(wall(&now), 1);
-        step(&mut now, &put(2, 3, &["a", "b"]));
-        assert_eq!(wall(&now), 2);
-        step(&mut now, &put(3, 4, &[]));
-        assert_eq!(wall(&now), 2);
-        step(&mut now, &put(4, 5, &["a"]));
-        assert_eq!(wall(&now), 3);
-    }
-
-    #[test]
-    fn fences_rise_and_name_the_former_holder() {
-        let mut now = bytes::Bytes::new();
-        let raise = |h: &str| ChangeKind::Raise(RaiseFence { duty: "d".into(), holder: h.into() });
-        assert_eq!(step(&mut now, &raise("x")), (Outcome::Done, 1));
-        let Decision::Write(_, a) = decide(&raise("y"), &now) else { panic!("writes") };
-        assert_eq!((a.number, a.holder.as_str()), (2, "x"));
-    }
-
-    #[test]
-    fn named_weights_never_fall() {
-        let mut now = bytes::Bytes::new();
-        let name =
-            |s| ChangeKind::Name(fleet_core::wire::NameStamp { model: "m".into(), stamp: s });
-        assert_eq!(step(&mut now, &name(3)), (Outcome::Done, 3));
-        assert_eq!(step(&mut now, &name(2)), (Outcome::Done, 3));
-        assert_eq!(WeightsValue::decode(now).unwrap().stamp, 3);
-    }
-}
+#[path = "values_tests.rs"]
+mod tests;
--- a/crates/control-plane/src/disk/mod.rs
+++ b/crates/control-plane/src/disk/mod.rs
@@ -4,7 +4,7 @@
 pub mod writer;
 
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
-pub enum DiskProblem {
+pub enum DiskError {
     /// {what}: {kind}
     Refused { what: &'static str, kind: std::io::ErrorKind },
     /// the thread of the disk has ended
@@ -13,6 +13,6 @@
     Absent,
 }
 
-pub fn refused(what: &'static str) -> impl Fn(std::io::Error) -> DiskProblem {
-    move |e| DiskProblem::Refused { what, kind: e.kind() }
+pub fn refused(what: &'static str) -> impl Fn(std::io::Error) -> DiskError {
+    move |e| DiskError::Refused { what, kind: e.kind() }
 }
--- a/crates/control-plane/src/disk/writer.rs
+++ b/crates/control-plane/src/disk/writer.rs
@@ -1,14 +1,14 @@
 //! The thread that writes and syncs; what it has answered is on the disk.
 
 use super::format::{self, Record, Slot, State};
-use super::{DiskProblem, refused};
-use fleet_core::constants as k;
+use super::{DiskError, refused};
+use fleet_core::constants;
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 struct Job {
     record: Record,
-    done: tokio::sync::oneshot::Sender<Result<(), DiskProblem>>,
+    done: tokio::sync::oneshot::Sender<Result<(), DiskError>>,
 }
 
 #[derive(Clone)]
@@ -60,7 +60,7 @@
 
 impl Files {
     /// Newest whole slot and the valid log behind it; with neither, an empty disk.
-    pub fn open(dir: &Path) -> Result<(Files, State), DiskProblem> {
+    pub fn open(dir: &Path) -> Result<(Files, State), DiskError> {
         std::fs::create_dir_all(dir).map_err(refused("create folder"))?;
         let mut best: Option<(u64, State)> = None;
         let mut damaged = false;
@@ -83,9 +83,10 @@
             state.apply(r);
         }
         for i in 0..2 {
-            lay_down(&dir.join(format!("slot{i}")), k::SLOT_BYTES).map_err(refused("lay slot"))?;
+            lay_down(&dir.join(format!("slot{i}")), constants::SLOT_BYTES)
+                .map_err(refused("lay slot"))?;
         }
-        let log = lay_down(&dir.join("log"), k::LOG_BYTES).map_err(refused("lay log"))?;
+        let log = lay_down(&dir.join("log"), constants::LOG_BYTES).map_err(refused("lay log"))?;
         std::fs::File::open(dir).and_then(|d| d.sync_all()).map_err(refused("sync folder"))?;
         let log_at = if empty { 0 } else { log_at };
         let mut f =
@@ -97,7 +98,7 @@
     }
 
     /// The whole state into the slot whose turn it is; the log starts anew behind it.
-    fn roll(&mut self) -> Result<(), DiskProblem> {
+    fn roll(&mut self) -> Result<(), DiskError> {
         let seq = self.seq + 1;
         let path = self.dir.join(format!("slot{}", seq % 2));
         let mut f = std::fs::OpenOptions::new()
@@ -113,10 +114,10 @@
         Ok(())
     }
 
-    fn append(&mut self, record: &Record) -> Result<(), DiskProblem> {
+    fn append(&mut self, record: &Record) -> Result<(), DiskError> {
         self.state.apply(record);
         let bytes = format::record_bytes(self.seq, record);
-        if self.log_at + bytes.len() > k::LOG_BYTES {
+        if self.log_at + bytes.len() > constants::LOG_BYTES {
             return self.roll();
         }
         self.log.seek(SeekFrom::Start(self.log_at as u64)).map_err(refused("seek log"))?;
@@ -126,7 +127,7 @@
         Ok(())
     }
 
-    fn append_many(&mut self, jobs: &[Job]) -> Result<(), DiskProblem> {
+    fn append_many(&mut self, jobs: &[Job]) -> Result<(), DiskError> {
         let mut all = Record { registers: Vec::new(), voting: self.state.voting };
         for j in jobs {
             all.voting |= j.record.voting;
@@ -153,7 +154,7 @@
             let mut bad = false;
             loop {
                 let first = if bad {
-                    match rx.recv_timeout(k::DISK_RETRY) {
+                    match rx.recv_timeout(constants::DISK_RETRY) {
                         Ok(j) => Some(j),
                         Err(std::sync::mpsc::RecvTimeoutError::Timeout) => None,
                         Err(_) => return,
@@ -175,9 +176,11 @@
                 flag.store(bad, std::sync::atomic::Ordering::Relaxed);
                 match (&out, was) {
                     (Err(e), false) => {
-                        fleet_core::note!(log, fleet_core::log::Event::DiskProblem, "problem" => e.to_string());
+                        fleet_core::log_event!(log, fleet_core::log::Event::DiskError, "error" => e.to_string());
+                    }
+                    (Ok(()), true) => {
+                        fleet_core::log_event!(log, fleet_core::log::Event::DiskMended)
                     }
-                    (Ok(()), true) => fleet_core::note!(log, fleet_core::log::Event::DiskMended),
                     _ => {}
                 }
                 for j in jobs {
@@ -185,7 +188,7 @@
                 }
             }
         };
-        let _ = std::thread::Builder::new().stack_size(k::STACK_BYTES).spawn(run);
+        let _ = std::thread::Builder::new().stack_size(constants::STACK_BYTES).spawn(run);
         Disk { tx: Some(tx), broken }
     }
 
@@ -198,15 +201,15 @@
     }
 
     /// Queued in the order of the calls; true once it is on the disk.
-    pub fn keep(&self, record: Record) -> impl Future<Output = Result<(), DiskProblem>> + use<> {
+    pub fn keep(&self, record: Record) -> impl Future<Output = Result<(), DiskError>> + use<> {
         let (done, rx) = tokio::sync::oneshot::channel();
         let sent = match &self.tx {
-            Some(tx) => tx.send(Job { record, done }).map_err(|_| DiskProblem::Ended),
-            None => Err(DiskProblem::Absent),
+            Some(tx) => tx.send(Job { record, done }).map_err(|_| DiskError::Ended),
+            None => Err(DiskError::Absent),
         };
         async move {
             sent?;
-            rx.await.map_err(|_| DiskProblem::Ended)?
+            rx.await.map_err(|_| DiskError::Ended)?
         }
     }
 
@@ -216,107 +219,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use fleet_core::wire::{Ballot, Register};
-
-    fn dir(name: &str) -> PathBuf {
-        let d = std::env::temp_dir().join(format!("control_plane-{}-{name}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&d);
-        d
-    }
-
-    fn reg(key: &str, n: u64, size: usize) -> Record {
-        let b = Ballot { n, node: 1, seq: 0 };
-        Record {
-            voting: true,
-            registers: vec![Register {
-                key: key.to_owned(),
-                promised: b,
-                accepted: b,
-                value: vec![n as u8; size].into(),
-            }],
-        }
-    }
-
-    fn found(s: &State, key: &str) -> Option<u64> {
-        s.registers.iter().find(|r| r.key == key).map(|r| r.accepted.n)
-    }
-
-    #[test]
-    fn survives_reopening_across_many_slots() {
-        let d = dir("reopen");
-        let (mut f, s) = Files::open(&d).unwrap();
-        assert!(f.empty && s.registers.is_empty());
-        for n in 1..=60 {
-            f.append(&reg(if n % 2 == 0 { "a" } else { "b" }, n, 100_000)).unwrap();
-        }
-        assert!(f.seq > 2);
-        drop(f);
-        let (f, s) = Files::open(&d).unwrap();
-        assert!(!f.empty && s.voting);
-        assert_eq!((found(&s, "a"), found(&s, "b")), (Some(60), Some(59)));
-    }
-
-    #[test]
-    fn torn_tail_is_dropped_and_overwritten() {
-        let d = dir("torn");
-        let (mut f, _) = Files::open(&d).unwrap();
-        f.append(&reg("a", 1, 10)).unwrap();
-        let keep = f.log_at;
-        f.append(&reg("a", 2, 10)).unwrap();
-        drop(f);
-        let p = d.join("log");
-        let mut b = std::fs::read(&p).unwrap();
-        b[keep + format::RECORD_HEAD + 3] ^= 0xff;
-        std::fs::write(&p, &b).unwrap();
-        let (mut f, s) = Files::open(&d).unwrap();
-        assert_eq!(found(&s, "a"), Some(1));
-        f.append(&reg("a", 3, 10)).unwrap();
-        drop(f);
-        assert_eq!(found(&Files::open(&d).unwrap().1, "a"), Some(3));
-    }
-
-    #[test]
-    fn damaged_slot_falls_back_and_two_make_an_empty_disk() {
-        let d = dir("slots");
-        let (mut f, _) = Files::open(&d).unwrap();
-        f.append(&reg("a", 1, 10)).unwrap();
-        f.roll().unwrap();
-        let newest = d.join(format!("slot{}", f.seq % 2));
-        let older = d.join(format!("slot{}", (f.seq + 1) % 2));
-        drop(f);
-        let spoil = |p: &Path| {
-            let mut b = std::fs::read(p).unwrap();
-            b[30] ^= 0x55;
-            b[8] ^= 1;
-            std::fs::write(p, &b).unwrap();
-        };
-        spoil(&newest);
-        let (f, s) = Files::open(&d).unwrap();
-        assert!(f.damaged && !f.empty);
-        assert_eq!(found(&s, "a"), Some(1));
-        drop(f);
-        spoil(&older);
-        let (f, s) = Files::open(&d).unwrap();
-        assert!(f.empty && f.damaged);
-        assert!(s.registers.is_empty() && !s.voting);
-    }
-
-    proptest::proptest! {
-        #[test]
-        fn log_cut_anywhere_gives_a_prefix(cut in 0usize..400, n in 1u64..8) {
-            let mut log = Vec::new();
-            for i in 1..=n {
-                log.extend(format::record_bytes(5, &reg("a", i, 20)));
-            }
-            let cut = cut.min(log.len());
-            let (r, at) = format::read_log(&log[..cut], 5);
-            proptest::prop_assert!(at <= cut);
-            for (i, x) in r.iter().enumerate() {
-                proptest::prop_assert_eq!(x.registers[0].accepted.n, i as u64 + 1);
-            }
-            proptest::prop_assert!(format::read_log(&log, 6).0.is_empty());
-        }
-    }
-}
+#[path = "writer_tests.rs"]
+mod tests;
--- a/crates/control-plane/src/duties/keeper.rs
+++ b/crates/control-plane/src/duties/keeper.rs
@@ -2,10 +2,10 @@
 //! and derives invalidations from it (docs/purge.md).
 
 use super::INDEX_KEEPER;
-use crate::Sorting;
+use crate::Controller;
 use crate::engines::outside::Line;
 use crate::facts::Fact;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{
     HeldParts, PartAt, Purge, RingAsk, RingEntry, RingGive, RingHead, Standing, Weights,
@@ -120,7 +120,7 @@
     }
 
     fn put_aside(&mut self, part: u64, held: Held) {
-        if self.unshared[0].len() >= k::UNSHARED_KEPT {
+        if self.unshared[0].len() >= constants::UNSHARED_KEPT {
             self.unshared.swap(0, 1);
             self.unshared[0].clear();
         }
@@ -147,7 +147,7 @@
     fn find(&mut self, holder: Arc<str>, salt: Arc<str>, part: u64, kept: u64) {
         self.found += 1;
         self.fresh.push_back((holder, salt, part, kept));
-        if self.fresh.len() > k::FINDINGS_KEPT {
+        if self.fresh.len() > constants::FINDINGS_KEPT {
             self.fresh.pop_front();
         }
     }
@@ -192,7 +192,7 @@
 pub struct Keeper {
     started: tokio::time::Instant,
     fence: u64,
-    life: u64,
+    incarnation: u64,
     ring: Ring<RingEntry>,
     index: parking_lot::Mutex<Index>,
     readers: parking_lot::Mutex<hashbrown::HashMap<u64, tokio::time::Instant>>,
@@ -210,10 +210,10 @@
 }
 
 impl Keeper {
-    fn head(&self, s: &Sorting) -> RingHead {
+    fn head(&self, s: &Controller) -> RingHead {
         RingHead {
             fence: self.fence,
-            life: self.life,
+            incarnation: self.incarnation,
             head: self.ring.head(),
             keeper: s.node.ip.to_string(),
             found: self.index.lock().found,
@@ -221,7 +221,7 @@
     }
 
     /// One change: applied here as it comes, published when whole.
-    fn commit(&self, s: &Sorting, entries: impl IntoIterator<Item = Purge>) {
+    fn commit(&self, s: &Controller, entries: impl IntoIterator<Item = Purge>) {
         let nudged = {
             let mut index = self.index.lock();
             let mut d = Draft::open(&mut *index);
@@ -231,7 +231,7 @@
             d.commit(&self.ring)
         };
         for reader in nudged {
-            if let Some(o) = s.members.origins.lock().get(&reader) {
+            if let Some(o) = s.members.router_links.lock().get(&reader) {
                 let _ = o.push(fleet_core::wire::Body::View(fleet_core::wire::View {
                     nudge: true,
                     ..Default::default()
@@ -265,10 +265,10 @@
     /// Room on the line for one more digest?
     fn may_refill(&self, now: tokio::time::Instant) -> bool {
         let mut r = self.refills.lock();
-        while r.front().is_some_and(|t| now.duration_since(*t) >= k::REFILL_SPAN) {
+        while r.front().is_some_and(|t| now.duration_since(*t) >= constants::REFILL_SPAN) {
             r.pop_front();
         }
-        let room = r.len() < k::REFILLS_AT_ONCE;
+        let room = r.len() < constants::REFILLS_AT_ONCE;
         if room {
             r.push_back(now);
         }
@@ -277,7 +277,7 @@
 }
 
 /// What a router's own sends leave behind; nothing where another is the keeper.
-pub fn hear_found(s: &Sorting, f: &fleet_core::wire::Found) {
+pub fn hear_found(s: &Controller, f: &fleet_core::wire::Found) {
     if let Some(keeper) = s.duties.keeper.lock().clone() {
         keeper.index.lock().hear(&f.held);
     }
@@ -285,16 +285,16 @@
 
 /// What a router asks of the ring: entries behind its cursor, or a reset with a digest.
 /// An answer without a head means later.
-pub fn give(s: &Arc<Sorting>, a: &RingAsk) -> Option<RingGive> {
+pub fn give(s: &Arc<Controller>, a: &RingAsk) -> Option<RingGive> {
     let keeper = s.duties.keeper.lock().clone()?;
     s.duties.fence(INDEX_KEEPER)?;
     keeper.readers.lock().insert(a.reader, tokio::time::Instant::now());
-    let same = a.fence == keeper.fence && a.life == keeper.life;
+    let same = a.fence == keeper.fence && a.incarnation == keeper.incarnation;
     let cursor = if same && !a.refill { keeper.ring.cursor(a.reader) } else { None };
     let cursor = cursor.filter(|c| c.next() == a.cursor);
     if let Some(c) = cursor {
         let digest = keeper.index.lock().since(a.found);
-        let entries = match keeper.ring.read(&c, k::RING_LAG as usize) {
+        let entries = match keeper.ring.read(&c, constants::RING_LAG as usize) {
             Read::Nothing => Some(Vec::new()),
             Read::Entries(entries) => Some(entries),
             Read::Reset(_) => None,
@@ -305,7 +305,7 @@
         }
     }
     let now = tokio::time::Instant::now();
-    if now.duration_since(keeper.started) < k::KEEPER_WARM || !keeper.may_refill(now) {
+    if now.duration_since(keeper.started) < constants::KEEPER_WARM || !keeper.may_refill(now) {
         return Some(RingGive::default());
     }
     let (digest, cursor) = {
@@ -316,21 +316,21 @@
     Some(RingGive { head, reset: true, cursor, digest, entries: Vec::new() })
 }
 
-pub async fn keeping(s: Arc<Sorting>) {
+pub async fn keeping(s: Arc<Controller>) {
     loop {
-        tokio::time::sleep(k::DUTY_TICK).await;
+        tokio::time::sleep(constants::DUTY_TICK).await;
         let Some(fence) = s.duties.fence(INDEX_KEEPER) else { continue };
         let keeper = Arc::new(Keeper {
             started: tokio::time::Instant::now(),
             fence,
-            life: fleet_core::node::fresh(),
-            ring: Ring::new(k::RING_SLOTS, k::RING_BATCH, k::RING_LAG),
+            incarnation: fleet_core::node::fresh(),
+            ring: Ring::new(constants::RING_SLOTS, constants::RING_BATCH, constants::RING_LAG),
             index: parking_lot::Mutex::default(),
             readers: parking_lot::Mutex::default(),
             refills: parking_lot::Mutex::default(),
         });
         *s.duties.keeper.lock() = Some(keeper.clone());
-        fleet_core::note!(s.log, Event::RingStarted, "fence" => fence, "life" => keeper.life);
+        fleet_core::log_event!(s.log, Event::RingStarted, "fence" => fence, "incarnation" => keeper.incarnation);
         s.append(Fact::Ring(keeper.head(&s)));
         keep(&s, &keeper).await;
         *s.duties.keeper.lock() = None;
@@ -338,10 +338,10 @@
 }
 
 /// Until the duty ends: tails all holders, and publishes what other changes void.
-async fn keep(s: &Arc<Sorting>, keeper: &Arc<Keeper>) {
+async fn keep(s: &Arc<Controller>, keeper: &Arc<Keeper>) {
     let mut tails = hashbrown::HashMap::<String, tokio::task::AbortHandle>::new();
     let mut seen_weights = hashbrown::HashMap::<String, u64>::new();
-    let mut seen_wall = 0;
+    let mut seen_isolation = 0;
     let mut told = (0, 0);
     while s.duties.fence(INDEX_KEEPER) == Some(keeper.fence) {
         let mut want = s.look(|n| {
@@ -368,22 +368,23 @@
             });
         }
         s.look(|n| {
-            for (model, (stamp, _)) in &n.weights {
+            for (model, (version, _)) in &n.weights {
                 let all_there = !n.engines.values().any(|e| {
                     e.standing() == Standing::Ready
-                        && fleet_core::fleet::stamp_of(e, model).is_some_and(|x| x < *stamp)
+                        && fleet_core::fleet::version_of(e, model).is_some_and(|x| x < *version)
                 });
-                if all_there && seen_weights.insert(model.clone(), *stamp) != Some(*stamp) {
-                    purges.push(Purge::Weights(Weights { model: model.clone(), stamp: *stamp }));
+                if all_there && seen_weights.insert(model.clone(), *version) != Some(*version) {
+                    purges
+                        .push(Purge::Weights(Weights { model: model.clone(), version: *version }));
                 }
             }
-            if let Some((_, wall)) = n.config
-                && wall > seen_wall
+            if let Some((_, isolation)) = n.config
+                && isolation > seen_isolation
             {
-                if seen_wall > 0 {
-                    purges.push(Purge::Wall(wall));
+                if seen_isolation > 0 {
+                    purges.push(Purge::Isolation(isolation));
                 }
-                seen_wall = wall;
+                seen_isolation = isolation;
             }
         });
         keeper.commit(s, purges);
@@ -391,10 +392,10 @@
             let mut r = keeper.readers.lock();
             let stuck = r
                 .iter()
-                .filter(|(_, t)| t.elapsed() > k::READER_LIMIT)
+                .filter(|(_, t)| t.elapsed() > constants::READER_LIMIT)
                 .map(|(id, _)| *id)
                 .collect();
-            r.retain(|_, t| t.elapsed() <= k::READER_LIMIT);
+            r.retain(|_, t| t.elapsed() <= constants::READER_LIMIT);
             stuck
         };
         for r in stuck {
@@ -405,14 +406,14 @@
             told = (head.head, head.found);
             s.append(Fact::Ring(head));
         }
-        tokio::time::sleep(k::RING_TELL_PAUSE).await;
+        tokio::time::sleep(constants::RING_TELL_PAUSE).await;
     }
     for t in tails.into_values() {
         t.abort();
     }
 }
 
-fn stores(s: &Sorting) -> Vec<(String, String)> {
+fn stores(s: &Controller) -> Vec<(String, String)> {
     let learned = s.learned.lock();
     let Some((_, v)) = learned.get(crate::control::values::CONFIG) else { return Vec::new() };
     let Ok(c) = <fleet_core::wire::ConfigValue as prost::Message>::decode(v.clone()) else {
@@ -422,10 +423,11 @@
     c.services.into_iter().filter_map(|x| x.kv_store.map(|a| (a.clone(), a))).collect()
 }
 
-async fn tail(s: Arc<Sorting>, keeper: Arc<Keeper>, holder: String, to: std::net::SocketAddr) {
+async fn tail(s: Arc<Controller>, keeper: Arc<Keeper>, holder: String, to: std::net::SocketAddr) {
     let mut line = Line::new(s.node.ip, to);
-    let wait = k::EVENTS_WAIT_MS.to_string();
-    let limit = std::time::Duration::from_millis(k::EVENTS_WAIT_MS) + k::ENGINE_CALL_LIMIT;
+    let wait = constants::EVENTS_WAIT_MS.to_string();
+    let limit =
+        std::time::Duration::from_millis(constants::EVENTS_WAIT_MS) + constants::ENGINE_CALL_LIMIT;
     let mut at: Option<(u64, u64)> = None;
     loop {
         let path = format!("/anisedyke/kv-events?since={}", at.map_or(0, |a| a.1));
@@ -437,97 +439,27 @@
             .and_then(|a| serde_json::from_slice::<Events>(&a.body).ok());
         let Some(e) = got else {
             if at.take().is_some() {
-                fleet_core::note!(s.log, Event::HolderReset, "holder" => &holder);
+                fleet_core::log_event!(s.log, Event::HolderReset, "holder" => &holder);
                 keeper.commit(&s, [Purge::Holder(holder.clone())]);
             }
-            tokio::time::sleep(k::ENGINE_CALL_LIMIT).await;
+            tokio::time::sleep(constants::ENGINE_CALL_LIMIT).await;
             continue;
         };
-        let other_life = at.is_some_and(|(epoch, _)| epoch != e.epoch);
+        let other_incarnation = at.is_some_and(|(epoch, _)| epoch != e.epoch);
         let gap = at.is_some() && e.lost;
-        at = Some((e.epoch, if other_life { 0 } else { e.next_token }));
-        if other_life || gap {
-            fleet_core::note!(s.log, Event::HolderReset, "holder" => &holder);
+        at = Some((e.epoch, if other_incarnation { 0 } else { e.next_token }));
+        if other_incarnation || gap {
+            fleet_core::log_event!(s.log, Event::HolderReset, "holder" => &holder);
             keeper.commit(&s, [Purge::Holder(holder.clone())]);
         }
-        if !other_life {
+        if !other_incarnation {
             let purges = Keeper::take_events(&mut keeper.index.lock(), &holder, &e);
             keeper.commit(&s, purges);
         }
-        tokio::time::sleep(k::EVENTS_PAUSE).await;
+        tokio::time::sleep(constants::EVENTS_PAUSE).await;
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn events(list: &str) -> Events {
-        serde_json::from_str(&format!(
-            r#"{{"epoch":1,"nextToken":3,"lost":false,"events":[{list}]}}"#
-        ))
-        .unwrap()
-    }
-
-    fn held(holder: &str, parts: Vec<u64>) -> HeldParts {
-        HeldParts { holder: holder.into(), salt: "m|1|#1".into(), parts, kept: Vec::new() }
-    }
-
-    #[test]
-    fn events_are_learnt_and_evictions_become_purges() {
-        let e = events(
-            r#"[1,"+","m|1|#1","ff",8,"m"],[2,"+","m|1|#1","fe",8,"m"],[3,"-","m|1|#1","ff",0,"m"]"#,
-        );
-        let mut index = Index::default();
-        index.hear(&[held("other", vec![0xff, 0xfe])]);
-        let purges = Keeper::take_events(&mut index, "h", &e);
-        let part = PartAt { holder: "h".into(), salt: "m|1|#1".into(), part: 0xff, kept: 0 };
-        assert_eq!(purges, vec![Purge::Part(part)]);
-        let ring = Ring::new(8, 4, 4);
-        let mut d = Draft::open(&mut index);
-        for what in purges {
-            d.add(RingEntry { scope: 0, what: Some(what) });
-        }
-        d.commit(&ring);
-        assert_eq!(ring.head(), 1);
-        let digest: Vec<HeldParts> = index.digest();
-        let kept: Vec<_> =
-            digest.iter().filter(|h| h.holder == "h" && !h.salt.is_empty()).collect();
-        assert_eq!((kept.len(), &kept[0].parts, &kept[0].kept), (1, &vec![0xfe], &vec![8]));
-        let all = index.found;
-        assert_eq!(index.since(all - 1).len(), 1, "found behind the last but one");
-        assert!(index.since(all).is_empty());
-        index.apply(&RingEntry {
-            scope: 0,
-            what: Some(Purge::Weights(Weights { model: "m".into(), stamp: 2 })),
-        });
-        assert!(index.digest().iter().all(|h| h.parts.is_empty()));
-    }
-
-    #[test]
-    fn parts_of_single_requests_are_told_only_once_a_router_names_them() {
-        let mut index = Index::default();
-        let purges =
-            Keeper::take_events(&mut index, "a", &events(r#"[1,"+","m|1|#1","aa",8,"m"]"#));
-        assert!(purges.is_empty() && index.digest().iter().all(|h| h.parts.is_empty()));
-        index.hear(&[held("b", vec![0xaa])]);
-        let mut who: Vec<String> =
-            index.digest().into_iter().filter(|h| !h.parts.is_empty()).map(|h| h.holder).collect();
-        who.sort();
-        assert_eq!(who, ["a", "b"], "also where it was seen before");
-        let gone = events(r#"[2,"-","m|1|#1","ab",0,"m"]"#);
-        assert!(Keeper::take_events(&mut index, "a", &gone).is_empty(), "never told, never purged");
-    }
-
-    #[test]
-    fn parts_set_aside_are_bounded_and_go_with_their_holder() {
-        let mut index = Index::default();
-        for i in 0..k::UNSHARED_KEPT as u64 * 3 {
-            index.found("a", "m|1|#1", i, None);
-        }
-        let n = index.unshared.iter().map(|u| u.len()).sum::<usize>();
-        assert!(n <= 2 * k::UNSHARED_KEPT && n > k::UNSHARED_KEPT / 2);
-        index.drop_holder("a");
-        assert!(index.unshared.iter().all(|u| u.is_empty()));
-    }
-}
+#[path = "keeper_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/control-plane/src/duties/keeper_tests.rs
@@ -0,0 +1,68 @@
+//! Tests of `keeper`.
+
+use super::*;
+
+fn events(list: &str) -> Events {
+    serde_json::from_str(&format!(r#"{{"epoch":1,"nextToken":3,"lost":false,"events":[{list}]}}"#))
+        .unwrap()
+}
+
+fn held(holder: &str, parts: Vec<u64>) -> HeldParts {
+    HeldParts { holder: holder.into(), salt: "m|1|#1".into(), parts, kept: Vec::new() }
+}
+
+#[test]
+fn events_are_learnt_and_evictions_become_purges() {
+    let e = events(
+        r#"[1,"+","m|1|#1","ff",8,"m"],[2,"+","m|1|#1","fe",8,"m"],[3,"-","m|1|#1","ff",0,"m"]"#,
+    );
+    let mut index = Index::default();
+    index.hear(&[held("other", vec![0xff, 0xfe])]);
+    let purges = Keeper::take_events(&mut index, "h", &e);
+    let part = PartAt { holder: "h".into(), salt: "m|1|#1".into(), part: 0xff, kept: 0 };
+    assert_eq!(purges, vec![Purge::Part(part)]);
+    let ring = Ring::new(8, 4, 4);
+    let mut d = Draft::open(&mut index);
+    for what in purges {
+        d.add(RingEntry { scope: 0, what: Some(what) });
+    }
+    d.commit(&ring);
+    assert_eq!(ring.head(), 1);
+    let digest: Vec<HeldParts> = index.digest();
+    let kept: Vec<_> = digest.iter().filter(|h| h.holder == "h" && !h.salt.is_empty()).collect();
+    assert_eq!((kept.len(), &kept[0].parts, &kept[0].kept), (1, &vec![0xfe], &vec![8]));
+    let all = index.found;
+    assert_eq!(index.since(all - 1).len(), 1, "found behind the last but one");
+    assert!(index.since(all).is_empty());
+    index.apply(&RingEntry {
+        scope: 0,
+        what: Some(Purge::Weights(Weights { model: "m".into(), version: 2 })),
+    });
+    assert!(index.digest().iter().all(|h| h.parts.is_empty()));
+}
+
+#[test]
+fn parts_of_single_requests_are_told_only_once_a_router_names_them() {
+    let mut index = Index::default();
+    let purges = Keeper::take_events(&mut index, "a", &events(r#"[1,"+","m|1|#1","aa",8,"m"]"#));
+    assert!(purges.is_empty() && index.digest().iter().all(|h| h.parts.is_empty()));
+    index.hear(&[held("b", vec![0xaa])]);
+    let mut who: Vec<String> =
+        index.digest().into_iter().filter(|h| !h.parts.is_empty()).map(|h| h.holder).collect();
+    who.sort();
+    assert_eq!(who, ["a", "b"], "also where it was seen before");
+    let gone = events(r#"[2,"-","m|1|#1","ab",0,"m"]"#);
+    assert!(Keeper::take_events(&mut index, "a", &gone).is_empty(), "never told, never purged");
+}
+
+#[test]
+fn parts_set_aside_are_bounded_and_go_with_their_holder() {
+    let mut index = Index::default();
+    for i in 0..constants::UNSHARED_KEPT as u64 * 3 {
+        index.found("a", "m|1|#1", i, None);
+    }
+    let n = index.unshared.iter().map(|u| u.len()).sum::<usize>();
+    assert!(n <= 2 * constants::UNSHARED_KEPT && n > constants::UNSHARED_KEPT / 2);
+    index.drop_holder("a");
+    assert!(index.unshared.iter().all(|u| u.is_empty()));
+}
--- a/crates/control-plane/src/duties/mod.rs
+++ b/crates/control-plane/src/duties/mod.rs
@@ -3,9 +3,9 @@
 pub mod keeper;
 pub mod rollout;
 
-use crate::Sorting;
+use crate::Controller;
 use crate::control::owner;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Body, ChangeKind, Lease, Leased, Outcome, RaiseFence};
 use std::sync::Arc;
@@ -22,14 +22,15 @@
 }
 
 struct Grant {
-    life: u64,
+    incarnation: u64,
     node: String,
     until: Instant,
 }
 
 impl Grants {
     pub fn grant(&mut self, l: &Lease, now: Instant, lease: Duration) -> bool {
-        let other = self.table.get(&l.duty).filter(|g| g.life != l.life && g.node != l.node);
+        let other =
+            self.table.get(&l.duty).filter(|g| g.incarnation != l.incarnation && g.node != l.node);
         if l.leave {
             if other.is_none() {
                 self.table.remove(&l.duty);
@@ -40,7 +41,7 @@
         if closed || other.is_some_and(|g| now < g.until) {
             return false;
         }
-        let g = Grant { life: l.life, node: l.node.clone(), until: now + lease };
+        let g = Grant { incarnation: l.incarnation, node: l.node.clone(), until: now + lease };
         self.table.insert(l.duty.clone(), g);
         true
     }
@@ -94,28 +95,28 @@
 }
 
 /// How long a duty is leased: as the platform bounds orders, or short where none are given.
-fn lease_of(s: &Sorting, duty: &str) -> Duration {
-    let bound = s.params().bounds.lease;
-    if orders(duty) { bound } else { bound.min(k::KEEPER_LEASE) }
+fn lease_of(s: &Controller, duty: &str) -> Duration {
+    let bound = s.settings().bounds.lease;
+    if orders(duty) { bound } else { bound.min(constants::KEEPER_LEASE) }
 }
 
-pub fn grant(s: &Sorting, l: &Lease) -> Leased {
+pub fn grant(s: &Controller, l: &Lease) -> Leased {
     let lease = lease_of(s, &l.duty);
     let votes = s.acceptor.lock().votes();
     Leased { ok: votes && s.duties.grants.lock().grant(l, Instant::now(), lease) }
 }
 
 /// Asks all members; true with a majority.
-async fn ask(s: &Arc<Sorting>, duty: &str, leave: bool) -> bool {
+async fn ask(s: &Arc<Controller>, duty: &str, leave: bool) -> bool {
     let lease = lease_of(s, duty);
     let l = Lease {
         duty: duty.to_owned(),
-        life: s.node.life,
+        incarnation: s.node.incarnation,
         ms: lease.as_millis() as u64,
         leave,
         node: s.node.name.clone(),
     };
-    let members = s.acceptor.lock().roster().members.clone();
+    let members = s.acceptor.lock().membership().members.clone();
     let quorum = members.len() / 2 + 1;
     let mut have = usize::from(grant(s, &l).ok);
     let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
@@ -123,7 +124,7 @@
         let (tx, l) = (tx.clone(), l.clone());
         tokio::spawn(async move {
             if let Ok(Body::Leased(Leased { ok: true })) =
-                link.call(Body::Lease(l), k::PHASE_LIMIT).await
+                link.call(Body::Lease(l), constants::PHASE_LIMIT).await
             {
                 let _ = tx.send(()).await;
             }
@@ -136,7 +137,7 @@
     have >= quorum
 }
 
-pub async fn leave_all(s: &Arc<Sorting>) {
+pub async fn leave_all(s: &Arc<Controller>) {
     for duty in [ROLL_OUT, INDEX_KEEPER] {
         if s.duties.held.lock().remove(duty).is_some() {
             ask(s, duty, true).await;
@@ -145,19 +146,19 @@
 }
 
 /// Takes and keeps a duty whenever it is free.
-pub async fn holding(s: Arc<Sorting>, duty: &'static str) {
+pub async fn holding(s: Arc<Controller>, duty: &'static str) {
     let mut rank = Duration::from_millis(50 + s.chance(400));
     loop {
-        tokio::time::sleep(k::DUTY_TICK).await;
+        tokio::time::sleep(constants::DUTY_TICK).await;
         if *s.leaving().borrow() {
             return;
         }
         let lease = lease_of(&s, duty);
         let now = Instant::now();
         let held = s.duties.held.lock().get(duty).copied().unwrap_or_default();
-        let margin = lease.mul_f64(k::LEASE_MARGIN);
+        let margin = lease.mul_f64(constants::LEASE_MARGIN);
         if let Some(until) = held.until.filter(|u| now < *u) {
-            if until - now > (lease - margin).mul_f64(1.0 - k::LEASE_RENEW) {
+            if until - now > (lease - margin).mul_f64(1.0 - constants::LEASE_RENEW) {
                 continue;
             }
             if ask(&s, duty, false).await {
@@ -168,7 +169,7 @@
         }
         if held.until.is_some() {
             s.duties.held.lock().remove(duty);
-            fleet_core::note!(s.log, Event::DutyLeft, "duty" => duty);
+            fleet_core::log_event!(s.log, Event::DutyLeft, "duty" => duty);
         }
         let free = s.duties.grants.lock().free(duty, &s.node.name, now);
         if !free || !s.acceptor.lock().votes() || s.disk_broken() {
@@ -185,7 +186,7 @@
     duty == ROLL_OUT
 }
 
-async fn take(s: &Arc<Sorting>, duty: &'static str, lease: Duration, margin: Duration) {
+async fn take(s: &Arc<Controller>, duty: &'static str, lease: Duration, margin: Duration) {
     let before = Instant::now();
     if !s.duties.grants.lock().free(duty, &s.node.name, before) {
         return;
@@ -208,70 +209,8 @@
         fence: c.number,
     };
     s.duties.held.lock().insert(duty, held);
-    fleet_core::note!(s.log, Event::DutyTaken, "duty" => duty, "fence" => c.number);
+    fleet_core::log_event!(s.log, Event::DutyTaken, "duty" => duty, "fence" => c.number);
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn lease(life: u64) -> Lease {
-        Lease { duty: ROLL_OUT.into(), life, ms: 3000, leave: false, node: format!("n{life}") }
-    }
-
-    const L: Duration = Duration::from_secs(3);
-
-    #[test]
-    fn one_life_at_a_time_and_none_after_a_restart() {
-        let t = Instant::now();
-        let mut g = Grants { table: hashbrown::HashMap::new(), closed_until: Some(t + L) };
-        assert!(!g.grant(&lease(1), t, L));
-        assert!(g.grant(&Lease { duty: INDEX_KEEPER.into(), ..lease(1) }, t, L));
-        assert!(g.grant(&lease(1), t + L, L));
-        assert!(!g.grant(&lease(2), t + L, L));
-        assert!(g.grant(&lease(1), t + L * 3 / 2, L));
-        assert!(!g.grant(&lease(2), t + L * 2, L));
-        assert!(g.grant(&lease(2), t + L * 5 / 2, L));
-        assert!(g.grant(&Lease { leave: true, ..lease(2) }, t + L * 5 / 2, L));
-        assert!(g.grant(&lease(3), t + L * 5 / 2, L));
-        let again = Lease { life: 9, ..lease(3) };
-        assert!(g.grant(&again, t + L * 5 / 2, L), "a new life of the holder's own node");
-        assert!(!g.grant(&lease(2), t + L * 5 / 2, L));
-    }
-
-    #[test]
-    fn a_pause_ends_the_holding_before_any_order() {
-        let t = Instant::now();
-        let h = Holding { until: Some(t + L * 3 / 4), from: Some(t), fence: 5 };
-        assert_eq!(h.fence(t), Some(5));
-        assert_eq!(h.fence(t + L * 3 / 4), None);
-        let waits = Holding { from: Some(t + L), until: Some(t + L * 2), fence: 6 };
-        assert_eq!(waits.fence(t), None);
-        assert_eq!(waits.fence(t + L), Some(6));
-    }
-
-    proptest::proptest! {
-        /// Whatever the pauses and the speed of asking, two holders never both may act.
-        #[test]
-        fn holders_never_overlap(steps in proptest::collection::vec((0u64..3, 0u64..900, 0u64..4000), 1..80)) {
-            let t0 = Instant::now();
-            let margin = L.mul_f64(k::LEASE_MARGIN);
-            let mut now = t0;
-            let mut grants: Vec<Grants> = (0..3)
-                .map(|_| Grants { table: hashbrown::HashMap::new(), closed_until: None })
-                .collect();
-            let mut held: Vec<Option<(Instant, Instant)>> = vec![None; 3];
-            for (who, travel, pause) in steps {
-                let before = now;
-                now += Duration::from_millis(travel);
-                let yes = grants.iter_mut().filter_map(|g| g.grant(&lease(who + 1), now, L).then_some(())).count();
-                if yes >= 2 {
-                    held[who as usize] = Some((now, before + L - margin));
-                }
-                now += Duration::from_millis(pause);
-                let active = held.iter().flatten().filter(|(_, until)| now < *until).count();
-                proptest::prop_assert!(active <= 1);
-            }
-        }
-    }
-}
+mod tests;
--- a/crates/control-plane/src/duties/rollout/look.rs
+++ b/crates/control-plane/src/duties/rollout/look.rs
@@ -1,8 +1,8 @@
 //! The roll-out as this controller sees it; made only when asked for, and changes nothing.
 
 use super::plan::{Plan, Step};
-use crate::Sorting;
-use fleet_core::constants as k;
+use crate::Controller;
+use fleet_core::constants;
 use fleet_core::wire::{Engine, Standing};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -26,7 +26,7 @@
     if e.silent {
         return State::Silent;
     }
-    if fleet_core::fleet::stamp_of(e, model).is_some_and(|v| v >= named) {
+    if fleet_core::fleet::version_of(e, model).is_some_and(|v| v >= named) {
         return State::Ready;
     }
     if fleet_core::fleet::is_changing(e, model, Some(named)) {
@@ -36,15 +36,17 @@
 }
 
 /// Why an engine is no further, where something is wrong with it.
-pub fn stuck(state: State, step: Option<(Step, Instant)>, problem: Option<&str>) -> Option<String> {
+pub fn stuck(state: State, step: Option<(Step, Instant)>, error: Option<&str>) -> Option<String> {
     match (state, step) {
         (State::Ready, _) => None,
         (State::Silent, _) => Some("sends no heartbeats".to_owned()),
-        (_, Some((Step::Turning(since), now))) if now.duration_since(since) > k::TURN_SLOW => {
+        (_, Some((Step::Turning(since), now)))
+            if now.duration_since(since) > constants::TURN_SLOW =>
+        {
             Some(format!("turns since {} ms", now.duration_since(since).as_millis()))
         }
         (_, Some((Step::Turning(_), _))) => None,
-        _ => problem.map(|p| format!("last turn failed: {p}")),
+        _ => error.map(|p| format!("last turn failed: {p}")),
     }
 }
 
@@ -53,14 +55,14 @@
     let step = plan.step(&e.id).map(|s| (s, now));
     serde_json::json!({
         "id": e.id, "zone": e.zone, "state": state,
-        "revision": fleet_core::fleet::stamp_of(e, model),
-        "stuck": stuck(state, step, plan.problem(&e.id)),
+        "revision": fleet_core::fleet::version_of(e, model),
+        "stuck": stuck(state, step, plan.error(&e.id)),
     })
 }
 
-pub fn look(s: &Sorting) -> serde_json::Value {
+pub fn look(s: &Controller) -> serde_json::Value {
     let now = Instant::now();
-    let bound = s.params().bounds.stamp;
+    let bound = s.settings().bounds.version;
     let plan = s.duties.plan.lock();
     let holds = s.duties.fence(super::ROLL_OUT).is_some();
     let models = s.look(|n| {
@@ -71,7 +73,7 @@
                 .engines
                 .values()
                 .filter(|e| e.standing() == Standing::Ready)
-                .filter(|e| fleet_core::fleet::stamp_of(e, model).is_some())
+                .filter(|e| fleet_core::fleet::version_of(e, model).is_some())
                 .collect();
             engines.sort_by(|a, b| a.id.cmp(&b.id));
             let age = at.map_or(Duration::ZERO, |t| now.duration_since(t));
--- a/crates/control-plane/src/duties/rollout/mod.rs
+++ b/crates/control-plane/src/duties/rollout/mod.rs
@@ -4,10 +4,10 @@
 pub mod plan;
 
 use super::ROLL_OUT;
-use crate::Sorting;
+use crate::Controller;
 use crate::engines::{outside::Line, registry};
 use crate::facts::Fact;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Engine, Standing};
 use plan::{Action, Old, Plan};
@@ -35,7 +35,7 @@
 }
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-enum RollProblem {
+enum RollError {
     /// the duty is no longer held
     NoDuty,
     /// a higher fence was seen
@@ -48,26 +48,32 @@
 
 /// An engine that is neither gone nor silent and serves the model.
 fn serves(e: &Engine, model: &str) -> bool {
-    e.standing() == Standing::Ready && !e.silent && fleet_core::fleet::stamp_of(e, model).is_some()
+    e.standing() == Standing::Ready
+        && !e.silent
+        && fleet_core::fleet::version_of(e, model).is_some()
 }
 
 /// What to begin now for each model, by its engines as they are known.
-fn due(s: &Sorting, plan: &mut Plan) -> Vec<(Action, String, u64)> {
+fn due(s: &Controller, plan: &mut Plan) -> Vec<(Action, String, u64)> {
     let now = Instant::now();
     let loads = s.members.loads.total();
-    let bound = s.params().bounds.stamp.saturating_sub(k::STAMP_MARGIN + k::ROLL_MARGIN);
+    let bound = s
+        .settings()
+        .bounds
+        .version
+        .saturating_sub(constants::VERSION_MARGIN + constants::ROLL_MARGIN);
     let models: Vec<(String, u64, Option<Instant>)> =
         s.look(|n| n.weights.iter().map(|(m, (v, at))| (m.clone(), *v, *at)).collect());
     let mut out = Vec::new();
-    for (model, stamp, named) in models {
+    for (model, version, named) in models {
         let engines: Vec<Engine> =
             s.look(|n| n.engines.values().filter(|e| serves(e, &model)).cloned().collect());
         let mut old = Vec::new();
         for e in &engines {
-            if fleet_core::fleet::stamp_of(e, &model).is_none_or(|v| v >= stamp) {
+            if fleet_core::fleet::version_of(e, &model).is_none_or(|v| v >= version) {
                 continue;
             }
-            if fleet_core::fleet::is_fading(e, &model, Some(stamp)) {
+            if fleet_core::fleet::is_fading(e, &model, Some(version)) {
                 plan.adopt(&e.id, now);
             }
             let key = fleet_core::load::key_of(&e.id);
@@ -82,20 +88,20 @@
         }
         let left = named.map_or(bound, |t| bound.saturating_sub(now.duration_since(t)));
         let next = plan.next(now, engines.len(), &old, left);
-        out.extend(next.into_iter().map(|a| (a, model.clone(), stamp)));
+        out.extend(next.into_iter().map(|a| (a, model.clone(), version)));
     }
     out
 }
 
-pub async fn rolling(s: Arc<Sorting>) {
+pub async fn rolling(s: Arc<Controller>) {
     let mut news = s.news();
     loop {
         news.borrow_and_update();
         let work = s.look(|n| {
-            n.weights.iter().any(|(m, (stamp, _))| {
+            n.weights.iter().any(|(m, (version, _))| {
                 n.engines.values().any(|e| {
                     e.standing() != Standing::Gone
-                        && fleet_core::fleet::stamp_of(e, m).is_some_and(|x| x < *stamp)
+                        && fleet_core::fleet::version_of(e, m).is_some_and(|x| x < *version)
                 })
             })
         });
@@ -108,13 +114,13 @@
         }
         if s.duties.fence(ROLL_OUT).is_some() {
             let actions = due(&s, &mut s.duties.plan.lock());
-            for (a, model, stamp) in actions {
+            for (a, model, version) in actions {
                 let s = s.clone();
                 tokio::spawn(async move {
                     match a {
                         Action::Fade(id) => tell(&s, &id, |x| x.fade += 1 + x.fade % 2).await,
                         Action::Turn(id) => {
-                            let load = turn(&s, &id, &model, stamp).await;
+                            let load = turn(&s, &id, &model, version).await;
                             let mut plan = s.duties.plan.lock();
                             match load {
                                 Ok(took) => plan.ended(&id, Instant::now(), Some(took)),
@@ -125,43 +131,43 @@
                 });
             }
         }
-        tokio::time::sleep(k::ROLL_TICK).await;
+        tokio::time::sleep(constants::ROLL_TICK).await;
     }
 }
 
 /// Tells all routers of the turn, orders, waits for its end, and tells that.
 async fn turn(
-    s: &Arc<Sorting>,
+    s: &Arc<Controller>,
     id: &str,
     model: &str,
-    stamp: u64,
-) -> Result<Duration, RollProblem> {
-    let e = &s.look(|n| n.engines.get(id).cloned()).ok_or(RollProblem::Unknown)?;
-    let to = e.address.parse().map_err(|_| RollProblem::Unknown)?;
+    version: u64,
+) -> Result<Duration, RollError> {
+    let e = &s.look(|n| n.engines.get(id).cloned()).ok_or(RollError::Unknown)?;
+    let to = e.address.parse().map_err(|_| RollError::Unknown)?;
     let mut line = Line::new(s.node.ip, to);
     tell(s, &e.id, |x| x.turn += 1 + x.turn % 2).await;
-    tokio::time::sleep(k::ROLL_NOTICE).await;
-    let done = order(s, &mut line, e, model, stamp).await;
+    tokio::time::sleep(constants::ROLL_NOTICE).await;
+    let done = order(s, &mut line, e, model, version).await;
     match &done {
         Ok(took) => {
-            fleet_core::note!(s.log, Event::RollDone, "ms" => took.as_millis() as u64, "id" => &e.id, "stamp" => stamp)
+            fleet_core::log_event!(s.log, Event::RollDone, "ms" => took.as_millis() as u64, "id" => &e.id, "version" => version)
         }
         Err(p) => {
-            fleet_core::note!(s.log, Event::RollProblem, "id" => &e.id, "why" => p.to_string())
+            fleet_core::log_event!(s.log, Event::RollError, "id" => &e.id, "why" => p.to_string())
         }
     }
     tell(s, &e.id, |x| {
         x.turn += x.turn % 2;
         x.fade += x.fade % 2;
         if done.is_ok() {
-            fleet_core::fleet::raise(x, model, stamp);
+            fleet_core::fleet::raise(x, model, version);
         }
     })
     .await;
     done
 }
 
-async fn tell(s: &Arc<Sorting>, id: &str, f: impl FnOnce(&mut Engine)) {
+async fn tell(s: &Arc<Controller>, id: &str, f: impl FnOnce(&mut Engine)) {
     let Some(mut e) = s.look(|n| n.engines.get(id).cloned()) else { return };
     f(&mut e);
     s.append(Fact::Engine(e.clone()));
@@ -169,20 +175,20 @@
 }
 
 async fn order(
-    s: &Arc<Sorting>,
+    s: &Arc<Controller>,
     line: &mut Line,
     e: &Engine,
     model: &str,
-    stamp: u64,
-) -> Result<Duration, RollProblem> {
-    let until = Instant::now() + k::ORDER_LIMIT;
+    version: u64,
+) -> Result<Duration, RollError> {
+    let until = Instant::now() + constants::ORDER_LIMIT;
     let mut ordered = false;
     // since it has been ordered and runs nothing any more
     let mut alone: Option<Instant> = None;
     let took = |alone: Option<Instant>| alone.map_or(Duration::ZERO, |t| t.elapsed());
     while Instant::now() < until {
         if let Some(r) = report(line).await {
-            if r.models.iter().any(|m| m.name == model && m.revision >= stamp) {
+            if r.models.iter().any(|m| m.name == model && m.revision >= version) {
                 return Ok(took(alone));
             }
             if ordered && r.active > 0 {
@@ -192,9 +198,9 @@
                 alone = alone.or_else(|| Some(Instant::now()));
             }
             if !r.busy && !ordered {
-                let fence = s.duties.fence(ROLL_OUT).ok_or(RollProblem::NoDuty)?;
+                let fence = s.duties.fence(ROLL_OUT).ok_or(RollError::NoDuty)?;
                 let body = serde_json::json!({
-                    "operation": "revision", "model": model, "revision": stamp, "method": "defer",
+                    "operation": "revision", "model": model, "revision": version, "method": "defer",
                     "holder": s.node.name, "fence": fence, "expected": r.call_seq,
                 });
                 let answer = line
@@ -203,29 +209,29 @@
                         "/anisedyke/order",
                         &[("X-Target-Instance", e.id.as_str())],
                         body.to_string().into_bytes(),
-                        k::ENGINE_CALL_LIMIT,
+                        constants::ENGINE_CALL_LIMIT,
                     )
                     .await;
                 match answer.map(|a| a.status.as_u16()) {
                     Ok(202) => {
-                        fleet_core::note!(s.log, Event::RollOrdered, "id" => &e.id, "stamp" => stamp);
+                        fleet_core::log_event!(s.log, Event::RollOrdered, "id" => &e.id, "version" => version);
                         ordered = true;
                         alone = (r.active == 0).then(Instant::now);
                     }
                     Ok(200) => return Ok(Duration::ZERO),
-                    Ok(412) => return Err(RollProblem::Fenced),
+                    Ok(412) => return Err(RollError::Fenced),
                     Ok(_) | Err(_) => {}
                 }
             }
         }
-        tokio::time::sleep(k::REPORT_PAUSE).await;
+        tokio::time::sleep(constants::REPORT_PAUSE).await;
     }
-    Err(RollProblem::Late)
+    Err(RollError::Late)
 }
 
 async fn report(line: &mut Line) -> Option<Report> {
     let a = line
-        .call(http::Method::GET, "/anisedyke/report", &[], Vec::new(), k::ENGINE_CALL_LIMIT)
+        .call(http::Method::GET, "/anisedyke/report", &[], Vec::new(), constants::ENGINE_CALL_LIMIT)
         .await
         .ok()?;
     serde_json::from_slice(&a.body).ok()
--- a/crates/control-plane/src/duties/rollout/plan.rs
+++ b/crates/control-plane/src/duties/rollout/plan.rs
@@ -1,7 +1,7 @@
 //! Which engines turn to new weights next: those that serve people who wait come first.
 //! Serving, then (with long streams) Fading, then Turning, then at the named weights.
 
-use fleet_core::constants as k;
+use fleet_core::constants;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -41,18 +41,18 @@
 
 impl Width {
     pub fn new(engines: usize) -> Width {
-        Width { now: (engines as f64 * k::ROLL_START).max(1.0), fastest: None, cut: None }
+        Width { now: (engines as f64 * constants::ROLL_START).max(1.0), fastest: None, cut: None }
     }
 
     pub fn loaded(&mut self, now: Instant, took: Duration) {
         let fastest = self.fastest.map_or(took, |f| f.min(took));
         self.fastest = Some(fastest);
-        if took <= fastest.mul_f64(k::LOAD_SLOW) {
+        if took <= fastest.mul_f64(constants::LOAD_SLOW) {
             self.now += 1.0;
             return;
         }
-        if self.cut.is_none_or(|c| now.duration_since(c) >= k::WIDTH_CUT_PAUSE) {
-            self.now = (self.now * k::WIDTH_CUT).max(1.0);
+        if self.cut.is_none_or(|c| now.duration_since(c) >= constants::WIDTH_CUT_PAUSE) {
+            self.now = (self.now * constants::WIDTH_CUT).max(1.0);
             self.cut = Some(now);
         }
     }
@@ -69,7 +69,7 @@
     width: Option<Width>,
     turn: Duration,
     /// why the last turn of an engine failed
-    problems: hashbrown::HashMap<String, String>,
+    errors: hashbrown::HashMap<String, String>,
 }
 
 impl Default for Plan {
@@ -78,8 +78,8 @@
             steps: hashbrown::HashMap::new(),
             kinds: hashbrown::HashMap::new(),
             width: None,
-            turn: k::TURN_FIRST,
-            problems: hashbrown::HashMap::new(),
+            turn: constants::TURN_FIRST,
+            errors: hashbrown::HashMap::new(),
         }
     }
 }
@@ -115,11 +115,11 @@
 
     pub fn failed(&mut self, id: &str, now: Instant, why: &str) {
         self.ended(id, now, None);
-        self.problems.insert(id.to_owned(), why.to_owned());
+        self.errors.insert(id.to_owned(), why.to_owned());
     }
 
-    pub fn problem(&self, id: &str) -> Option<&str> {
-        self.problems.get(id).map(String::as_str)
+    pub fn error(&self, id: &str) -> Option<&str> {
+        self.errors.get(id).map(String::as_str)
     }
 
     /// All are there: what was learnt of kinds and width is of this roll-out only.
@@ -130,7 +130,7 @@
     /// What to begin now, of `all` engines of a service, with this much time left.
     pub fn next(&mut self, now: Instant, all: usize, old: &[Old], left: Duration) -> Vec<Action> {
         for o in old {
-            self.kinds.entry_ref(&o.id).or_insert(o.interactive >= k::INTERACTIVE_SHARE);
+            self.kinds.entry_ref(&o.id).or_insert(o.interactive >= constants::INTERACTIVE_SHARE);
         }
         self.steps.retain(|id, s| matches!(s, Step::Turning(_)) || old.iter().any(|o| o.id == *id));
         let width = self.width.get_or_insert_with(|| Width::new(all)).now();
@@ -138,7 +138,11 @@
         let needed = (old.len() as f64 / rounds.max(0.5)).ceil() as usize;
         let share = |s: f64| ((all as f64 * s).ceil() as usize).max(1);
         let late = needed > width;
-        let most = if needed > share(k::ROLL_SHARE) { k::ROLL_SHARE_LATE } else { k::ROLL_SHARE };
+        let most = if needed > share(constants::ROLL_SHARE) {
+            constants::ROLL_SHARE_LATE
+        } else {
+            constants::ROLL_SHARE
+        };
         let mut room = width.max(needed).min(share(most)).saturating_sub(self.turning());
         let mut out = Vec::new();
         let interactive = |p: &Plan, o: &Old| p.kinds.get(&o.id).copied().unwrap_or(false);
@@ -150,7 +154,7 @@
         let people = self.kinds.values().filter(|k| **k).count();
         let left_over = old.iter().filter(|o| interactive(self, o)).count();
         let away = old.iter().filter(|o| interactive(self, o) && self.steps.contains_key(&o.id));
-        let spared = ((people as f64 * k::FADE_SHARE).ceil() as usize).max(1);
+        let spared = ((people as f64 * constants::FADE_SHARE).ceil() as usize).max(1);
         let fades = spared.saturating_sub(away.count());
         for o in waiting.iter().filter(|o| interactive(self, o)).take(fades) {
             out.push(Action::Fade(o.id.clone()));
@@ -166,7 +170,7 @@
                 Some(Step::Fading(t)) => Some((*t, o)),
                 _ => None,
             })
-            .filter(|(t, o)| o.waits == 0 || now.duration_since(*t) >= k::FADE_LIMIT)
+            .filter(|(t, o)| o.waits == 0 || now.duration_since(*t) >= constants::FADE_LIMIT)
             .collect();
         faded.sort_by(|a, b| (a.1.waits, a.0, &a.1.id).cmp(&(b.1.waits, b.0, &b.1.id)));
         for (_, o) in faded.into_iter().take(room) {
--- a/crates/control-plane/src/engines/outside.rs
+++ b/crates/control-plane/src/engines/outside.rs
@@ -1,14 +1,14 @@
 //! Calls to engines and the store: one kept connection each.
 
-use fleet_core::constants as k;
+use fleet_core::constants;
 use http_body_util::BodyExt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum OutsideProblem {
+pub enum OutsideError {
     /// cannot connect: {0}
-    Connect(fleet_core::link::LinkProblem),
+    Connect(fleet_core::link::LinkError),
     /// the call broke off
     Broken,
     /// no answer in time
@@ -39,20 +39,20 @@
 
     async fn sender(
         &mut self,
-    ) -> Result<hyper::client::conn::http1::SendRequest<Body>, OutsideProblem> {
+    ) -> Result<hyper::client::conn::http1::SendRequest<Body>, OutsideError> {
         if let Some(mut s) = self.sender.take()
             && s.ready().await.is_ok()
         {
             return Ok(s);
         }
-        let io = fleet_core::link::connect(self.own, self.to, k::CONNECT_LIMIT)
+        let io = fleet_core::link::connect(self.own, self.to, constants::CONNECT_LIMIT)
             .await
-            .map_err(OutsideProblem::Connect)?;
+            .map_err(OutsideError::Connect)?;
         let (s, conn) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(64 << 10)
             .handshake(hyper_util::rt::TokioIo::new(io))
             .await
-            .map_err(|_| OutsideProblem::Broken)?;
+            .map_err(|_| OutsideError::Broken)?;
         tokio::spawn(conn);
         Ok(s)
     }
@@ -64,10 +64,10 @@
         headers: &[(&str, &str)],
         body: Vec<u8>,
         limit: Duration,
-    ) -> Result<Answer, OutsideProblem> {
+    ) -> Result<Answer, OutsideError> {
         tokio::time::timeout(limit, self.exchange(method, path, headers, body))
             .await
-            .map_err(|_| OutsideProblem::Late)?
+            .map_err(|_| OutsideError::Late)?
     }
 
     async fn exchange(
@@ -76,7 +76,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: Vec<u8>,
-    ) -> Result<Answer, OutsideProblem> {
+    ) -> Result<Answer, OutsideError> {
         let mut sender = self.sender().await?;
         let mut req = http::Request::builder()
             .method(method)
@@ -88,12 +88,12 @@
         if !body.is_empty() {
             req = req.header(http::header::CONTENT_TYPE, "application/json");
         }
-        let req = req.body(Body::new(body.into())).map_err(|_| OutsideProblem::Unreadable)?;
-        let res = sender.send_request(req).await.map_err(|_| OutsideProblem::Broken)?;
+        let req = req.body(Body::new(body.into())).map_err(|_| OutsideError::Unreadable)?;
+        let res = sender.send_request(req).await.map_err(|_| OutsideError::Broken)?;
         let status = res.status();
         let location = res.headers().get(http::header::LOCATION);
         let location = location.and_then(|v| v.to_str().ok()).map(str::to_owned);
-        let body = res.into_body().collect().await.map_err(|_| OutsideProblem::Broken)?.to_bytes();
+        let body = res.into_body().collect().await.map_err(|_| OutsideError::Broken)?.to_bytes();
         self.sender = Some(sender);
         Ok(Answer { status, body, location })
     }
--- a/crates/control-plane/src/engines/registry.rs
+++ b/crates/control-plane/src/engines/registry.rs
@@ -1,8 +1,8 @@
 //! Engines by instance; rebuilt from their own heartbeats.
 
-use crate::Sorting;
+use crate::Controller;
 use crate::facts::Fact;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Beats, Body, Engine, Standing};
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 }
 
 /// Takes news of an engine; its own heartbeats are told on, those of other controllers are not.
-pub fn hear(s: &Sorting, news: Engine, own: bool) -> bool {
+pub fn hear(s: &Controller, news: Engine, own: bool) -> bool {
     let known = s.look(|n| n.engines.get(&news.id).cloned());
     let fresh = known.as_ref().is_none_or(|e| news.call > e.call);
     if fresh && news.standing() != Standing::Gone {
@@ -36,7 +36,7 @@
             Standing::Draining => Event::EngineDraining,
             Standing::Gone => Event::EngineGone,
         };
-        fleet_core::note!(s.log, event, "id" => &merged.id, "at" => &merged.address);
+        fleet_core::log_event!(s.log, event, "id" => &merged.id, "at" => &merged.address);
     }
     if changed {
         s.append(Fact::Engine(merged));
@@ -46,7 +46,7 @@
     changed
 }
 
-impl Sorting {
+impl Controller {
     /// A call number without other news moves no view of the routers.
     fn touch(&self, e: Engine) {
         self.known.lock().amend(|n| {
@@ -56,9 +56,9 @@
 }
 
 /// Tells the others at once, and waits until a majority of the controllers has it.
-pub async fn share_now(s: &Arc<Sorting>, e: Engine) -> bool {
+pub async fn share_now(s: &Arc<Controller>, e: Engine) -> bool {
     s.engines.outbox.lock().remove(&e.id);
-    let members = s.acceptor.lock().roster().members.clone();
+    let members = s.acceptor.lock().membership().members.clone();
     let own = members.iter().any(|m| m.addr() == Some(s.node.ip));
     let quorum = members.len() / 2 + 1;
     let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
@@ -66,7 +66,7 @@
         let (tx, e) = (tx.clone(), e.clone());
         tokio::spawn(async move {
             let b = Body::Beats(Beats { engines: vec![e], ask: false });
-            if link.call(b, k::BEAT_SHARE_LIMIT).await.is_ok() {
+            if link.call(b, constants::BEAT_SHARE_LIMIT).await.is_ok() {
                 let _ = tx.send(()).await;
             }
         });
@@ -80,10 +80,10 @@
 }
 
 /// Routine heartbeats go to the others in batches; a link that came up gets and gives all.
-pub async fn sharing(s: Arc<Sorting>) {
+pub async fn sharing(s: Arc<Controller>) {
     let mut up: hashbrown::HashSet<std::net::Ipv4Addr> = hashbrown::HashSet::new();
     loop {
-        tokio::time::sleep(k::BEAT_SHARE_PAUSE).await;
+        tokio::time::sleep(constants::BEAT_SHARE_PAUSE).await;
         let engines: Vec<Engine> = s.engines.outbox.lock().drain().map(|(_, e)| e).collect();
         let links = s.members.links();
         up.retain(|ip| links.iter().any(|(i, l)| i == ip && l.is_up()));
@@ -93,7 +93,7 @@
                 tokio::spawn(async move {
                     let engines = s.look(|n| n.engines.values().cloned().collect());
                     let b = Body::Beats(Beats { engines, ask: true });
-                    if let Ok(Body::Beats(b)) = link.call(b, k::BEAT_SHARE_LIMIT).await {
+                    if let Ok(Body::Beats(b)) = link.call(b, constants::BEAT_SHARE_LIMIT).await {
                         for e in b.engines {
                             hear(&s, e, false);
                         }
@@ -107,16 +107,16 @@
 }
 
 /// Suspects the silent, and forgets the long gone.
-pub async fn watching(s: Arc<Sorting>) {
+pub async fn watching(s: Arc<Controller>) {
     loop {
-        tokio::time::sleep(k::LEARN_PAUSE).await;
-        let limit = s.params().heartbeat.mul_f64(k::SILENT_BEATS);
+        tokio::time::sleep(constants::LEARN_PAUSE).await;
+        let limit = s.settings().heartbeat.mul_f64(constants::SILENT_BEATS);
         let now = tokio::time::Instant::now();
         let known: Vec<Engine> = s.look(|n| n.engines.values().cloned().collect());
         for mut e in known {
             let age = s.engines.heard.lock().get(&e.id).map(|t| now - *t);
             if e.standing() == Standing::Gone {
-                if age.is_some_and(|a| a > k::TOMBSTONE) {
+                if age.is_some_and(|a| a > constants::TOMBSTONE) {
                     s.engines.heard.lock().remove(&e.id);
                     s.known.lock().amend(|n| {
                         n.engines.remove(&e.id);
@@ -128,7 +128,7 @@
             if silent != e.silent {
                 e.silent = silent;
                 if silent {
-                    fleet_core::note!(s.log, Event::EngineSilent, "id" => &e.id);
+                    fleet_core::log_event!(s.log, Event::EngineSilent, "id" => &e.id);
                 }
                 s.append(Fact::Engine(e));
             }
--- a/crates/control-plane/src/facts.rs
+++ b/crates/control-plane/src/facts.rs
@@ -1,12 +1,12 @@
 //! Events of a controller, and the view folded from them.
 
-use fleet_core::wire::{Engine, NamedWeights, RingHead, Roster, View};
+use fleet_core::wire::{Engine, Membership, NamedWeights, RingHead, View};
 
 #[derive(Debug, Clone)]
 pub enum Fact {
-    Config { stamp: u64, wall: u64 },
-    Weights { model: String, stamp: u64 },
-    Roster(Roster),
+    Config { version: u64, isolation: u64 },
+    Weights { model: String, version: u64 },
+    Membership(Membership),
     Engine(Engine),
     Ring(RingHead),
     Routers(u32),
@@ -16,7 +16,7 @@
 pub struct Known {
     pub config: Option<(u64, u64)>,
     pub weights: hashbrown::HashMap<String, (u64, Option<tokio::time::Instant>)>,
-    pub roster: Roster,
+    pub membership: Membership,
     pub engines: hashbrown::HashMap<String, Engine>,
     pub ring: Option<RingHead>,
     pub routers: u32,
@@ -26,12 +26,12 @@
     type Event = Fact;
     fn fold(&mut self, fact: &Fact) {
         match fact {
-            Fact::Config { stamp, wall } => self.config = Some((*stamp, *wall)),
-            Fact::Weights { model, stamp } => {
+            Fact::Config { version, isolation } => self.config = Some((*version, *isolation)),
+            Fact::Weights { model, version } => {
                 let at = Some(tokio::time::Instant::now());
-                self.weights.insert(model.clone(), (*stamp, at));
+                self.weights.insert(model.clone(), (*version, at));
             }
-            Fact::Roster(r) => self.roster = r.clone(),
+            Fact::Membership(r) => self.membership = r.clone(),
             Fact::Engine(e) => {
                 self.engines.insert(e.id.clone(), e.clone());
             }
@@ -43,14 +43,14 @@
 
 impl Known {
     fn named(&self, model: &str) -> Option<NamedWeights> {
-        let (stamp, at) = self.weights.get(model)?;
+        let (version, at) = self.weights.get(model)?;
         let age_ms = at.map_or(0, |t| t.elapsed().as_millis() as u64);
-        Some(NamedWeights { model: model.to_owned(), stamp: *stamp, age_ms })
+        Some(NamedWeights { model: model.to_owned(), version: *version, age_ms })
     }
 
     pub fn whole(&self) -> View {
         View {
-            roster: Some(self.roster.clone()),
+            membership: Some(self.membership.clone()),
             config: self.config.map_or(0, |c| c.0),
             weights: self.weights.keys().filter_map(|m| self.named(m)).collect(),
             engines: self.engines.values().cloned().collect(),
@@ -70,7 +70,7 @@
                     v.weights.retain(|w| w.model != *model);
                     v.weights.extend(self.named(model));
                 }
-                Fact::Roster(_) => v.roster = Some(self.roster.clone()),
+                Fact::Membership(_) => v.membership = Some(self.membership.clone()),
                 Fact::Engine(e) => {
                     v.engines.retain(|x| x.id != e.id);
                     v.engines.extend(self.engines.get(&e.id).cloned());
@@ -83,7 +83,7 @@
     }
 }
 
-impl crate::Sorting {
+impl crate::Controller {
     /// What is new since `seen`; all of it when the journal no longer reaches back.
     pub fn view_since(&self, seen: Option<u64>) -> (u64, Option<View>) {
         let j = self.known.lock();
--- a/crates/control-plane/src/learner.rs
+++ b/crates/control-plane/src/learner.rs
@@ -2,11 +2,11 @@
 
 use crate::control::{owner, values};
 use crate::facts::Fact;
-use crate::{Sorting, members};
-use fleet_core::constants as k;
+use crate::{Controller, members};
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{
-    Ballot, Body, Committed, ConfigValue, Fetch, Peek, Peeked, Roster, WeightsValue,
+    Ballot, Body, Committed, ConfigValue, Fetch, Membership, Peek, Peeked, WeightsValue,
 };
 use prost::Message;
 use std::sync::Arc;
@@ -30,30 +30,32 @@
     Some((top, held.iter().filter(|(_, b)| *b == top).count() >= quorum))
 }
 
-impl Sorting {
+impl Controller {
     /// What the voting members hold now; their answers come from disk.
     async fn peek(self: &Arc<Self>, enough: impl Fn(&Held) -> bool) -> Held {
         let (members, epoch) = {
             let a = self.acceptor.lock();
-            (a.roster().members.clone(), a.roster().epoch)
+            (a.membership().members.clone(), a.membership().epoch)
         };
         let mut held = Held::new();
         let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
         for (id, link) in self.peers(&members) {
             let (tx, s) = (tx.clone(), self.clone());
             tokio::spawn(async move {
-                let ask = Body::Peek(Peek { roster: epoch, values: false });
-                let Ok(Body::Peeked(p)) = link.call(ask, k::PHASE_LIMIT).await else { return };
-                if let Some(r) = &p.roster {
+                let ask = Body::Peek(Peek { membership: epoch, values: false });
+                let Ok(Body::Peeked(p)) = link.call(ask, constants::PHASE_LIMIT).await else {
+                    return;
+                };
+                if let Some(r) = &p.membership {
                     s.adopt(r).await;
                 }
-                if p.roster.as_ref().is_none_or(|r| r.epoch == epoch) {
+                if p.membership.as_ref().is_none_or(|r| r.epoch == epoch) {
                     let _ = tx.send((id, p)).await;
                 }
             });
         }
         drop(tx);
-        let own = tokio::time::timeout(k::PHASE_LIMIT, self.vote(|a| a.peek(false))).await;
+        let own = tokio::time::timeout(constants::PHASE_LIMIT, self.vote(|a| a.peek(false))).await;
         if let Ok(Some(p)) = own {
             add(&mut held, self.node.id(), &p);
         }
@@ -65,7 +67,7 @@
     }
 
     fn quorum(&self) -> usize {
-        self.acceptor.lock().roster().members.len() / 2 + 1
+        self.acceptor.lock().membership().members.len() / 2 + 1
     }
 
     pub async fn majority_at(self: &Arc<Self>, key: &str, ballot: Ballot) -> bool {
@@ -87,7 +89,8 @@
             return Some((b, v));
         }
         let same = |_: &[u8]| values::Decision::Answer(values::unknown());
-        let done = tokio::time::timeout(k::CHANGE_LIMIT, owner::settle(self, key, same)).await;
+        let done =
+            tokio::time::timeout(constants::CHANGE_LIMIT, owner::settle(self, key, same)).await;
         if !matches!(done, Ok(Ok(_))) {
             return None;
         }
@@ -104,13 +107,13 @@
         if let Some((_, v)) = self.learned.lock().get(key).filter(|(at, _)| *at == b) {
             return Some(v.clone());
         }
-        let members = self.acceptor.lock().roster().members.clone();
+        let members = self.acceptor.lock().membership().members.clone();
         for (id, link) in self.peers(&members) {
             if !held.get(key).is_some_and(|h| h.contains(&(id, b))) {
                 continue;
             }
             let ask = Body::Fetch(Fetch { key: key.to_owned(), confirm: false });
-            if let Ok(Body::Fetched(f)) = link.call(ask, k::PHASE_LIMIT).await
+            if let Ok(Body::Fetched(f)) = link.call(ask, constants::PHASE_LIMIT).await
                 && let Some(r) = f.register.filter(|r| r.accepted == b)
             {
                 return Some(r.value);
@@ -130,22 +133,22 @@
         }
         if key == values::CONFIG
             && let Ok(c) = ConfigValue::decode(value.clone())
-            && self.look(|n| n.config.is_none_or(|(s, _)| s < c.stamp))
-            && c.stamp > 0
+            && self.look(|n| n.config.is_none_or(|(s, _)| s < c.version))
+            && c.version > 0
         {
-            fleet_core::note!(self.log, Event::ConfigTaken, "stamp" => c.stamp);
-            self.append(Fact::Config { stamp: c.stamp, wall: c.wall });
+            fleet_core::log_event!(self.log, Event::ConfigTaken, "version" => c.version);
+            self.append(Fact::Config { version: c.version, isolation: c.isolation });
         }
         if let Some(m) = values::model_of(key)
             && let Ok(w) = WeightsValue::decode(value.clone())
-            && self.look(|n| n.weights.get(m).is_none_or(|(s, _)| *s < w.stamp))
-            && w.stamp > 0
+            && self.look(|n| n.weights.get(m).is_none_or(|(s, _)| *s < w.version))
+            && w.version > 0
         {
-            fleet_core::note!(self.log, Event::StampNamed, "model" => m, "stamp" => w.stamp);
-            self.append(Fact::Weights { model: m.to_owned(), stamp: w.stamp });
+            fleet_core::log_event!(self.log, Event::VersionNamed, "model" => m, "version" => w.version);
+            self.append(Fact::Weights { model: m.to_owned(), version: w.version });
         }
-        if key == values::ROSTER
-            && let Ok(r) = Roster::decode(value.clone())
+        if key == values::MEMBERSHIP
+            && let Ok(r) = Membership::decode(value.clone())
         {
             self.adopt(&r).await;
         }
@@ -154,7 +157,7 @@
     /// Own change on a majority: learn it and tell the others.
     pub async fn committed(self: &Arc<Self>, key: &str, ballot: Ballot, value: &bytes::Bytes) {
         self.learn(key, ballot, value).await;
-        let members = self.acceptor.lock().roster().members.clone();
+        let members = self.acceptor.lock().membership().members.clone();
         for (_, link) in self.peers(&members) {
             let _ = link.tell(Body::Committed(Committed { key: key.to_owned(), ballot }));
         }
@@ -172,13 +175,18 @@
     }
 }
 
-pub async fn learning(s: Arc<Sorting>) {
+pub async fn learning(s: Arc<Controller>) {
     let mut open: hashbrown::HashMap<String, Ballot> = hashbrown::HashMap::new();
     loop {
         let young = s.learned.lock().is_empty();
-        tokio::time::sleep(if young { k::LEARN_PAUSE / 10 } else { k::LEARN_PAUSE }).await;
+        tokio::time::sleep(if young {
+            constants::LEARN_PAUSE / 10
+        } else {
+            constants::LEARN_PAUSE
+        })
+        .await;
         let q = s.quorum();
-        let n = s.acceptor.lock().roster().members.len();
+        let n = s.acceptor.lock().membership().members.len();
         let full = |h: &Held| n > 0 && h.values().any(|v| v.len() >= n);
         let held = s.peek(full).await;
         let mut still = hashbrown::HashMap::new();
@@ -195,7 +203,8 @@
             }
             if open.get(key) == Some(&top) && members::is_first_alive(&s) {
                 let same = |_: &[u8]| values::Decision::Answer(values::unknown());
-                let _ = tokio::time::timeout(k::CHANGE_LIMIT, owner::settle(&s, key, same)).await;
+                let _ = tokio::time::timeout(constants::CHANGE_LIMIT, owner::settle(&s, key, same))
+                    .await;
             }
             still.insert(key.clone(), top);
         }
@@ -204,14 +213,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn settled_needs_a_majority_at_the_highest() {
-        let b = |n| Ballot { n, node: 1, seq: 0 };
-        assert_eq!(settled(&[(1, b(3)), (2, b(3)), (3, b(2))], 2), Some((b(3), true)));
-        assert_eq!(settled(&[(1, b(3)), (2, b(2)), (3, b(2))], 2), Some((b(3), false)));
-        assert_eq!(settled(&[], 2), None);
-    }
-}
+#[path = "learner_tests.rs"]
+mod tests;
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -10,16 +10,16 @@
 pub mod members;
 
 use fleet_core::log::Event;
-use fleet_core::wire::{Ballot, Roster};
+use fleet_core::wire::{Ballot, Membership};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum SortingProblem {
+pub enum ControllerError {
     /// {0}: not in the settings, which a controller needs
     ParamMissing(&'static str),
     /// the disk can't be used: {0}
-    Disk(disk::DiskProblem),
+    Disk(disk::DiskError),
     /// cannot listen at {0}: {1}
     Listen(std::net::SocketAddr, std::io::ErrorKind),
     /// cannot serve control: {0}
@@ -27,10 +27,10 @@
 }
 
 /// All state of a controller. Lock order: acceptor, learned, known, then the rest one at a time.
-pub struct Sorting {
+pub struct Controller {
     pub node: fleet_core::node::Node,
     pub log: slog::Logger,
-    params: parking_lot::RwLock<Arc<fleet_core::params::Params>>,
+    settings: parking_lot::RwLock<Arc<fleet_core::settings::Settings>>,
     pub acceptor: parking_lot::Mutex<control::acceptor::Acceptor>,
     disk: disk::writer::Disk,
     pub owners: control::owner::Owners,
@@ -42,16 +42,16 @@
     pub duties: duties::Duties,
     pub started: tokio::time::Instant,
     leaving: tokio::sync::watch::Sender<bool>,
-    dice: AtomicU64,
+    rng_state: AtomicU64,
 }
 
-impl Sorting {
-    pub fn params(&self) -> Arc<fleet_core::params::Params> {
-        self.params.read().clone()
+impl Controller {
+    pub fn settings(&self) -> Arc<fleet_core::settings::Settings> {
+        self.settings.read().clone()
     }
 
     pub fn chance(&self, below: u64) -> u64 {
-        let x = self.dice.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        let x = self.rng_state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
         fleet_core::node::stable_hash(&[&x.to_le_bytes()]) % below.max(1)
     }
 
@@ -94,15 +94,15 @@
         kept.await.is_ok()
     }
 
-    pub async fn adopt(&self, roster: &Roster) {
-        if roster.epoch <= self.acceptor.lock().roster().epoch {
+    pub async fn adopt(&self, membership: &Membership) {
+        if membership.epoch <= self.acceptor.lock().membership().epoch {
             return;
         }
-        if self.persist(|a| a.adopt(roster)).await {
-            fleet_core::note!(self.log, Event::RosterMoved, "epoch" => roster.epoch);
+        if self.persist(|a| a.adopt(membership)).await {
+            fleet_core::log_event!(self.log, Event::MembershipMoved, "epoch" => membership.epoch);
         }
         self.members.relink(self);
-        self.append(facts::Fact::Roster(roster.clone()));
+        self.append(facts::Fact::Membership(membership.clone()));
     }
 
     pub fn append(&self, fact: facts::Fact) {
@@ -121,44 +121,44 @@
 
 /// The disk, what it holds, and whether this is the first start of all.
 fn open_disk(
-    params: &fleet_core::params::Params,
+    settings: &fleet_core::settings::Settings,
     log: &slog::Logger,
-) -> Result<(disk::writer::Disk, disk::format::State, bool), SortingProblem> {
-    let Some(dir) = &params.data_dir else {
-        fleet_core::note!(log, Event::DiskAbsent);
+) -> Result<(disk::writer::Disk, disk::format::State, bool), ControllerError> {
+    let Some(dir) = &settings.data_dir else {
+        fleet_core::log_event!(log, Event::DiskAbsent);
         return Ok((disk::writer::Disk::absent(), disk::format::State::default(), false));
     };
-    let (files, state) = disk::writer::Files::open(dir).map_err(SortingProblem::Disk)?;
-    let seeded = params.seeds.iter().any(|a| a.ip() == std::net::IpAddr::V4(params.ip));
-    let first = files.empty && !files.damaged && params.bootstrap && seeded;
+    let (files, state) = disk::writer::Files::open(dir).map_err(ControllerError::Disk)?;
+    let seeded = settings.seeds.iter().any(|a| a.ip() == std::net::IpAddr::V4(settings.ip));
+    let first = files.empty && !files.damaged && settings.bootstrap && seeded;
     if files.damaged {
-        fleet_core::note!(log, Event::SlotDamaged);
+        fleet_core::log_event!(log, Event::SlotDamaged);
     }
-    fleet_core::note!(log, if files.empty && !first { Event::DiskEmpty } else { Event::DiskOpened },
+    fleet_core::log_event!(log, if files.empty && !first { Event::DiskEmpty } else { Event::DiskOpened },
         "registers" => state.registers.len());
     Ok((disk::writer::Disk::start(files, log.clone()), state, first))
 }
 
 /// Runs a controller until it is told to stop.
 pub async fn run(
-    params: fleet_core::params::Params,
+    settings: fleet_core::settings::Settings,
     log: slog::Logger,
     mut stop: tokio::sync::watch::Receiver<bool>,
-    mut reread: tokio::sync::mpsc::Receiver<fleet_core::params::Params>,
-) -> Result<(), SortingProblem> {
-    let control = params.control.ok_or(SortingProblem::ParamMissing("bindAddrs.control"))?;
-    let node = fleet_core::node::Node::start(&params, fleet_core::node::Role::Controller);
-    let (disk, state, first) = open_disk(&params, &log)?;
-    let peer_at = params.peer_addr(node.ip.into());
-    let listener =
-        fleet_core::link::listen(peer_at).map_err(|e| SortingProblem::Listen(peer_at, e.kind()))?;
+    mut reread: tokio::sync::mpsc::Receiver<fleet_core::settings::Settings>,
+) -> Result<(), ControllerError> {
+    let control = settings.control.ok_or(ControllerError::ParamMissing("bindAddrs.control"))?;
+    let node = fleet_core::node::Node::start(&settings, fleet_core::node::Role::Controller);
+    let (disk, state, first) = open_disk(&settings, &log)?;
+    let peer_at = settings.peer_addr(node.ip.into());
+    let listener = fleet_core::link::listen(peer_at)
+        .map_err(|e| ControllerError::Listen(peer_at, e.kind()))?;
     let acceptor = control::acceptor::Acceptor::new(node.ip, state);
-    let s = Arc::new(Sorting {
+    let s = Arc::new(Controller {
         engines: engines::registry::Registry::default(),
         members: members::Members::default(),
-        duties: duties::Duties::new(first, params.bounds.lease),
+        duties: duties::Duties::new(first, settings.bounds.lease),
         started: tokio::time::Instant::now(),
-        dice: AtomicU64::new(node.life),
+        rng_state: AtomicU64::new(node.incarnation),
         head: tokio::sync::watch::channel(0).0,
         leaving: tokio::sync::watch::channel(false).0,
         known: parking_lot::Mutex::new(fleet_core::journal::Journal::new(
@@ -168,23 +168,23 @@
         learned: parking_lot::Mutex::default(),
         owners: control::owner::Owners::default(),
         acceptor: parking_lot::Mutex::new(acceptor),
-        params: parking_lot::RwLock::new(Arc::new(params)),
+        settings: parking_lot::RwLock::new(Arc::new(settings)),
         disk,
         node,
         log: log.clone(),
     });
     if first {
-        let roster = members::founding(&s.params());
-        s.persist(|a| a.found(&roster)).await;
+        let membership = members::founding(&s.settings());
+        s.persist(|a| a.found(&membership)).await;
     }
-    let roster = s.acceptor.lock().roster().clone();
-    if roster.epoch > 0 {
-        s.append(facts::Fact::Roster(roster));
+    let membership = s.acceptor.lock().membership().clone();
+    if membership.epoch > 0 {
+        s.append(facts::Fact::Membership(membership));
     }
     s.members.relink(&s);
-    let server = api::serve(&s, control).map_err(|e| SortingProblem::Control(e.kind()))?;
+    let server = api::serve(&s, control).map_err(|e| ControllerError::Control(e.kind()))?;
     let tasks = [
-        tokio::spawn(fleet_core::link::host(listener, Arc::new(members::Desk(s.clone())))),
+        tokio::spawn(fleet_core::link::host(listener, Arc::new(members::PeerService(s.clone())))),
         tokio::spawn(members::joining(s.clone())),
         tokio::spawn(members::exchanging(s.clone())),
         tokio::spawn(learner::learning(s.clone())),
@@ -196,17 +196,17 @@
         tokio::spawn(duties::rollout::rolling(s.clone())),
         tokio::spawn(duties::keeper::keeping(s.clone())),
     ];
-    fleet_core::note!(log, Event::Started, "life" => s.node.life);
+    fleet_core::log_event!(log, Event::Started, "incarnation" => s.node.incarnation);
     loop {
         tokio::select! {
             _ = stop.wait_for(|s| *s) => break,
             Some(p) = reread.recv() => {
-                *s.params.write() = Arc::new(p);
+                *s.settings.write() = Arc::new(p);
                 s.members.relink(&s);
             }
         }
     }
-    fleet_core::note!(log, Event::Stopping);
+    fleet_core::log_event!(log, Event::Stopping);
     s.leaving.send_replace(true);
     duties::leave_all(&s).await;
     let _ = tokio::time::timeout(fleet_core::constants::PHASE_LIMIT, server.close()).await;
--- a/crates/control-plane/src/members/loads.rs
+++ b/crates/control-plane/src/members/loads.rs
@@ -1,39 +1,39 @@
 //! Loads of engines: each controller adds up its routers', and gives them the sum over all.
 
-use crate::Sorting;
-use fleet_core::constants as k;
-use fleet_core::link::Origin;
+use crate::Controller;
+use fleet_core::constants;
+use fleet_core::link::Peer;
 use fleet_core::load::{self, Book, ByEngine, Last};
 use fleet_core::wire::{Body, Loads};
 use std::sync::Arc;
 use tokio::time::Instant;
 
 #[derive(Default)]
-pub struct Desk {
+pub struct PeerService {
     routers: parking_lot::Mutex<Book>,
     peers: parking_lot::Mutex<Book>,
     /// by engine, recent runs and those that somebody waits for
     mix: parking_lot::Mutex<hashbrown::HashMap<u32, (f32, f32), ahash::RandomState>>,
 }
 
-impl Desk {
-    pub fn hear(&self, origin: &Origin, l: Loads) {
-        let from_peer = origin.hello.role == fleet_core::node::Role::Controller as u32;
+impl PeerService {
+    pub fn hear(&self, peer: &Peer, l: Loads) {
+        let from_peer = peer.hello.role == fleet_core::node::Role::Controller as u32;
         let book = if from_peer { &self.peers } else { &self.routers };
-        book.lock().hear(origin.hello.life, Instant::now(), l);
+        book.lock().hear(peer.hello.incarnation, Instant::now(), l);
     }
 
     fn remember(&self, all: &ByEngine) {
         let mut mix = self.mix.lock();
         mix.retain(|_, (runs, waits)| {
-            *runs *= k::MIX_DECAY;
-            *waits *= k::MIX_DECAY;
+            *runs *= constants::MIX_DECAY;
+            *waits *= constants::MIX_DECAY;
             *runs > 0.01
         });
         for (key, l) in all {
             let m = mix.entry(*key).or_insert((0.0, 0.0));
-            m.0 += l.runs as f32 * (1.0 - k::MIX_DECAY);
-            m.1 += l.interactive as f32 * (1.0 - k::MIX_DECAY);
+            m.0 += l.runs as f32 * (1.0 - constants::MIX_DECAY);
+            m.1 += l.interactive as f32 * (1.0 - constants::MIX_DECAY);
         }
     }
 
@@ -57,29 +57,29 @@
     }
 }
 
-pub async fn sharing(s: Arc<Sorting>) {
+pub async fn sharing(s: Arc<Controller>) {
     let (mut to_peers, mut to_routers) = (Last::default(), Last::default());
     loop {
-        tokio::time::sleep(k::LOAD_PAUSE).await;
+        tokio::time::sleep(constants::LOAD_PAUSE).await;
         let now = Instant::now();
-        let desk = &s.members.loads;
-        let sum = desk.routers.lock().sum(now);
+        let peer_service = &s.members.loads;
+        let sum = peer_service.routers.lock().sum(now);
         let own = load::pack(&sum);
         if to_peers.is_due(now, &own) {
-            let members = s.acceptor.lock().roster().members.clone();
+            let members = s.acceptor.lock().membership().members.clone();
             for (_, link) in s.peers(&members) {
                 let _ = link.tell(Body::Loads(own.clone()));
             }
         }
-        let total = desk.with_peers(sum, now);
-        desk.remember(&total);
+        let total = peer_service.with_peers(sum, now);
+        peer_service.remember(&total);
         let all = load::pack(&total);
         if !to_routers.is_due(now, &all) {
             continue;
         }
-        let origins = s.members.origins.lock();
-        for life in desk.routers.lock().tellers() {
-            if let Some(o) = origins.get(&life) {
+        let router_links = s.members.router_links.lock();
+        for incarnation in peer_service.routers.lock().tellers() {
+            if let Some(o) = router_links.get(&incarnation) {
                 let _ = o.push(Body::Loads(all.clone()));
             }
         }
--- a/crates/control-plane/src/members/desk.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -3,38 +3,38 @@
 use super::RouterSeen;
 use crate::control::owner;
 use crate::facts::Fact;
-use crate::{Sorting, duties, engines};
-use fleet_core::constants as k;
-use fleet_core::link::{LinkProblem, Origin};
+use crate::{Controller, duties, engines};
+use fleet_core::constants;
+use fleet_core::link::{LinkError, Peer};
 use fleet_core::log::Event;
 use fleet_core::wire::{Beats, Body, Done, Fetched, Joined};
 use std::sync::Arc;
 
-pub struct Desk(pub Arc<Sorting>);
+pub struct PeerService(pub Arc<Controller>);
 
-impl fleet_core::link::Host for Desk {
-    fn joined(self: &Arc<Self>, origin: &Origin) {
+impl fleet_core::link::Host for PeerService {
+    fn joined(self: &Arc<Self>, peer: &Peer) {
         let s = &self.0;
-        s.members.enter(&origin.hello);
-        if origin.hello.role == fleet_core::node::Role::Router as u32 {
-            s.members.origins.lock().insert(origin.hello.life, origin.clone());
-            tokio::spawn(tell_router(s.clone(), origin.clone()));
+        s.members.enter(&peer.hello);
+        if peer.hello.role == fleet_core::node::Role::Router as u32 {
+            s.members.router_links.lock().insert(peer.hello.incarnation, peer.clone());
+            tokio::spawn(tell_router(s.clone(), peer.clone()));
         }
     }
 
-    fn left(self: &Arc<Self>, origin: &Origin) {
+    fn left(self: &Arc<Self>, peer: &Peer) {
         let s = &self.0;
-        s.members.origins.lock().remove(&origin.hello.life);
+        s.members.router_links.lock().remove(&peer.hello.incarnation);
         let mut c = s.members.routers.lock();
-        if c.get(&origin.hello.name).is_some_and(|c| c.life == origin.hello.life) {
-            c.remove(&origin.hello.name);
+        if c.get(&peer.hello.name).is_some_and(|c| c.incarnation == peer.hello.incarnation) {
+            c.remove(&peer.hello.name);
         }
     }
 
-    async fn answer(self: &Arc<Self>, origin: &Origin, body: Body) -> Option<Body> {
+    async fn answer(self: &Arc<Self>, peer: &Peer, body: Body) -> Option<Body> {
         let s = &self.0;
-        if s.members.is_dead(&origin.hello) {
-            fleet_core::note!(s.log, Event::PeerRejected, "from" => &origin.hello.ip, "why" => "former life");
+        if s.members.is_dead(&peer.hello) {
+            fleet_core::log_event!(s.log, Event::PeerRejected, "from" => &peer.hello.ip, "why" => "former incarnation");
             return None;
         }
         match body {
@@ -42,11 +42,11 @@
             Body::Accept(p) => s.vote(|a| a.accept(&p)).await.map(Body::Vote),
             Body::Peek(p) => s.vote(|a| a.peek(p.values)).await.map(Body::Peeked),
             Body::Recover(r) => {
-                if r.roster != s.acceptor.lock().roster().epoch {
+                if r.membership != s.acceptor.lock().membership().epoch {
                     return s.vote(|a| a.peek(false)).await.map(Body::Peeked);
                 }
-                s.members.bury(&origin.hello.ip, r.life);
-                s.vote(|a| a.hand_over(r.era)).await.map(Body::Peeked)
+                s.members.bury(&peer.hello.ip, r.incarnation);
+                s.vote(|a| a.hand_over(r.recovery_epoch)).await.map(Body::Peeked)
             }
             Body::Fetch(f) if f.confirm => {
                 let got = s.read(&f.key).await;
@@ -87,12 +87,14 @@
             Body::Beats(b) => Some(Body::Beats(heard_beats(s, b))),
             Body::Join(j) => {
                 if !j.observes {
-                    super::roster::heard_join(s, j.member);
+                    super::membership::heard_join(s, j.member);
                 }
-                Some(Body::Joined(Joined { roster: Some(s.acceptor.lock().roster().clone()) }))
+                Some(Body::Joined(Joined {
+                    membership: Some(s.acceptor.lock().membership().clone()),
+                }))
             }
             Body::Alive(_) => {
-                heard_router(s, origin);
+                heard_router(s, peer);
                 Some(Body::Nothing(Done {}))
             }
             Body::Found(f) => {
@@ -100,7 +102,7 @@
                 None
             }
             Body::Loads(l) => {
-                s.members.loads.hear(origin, l);
+                s.members.loads.hear(peer, l);
                 None
             }
             Body::RingAsk(a) => duties::keeper::give(s, &a).map(Body::RingGive),
@@ -108,12 +110,12 @@
         }
     }
 
-    fn spoilt(self: &Arc<Self>, problem: &LinkProblem) {
-        fleet_core::note!(self.0.log, Event::PeerRejected, "why" => problem.to_string());
+    fn spoilt(self: &Arc<Self>, error: &LinkError) {
+        fleet_core::log_event!(self.0.log, Event::PeerRejected, "why" => error.to_string());
     }
 }
 
-fn heard_beats(s: &Arc<Sorting>, b: Beats) -> Beats {
+fn heard_beats(s: &Arc<Controller>, b: Beats) -> Beats {
     for e in b.engines {
         engines::registry::hear(s, e, false);
     }
@@ -122,12 +124,13 @@
     Beats { engines, ask: false }
 }
 
-fn heard_router(s: &Arc<Sorting>, origin: &Origin) {
+fn heard_router(s: &Arc<Controller>, peer: &Peer) {
     let n = {
         let mut c = s.members.routers.lock();
-        let seen = RouterSeen { life: origin.hello.life, heard: tokio::time::Instant::now() };
-        c.insert(origin.hello.name.clone(), seen);
-        c.retain(|_, x| x.heard.elapsed() < k::ROUTER_SILENT);
+        let seen =
+            RouterSeen { incarnation: peer.hello.incarnation, heard: tokio::time::Instant::now() };
+        c.insert(peer.hello.name.clone(), seen);
+        c.retain(|_, x| x.heard.elapsed() < constants::ROUTER_SILENT);
         c.len() as u32
     };
     if s.look(|x| x.routers) != n {
@@ -136,7 +139,7 @@
 }
 
 /// Pushes what is new to one router, as it comes.
-async fn tell_router(s: Arc<Sorting>, origin: Origin) {
+async fn tell_router(s: Arc<Controller>, peer: Peer) {
     let mut news = s.news();
     let mut seen = None;
     loop {
@@ -144,15 +147,15 @@
         let (head, view) = s.view_since(seen);
         seen = Some(head);
         if let Some(v) = view
-            && origin.push(Body::View(v)).is_err()
+            && peer.push(Body::View(v)).is_err()
         {
             return;
         }
         tokio::select! {
             changed = news.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep(k::ROUTER_SILENT) => {}
+            () = tokio::time::sleep(constants::ROUTER_SILENT) => {}
         }
-        if origin.is_closed() {
+        if peer.is_closed() {
             return;
         }
     }
--- a/crates/control-plane/tests/members.rs
+++ b/crates/control-plane/tests/members.rs
@@ -4,12 +4,12 @@
 use fleet_core::node::Role;
 use fleet_core::wire::Hello;
 
-fn hello(role: Role, life: u64) -> Hello {
-    Hello { ip: "10.0.0.7".into(), role: role as u32, life, ..Default::default() }
+fn hello(role: Role, incarnation: u64) -> Hello {
+    Hello { ip: "10.0.0.7".into(), role: role as u32, incarnation, ..Default::default() }
 }
 
 #[test]
-fn a_lost_disk_ends_former_lives_of_its_controller_and_not_the_router_beside_it() {
+fn a_lost_disk_ends_former_incarnations_of_its_controller_and_not_the_router_beside_it() {
     let m = Members::default();
     let (old, new) = (hello(Role::Controller, 1), hello(Role::Controller, 2));
     let router = hello(Role::Router, 3);
--- a/crates/control-plane/tests/plan.rs
+++ b/crates/control-plane/tests/plan.rs
@@ -1,7 +1,7 @@
 //! The order, width and steps of a roll-out, on a clock of the test's own.
 
 use control_plane::duties::rollout::plan::{Action, Old, Plan, Step, Width};
-use fleet_core::constants as k;
+use fleet_core::constants;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -38,7 +38,7 @@
     let mut order: Vec<String> = Vec::new();
     while !left.is_empty() {
         let out = plan.next(now, 20, &left, LONG);
-        now += k::TURN_FIRST;
+        now += constants::TURN_FIRST;
         for id in turned(&out) {
             order.push(id.to_owned());
             plan.ended(id, now, Some(Duration::from_millis(400)));
@@ -58,15 +58,15 @@
     let out = plan.next(t, 2, &all, LONG);
     assert!(turned(&out).is_empty() && out.len() == 1, "{out:?}");
     assert_eq!(plan.step("e000"), Some(Step::Fading(t)));
-    assert!(plan.next(t + k::ROLL_TICK, 2, &all, LONG).is_empty());
+    assert!(plan.next(t + constants::ROLL_TICK, 2, &all, LONG).is_empty());
     all[0].waits = 0;
-    let out = plan.next(t + k::ROLL_TICK * 2, 2, &all, LONG);
+    let out = plan.next(t + constants::ROLL_TICK * 2, 2, &all, LONG);
     assert_eq!(turned(&out), ["e000"]);
-    plan.ended("e000", t + k::TURN_FIRST, Some(Duration::from_millis(400)));
+    plan.ended("e000", t + constants::TURN_FIRST, Some(Duration::from_millis(400)));
     let left = [all[1].clone()];
-    let t = t + k::TURN_FIRST;
+    let t = t + constants::TURN_FIRST;
     assert_eq!(plan.next(t, 2, &left, LONG), [Action::Fade("e001".into())]);
-    assert_eq!(turned(&plan.next(t + k::FADE_LIMIT, 2, &left, LONG)), ["e001"]);
+    assert_eq!(turned(&plan.next(t + constants::FADE_LIMIT, 2, &left, LONG)), ["e001"]);
 }
 
 #[test]
@@ -74,10 +74,10 @@
     let (mut plan, t) = (Plan::default(), Instant::now());
     let all = fleet(0, 100, 0);
     let out = plan.next(t, 100, &all, LONG);
-    assert_eq!(turned(&out).len(), (100.0 * k::ROLL_START) as usize);
+    assert_eq!(turned(&out).len(), (100.0 * constants::ROLL_START) as usize);
     assert!(plan.next(t, 100, &all, LONG).is_empty(), "these turn already");
-    let late = plan.next(t, 100, &all, k::TURN_FIRST * 2);
-    assert_eq!(turned(&late).len() + out.len(), (100.0 * k::ROLL_SHARE_LATE) as usize);
+    let late = plan.next(t, 100, &all, constants::TURN_FIRST * 2);
+    assert_eq!(turned(&late).len() + out.len(), (100.0 * constants::ROLL_SHARE_LATE) as usize);
 }
 
 #[test]
@@ -85,7 +85,7 @@
     let (mut plan, t) = (Plan::default(), Instant::now());
     let all = fleet(10, 10, 5);
     assert!(turned(&plan.next(t, 20, &all, LONG)).is_empty());
-    let out = plan.next(t, 20, &all, k::TURN_FIRST * 3);
+    let out = plan.next(t, 20, &all, constants::TURN_FIRST * 3);
     assert!(turned(&out).iter().all(|id| *id >= "e010") && !turned(&out).is_empty());
 }
 
@@ -101,11 +101,15 @@
     for _ in 0..5 {
         w.loaded(t, ms(1200));
     }
-    assert_eq!(w.now(), ((first + 10) as f64 * k::WIDTH_CUT) as usize, "one cut for one wave");
-    w.loaded(t + k::WIDTH_CUT_PAUSE, ms(1200));
+    assert_eq!(
+        w.now(),
+        ((first + 10) as f64 * constants::WIDTH_CUT) as usize,
+        "one cut for one wave"
+    );
+    w.loaded(t + constants::WIDTH_CUT_PAUSE, ms(1200));
     assert!(w.now() < first + 10 - 5);
     for i in 0..50 {
-        w.loaded(t + k::WIDTH_CUT_PAUSE * (i + 2), ms(5000));
+        w.loaded(t + constants::WIDTH_CUT_PAUSE * (i + 2), ms(5000));
     }
     assert_eq!(w.now(), 1);
 }
--- a/crates/control-plane/tests/rollout_look.rs
+++ b/crates/control-plane/tests/rollout_look.rs
@@ -2,13 +2,13 @@
 
 use control_plane::duties::rollout::look::{State, state_of, stuck};
 use control_plane::duties::rollout::plan::Step;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::wire::{Engine, Weights};
 use std::time::Duration;
 use tokio::time::Instant;
 
-fn engine(stamp: u64, turn: u64, fade: u64) -> Engine {
-    let weights = vec![Weights { model: "m".into(), stamp }];
+fn engine(version: u64, turn: u64, fade: u64) -> Engine {
+    let weights = vec![Weights { model: "m".into(), version }];
     Engine { id: "e".into(), weights, turn, fade, ..Default::default() }
 }
 
@@ -32,7 +32,7 @@
     let t = Instant::now();
     let turning = |ms| Some((Step::Turning(t), t + Duration::from_millis(ms)));
     assert_eq!(stuck(State::Turning, turning(100), Some("late")), None, "it is tried again");
-    let slow = stuck(State::Turning, turning(k::TURN_SLOW.as_millis() as u64 + 1), None);
+    let slow = stuck(State::Turning, turning(constants::TURN_SLOW.as_millis() as u64 + 1), None);
     assert_eq!(slow.as_deref(), Some("turns since 4001 ms"));
     let failed = stuck(State::Waiting, None, Some("a higher fence was seen"));
     assert_eq!(failed.as_deref(), Some("last turn failed: a higher fence was seen"));
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -10,6 +10,8 @@
                 if p.control.is_none() { vec!["bindAddrs.control"] } else { Vec::new() }
             },
         },
-        |params, log, stop, reread| async move { control_plane::run(params, log, stop, reread).await },
+        |settings, log, stop, reread| async move {
+            control_plane::run(settings, log, stop, reread).await
+        },
     )
 }
--- a/crates/data-plane/src/budget.rs
+++ b/crates/data-plane/src/budget.rs
@@ -1,6 +1,6 @@
 //! Second sends, held in common by all routers: each uses its own share.
 
-use fleet_core::constants as k;
+use fleet_core::constants;
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -20,8 +20,8 @@
         if self.up < self.window {
             return 0.0;
         }
-        let n = (self.routers + k::BUDGET_SPARES).max(1) as f64;
-        (self.slack * k::BUDGET_SHARE / n).floor()
+        let n = (self.routers + constants::BUDGET_SPARES).max(1) as f64;
+        (self.slack * constants::BUDGET_SHARE / n).floor()
     }
 }
 
@@ -48,7 +48,7 @@
     /// Charges one second send, or says that there is no room for it.
     pub fn charge(&mut self, now: Instant, t: &Terms) -> bool {
         self.age(now, t.window);
-        let room = self.arrivals.len() as f64 * t.ratio * k::BUDGET_SHARE + t.slack_share();
+        let room = self.arrivals.len() as f64 * t.ratio * constants::BUDGET_SHARE + t.slack_share();
         if (self.again.len() + 1) as f64 > room {
             return false;
         }
@@ -62,14 +62,14 @@
     table: parking_lot::Mutex<hashbrown::HashMap<String, Budget, ahash::RandomState>>,
 }
 
-impl crate::Delivery {
+impl crate::Router {
     fn terms(&self) -> Terms {
-        let p = self.params();
+        let p = self.settings();
         Terms {
             ratio: p.bounds.retry_ratio,
             window: p.bounds.retry_window,
             slack: p.bounds.retry_slack,
-            routers: self.sight.routers(),
+            routers: self.fleet_view.routers(),
             up: self.started.elapsed(),
         }
     }
@@ -87,62 +87,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn terms(routers: usize, up: u64) -> Terms {
-        Terms {
-            ratio: 0.2,
-            window: Duration::from_secs(10),
-            slack: 50.0,
-            routers,
-            up: Duration::from_secs(up),
-        }
-    }
-
-    #[test]
-    fn young_router_has_no_slack() {
-        let t = Instant::now();
-        let mut b = Budget::default();
-        assert!(!b.charge(t, &terms(1, 3)));
-        for _ in 0..13 {
-            b.arrived(t, &terms(1, 3));
-        }
-        assert!(b.charge(t, &terms(1, 3)) && b.charge(t, &terms(1, 3)));
-        assert!(!b.charge(t, &terms(1, 3)));
-        assert!(b.charge(t, &terms(1, 30)));
-    }
-
-    proptest::proptest! {
-        /// Over all routers and any sliding window, second sends stay within the rule.
-        #[test]
-        fn all_routers_together_keep_the_budget(
-            steps in proptest::collection::vec((0usize..6, 0u8..3, 0u64..700), 1..600)
-        ) {
-            let t0 = Instant::now();
-            let mut now = t0;
-            let t = terms(6, 100);
-            let mut all: Vec<Budget> = (0..6).map(|_| Budget::default()).collect();
-            let (mut arrivals, mut again) = (Vec::new(), Vec::new());
-            for (who, what, pause) in steps {
-                now += Duration::from_millis(pause);
-                if what == 0 {
-                    all[who].arrived(now, &t);
-                    arrivals.push(now);
-                } else if all[who].charge(now, &t) {
-                    again.push(now);
-                }
-            }
-            let w = Duration::from_secs(10);
-            for end in &again {
-                let start = *end - w;
-                let sent = again.iter().filter(|x| **x > start && **x <= *end).count() as f64;
-                let count = |from: Instant, to: Instant| arrivals.iter().filter(|x| **x > from && **x <= to).count() as f64;
-                let most = count(start, *end)
-                    .max(count(start - w, start))
-                    .max(count(start - w / 2, *end - w / 2));
-                proptest::prop_assert!(sent <= 0.2 * most + 50.0);
-            }
-        }
-    }
-}
+#[path = "budget_tests.rs"]
+mod tests;
--- a/crates/data-plane/src/sight/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -1,7 +1,7 @@
-//! Links to the controllers: views come in, signs of life go out.
+//! Links to the controllers: views come in, signs of incarnation go out.
 
-use crate::Delivery;
-use fleet_core::constants as k;
+use crate::Router;
+use fleet_core::constants;
 use fleet_core::link::Link;
 use fleet_core::log::Event;
 use fleet_core::wire::{Alive, Body, ConfigValue, Fetch};
@@ -9,13 +9,14 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-/// The controllers to be linked with: the roster's, and the seeds while they may help.
-fn wanted(d: &Delivery) -> hashbrown::HashSet<Ipv4Addr> {
+/// The controllers to be linked with: the membership's, and the seeds while they may help.
+fn wanted(d: &Router) -> hashbrown::HashSet<Ipv4Addr> {
     let mut out: hashbrown::HashSet<Ipv4Addr> =
-        d.sight.roster.lock().members.iter().filter_map(|m| m.addr()).collect();
-    let up = d.sight.links.lock().iter().filter(|(ip, l)| out.contains(*ip) && l.is_up()).count();
+        d.fleet_view.membership.lock().members.iter().filter_map(|m| m.addr()).collect();
+    let up =
+        d.fleet_view.links.lock().iter().filter(|(ip, l)| out.contains(*ip) && l.is_up()).count();
     if up == 0 {
-        out.extend(d.params().seeds.iter().filter_map(|a| match a.ip() {
+        out.extend(d.settings().seeds.iter().filter_map(|a| match a.ip() {
             std::net::IpAddr::V4(ip) => Some(ip),
             std::net::IpAddr::V6(_) => None,
         }));
@@ -23,38 +24,38 @@
     out
 }
 
-pub async fn watching(d: Arc<Delivery>) {
+pub async fn watching(d: Arc<Router>) {
     loop {
         let want = wanted(&d);
         {
-            let mut links = d.sight.links.lock();
+            let mut links = d.fleet_view.links.lock();
             links.retain(|ip, _| want.contains(ip));
             for ip in want {
                 links.entry(ip).or_insert_with(|| {
-                    let (tx, rx) = tokio::sync::mpsc::channel(k::LINK_BACKLOG);
-                    let link = Link::keep(&d.node, d.params().peer_addr(ip.into()), Some(tx));
+                    let (tx, rx) = tokio::sync::mpsc::channel(constants::LINK_BACKLOG);
+                    let link = Link::keep(&d.node, d.settings().peer_addr(ip.into()), Some(tx));
                     tokio::spawn(hearing(d.clone(), Arc::downgrade(&link), rx));
                     link
                 });
             }
         }
-        let links: Vec<Arc<Link>> = d.sight.links.lock().values().cloned().collect();
+        let links: Vec<Arc<Link>> = d.fleet_view.links.lock().values().cloned().collect();
         let alive = Alive {
-            stamp: d.sight.table().map_or(0, |t| t.stamp),
+            version: d.fleet_view.table().map_or(0, |t| t.version),
             leaving: d.leaving.load(std::sync::atomic::Ordering::Relaxed),
         };
         for l in links {
             let alive = alive.clone();
             tokio::spawn(async move {
-                let _ = l.call(Body::Alive(alive), k::ROUTER_BEAT).await;
+                let _ = l.call(Body::Alive(alive), constants::ROUTER_BEAT).await;
             });
         }
-        tokio::time::sleep(k::ROUTER_BEAT).await;
+        tokio::time::sleep(constants::ROUTER_BEAT).await;
     }
 }
 
 async fn hearing(
-    d: Arc<Delivery>,
+    d: Arc<Router>,
     link: std::sync::Weak<Link>,
     mut rx: tokio::sync::mpsc::Receiver<Body>,
 ) {
@@ -64,8 +65,8 @@
             b = rx.recv() => b,
             changed = up.changed() => {
                 if changed.is_ok() && !*up.borrow_and_update() {
-                    d.sight.disturb();
-                    fleet_core::note!(d.log, Event::LinkDown);
+                    d.fleet_view.disturb();
+                    fleet_core::log_event!(d.log, Event::LinkDown);
                 }
                 if changed.is_err() {
                     return;
@@ -76,43 +77,46 @@
         let v = match body {
             Some(Body::View(v)) => v,
             Some(Body::Loads(l)) => {
-                d.sight.hear_loads(&l);
+                d.fleet_view.hear_loads(&l);
                 continue;
             }
             Some(_) => continue,
             None => return,
         };
-        if !d.sight.hear(&v) {
+        if !d.fleet_view.hear(&v) {
             continue;
         }
         let (d, link) = (d.clone(), link.clone());
         tokio::spawn(async move {
             for _ in 0..8 {
                 let Some(l) = link.upgrade() else { return };
-                if v.config <= d.sight.table().map_or(0, |t| t.stamp) || fetch(&d, &l).await {
+                if v.config <= d.fleet_view.table().map_or(0, |t| t.version) || fetch(&d, &l).await
+                {
                     return;
                 }
-                tokio::time::sleep(k::RELINK_PAUSE).await;
+                tokio::time::sleep(constants::RELINK_PAUSE).await;
             }
         });
     }
 }
 
 /// Takes the configuration that a majority confirms.
-async fn fetch(d: &Arc<Delivery>, link: &Link) -> bool {
+async fn fetch(d: &Arc<Router>, link: &Link) -> bool {
     let ask = Body::Fetch(Fetch { key: "config".to_owned(), confirm: true });
-    let Ok(Body::Fetched(f)) = link.call(ask, k::CHANGE_LIMIT * 2).await else { return false };
+    let Ok(Body::Fetched(f)) = link.call(ask, constants::CHANGE_LIMIT * 2).await else {
+        return false;
+    };
     let Some(v) = f.register.and_then(|r| ConfigValue::decode(r.value).ok()) else { return false };
-    match super::table::Table::compile(&v.body, v.wall) {
+    match super::table::Table::compile(&v.body, v.isolation) {
         Ok(t) => {
-            let stamp = t.stamp;
-            if d.sight.set_table(t) {
-                fleet_core::note!(d.log, Event::ConfigInForce, "stamp" => stamp);
+            let version = t.version;
+            if d.fleet_view.set_table(t) {
+                fleet_core::log_event!(d.log, Event::ConfigInForce, "version" => version);
             }
             true
         }
         Err(p) => {
-            fleet_core::note!(d.log, Event::PeerRejected, "why" => p.to_string());
+            fleet_core::log_event!(d.log, Event::PeerRejected, "why" => p.to_string());
             false
         }
     }
--- a/crates/data-plane/src/sight/loads.rs
+++ b/crates/data-plane/src/fleet_view/loads.rs
@@ -1,8 +1,8 @@
 //! What all routers have in flight at each engine: told to one controller, heard back as a sum.
 
-use super::Sight;
-use crate::Delivery;
-use fleet_core::constants as k;
+use super::FleetView;
+use crate::Router;
+use fleet_core::constants;
 use fleet_core::link::Link;
 use fleet_core::load::{self, ByEngine, Last};
 use fleet_core::wire::{Body, Loads, Member, Standing};
@@ -20,12 +20,13 @@
     members.filter(|m| is_up(m)).max_by_key(|m| (m.zone == zone, rank(m)))
 }
 
-impl Sight {
+impl FleetView {
     fn load_link(&self, zone: &str, name: &str) -> Option<Arc<Link>> {
-        let roster = self.roster.lock().clone();
+        let membership = self.membership.lock().clone();
         let links = self.links.lock();
         let link = |m: &Member| links.get(&m.addr()?).cloned();
-        let m = chosen(roster.members.iter(), zone, name, |m| link(m).is_some_and(|l| l.is_up()));
+        let m =
+            chosen(membership.members.iter(), zone, name, |m| link(m).is_some_and(|l| l.is_up()));
         link(m?)
     }
 
@@ -61,15 +62,15 @@
     }
 }
 
-pub async fn telling(d: Arc<Delivery>) {
+pub async fn telling(d: Arc<Router>) {
     let mut last = Last::default();
     loop {
-        tokio::time::sleep(k::LOAD_PAUSE).await;
-        let own = load::pack(&d.sight.own_loads());
+        tokio::time::sleep(constants::LOAD_PAUSE).await;
+        let own = load::pack(&d.fleet_view.own_loads());
         if !last.is_due(Instant::now(), &own) {
             continue;
         }
-        if let Some(l) = d.sight.load_link(&d.node.zone, &d.node.name) {
+        if let Some(l) = d.fleet_view.load_link(&d.node.zone, &d.node.name) {
             let _ = l.tell(Body::Loads(own));
         }
     }
--- a/crates/data-plane/src/sight/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -1,4 +1,4 @@
-//! What a router sees of the fleet; it never goes back within a life.
+//! What a router sees of the fleet; it never goes back within an incarnation.
 
 pub mod links;
 pub mod loads;
@@ -7,7 +7,7 @@
 pub mod table;
 
 use crate::pool::Seat;
-use fleet_core::wire::{Engine, NamedWeights, RingHead, Roster, Standing, View};
+use fleet_core::wire::{Engine, Membership, NamedWeights, RingHead, Standing, View};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::Instant;
@@ -17,36 +17,36 @@
 /// Newest named weights of a model, and since when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Named {
-    pub stamp: u64,
+    pub version: u64,
     pub since: Instant,
 }
 
-pub struct Sight {
+pub struct FleetView {
     table: parking_lot::RwLock<Option<Arc<table::Table>>>,
     pub seats: parking_lot::RwLock<Seats>,
     named: parking_lot::RwLock<hashbrown::HashMap<String, Named, ahash::RandomState>>,
     disturbed: parking_lot::Mutex<Option<Instant>>,
-    roster: parking_lot::Mutex<Roster>,
+    membership: parking_lot::Mutex<Membership>,
     pub ring: parking_lot::Mutex<Option<RingHead>>,
     pub news: tokio::sync::Notify,
     routers: AtomicUsize,
-    pub shelf: purge::Shelf,
+    pub prefix_view: purge::PrefixView,
     rolls: roll::Rolls,
     links: parking_lot::Mutex<hashbrown::HashMap<std::net::Ipv4Addr, Arc<fleet_core::link::Link>>>,
 }
 
-impl Sight {
+impl FleetView {
     pub fn new() -> Self {
-        Sight {
+        FleetView {
             table: parking_lot::RwLock::new(None),
             seats: parking_lot::RwLock::default(),
             named: parking_lot::RwLock::default(),
             disturbed: parking_lot::Mutex::default(),
-            roster: parking_lot::Mutex::default(),
+            membership: parking_lot::Mutex::default(),
             ring: parking_lot::Mutex::default(),
             news: tokio::sync::Notify::new(),
             routers: AtomicUsize::new(1),
-            shelf: purge::Shelf::new(),
+            prefix_view: purge::PrefixView::new(),
             rolls: roll::Rolls::default(),
             links: parking_lot::Mutex::default(),
         }
@@ -59,7 +59,7 @@
     /// A configuration only ever gives way to a higher one.
     pub fn set_table(&self, t: table::Table) -> bool {
         let mut now = self.table.write();
-        if now.as_ref().is_some_and(|n| n.stamp >= t.stamp) {
+        if now.as_ref().is_some_and(|n| n.version >= t.version) {
             return false;
         }
         *now = Some(Arc::new(t));
@@ -93,7 +93,7 @@
             Some(seat) => {
                 seat.hear(news);
                 if news.standing() == Standing::Gone {
-                    self.shelf.forget(&news.id);
+                    self.prefix_view.forget(&news.id);
                 }
             }
             None => {
@@ -106,12 +106,12 @@
 
     /// The engines of a service, as placement weighs them.
     pub fn roll(&self, service: &str, zone: &str) -> Arc<roll::Roll> {
-        self.rolls.of(service, zone, &self.seats, self.shelf.look())
+        self.rolls.of(service, zone, &self.seats, self.prefix_view.look())
     }
 
     /// Weights seen in an answer of an engine.
-    pub fn saw_weights(&self, seat: &Seat, model: &str, stamp: u64) {
-        if seat.saw_weights(model, stamp) {
+    pub fn saw_weights(&self, seat: &Seat, model: &str, version: u64) {
+        if seat.saw_weights(model, version) {
             self.rolls.stale();
         }
     }
@@ -121,9 +121,9 @@
             .checked_sub(std::time::Duration::from_millis(w.age_ms))
             .unwrap_or_else(Instant::now);
         let mut named = self.named.write();
-        let now = named.entry_ref(w.model.as_str()).or_insert(Named { stamp: 0, since });
-        if w.stamp > now.stamp {
-            *now = Named { stamp: w.stamp, since };
+        let now = named.entry_ref(w.model.as_str()).or_insert(Named { version: 0, since });
+        if w.version > now.version {
+            *now = Named { version: w.version, since };
         }
     }
 
@@ -135,8 +135,8 @@
         for w in &v.weights {
             self.hear_weights(w);
         }
-        if let Some(r) = &v.roster {
-            let mut now = self.roster.lock();
+        if let Some(r) = &v.membership {
+            let mut now = self.membership.lock();
             if r.epoch > now.epoch {
                 *now = r.clone();
             }
@@ -153,11 +153,11 @@
         if v.ring.is_some() || v.nudge {
             self.news.notify_one();
         }
-        v.config > self.table().map_or(0, |t| t.stamp)
+        v.config > self.table().map_or(0, |t| t.version)
     }
 }
 
-impl Default for Sight {
+impl Default for FleetView {
     fn default() -> Self {
         Self::new()
     }
--- a/crates/data-plane/src/sight/purge.rs
+++ b/crates/data-plane/src/fleet_view/purge.rs
@@ -1,7 +1,7 @@
 //! The router's end of the ring: entries are fetched in the background, applied before a placement.
 
-use crate::Delivery;
-use fleet_core::constants as k;
+use crate::Router;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Body, Found, HeldParts, RingAsk, RingEntry, RingGive};
 use invalidation::cache::Cache;
@@ -58,7 +58,7 @@
 }
 
 /// The index, what is to be applied to it, and what others are to hear of own sends.
-pub struct Shelf {
+pub struct PrefixView {
     index: Index,
     pending: AtomicBool,
     inbox: parking_lot::Mutex<Vec<Change>>,
@@ -67,10 +67,10 @@
     again: parking_lot::Mutex<std::collections::VecDeque<HeldParts>>,
 }
 
-impl Shelf {
+impl PrefixView {
     pub fn new() -> Self {
-        Shelf {
-            index: Index::new(k::INDEX_ENTRIES),
+        PrefixView {
+            index: Index::new(constants::INDEX_ENTRIES),
             pending: AtomicBool::new(false),
             inbox: parking_lot::Mutex::default(),
             found: parking_lot::Mutex::default(),
@@ -109,7 +109,7 @@
             index.registered(holder, salt, *part, None);
         }
         let mut found = self.found.lock();
-        if depth < shared.len() && found.len() < k::FOUND_KEPT {
+        if depth < shared.len() && found.len() < constants::FOUND_KEPT {
             let news = &shared[depth..];
             let held = HeldParts {
                 holder: holder.to_owned(),
@@ -120,7 +120,7 @@
             found.push(held.clone());
             let mut again = self.again.lock();
             again.push_back(held);
-            if again.len() > k::FOUND_AGAIN {
+            if again.len() > constants::FOUND_AGAIN {
                 again.pop_front();
             }
         }
@@ -136,55 +136,56 @@
     }
 }
 
-impl Default for Shelf {
+impl Default for PrefixView {
     fn default() -> Self {
         Self::new()
     }
 }
 
 /// Tells the index-keeper what own sends have left behind.
-pub async fn telling(d: Arc<Delivery>) {
+pub async fn telling(d: Arc<Router>) {
     loop {
-        tokio::time::sleep(k::FOUND_PAUSE).await;
-        let held = std::mem::take(&mut *d.sight.shelf.found.lock());
+        tokio::time::sleep(constants::FOUND_PAUSE).await;
+        let held = std::mem::take(&mut *d.fleet_view.prefix_view.found.lock());
         if held.is_empty() {
             continue;
         }
-        let keeper = d.sight.ring.lock().as_ref().map(|h| h.keeper.clone());
-        if let Some(link) = keeper.and_then(|k| d.sight.link_to(&k)) {
+        let keeper = d.fleet_view.ring.lock().as_ref().map(|h| h.keeper.clone());
+        if let Some(link) = keeper.and_then(|k| d.fleet_view.link_to(&k)) {
             let _ = link.tell(Body::Found(Found { held }));
         }
     }
 }
 
 /// Clears what gone holders have left in the index, a little at a time.
-pub async fn scrubbing(d: Arc<Delivery>) {
+pub async fn scrubbing(d: Arc<Router>) {
     loop {
-        let done = d.sight.shelf.index.scrub(k::SCRUB_ENTRIES);
-        tokio::time::sleep(if done { k::ROUTER_BEAT } else { k::SCRUB_PAUSE }).await;
+        let done = d.fleet_view.prefix_view.index.scrub(constants::SCRUB_ENTRIES);
+        tokio::time::sleep(if done { constants::ROUTER_BEAT } else { constants::SCRUB_PAUSE })
+            .await;
     }
 }
 
-/// Where this reader stands, and in which life of the ring.
+/// Where this reader stands, and in which incarnation of the ring.
 #[derive(Default, Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Place {
     fence: u64,
-    life: u64,
+    incarnation: u64,
     cursor: u64,
     found: u64,
 }
 
 impl Place {
-    pub fn new(fence: u64, life: u64, cursor: u64, found: u64) -> Place {
-        Place { fence, life, cursor, found }
+    pub fn new(fence: u64, incarnation: u64, cursor: u64, found: u64) -> Place {
+        Place { fence, incarnation, cursor, found }
     }
 
     pub fn fence(&self) -> u64 {
         self.fence
     }
 
-    pub fn life(&self) -> u64 {
-        self.life
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
     }
 
     pub fn cursor(&self) -> u64 {
@@ -198,8 +199,13 @@
     if head.fence < at.fence {
         return None;
     }
-    let next = Place { fence: head.fence, life: head.life, cursor: g.cursor, found: head.found };
-    if !g.reset && (head.fence, head.life) != (at.fence, at.life) {
+    let next = Place {
+        fence: head.fence,
+        incarnation: head.incarnation,
+        cursor: g.cursor,
+        found: head.found,
+    };
+    if !g.reset && (head.fence, head.incarnation) != (at.fence, at.incarnation) {
         return None;
     }
     let any = g.reset || !g.entries.is_empty() || !g.digest.is_empty();
@@ -207,29 +213,30 @@
 }
 
 /// Fetches behind the head whenever it has moved or the keeper has nudged.
-pub async fn reading(d: Arc<Delivery>) {
+pub async fn reading(d: Arc<Router>) {
     let mut at = Place::default();
     let mut told = (0, 0);
     loop {
-        let _ = tokio::time::timeout(k::READER_LIMIT / 4, d.sight.news.notified()).await;
-        tokio::time::sleep(k::RING_FETCH_PAUSE).await;
-        let Some(head) = d.sight.ring.lock().clone() else { continue };
-        let Some(link) = d.sight.link_to(&head.keeper) else { continue };
-        if told != (head.fence, head.life) {
-            told = (head.fence, head.life);
-            let held = d.sight.shelf.found_before();
+        let _ =
+            tokio::time::timeout(constants::READER_LIMIT / 4, d.fleet_view.news.notified()).await;
+        tokio::time::sleep(constants::RING_FETCH_PAUSE).await;
+        let Some(head) = d.fleet_view.ring.lock().clone() else { continue };
+        let Some(link) = d.fleet_view.link_to(&head.keeper) else { continue };
+        if told != (head.fence, head.incarnation) {
+            told = (head.fence, head.incarnation);
+            let held = d.fleet_view.prefix_view.found_before();
             let _ = link.tell(Body::Found(Found { held }));
         }
         loop {
             let ask = RingAsk {
                 fence: at.fence,
-                life: at.life,
+                incarnation: at.incarnation,
                 cursor: at.cursor,
-                reader: d.node.life,
+                reader: d.node.incarnation,
                 refill: at == Place::default(),
                 found: at.found,
             };
-            let limit = if ask.refill { k::REFILL_LIMIT } else { k::PHASE_LIMIT };
+            let limit = if ask.refill { constants::REFILL_LIMIT } else { constants::PHASE_LIMIT };
             let Ok(Body::RingGive(g)) = link.call(Body::RingAsk(ask), limit).await else {
                 break;
             };
@@ -238,9 +245,9 @@
             at = next;
             let Some(c) = change else { break };
             if c.reset {
-                fleet_core::note!(d.log, Event::ReaderReset, "cursor" => at.cursor);
+                fleet_core::log_event!(d.log, Event::ReaderReset, "cursor" => at.cursor);
             }
-            d.sight.shelf.put(c);
+            d.fleet_view.prefix_view.put(c);
             if at.cursor >= top {
                 break;
             }
--- a/crates/data-plane/src/sight/roll.rs
+++ b/crates/data-plane/src/fleet_view/roll.rs
@@ -2,7 +2,7 @@
 
 use super::Seats;
 use crate::pool::Seat;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::wire::{Engine, Standing};
 use prompt_index::{At, Index};
 use std::sync::Arc;
@@ -30,8 +30,9 @@
 /// Engines that heavy requests settle at: two thirds, or fewer where long streams fill the others.
 pub fn heavies(engines: usize, slots: u32, interactive: f64) -> usize {
     let all = engines as f64;
-    let light = (interactive / (f64::from(slots.max(1)) * k::LIGHT_FILL)).ceil();
-    (all * k::HEAVY_SHARE).min(all - light).max(all * k::HEAVY_LEAST).ceil() as usize
+    let light = (interactive / (f64::from(slots.max(1)) * constants::LIGHT_FILL)).ceil();
+    (all * constants::HEAVY_SHARE).min(all - light).max(all * constants::HEAVY_LEAST).ceil()
+        as usize
 }
 
 const NONE: u16 = u16::MAX;
@@ -102,9 +103,9 @@
     /// The newest sum of runs that people wait for, at so many engines.
     pub fn hear_interactive(&self, runs: u32, engines: usize, slots: u32) {
         let mut i = self.interactive.lock();
-        i.0 += (f64::from(runs) - i.0) * k::DIVISION_WEIGHT;
+        i.0 += (f64::from(runs) - i.0) * constants::DIVISION_WEIGHT;
         let off = heavies(engines, slots, i.0).abs_diff(heavies(engines, slots, i.1));
-        if off as f64 >= (engines as f64 * k::DIVISION_STEP).max(1.0) {
+        if off as f64 >= (engines as f64 * constants::DIVISION_STEP).max(1.0) {
             i.1 = i.0;
             drop(i);
             self.stale();
--- a/crates/data-plane/src/sight/table.rs
+++ b/crates/data-plane/src/fleet_view/table.rs
@@ -1,6 +1,6 @@
 //! A configuration as requests ask for it.
 
-use fleet_core::configuration::{ConfigProblem, Configuration, Kind, Limits, Route, Service};
+use fleet_core::configuration::{ConfigError, Configuration, Kind, Limits, Route, Service};
 use std::sync::Arc;
 
 pub struct Tenant {
@@ -10,8 +10,8 @@
 }
 
 pub struct Table {
-    pub stamp: u64,
-    pub wall: u64,
+    pub version: u64,
+    pub isolation: u64,
     pub limits: Limits,
     routes: hashbrown::HashMap<String, Vec<Arc<Route>>, ahash::RandomState>,
     keys: hashbrown::HashMap<String, usize, ahash::RandomState>,
@@ -31,7 +31,7 @@
 }
 
 impl Table {
-    pub fn compile(body: &[u8], wall: u64) -> Result<Table, ConfigProblem> {
+    pub fn compile(body: &[u8], isolation: u64) -> Result<Table, ConfigError> {
         let c = Configuration::read(body)?;
         let mut routes: hashbrown::HashMap<String, Vec<Arc<Route>>, ahash::RandomState> =
             hashbrown::HashMap::default();
@@ -61,8 +61,8 @@
         let stores = c.services.iter().filter(|s| s.kv_store.is_some()).cloned().collect();
         let services = c.services.into_iter().map(|s| (s.name.clone(), s)).collect();
         Ok(Table {
-            stamp: c.revision,
-            wall,
+            version: c.revision,
+            isolation,
             limits: c.limits,
             routes,
             keys,
@@ -106,11 +106,11 @@
         &self.stores
     }
 
-    /// Picks a service by weight; `dice` is any number.
-    pub fn pick<'a>(&self, r: &'a Route, dice: u64) -> Option<&'a str> {
+    /// Picks a service by weight; `rng_state` is any number.
+    pub fn pick<'a>(&self, r: &'a Route, rng_state: u64) -> Option<&'a str> {
         let shares = r.shares();
         let sum: u64 = shares.iter().map(|(_, w)| u64::from(*w)).sum();
-        let mut at = dice.checked_rem(sum)?;
+        let mut at = rng_state.checked_rem(sum)?;
         for (s, w) in shares {
             if at < u64::from(w) {
                 return Some(s);
@@ -130,40 +130,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn table() -> Table {
-        let sheet = serde_json::json!({
-            "revision": 3,
-            "routes": [
-                {"host": "H.example", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 10, "service": "s"},
-                {"host": "h.example", "pathPrefix": "/a/b/", "kind": "streaming", "timeoutMs": 10, "resumable": true,
-                 "split": [{"service": "s", "weight": 1}, {"service": "u", "weight": 0}]},
-            ],
-            "services": [{"name": "s", "maxConns": 5}, {"name": "u"}, {"name": "k", "kvStore": "10.0.0.1:80"}],
-            "tenants": [{"name": "t", "apiKeys": ["k1"]}],
-        });
-        Table::compile(sheet.to_string().as_bytes(), 1).unwrap()
-    }
-
-    #[test]
-    fn longest_prefix_of_the_host_wins() {
-        let t = table();
-        assert_eq!(t.route("h.example", "/a/b/c").unwrap().path_prefix, "/a/b/");
-        assert_eq!(t.route("H.EXAMPLE:80", "/a/x").unwrap().path_prefix, "/a/");
-        assert!(t.route("h.example", "/a").is_none());
-        assert!(t.route("other", "/a/").is_none());
-    }
-
-    #[test]
-    fn picks_by_weight_and_knows_tenants_and_store() {
-        let t = table();
-        let r = t.route("h.example", "/a/b/").unwrap();
-        assert!((0..10).all(|d| t.pick(r, d) == Some("s")));
-        assert_eq!(repeat(r), Repeat::ByResuming);
-        assert_eq!(t.tenant("k1").unwrap().name, "t");
-        assert!(t.tenant("k2").is_none());
-        assert_eq!(t.stores()[0].name, "k");
-    }
-}
+#[path = "table_tests.rs"]
+mod tests;
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -1,18 +1,18 @@
 //! The traffic plane: what the router program is made of.
 
 pub mod budget;
+pub mod fleet_view;
 pub mod place;
 pub mod pool;
 pub mod serve;
-pub mod sight;
 
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum DeliveryProblem {
+pub enum RouterError {
     /// {0}: not in the settings, which a router needs
     ParamMissing(&'static str),
     /// cannot listen at {0}: {1}
@@ -28,7 +28,7 @@
     pub failed: AtomicU64,
     pub resumed: AtomicU64,
     pub again: AtomicU64,
-    pub sessions: AtomicU64,
+    pub connections: AtomicU64,
     pub parts_held: AtomicU64,
     pub parts_missing: AtomicU64,
     /// sends with a source that is known to keep what is missing, with a guessed one, with a sink
@@ -43,11 +43,11 @@
 }
 
 /// All state of a router. Lock order: table, engines, one engine's work, inbox, index; never two engines.
-pub struct Delivery {
+pub struct Router {
     pub node: fleet_core::node::Node,
     pub log: slog::Logger,
-    params: parking_lot::RwLock<Arc<fleet_core::params::Params>>,
-    pub sight: sight::Sight,
+    settings: parking_lot::RwLock<Arc<fleet_core::settings::Settings>>,
+    pub fleet_view: fleet_view::FleetView,
     pub budgets: budget::Budgets,
     pub counters: Counters,
     pub started: tokio::time::Instant,
@@ -55,16 +55,16 @@
     leaving: AtomicBool,
     pub open: AtomicUsize,
     closing: tokio::sync::watch::Sender<bool>,
-    dice: AtomicU64,
+    rng_state: AtomicU64,
 }
 
-impl Delivery {
+impl Router {
     /// A router that as yet listens nowhere and sees nothing.
-    pub fn assemble(params: fleet_core::params::Params, log: slog::Logger) -> Arc<Delivery> {
-        let node = fleet_core::node::Node::start(&params, fleet_core::node::Role::Router);
-        Arc::new(Delivery {
-            dice: AtomicU64::new(node.life),
-            sight: sight::Sight::new(),
+    pub fn assemble(settings: fleet_core::settings::Settings, log: slog::Logger) -> Arc<Router> {
+        let node = fleet_core::node::Node::start(&settings, fleet_core::node::Role::Router);
+        Arc::new(Router {
+            rng_state: AtomicU64::new(node.incarnation),
+            fleet_view: fleet_view::FleetView::new(),
             budgets: budget::Budgets::default(),
             counters: Counters::default(),
             started: tokio::time::Instant::now(),
@@ -72,25 +72,25 @@
             leaving: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             closing: tokio::sync::watch::channel(false).0,
-            params: parking_lot::RwLock::new(Arc::new(params)),
+            settings: parking_lot::RwLock::new(Arc::new(settings)),
             node,
             log,
         })
     }
 
-    pub fn params(&self) -> Arc<fleet_core::params::Params> {
-        self.params.read().clone()
+    pub fn settings(&self) -> Arc<fleet_core::settings::Settings> {
+        self.settings.read().clone()
     }
 
-    pub fn dice(&self) -> u64 {
-        let x = self.dice.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+    pub fn rng_state(&self) -> u64 {
+        let x = self.rng_state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
         fleet_core::node::stable_hash(&[&x.to_le_bytes()])
     }
 
     pub fn is_ready(&self) -> bool {
-        let now = !self.leaving.load(Ordering::Relaxed) && self.sight.table().is_some();
+        let now = !self.leaving.load(Ordering::Relaxed) && self.fleet_view.table().is_some();
         if self.ready.swap(now, Ordering::Relaxed) != now {
-            fleet_core::note!(self.log, if now { Event::Ready } else { Event::Unready });
+            fleet_core::log_event!(self.log, if now { Event::Ready } else { Event::Unready });
         }
         now
     }
@@ -98,52 +98,51 @@
     fn count_out(&self) {
         let c = &self.counters;
         let get = |a: &AtomicU64| a.load(Ordering::Relaxed);
-        fleet_core::note!(self.log, Event::Counters,
+        fleet_core::log_event!(self.log, Event::Counters,
             "taken" => get(&c.taken), "begun" => get(&c.begun), "refused" => get(&c.refused),
             "failed" => get(&c.failed), "resumed" => get(&c.resumed), "again" => get(&c.again),
-            "sessions" => get(&c.sessions), "parts_held" => get(&c.parts_held),
+            "connections" => get(&c.connections), "parts_held" => get(&c.parts_held),
             "parts_missing" => get(&c.parts_missing), "moves" => get(&c.moves),
             "guesses" => get(&c.guesses), "sinks" => get(&c.sinks), "stored" => get(&c.stored),
-            "shared_missing" => get(&c.shared_missing), "index" => self.sight.shelf.look().entries());
+            "shared_missing" => get(&c.shared_missing), "index" => self.fleet_view.prefix_view.look().entries());
     }
 }
 
 /// Runs a router until it is told to stop.
 pub async fn run(
-    params: fleet_core::params::Params,
+    settings: fleet_core::settings::Settings,
     log: slog::Logger,
     mut stop: tokio::sync::watch::Receiver<bool>,
-    mut reread: tokio::sync::mpsc::Receiver<fleet_core::params::Params>,
-) -> Result<(), DeliveryProblem> {
-    let front = params.front.ok_or(DeliveryProblem::ParamMissing("bindAddrs.frontHttp"))?;
-    let probe = params.readiness.ok_or(DeliveryProblem::ParamMissing("bindAddrs.readiness"))?;
+    mut reread: tokio::sync::mpsc::Receiver<fleet_core::settings::Settings>,
+) -> Result<(), RouterError> {
+    let front = settings.front.ok_or(RouterError::ParamMissing("bindAddrs.frontHttp"))?;
+    let probe = settings.readiness.ok_or(RouterError::ParamMissing("bindAddrs.readiness"))?;
     let listen = |a| {
-        fleet_core::link::listen(a)
-            .map_err(|e: std::io::Error| DeliveryProblem::Listen(a, e.kind()))
+        fleet_core::link::listen(a).map_err(|e: std::io::Error| RouterError::Listen(a, e.kind()))
     };
     let (front, probe) = (listen(front)?, listen(probe)?);
-    let d = Delivery::assemble(params, log.clone());
+    let d = Router::assemble(settings, log.clone());
     let tasks = [
         tokio::spawn(serve::probes(d.clone(), probe)),
-        tokio::spawn(sight::links::watching(d.clone())),
-        tokio::spawn(sight::purge::reading(d.clone())),
-        tokio::spawn(sight::purge::telling(d.clone())),
-        tokio::spawn(sight::loads::telling(d.clone())),
-        tokio::spawn(sight::purge::scrubbing(d.clone())),
+        tokio::spawn(fleet_view::links::watching(d.clone())),
+        tokio::spawn(fleet_view::purge::reading(d.clone())),
+        tokio::spawn(fleet_view::purge::telling(d.clone())),
+        tokio::spawn(fleet_view::loads::telling(d.clone())),
+        tokio::spawn(fleet_view::purge::scrubbing(d.clone())),
         tokio::spawn(pool::sweeping(d.clone())),
     ];
     let accepting = tokio::spawn(serve::accepting(d.clone(), front));
-    fleet_core::note!(log, Event::Started, "life" => d.node.life);
-    let mut counted = tokio::time::interval(k::COUNTERS_PAUSE);
+    fleet_core::log_event!(log, Event::Started, "incarnation" => d.node.incarnation);
+    let mut counted = tokio::time::interval(constants::COUNTERS_PAUSE);
     counted.tick().await;
     loop {
         tokio::select! {
             _ = stop.wait_for(|s| *s) => break,
-            Some(p) = reread.recv() => *d.params.write() = Arc::new(p),
+            Some(p) = reread.recv() => *d.settings.write() = Arc::new(p),
             _ = counted.tick() => d.count_out(),
         }
     }
-    fleet_core::note!(log, Event::Stopping);
+    fleet_core::log_event!(log, Event::Stopping);
     leave(&d, accepting).await;
     d.count_out();
     for t in tasks {
@@ -153,13 +152,14 @@
 }
 
 /// Unready at once, serving until the platform has noticed, then only what runs.
-async fn leave(d: &Arc<Delivery>, accepting: tokio::task::JoinHandle<()>) {
-    let end = tokio::time::Instant::now() + d.params().bounds.grace.saturating_sub(k::GRACE_MARGIN);
+async fn leave(d: &Arc<Router>, accepting: tokio::task::JoinHandle<()>) {
+    let end = tokio::time::Instant::now()
+        + d.settings().bounds.grace.saturating_sub(constants::GRACE_MARGIN);
     d.leaving.store(true, Ordering::Relaxed);
-    tokio::time::sleep(k::PROBES_MISSED).await;
+    tokio::time::sleep(constants::PROBES_MISSED).await;
     accepting.abort();
     d.closing.send_replace(true);
     while d.open.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end {
-        tokio::time::sleep(k::ROLL_TICK).await;
+        tokio::time::sleep(constants::ROLL_TICK).await;
     }
 }
--- a/crates/data-plane/src/place/sources.rs
+++ b/crates/data-plane/src/place/sources.rs
@@ -1,10 +1,10 @@
 //! Where the parts of a prompt that an engine lacks can be had cheaper than by reading them.
 
 use super::weigh::Ask;
+use crate::fleet_view::roll::{Roll, Row};
 use crate::pool::Seat;
-use crate::sight::roll::{Roll, Row};
 use fleet_core::configuration::Service;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use prompt_index::{At, Chain, Depths, Index};
 use smallvec::SmallVec;
 use std::sync::Arc;
@@ -52,7 +52,7 @@
 
 impl Offer {
     fn gain(&self) -> f64 {
-        self.tokens as f64 / k::READ_RATE - self.ms
+        self.tokens as f64 / constants::READ_RATE - self.ms
     }
 }
 
@@ -80,7 +80,7 @@
         chain: &Chain,
         cell: usize,
         roll: &Roll,
-        stamp: u64,
+        version: u64,
         model: &str,
         ask: &Ask,
         now: Instant,
@@ -90,7 +90,7 @@
             if i == 0 {
                 self.stored = tokens;
             }
-            if tokens >= k::MOVE_TOKENS {
+            if tokens >= constants::MOVE_TOKENS {
                 self.found.push(Source {
                     address: s.address.to_owned(),
                     seat: None,
@@ -103,13 +103,13 @@
         }
         for (depth, holders) in &found.groups {
             let tokens = chain.tokens(*depth);
-            if tokens < k::MOVE_TOKENS {
+            if tokens < constants::MOVE_TOKENS {
                 break;
             }
             let usable = |r: &&Row| {
                 !r.news.silent
                     && !r.seat.is_resting(now)
-                    && fleet_core::fleet::stamp_of(&r.news, model) == Some(stamp)
+                    && fleet_core::fleet::version_of(&r.news, model) == Some(version)
             };
             let mut rows: SmallVec<[&Row; 16]> = holders
                 .iter()
@@ -117,7 +117,7 @@
                 .filter(usable)
                 .collect();
             rows.sort_by_key(|r| (r.seat.work().moves, !r.near));
-            for r in rows.into_iter().take(k::SOURCES_WEIGHED) {
+            for r in rows.into_iter().take(constants::SOURCES_WEIGHED) {
                 self.found.push(Source {
                     address: r.seat.address.to_string(),
                     seat: Some(r.seat.clone()),
@@ -149,7 +149,7 @@
         self.found
             .iter()
             .map(|s| (s, s.for_row(ask, row, known)))
-            .filter(|(_, o)| o.tokens >= k::MOVE_TOKENS && o.gain() > 0.0)
+            .filter(|(_, o)| o.tokens >= constants::MOVE_TOKENS && o.gain() > 0.0)
             .max_by(|a, b| a.1.gain().total_cmp(&b.1.gain()))
             .map(|(s, _)| s)
     }
@@ -158,7 +158,7 @@
 /// Nobody is known to keep what is missing: the part's home may, and a miss costs little. A store is
 /// never guessed at: its one line is shared by all engines.
 pub fn unseen(ask: &Ask, known: u64, home: Option<&Row>) -> Option<(String, Option<Arc<Seat>>)> {
-    if ask.prompt.shared().saturating_sub(known) < k::MOVE_TOKENS {
+    if ask.prompt.shared().saturating_sub(known) < constants::MOVE_TOKENS {
         return None;
     }
     home.map(|r| (r.seat.address.to_string(), Some(r.seat.clone())))
@@ -170,6 +170,7 @@
     let shared = ask.prompt.shared();
     let own = ask.prompt.tokens().saturating_sub(shared) as f64;
     let s = ask.stores.first()?;
-    let worth = shared >= k::SINK_TOKENS && own <= shared as f64 * k::SINK_OWN_SHARE;
+    let worth =
+        shared >= constants::SINK_TOKENS && own <= shared as f64 * constants::SINK_OWN_SHARE;
     (worth && sources.stored < shared).then(|| s.address.to_owned())
 }
--- a/crates/data-plane/src/place/weigh.rs
+++ b/crates/data-plane/src/place/weigh.rs
@@ -2,9 +2,9 @@
 
 use super::prompt::Prompt;
 use super::sources::{Offer, Store};
-use crate::sight::roll::Row;
-use crate::sight::table::Table;
-use fleet_core::constants as k;
+use crate::fleet_view::roll::Row;
+use crate::fleet_view::table::Table;
+use fleet_core::constants;
 use prompt_index::Index;
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -46,7 +46,7 @@
     /// ms that a move of so many tokens takes.
     pub fn move_ms(&self, tokens: u64, mbps: f64, near: bool) -> f64 {
         let far = if near { 1.0 } else { 2.0 };
-        k::MOVE_COST_MS + tokens as f64 * self.token_bits / (mbps.max(1.0) * 1e3) * far
+        constants::MOVE_COST_MS + tokens as f64 * self.token_bits / (mbps.max(1.0) * 1e3) * far
     }
 }
 
@@ -66,41 +66,41 @@
     let all = ask.prompt.tokens();
     let w = row.seat.work();
     let load = w.all(now);
-    let told = w.told.filter(|t| now.duration_since(t.at) < k::TOLD_LIMIT);
+    let told = w.told.filter(|t| now.duration_since(t.at) < constants::TOLD_LIMIT);
     let running = told.map_or(0, |t| t.running).max(load.runs);
     let waiting = told.map_or(0, |t| t.waiting);
     let slots = row.news.slots;
     let full = slots > 0 && (running + waiting) > slots.saturating_mul(2);
     let fill = if ask.capacity > 0 {
-        (w.tokens + ask.prompt.burden()) as f64 / ask.capacity as f64
+        (w.tokens + ask.prompt.load()) as f64 / ask.capacity as f64
     } else {
         0.0
     };
     let unheld = all.saturating_sub(held.known);
-    let guessed = held.guessed.saturating_sub(held.known) as f64 * k::RENDEZVOUS_TRUST;
-    let likely = (unheld as f64 - guessed).max(0.0) / k::READ_RATE;
+    let guessed = held.guessed.saturating_sub(held.known) as f64 * constants::RENDEZVOUS_TRUST;
+    let likely = (unheld as f64 - guessed).max(0.0) / constants::READ_RATE;
     let (missing, read) = match &offer {
         Some(o) => {
             let left = unheld.saturating_sub(o.tokens);
-            (left, likely.min(left as f64 / k::READ_RATE + o.ms))
+            (left, likely.min(left as f64 / constants::READ_RATE + o.ms))
         }
         None => (unheld, likely),
     };
     let mut cost = read
-        + load.unread as f64 / k::READ_RATE
-        + f64::from(running) * k::RUN_COST_MS
-        + f64::from(waiting) * k::WAIT_COST_MS;
+        + load.unread as f64 / constants::READ_RATE
+        + f64::from(running) * constants::RUN_COST_MS
+        + f64::from(waiting) * constants::WAIT_COST_MS;
     if slots > 0 && running >= slots {
-        cost += f64::from(running - slots + 1) * k::SLOT_COST_MS;
+        cost += f64::from(running - slots + 1) * constants::SLOT_COST_MS;
     }
     if !row.near {
-        cost += k::ZONE_COST_MS;
+        cost += constants::ZONE_COST_MS;
     }
     if fill > 0.5 {
         cost += (fill - 0.5) * 1000.0;
     }
     if ask.prompt.is_heavy() != row.heavy {
-        cost += k::ASTRAY_COST_MS;
+        cost += constants::ASTRAY_COST_MS;
     }
     Weighed { cost, missing, full }
 }
--- a/crates/data-plane/src/pool/session.rs
+++ b/crates/data-plane/src/pool/connection.rs
@@ -1,8 +1,8 @@
 //! One connection to an engine: Idle, Leased, Streaming, then Reusable (idle again) or Spent (dropped).
 
 use super::Seat;
-use crate::Delivery;
-use fleet_core::constants as k;
+use crate::Router;
+use fleet_core::constants;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use std::sync::Arc;
@@ -13,9 +13,9 @@
 pub type Sent = http_body_util::Full<bytes::Bytes>;
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum SessionProblem {
+pub enum ConnectionError {
     /// no connection came up: {0}
-    Connect(fleet_core::link::LinkProblem),
+    Connect(fleet_core::link::LinkError),
     /// no connection is left for this router
     Full,
     /// the engine closed before anything was sent
@@ -60,23 +60,23 @@
 }
 
 /// An idle connection if there is one, else a new one within this router's share.
-pub async fn lease(d: &Delivery, seat: &Arc<Seat>, share: u32) -> Result<Leased, SessionProblem> {
+pub async fn lease(d: &Router, seat: &Arc<Seat>, share: u32) -> Result<Leased, ConnectionError> {
     if let Some(i) = seat.take_idle(Instant::now()) {
         return Ok(Leased { wire: i.wire });
     }
     let open = Open(seat.clone());
     if seat.open.fetch_add(1, Ordering::Relaxed) >= share {
-        return Err(SessionProblem::Full);
+        return Err(ConnectionError::Full);
     }
-    let io = fleet_core::link::connect(d.node.ip, seat.address, k::CONNECT_LIMIT)
+    let io = fleet_core::link::connect(d.node.ip, seat.address, constants::CONNECT_LIMIT)
         .await
-        .map_err(SessionProblem::Connect)?;
-    d.counters.sessions.fetch_add(1, Ordering::Relaxed);
+        .map_err(ConnectionError::Connect)?;
+    d.counters.connections.fetch_add(1, Ordering::Relaxed);
     let (sender, conn) = hyper::client::conn::http1::Builder::new()
         .max_buf_size(32 << 10)
         .handshake(hyper_util::rt::TokioIo::new(io))
         .await
-        .map_err(|_| SessionProblem::Unsent)?;
+        .map_err(|_| ConnectionError::Unsent)?;
     tokio::spawn(conn);
     Ok(Leased { wire: Wire { sender, open } })
 }
@@ -86,9 +86,9 @@
     pub async fn send(
         mut self,
         rq: http::Request<Sent>,
-    ) -> Result<(Streaming, http::Response<Incoming>), SessionProblem> {
+    ) -> Result<(Streaming, http::Response<Incoming>), ConnectionError> {
         if self.wire.sender.ready().await.is_err() {
-            return Err(SessionProblem::Unsent);
+            return Err(ConnectionError::Unsent);
         }
         match self.wire.sender.try_send_request(rq).await {
             Ok(res) => {
@@ -96,8 +96,8 @@
                 Ok((Streaming { wire: self.wire, keep }, res))
             }
             Err(mut e) => match e.take_message() {
-                Some(_) => Err(SessionProblem::Unsent),
-                None => Err(SessionProblem::Uncertain),
+                Some(_) => Err(ConnectionError::Unsent),
+                None => Err(ConnectionError::Uncertain),
             },
         }
     }
@@ -114,8 +114,8 @@
     let told = h.get("keep-alive").and_then(|v| v.to_str().ok()).and_then(|v| {
         v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
     });
-    let Some(s) = told else { return Some(k::IDLE_LIMIT) };
-    let keep = Duration::from_secs(s).mul_f64(0.6).min(k::IDLE_LIMIT);
+    let Some(s) = told else { return Some(constants::IDLE_LIMIT) };
+    let keep = Duration::from_secs(s).mul_f64(0.6).min(constants::IDLE_LIMIT);
     (!keep.is_zero()).then_some(keep)
 }
 
@@ -132,22 +132,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn keeps_as_long_as_the_engine_says() {
-        let h = |pairs: &[(&'static str, &'static str)]| {
-            let mut m = http::HeaderMap::new();
-            for (n, v) in pairs {
-                m.insert(*n, http::HeaderValue::from_static(v));
-            }
-            keep_for(&m)
-        };
-        assert_eq!(h(&[]), Some(k::IDLE_LIMIT));
-        assert_eq!(h(&[("connection", "x, Close")]), None);
-        assert_eq!(h(&[("keep-alive", "timeout=2, max=5")]), Some(Duration::from_millis(1200)));
-        assert_eq!(h(&[("keep-alive", "timeout=0")]), None);
-        assert_eq!(h(&[("keep-alive", "garbage")]), Some(k::IDLE_LIMIT));
-    }
-}
+#[path = "connection_tests.rs"]
+mod tests;
--- a/crates/data-plane/src/pool/mod.rs
+++ b/crates/data-plane/src/pool/mod.rs
@@ -1,11 +1,11 @@
-//! Engines as a router uses them: their burden, their rests, and the sessions to them.
+//! Engines as a router uses them: their load, their rests, and the connections to them.
 
-pub mod session;
+pub mod connection;
 
-use fleet_core::constants as k;
+use connection::Idle;
+use fleet_core::constants;
 use fleet_core::load::Load;
 use fleet_core::wire::{Engine, Standing};
-use session::Idle;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
@@ -66,7 +66,7 @@
     /// Load of all routers, as far as it is known now.
     pub fn all(&self, now: Instant) -> Load {
         let mut out = self.own();
-        if self.others_at.is_some_and(|t| now.duration_since(t) < k::LOAD_LIMIT) {
+        if self.others_at.is_some_and(|t| now.duration_since(t) < constants::LOAD_LIMIT) {
             out.add(&self.others);
         }
         out
@@ -96,7 +96,7 @@
             key: fleet_core::load::key_of(&e.id),
             address: e.address.parse().ok()?,
             met: Instant::now(),
-            newcomer: e.call <= k::NEWCOMER_CALLS,
+            newcomer: e.call <= constants::NEWCOMER_CALLS,
             news: parking_lot::RwLock::new(e.clone()),
             marked: parking_lot::Mutex::new(Instant::now()),
             work: parking_lot::Mutex::default(),
@@ -119,7 +119,7 @@
 
     /// Marks of the roll-out count only so long: who set them may be gone.
     pub fn is_marked(&self, now: Instant) -> bool {
-        now.duration_since(*self.marked.lock()) < k::MARK_LIMIT
+        now.duration_since(*self.marked.lock()) < constants::MARK_LIMIT
     }
 
     pub fn news(&self) -> parking_lot::RwLockReadGuard<'_, Engine> {
@@ -127,14 +127,14 @@
     }
 
     /// Weights seen in an answer; true if they are news.
-    pub fn saw_weights(&self, model: &str, stamp: u64) -> bool {
-        fleet_core::fleet::stamp_of(&self.news(), model).is_some_and(|s| s < stamp)
-            && fleet_core::fleet::raise(&mut self.news.write(), model, stamp)
+    pub fn saw_weights(&self, model: &str, version: u64) -> bool {
+        fleet_core::fleet::version_of(&self.news(), model).is_some_and(|s| s < version)
+            && fleet_core::fleet::raise(&mut self.news.write(), model, version)
     }
 
     /// Just started: what it was not seen to keep, it does not keep.
     pub fn is_warming(&self, now: Instant) -> bool {
-        self.newcomer && now < self.met + k::WARM_SPAN
+        self.newcomer && now < self.met + constants::WARM_SPAN
     }
 
     /// Counts the wait of a heavy answer; gives the mean once the first few have come.
@@ -143,12 +143,12 @@
             return None;
         }
         let mut w = self.work();
-        if w.firsts.0 >= k::WARM_ANSWERS {
+        if w.firsts.0 >= constants::WARM_ANSWERS {
             return None;
         }
         w.firsts.0 += 1;
         w.firsts.1 += wait;
-        (w.firsts.0 == k::WARM_ANSWERS).then(|| w.firsts.1 / k::WARM_ANSWERS as u32)
+        (w.firsts.0 == constants::WARM_ANSWERS).then(|| w.firsts.1 / constants::WARM_ANSWERS as u32)
     }
 
     pub fn work(&self) -> parking_lot::MutexGuard<'_, Work> {
@@ -165,7 +165,7 @@
         if w.rest_until.is_some_and(|t| now < t) {
             return;
         }
-        w.rest = (w.rest * 2).clamp(k::ENGINE_REST, k::ENGINE_REST_MAX);
+        w.rest = (w.rest * 2).clamp(constants::ENGINE_REST, constants::ENGINE_REST_MAX);
         w.rest_until = Some(now + w.rest);
     }
 
@@ -187,7 +187,7 @@
 
     fn put_idle(&self, i: Idle) {
         let mut w = self.work();
-        if w.idle.len() < k::IDLE_SESSIONS {
+        if w.idle.len() < constants::IDLE_CONNECTIONS {
             w.idle.push_back(i);
         }
     }
@@ -198,12 +198,12 @@
 }
 
 /// Closes connections that have been idle for long, and forgets engines long gone.
-pub async fn sweeping(d: std::sync::Arc<crate::Delivery>) {
+pub async fn sweeping(d: std::sync::Arc<crate::Router>) {
     let mut gone = hashbrown::HashMap::<String, Instant>::new();
     loop {
-        tokio::time::sleep(k::IDLE_LIMIT / 4).await;
+        tokio::time::sleep(constants::IDLE_LIMIT / 4).await;
         let now = Instant::now();
-        let seats: Vec<_> = d.sight.seats.read().values().cloned().collect();
+        let seats: Vec<_> = d.fleet_view.seats.read().values().cloned().collect();
         for s in seats {
             s.sweep(now);
             if s.news().standing() == Standing::Gone {
@@ -211,10 +211,10 @@
             }
         }
         let old: Vec<String> = gone
-            .extract_if(|_, at| now.duration_since(*at) > k::TOMBSTONE)
+            .extract_if(|_, at| now.duration_since(*at) > constants::TOMBSTONE)
             .map(|(id, _)| id)
             .collect();
-        let mut seats = d.sight.seats.write();
+        let mut seats = d.fleet_view.seats.write();
         for id in old {
             seats.remove(&id);
         }
@@ -222,49 +222,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn seat() -> Seat {
-        Seat::new(&Engine { id: "i".into(), address: "10.0.0.1:80".into(), ..Default::default() })
-            .unwrap()
-    }
-
-    #[test]
-    fn rests_grow_until_it_serves_again() {
-        let s = seat();
-        let t = Instant::now();
-        s.broke(t);
-        assert!(s.is_resting(t) && !s.is_resting(t + k::ENGINE_REST));
-        let t = t + k::ENGINE_REST;
-        s.broke(t);
-        assert!(s.is_resting(t + k::ENGINE_REST));
-        s.served();
-        assert!(!s.is_resting(t));
-        s.broke(t);
-        assert!(!s.is_resting(t + k::ENGINE_REST));
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn newcomer_is_warm_after_a_while_and_reports_its_first_answers_once() {
-        let s = seat();
-        assert!(s.is_warming(Instant::now()));
-        tokio::time::advance(k::WARM_SPAN).await;
-        assert!(!s.is_warming(Instant::now()));
-        let ms = Duration::from_millis;
-        let means: Vec<_> =
-            (0..k::WARM_ANSWERS * 2).filter_map(|i| s.first_waits(ms(10 * (i % 2) + 5))).collect();
-        assert_eq!(means, vec![ms(10)]);
-        let old = Engine { call: 99, address: "10.0.0.1:80".into(), ..Default::default() };
-        assert!(!Seat::new(&old).unwrap().is_warming(Instant::now()));
-    }
-
-    #[test]
-    fn malformed_burdens_tell_nothing() {
-        let t = Instant::now();
-        assert_eq!(Told::read("3, 1,8", t).unwrap().waiting, 1);
-        for bad in ["", "3,1", "a,b,c", "-1,0,8", "3;1;8"] {
-            assert!(Told::read(bad, t).is_none(), "{bad}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/data-plane/src/pool/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of `pool`.
+
+use super::*;
+
+fn seat() -> Seat {
+    Seat::new(&Engine { id: "i".into(), address: "10.0.0.1:80".into(), ..Default::default() })
+        .unwrap()
+}
+
+#[test]
+fn rests_grow_until_it_serves_again() {
+    let s = seat();
+    let t = Instant::now();
+    s.broke(t);
+    assert!(s.is_resting(t) && !s.is_resting(t + constants::ENGINE_REST));
+    let t = t + constants::ENGINE_REST;
+    s.broke(t);
+    assert!(s.is_resting(t + constants::ENGINE_REST));
+    s.served();
+    assert!(!s.is_resting(t));
+    s.broke(t);
+    assert!(!s.is_resting(t + constants::ENGINE_REST));
+}
+
+#[tokio::test(start_paused = true)]
+async fn newcomer_is_warm_after_a_while_and_reports_its_first_answers_once() {
+    let s = seat();
+    assert!(s.is_warming(Instant::now()));
+    tokio::time::advance(constants::WARM_SPAN).await;
+    assert!(!s.is_warming(Instant::now()));
+    let ms = Duration::from_millis;
+    let means: Vec<_> = (0..constants::WARM_ANSWERS * 2)
+        .filter_map(|i| s.first_waits(ms(10 * (i % 2) + 5)))
+        .collect();
+    assert_eq!(means, vec![ms(10)]);
+    let old = Engine { call: 99, address: "10.0.0.1:80".into(), ..Default::default() };
+    assert!(!Seat::new(&old).unwrap().is_warming(Instant::now()));
+}
+
+#[test]
+fn malformed_burdens_tell_nothing() {
+    let t = Instant::now();
+    assert_eq!(Told::read("3, 1,8", t).unwrap().waiting, 1);
+    for bad in ["", "3,1", "a,b,c", "-1,0,8", "3;1;8"] {
+        assert!(Told::read(bad, t).is_none(), "{bad}");
+    }
+}
--- a/crates/data-plane/src/serve/answer.rs
+++ b/crates/data-plane/src/serve/answer.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll};
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum AnswerProblem {
+pub enum AnswerError {
     /// the engine broke off; the answer must not look complete
     BrokenOff,
 }
@@ -14,17 +14,17 @@
 /// The body of an answer: ours in one piece, or an engine's as it comes.
 pub enum Out {
     Whole(Option<Bytes>),
-    Events(tokio::sync::mpsc::Receiver<Result<Bytes, AnswerProblem>>),
+    Events(tokio::sync::mpsc::Receiver<Result<Bytes, AnswerError>>),
 }
 
 impl http_body::Body for Out {
     type Data = Bytes;
-    type Error = AnswerProblem;
+    type Error = AnswerError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<http_body::Frame<Bytes>, AnswerProblem>>> {
+    ) -> Poll<Option<Result<http_body::Frame<Bytes>, AnswerError>>> {
         match self.get_mut() {
             Out::Whole(b) => Poll::Ready(b.take().map(|b| Ok(http_body::Frame::data(b)))),
             Out::Events(rx) => rx.poll_recv(cx).map(|x| x.map(|r| r.map(http_body::Frame::data))),
--- /dev/null
+++ b/crates/data-plane/src/serve/events_tests.rs
@@ -0,0 +1,35 @@
+//! Tests of `events`.
+
+use super::*;
+
+#[test]
+fn half_an_event_is_held_back() {
+    let mut c = Cutter::default();
+    assert_eq!(c.take(b"id: 1\ndata: a\n").as_deref(), None);
+    assert_eq!(c.take(b"\nid: 2\nda").as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(c.last(), Some("1"));
+    c.drop_half();
+    assert_eq!(c.take(b"id:2\ndata: b\n\n").as_deref(), Some(&b"id:2\ndata: b\n\n"[..]));
+    assert_eq!(c.last(), Some("2"));
+    assert!(c.rest().is_none());
+}
+
+proptest::proptest! {
+    #[test]
+    fn cutting_anywhere_loses_and_repeats_nothing(cuts in proptest::collection::vec(1usize..9, 1..40)) {
+        let text: String = (1..20).map(|i| format!("id: {i}\ndata: x{i}\n\n")).collect();
+        let (mut c, mut out, mut at) = (Cutter::default(), Vec::new(), 0);
+        for n in cuts {
+            let end = (at + n).min(text.len());
+            if let Some(b) = c.take(&text.as_bytes()[at..end]) {
+                proptest::prop_assert!(b.ends_with(b"\n\n"));
+                out.extend_from_slice(&b);
+            }
+            at = end;
+        }
+        let whole = text[..at].rfind("\n\n").map_or(0, |i| i + 2);
+        proptest::prop_assert_eq!(&out[..], &text.as_bytes()[..whole]);
+        let ids = text[..whole].matches("id:").count();
+        proptest::prop_assert_eq!(c.last().map_or(0, |l| l.parse().unwrap()), ids);
+    }
+}
--- a/crates/data-plane/src/serve/mod.rs
+++ b/crates/data-plane/src/serve/mod.rs
@@ -1,23 +1,23 @@
-//! Origins: their connections, their requests, the answers.
+//! Clients: their connections, their requests, the answers.
 
 pub mod answer;
 pub mod events;
 pub mod relay;
 pub mod request;
 
-use crate::Delivery;
+use crate::Router;
 use answer::Out;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Accepts origins until aborted.
-pub async fn accepting(d: Arc<Delivery>, listener: tokio::net::TcpListener) {
+/// Accepts clients until aborted.
+pub async fn accepting(d: Arc<Router>, listener: tokio::net::TcpListener) {
     loop {
         let Ok((s, _)) = listener.accept().await else {
-            tokio::time::sleep(k::RELINK_PAUSE).await;
+            tokio::time::sleep(constants::RELINK_PAUSE).await;
             continue;
         };
         if fleet_core::link::tame(&s).is_err() {
@@ -26,14 +26,14 @@
         let d = d.clone();
         tokio::spawn(async move {
             d.open.fetch_add(1, Ordering::Relaxed);
-            serve_origin(&d, s).await;
+            serve_client(&d, s).await;
             d.open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
-async fn serve_origin(d: &Arc<Delivery>, s: tokio::net::TcpStream) {
-    let limits = d.sight.table().map(|t| t.limits.clone()).unwrap_or_default();
+async fn serve_client(d: &Arc<Router>, s: tokio::net::TcpStream) {
+    let limits = d.fleet_view.table().map(|t| t.limits.clone()).unwrap_or_default();
     let idle = limits.idle_timeout_ms.max(limits.header_timeout_ms).max(1000);
     let service = hyper::service::service_fn(|rq| {
         let d = d.clone();
@@ -54,10 +54,10 @@
 }
 
 /// Answers the platform's probes.
-pub async fn probes(d: Arc<Delivery>, listener: tokio::net::TcpListener) {
+pub async fn probes(d: Arc<Router>, listener: tokio::net::TcpListener) {
     loop {
         let Ok((s, _)) = listener.accept().await else {
-            tokio::time::sleep(k::RELINK_PAUSE).await;
+            tokio::time::sleep(constants::RELINK_PAUSE).await;
             continue;
         };
         let d = d.clone();
@@ -73,7 +73,7 @@
             });
             let _ = hyper::server::conn::http1::Builder::new()
                 .timer(hyper_util::rt::TokioTimer::new())
-                .header_read_timeout(k::IDLE_LIMIT)
+                .header_read_timeout(constants::IDLE_LIMIT)
                 .max_buf_size(8192)
                 .serve_connection(hyper_util::rt::TokioIo::new(s), service)
                 .await;
