--- a/crates/data-plane/src/serve/relay.rs
+++ b/crates/data-plane/src/serve/relay.rs
@@ -1,10 +1,10 @@
 //! Passing an engine's answer on as it comes, and going on elsewhere where that is allowed.
 
-use super::answer::{AnswerProblem, Out};
+use super::answer::{AnswerError, Out};
 use super::events::Cutter;
 use super::request::{ATTEMPT, Begun, Fate, LAST_EVENT, Offered};
-use crate::Delivery;
-use crate::sight::table::Repeat;
+use crate::Router;
+use crate::fleet_view::table::Repeat;
 use bytes::Bytes;
 use fleet_core::log::Event;
 use http::header;
@@ -12,16 +12,16 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-type Tx = tokio::sync::mpsc::Sender<Result<Bytes, AnswerProblem>>;
+type Tx = tokio::sync::mpsc::Sender<Result<Bytes, AnswerError>>;
 
 enum End {
     Whole,
     Broken,
-    /// the origin has gone, or the time is over
+    /// the client has gone, or the time is over
     Left,
 }
 
-pub async fn relay(d: &Arc<Delivery>, b: Begun) -> http::Response<Out> {
+pub async fn relay(d: &Arc<Router>, b: Begun) -> http::Response<Out> {
     let resumes = b.job.repeat == Repeat::ByResuming && b.head.status.is_success();
     let (tx, rx) = tokio::sync::mpsc::channel(4);
     let mut res = http::Response::new(Out::Events(rx));
@@ -43,24 +43,24 @@
 }
 
 /// Bytes as they come; a break is passed on as a break.
-async fn pump(d: &Delivery, b: Begun, tx: &Tx) {
-    let Begun { job, run, session, mut body, .. } = b;
+async fn pump(d: &Router, b: Begun, tx: &Tx) {
+    let Begun { job, run, connection, mut body, .. } = b;
     let end = tokio::time::timeout_at(job.deadline, pass(&mut body, Some, tx));
     match end.await.unwrap_or(End::Left) {
-        End::Whole => session.end(),
+        End::Whole => connection.end(),
         End::Broken => {
             run.seat.broke(tokio::time::Instant::now());
-            fleet_core::note!(d.log, Event::EngineProblem, "id" => &run.seat.id, "why" => "stream broken");
-            let _ = tx.send(Err(AnswerProblem::BrokenOff)).await;
+            fleet_core::log_event!(d.log, Event::EngineError, "id" => &run.seat.id, "why" => "stream broken");
+            let _ = tx.send(Err(AnswerError::BrokenOff)).await;
         }
         End::Left => {
-            let _ = tx.try_send(Err(AnswerProblem::BrokenOff));
+            let _ = tx.try_send(Err(AnswerError::BrokenOff));
         }
     }
 }
 
 /// Whole events only; after a break the stream goes on at another engine.
-async fn pump_events(d: &Arc<Delivery>, b: Begun, tx: &Tx) {
+async fn pump_events(d: &Arc<Router>, b: Begun, tx: &Tx) {
     let start = b.job.header(&LAST_EVENT);
     let mut cutter = Cutter::starting_after(start);
     let mut b = b;
@@ -73,17 +73,17 @@
                 if let Some(rest) = cutter.rest() {
                     let _ = tx.send(Ok(rest)).await;
                 }
-                b.session.end();
+                b.connection.end();
                 return;
             }
             End::Left => {
-                let _ = tx.try_send(Err(AnswerProblem::BrokenOff));
+                let _ = tx.try_send(Err(AnswerError::BrokenOff));
                 return;
             }
             End::Broken => {}
         }
         b.run.seat.broke(tokio::time::Instant::now());
-        fleet_core::note!(d.log, Event::EngineProblem, "id" => &b.run.seat.id, "why" => "stream broken");
+        fleet_core::log_event!(d.log, Event::EngineError, "id" => &b.run.seat.id, "why" => "stream broken");
         cutter.drop_half();
         match go_on(d, b, cutter.last()).await {
             Some(next) => {
@@ -91,7 +91,7 @@
                 b = next;
             }
             None => {
-                let _ = tx.send(Err(AnswerProblem::BrokenOff)).await;
+                let _ = tx.send(Err(AnswerError::BrokenOff)).await;
                 return;
             }
         }
@@ -125,7 +125,7 @@
 }
 
 /// The same request behind the last event that was passed on.
-async fn go_on(d: &Arc<Delivery>, b: Begun, last: Option<&str>) -> Option<Begun> {
+async fn go_on(d: &Arc<Router>, b: Begun, last: Option<&str>) -> Option<Begun> {
     let mut offered = Offered::of(b);
     loop {
         let mut taken = offered.again(d).ok()?;
--- a/crates/data-plane/src/serve/request.rs
+++ b/crates/data-plane/src/serve/request.rs
@@ -2,15 +2,15 @@
 //! States: Taken, then Offered, then Begun. Only what is Taken can be refused.
 
 use super::answer::{Answer, Out};
-use crate::Delivery;
+use crate::Router;
+use crate::fleet_view::table::{Repeat, Table, Tenant, repeat};
 use crate::place::prompt::Prompt;
 use crate::place::{self, Choice, Nowhere};
-use crate::pool::session::{self, Leased, SessionProblem, Streaming};
+use crate::pool::connection::{self, ConnectionError, Leased, Streaming};
 use crate::pool::{Seat, Told};
-use crate::sight::table::{Repeat, Table, Tenant, repeat};
 use bytes::Bytes;
 use fleet_core::configuration::Route;
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
@@ -88,12 +88,12 @@
 pub struct Begun {
     pub job: Box<Job>,
     pub run: Run,
-    pub session: Streaming,
+    pub connection: Streaming,
     pub head: http::response::Parts,
     pub body: Incoming,
 }
 
-/// Burden of one send at its engine, until dropped.
+/// Load of one send at its engine, until dropped.
 pub struct Run {
     pub seat: Arc<Seat>,
     source: Option<Arc<Seat>>,
@@ -145,9 +145,9 @@
     Late(Offered),
 }
 
-pub async fn deliver(d: &Arc<Delivery>, rq: http::Request<Incoming>) -> http::Response<Out> {
+pub async fn deliver(d: &Arc<Router>, rq: http::Request<Incoming>) -> http::Response<Out> {
     let arrived = Instant::now();
-    let Some(table) = d.sight.table() else { return Answer::refuse().write() };
+    let Some(table) = d.fleet_view.table() else { return Answer::refuse().write() };
     let (mut head, body) = rq.into_parts();
     if head.headers.contains_key(header::CONTENT_LENGTH)
         && head.headers.contains_key(header::TRANSFER_ENCODING)
@@ -180,7 +180,7 @@
         Ok(Err(_)) => return Answer::plain(StatusCode::BAD_REQUEST).closing().write(),
         Err(_) => return Answer::plain(StatusCode::REQUEST_TIMEOUT).closing().write(),
     };
-    let Some(service) = table.pick(&route, d.dice()).map(str::to_owned) else {
+    let Some(service) = table.pick(&route, d.rng_state()).map(str::to_owned) else {
         return Answer::refuse().write();
     };
     let prompt = Prompt::read(&head.headers);
@@ -228,7 +228,7 @@
 
 /// None if malformed.
 fn deadline(h: &HeaderMap) -> Option<Duration> {
-    let Some(v) = h.get(DEADLINE) else { return Some(k::DEADLINE_DEFAULT) };
+    let Some(v) = h.get(DEADLINE) else { return Some(constants::DEADLINE_DEFAULT) };
     let ms: f64 = v.to_str().ok()?.trim().parse().ok()?;
     if !(0.0..1e9).contains(&ms) {
         return None;
@@ -238,10 +238,10 @@
 
 impl Taken {
     /// An engine and a connection to it.
-    pub async fn find(mut self, d: &Arc<Delivery>) -> Result<(Choice, Leased, Taken), Taken> {
+    pub async fn find(mut self, d: &Arc<Router>) -> Result<(Choice, Leased, Taken), Taken> {
         loop {
             let j = &self.0;
-            if Instant::now() + k::DEADLINE_MARGIN >= j.deadline {
+            if Instant::now() + constants::DEADLINE_MARGIN >= j.deadline {
                 return Err(self);
             }
             let choice = match place::place(
@@ -256,13 +256,13 @@
                 Err(Nowhere::Unknown | Nowhere::Full) => return Err(self),
             };
             let most = j.table.service(&j.service).map_or(0, |s| s.max_conns) as usize;
-            let share = (most / (d.sight.routers() + k::BUDGET_SPARES)).max(2) as u32;
-            match session::lease(d, &choice.seat, share).await {
+            let share = (most / (d.fleet_view.routers() + constants::BUDGET_SPARES)).max(2) as u32;
+            match connection::lease(d, &choice.seat, share).await {
                 Ok(l) => return Ok((choice, l, self)),
                 Err(e) => {
-                    if !matches!(e, SessionProblem::Full) {
+                    if !matches!(e, ConnectionError::Full) {
                         choice.seat.broke(Instant::now());
-                        fleet_core::note!(d.log, Event::EngineProblem, "id" => &choice.seat.id, "why" => e.to_string());
+                        fleet_core::log_event!(d.log, Event::EngineError, "id" => &choice.seat.id, "why" => e.to_string());
                     }
                     self.0.tried.push(choice.seat.id.clone());
                 }
@@ -270,10 +270,10 @@
         }
     }
 
-    fn head(&self, c: &Choice, last: Option<&str>) -> Option<http::Request<session::Sent>> {
+    fn head(&self, c: &Choice, last: Option<&str>) -> Option<http::Request<connection::Sent>> {
         let j = &self.0;
         let left = j.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
-        let mut rq = http::Request::new(session::Sent::new(j.body.clone()));
+        let mut rq = http::Request::new(connection::Sent::new(j.body.clone()));
         *rq.method_mut() = j.method.clone();
         *rq.uri_mut() = j.uri.clone();
         let h = rq.headers_mut();
@@ -284,7 +284,7 @@
         if let Some(t) = &j.tenant {
             h.insert(TENANT, HeaderValue::from_str(&t.name).ok()?);
         }
-        if let Some(s) = c.stamp {
+        if let Some(s) = c.version {
             h.insert(EXPECTED, HeaderValue::from(s));
         }
         if let Some(s) = &c.salt {
@@ -305,7 +305,7 @@
     /// Sends it, and waits for the head of an answer.
     pub async fn offer(
         mut self,
-        d: &Arc<Delivery>,
+        d: &Arc<Router>,
         c: Choice,
         l: Leased,
         last: Option<&str>,
@@ -313,14 +313,14 @@
         self.0.tried.push(c.seat.id.clone());
         let Some(rq) = self.head(&c, last) else { return Fate::Unsent(self) };
         let mut run =
-            Run::start(&c, self.0.prompt.burden(), self.0.table.is_interactive(&self.0.route));
+            Run::start(&c, self.0.prompt.load(), self.0.table.is_interactive(&self.0.route));
         self.0.sends += 1;
         let sent = Instant::now();
         let mut job = self.0;
-        let until = job.deadline - k::DEADLINE_MARGIN;
-        let (session, res) = match tokio::time::timeout_at(until, l.send(rq)).await {
+        let until = job.deadline - constants::DEADLINE_MARGIN;
+        let (connection, res) = match tokio::time::timeout_at(until, l.send(rq)).await {
             Ok(Ok(x)) => x,
-            Ok(Err(SessionProblem::Uncertain)) => {
+            Ok(Err(ConnectionError::Uncertain)) => {
                 c.seat.broke(Instant::now());
                 return Fate::Unsure(Offered(job));
             }
@@ -340,17 +340,17 @@
             None => not_run,
         };
         if !ours || head.headers.contains_key(header::CONTENT_ENCODING) {
-            fleet_core::note!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
+            fleet_core::log_event!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
             return Fate::Unsure(Offered(job));
         }
         if not_run {
             if body.collect().await.is_ok() {
-                session.end();
+                connection.end();
             }
             return Fate::Back(Taken(job));
         }
         if head.status.is_success() && !head.headers.contains_key(SEAL) {
-            fleet_core::note!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
+            fleet_core::log_event!(d.log, Event::AnswerSpoilt, "id" => &c.seat.id, "status" => head.status.as_u16());
             return Fate::Unsure(Offered(job));
         }
         if head.status.is_server_error()
@@ -365,18 +365,18 @@
             count_wait(d, &c.seat, sent.elapsed());
         }
         if let Some(salt) = c.salt.as_ref().filter(|_| head.status.is_success()) {
-            d.sight.shelf.sent(&c.seat.id, salt, &job.prompt.pairs());
+            d.fleet_view.prefix_view.sent(&c.seat.id, salt, &job.prompt.pairs());
         }
         d.counters.begun.fetch_add(1, Ordering::Relaxed);
-        Fate::Begun(Box::new(Begun { job, run, session, head, body }))
+        Fate::Begun(Box::new(Begun { job, run, connection, head, body }))
     }
 
     /// To a second engine, if the route and the budget allow it.
-    pub fn again(self, d: &Delivery) -> Result<Taken, Taken> {
+    pub fn again(self, d: &Router) -> Result<Taken, Taken> {
         if self.0.may_again(d) { Ok(self) } else { Err(self) }
     }
 
-    pub fn refuse(self, d: &Delivery) -> http::Response<Out> {
+    pub fn refuse(self, d: &Router) -> http::Response<Out> {
         d.counters.refused.fetch_add(1, Ordering::Relaxed);
         Answer::refuse().write()
     }
@@ -387,9 +387,9 @@
         self.headers.get(name)?.to_str().ok().map(str::to_owned)
     }
 
-    fn may_again(&self, d: &Delivery) -> bool {
+    fn may_again(&self, d: &Router) -> bool {
         let may = self.sends < self.route.max_attempts
-            && Instant::now() + k::DEADLINE_MARGIN * 2 < self.deadline
+            && Instant::now() + constants::DEADLINE_MARGIN * 2 < self.deadline
             && d.charge(&self.service);
         if may {
             d.counters.again.fetch_add(1, Ordering::Relaxed);
@@ -404,40 +404,40 @@
     }
 
     /// Only what may run twice is taken back.
-    pub fn again(self, d: &Delivery) -> Result<Taken, Offered> {
+    pub fn again(self, d: &Router) -> Result<Taken, Offered> {
         if self.0.repeat != Repeat::Never && self.0.may_again(d) {
             return Ok(Taken(self.0));
         }
         Err(self)
     }
 
-    pub fn fail(self, d: &Delivery, status: StatusCode) -> http::Response<Out> {
+    pub fn fail(self, d: &Router, status: StatusCode) -> http::Response<Out> {
         d.counters.failed.fetch_add(1, Ordering::Relaxed);
-        fleet_core::note!(d.log, Event::PassProblem, "status" => status.as_u16());
+        fleet_core::log_event!(d.log, Event::PassError, "status" => status.as_u16());
         Answer::plain(status).write()
     }
 }
 
 /// Sets the first waits at a newcomer against those at all engines.
-fn count_wait(d: &Delivery, seat: &Seat, wait: Duration) {
+fn count_wait(d: &Router, seat: &Seat, wait: Duration) {
     let c = &d.counters;
     let n = c.heavy_answers.fetch_add(1, Ordering::Relaxed) + 1;
     let us = wait.as_micros() as u64;
     let all = c.heavy_wait_us.fetch_add(us, Ordering::Relaxed) + us;
     if let Some(own) = seat.first_waits(wait) {
-        fleet_core::note!(d.log, Event::EngineTakenIn, "id" => &seat.id,
+        fleet_core::log_event!(d.log, Event::EngineTakenIn, "id" => &seat.id,
             "own_ms" => own.as_millis() as u64, "all_ms" => all / n / 1000);
     }
 }
 
 /// What an engine tells of itself beside the answer.
-fn hear(d: &Delivery, seat: &Seat, model: Option<&str>, h: &HeaderMap) {
+fn hear(d: &Router, seat: &Seat, model: Option<&str>, h: &HeaderMap) {
     let text = |n: HeaderName| h.get(n).and_then(|v| v.to_str().ok());
     if let Some(t) = text(LOAD).and_then(|t| Told::read(t, Instant::now())) {
         seat.work().told = Some(t);
     }
     if let (Some(m), Some(s)) = (model, text(WEIGHTS).and_then(|t| t.trim().parse().ok())) {
-        d.sight.saw_weights(seat, m, s);
+        d.fleet_view.saw_weights(seat, m, s);
     }
 }
 
@@ -448,21 +448,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn deadlines_are_read_or_rejected() {
-        let d = |v: &str| {
-            let mut h = HeaderMap::new();
-            h.insert(DEADLINE, HeaderValue::from_str(v).unwrap());
-            deadline(&h)
-        };
-        assert_eq!(d("250"), Some(Duration::from_millis(250)));
-        assert_eq!(d("1.5"), Some(Duration::from_micros(1500)));
-        for bad in ["", "x", "-1", "nan", "inf", "1e30"] {
-            assert_eq!(d(bad), None, "{bad}");
-        }
-        assert_eq!(deadline(&HeaderMap::new()), Some(k::DEADLINE_DEFAULT));
-    }
-}
+#[path = "request_tests.rs"]
+mod tests;
--- a/crates/data-plane/tests/engines.rs
+++ b/crates/data-plane/tests/engines.rs
@@ -89,8 +89,8 @@
         let mut news = stand::known(&e);
         news.call = 2;
         edit(&mut news);
-        let weights = vec![NamedWeights { model: "m".into(), stamp: 3, age_ms }];
-        f.d.sight.hear(&View { engines: vec![news], weights, ..Default::default() });
+        let weights = vec![NamedWeights { model: "m".into(), version: 3, age_ms }];
+        f.d.fleet_view.hear(&View { engines: vec![news], weights, ..Default::default() });
         let want = if served { 200 } else { 503 };
         assert_eq!(status(&f.ask("/once/", "").await), want, "{what}");
         assert_eq!(e.arrivals(), usize::from(served), "{what}");
@@ -280,7 +280,7 @@
     let heavy = request("/once/", "")
         .replace("aa:10,bb:10,cc:10", "aa:2000,bb:3000,cc:100")
         .replace("30,5", "5100,5");
-    f.d.sight.shelf.put(data_plane::sight::purge::Change {
+    f.d.fleet_view.prefix_view.put(data_plane::fleet_view::purge::Change {
         reset: false,
         digest: vec![HeldParts {
             holder: "e1".into(),
@@ -293,14 +293,14 @@
     let mut news = stand::known(&old);
     news.call = 2;
     news.set_standing(Standing::Draining);
-    f.d.sight.hear(&View { engines: vec![news.clone()], ..Default::default() });
+    f.d.fleet_view.hear(&View { engines: vec![news.clone()], ..Default::default() });
     assert_eq!(status(&f.raw(heavy.as_bytes()).await), 200);
     assert_eq!((old.arrivals(), new.arrivals()), (0, 1));
     let source = new.seen.lock()[0].header("x-kv-source").map(str::to_owned);
     assert_eq!(source, Some(old.address.to_string()));
     news.call = 3;
     news.set_standing(Standing::Gone);
-    f.d.sight.hear(&View { engines: vec![news], ..Default::default() });
+    f.d.fleet_view.hear(&View { engines: vec![news], ..Default::default() });
     let other = heavy.replace("cc:100", "cd:100").replace("bb:", "be:");
     assert_eq!(status(&f.raw(other.as_bytes()).await), 200);
     assert_eq!(new.seen.lock()[1].header("x-kv-source"), None);
--- a/crates/data-plane/tests/loads.rs
+++ b/crates/data-plane/tests/loads.rs
@@ -1,6 +1,6 @@
 //! Which controller a router tells its loads, and what it makes of the sum it hears.
 
-use data_plane::sight::loads::chosen;
+use data_plane::fleet_view::loads::chosen;
 use fleet_core::wire::{Engine, Member, View};
 
 fn members() -> Vec<Member> {
@@ -27,7 +27,7 @@
 
 #[test]
 fn long_streams_get_more_engines_when_they_fill_a_third() {
-    use data_plane::sight::roll::heavies;
+    use data_plane::fleet_view::roll::heavies;
     assert_eq!(heavies(18, 48, 0.0), 13);
     assert_eq!(heavies(18, 48, 100.0), 13, "a few engines are enough");
     assert_eq!(heavies(140, 12, 500.0), 84);
@@ -37,10 +37,10 @@
 
 #[test]
 fn own_sends_are_counted_once_in_the_sum() {
-    let sight = data_plane::sight::Sight::new();
+    let fleet_view = data_plane::fleet_view::FleetView::new();
     let e = Engine { id: "e".into(), address: "10.0.0.9:80".into(), ..Default::default() };
-    sight.hear(&View { engines: vec![e], ..Default::default() });
-    let seat = sight.seats.read()["e"].clone();
+    fleet_view.hear(&View { engines: vec![e], ..Default::default() });
+    let seat = fleet_view.seats.read()["e"].clone();
     {
         let mut w = seat.work();
         w.runs = 2;
@@ -49,7 +49,7 @@
     }
     let told = fleet_core::load::Load { unread: 640, runs: 5, interactive: 0 };
     let sum = std::iter::once((seat.key, told)).collect();
-    sight.hear_loads(&fleet_core::load::pack(&sum));
+    fleet_view.hear_loads(&fleet_core::load::pack(&sum));
     let now = tokio::time::Instant::now();
     let all = seat.work().all(now);
     assert_eq!((all.runs, all.unread), (6, 640));
--- a/crates/data-plane/tests/purge.rs
+++ b/crates/data-plane/tests/purge.rs
@@ -1,16 +1,16 @@
-//! A reader of the ring: what it keeps after lost answers, overruns and new lives of the keeper.
+//! A reader of the ring: what it keeps after lost answers, overruns and new incarnations of the keeper.
 
-use data_plane::sight::purge::{Change, Place, Shelf, step};
+use data_plane::fleet_view::purge::{Change, Place, PrefixView, step};
 use fleet_core::wire::{HeldParts, PartAt, Purge, RingEntry, RingGive, RingHead};
 use invalidation::view::View;
 use prompt_index::HolderBitmap;
 
-fn head(fence: u64, life: u64, head: u64) -> Option<RingHead> {
-    Some(RingHead { fence, life, head, ..Default::default() })
+fn head(fence: u64, incarnation: u64, head: u64) -> Option<RingHead> {
+    Some(RingHead { fence, incarnation, head, ..Default::default() })
 }
 
 #[test]
-fn another_life_counts_only_with_a_reset() {
+fn another_incarnation_counts_only_with_a_reset() {
     let at = Place::new(2, 7, 5, 0);
     let g = RingGive { head: head(2, 8, 9), cursor: 9, ..Default::default() };
     assert!(step(at, g.clone()).is_none());
@@ -23,8 +23,8 @@
 
 #[test]
 fn entries_are_applied_before_the_view_is_looked_at() {
-    let s = Shelf::new();
-    let holds = |s: &Shelf| {
+    let s = PrefixView::new();
+    let holds = |s: &PrefixView| {
         let index = s.look();
         let chain = index.chain("m|1|#1", [(4, 10)]);
         index.learn("m|1|#1", &chain);
@@ -53,7 +53,7 @@
 
 proptest::proptest! {
     /// A reader's view never holds what a published entry before its cursor removed,
-    /// over lost answers, overruns and new lives of the keeper.
+    /// over lost answers, overruns and new incarnations of the keeper.
     #[test]
     fn view_never_holds_what_was_purged(steps in proptest::collection::vec((0u8..6, 0u64..6), 1..120)) {
         use invalidation::ring::{Read, Ring};
@@ -61,7 +61,7 @@
             scope: 0,
             what: Some(Purge::Part(PartAt { holder: "e".into(), salt: "m|1|#1".into(), part: p, kept: 0 })),
         };
-        let (mut ring, mut life) = (Ring::<RingEntry>::new(8, 2, 4), 1u64);
+        let (mut ring, mut incarnation) = (Ring::<RingEntry>::new(8, 2, 4), 1u64);
         let mut truth = std::collections::HashSet::<u64>::new();
         let mut view = View::new(100);
         let mut at = Place::default();
@@ -74,13 +74,13 @@
                 }
                 3 => {
                     ring = Ring::new(8, 2, 4);
-                    life += 1;
+                    incarnation += 1;
                 }
                 _ => {
                     let lost = what == 5;
-                    let same = at.life() == life && at.fence() == 1;
+                    let same = at.incarnation() == incarnation && at.fence() == 1;
                     let cursor = if same { ring.cursor(1).filter(|c| c.next() == at.cursor()) } else { None };
-                    let mut g = RingGive { head: head(1, life, ring.head()), ..Default::default() };
+                    let mut g = RingGive { head: head(1, incarnation, ring.head()), ..Default::default() };
                     match cursor.as_ref().map(|c| (c, ring.read(c, 3))) {
                         Some((c, Read::Entries(e))) => { g.entries = e; g.cursor = c.next(); }
                         Some((c, Read::Nothing)) => g.cursor = c.next(),
@@ -95,7 +95,7 @@
                     let Some((next, change)) = step(at, g) else { continue };
                     at = next;
                     if let Some(c) = change { c.apply(&mut view); }
-                    if at.cursor() == ring.head() && at.life() == life {
+                    if at.cursor() == ring.head() && at.incarnation() == incarnation {
                         for q in 0..6 {
                             let held = view.holds("e", invalidation::view::part_of("m|1|#1", q));
                             proptest::prop_assert!(!held || truth.contains(&q));
--- a/crates/data-plane/tests/stand/mod.rs
+++ b/crates/data-plane/tests/stand/mod.rs
@@ -1,7 +1,7 @@
-//! A router on loopback, stand-in engines that play scripts, and a plain origin.
+//! A router on loopback, stand-in engines that play scripts, and a plain client.
 
-use data_plane::Delivery;
-use data_plane::sight::table::Table;
+use data_plane::Router;
+use data_plane::fleet_view::table::Table;
 use fleet_core::wire::{Engine, NamedWeights, View, Weights};
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -129,7 +129,7 @@
 }
 
 pub struct Fleet {
-    pub d: Arc<Delivery>,
+    pub d: Arc<Router>,
     front: std::net::SocketAddr,
 }
 
@@ -137,8 +137,8 @@
     pub async fn start(engines: &[&StandIn]) -> Fleet {
         let text = "nodeName=c1\nip=127.0.0.1\nzone=z\nportRange=1,9\nbounds.retryRatio=10\n\
             bounds.retryWindowS=10\nbounds.retrySlack=0\nbounds.versionMs=8000\n";
-        let params = fleet_core::params::Params::parse(text).unwrap();
-        let d = Delivery::assemble(params, slog::Logger::root(slog::Discard, slog::o!()));
+        let settings = fleet_core::settings::Settings::parse(text).unwrap();
+        let d = Router::assemble(settings, slog::Logger::root(slog::Discard, slog::o!()));
         let route = |prefix: &str, resumable: bool, attempts: u32| {
             serde_json::json!({"host": "h.example", "pathPrefix": prefix, "kind": "streaming",
                 "timeoutMs": 20000, "service": "s", "maxAttempts": attempts, "resumable": resumable})
@@ -150,13 +150,13 @@
             "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
             "tenants": [{"name": "t1", "apiKeys": ["k1"]}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
         });
-        d.sight.set_table(Table::compile(sheet.to_string().as_bytes(), 4).unwrap());
+        d.fleet_view.set_table(Table::compile(sheet.to_string().as_bytes(), 4).unwrap());
         let view = View {
             engines: engines.iter().map(|e| known(e)).collect(),
-            weights: vec![NamedWeights { model: "m".into(), stamp: 2, age_ms: 0 }],
+            weights: vec![NamedWeights { model: "m".into(), version: 2, age_ms: 0 }],
             ..Default::default()
         };
-        d.sight.hear(&view);
+        d.fleet_view.hear(&view);
         let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let front = l.local_addr().unwrap();
         tokio::spawn(data_plane::serve::accepting(d.clone(), l));
@@ -202,7 +202,7 @@
         address: e.address.to_string(),
         zone: "z".into(),
         slots: 8,
-        weights: vec![Weights { model: "m".into(), stamp: 2 }],
+        weights: vec![Weights { model: "m".into(), version: 2 }],
         ..Default::default()
     }
 }
--- a/crates/fleet-core/src/configuration.rs
+++ b/crates/fleet-core/src/configuration.rs
@@ -4,7 +4,7 @@
 use validator::Validate;
 
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
-pub enum ConfigProblem {
+pub enum ConfigError {
     /// unreadable: {reason} (line {line}, column {column})
     Unreadable { line: usize, column: usize, reason: String },
     /// {place}: out of bounds
@@ -17,20 +17,20 @@
     NoWeight { place: String },
     /// {place}: a key of tenant `{other}` too
     SharedKey { place: String, other: String },
-    /// revision: {stamp} is not above {current}
-    StampNotAbove { stamp: u64, current: u64 },
+    /// revision: {version} is not above {current}
+    VersionNotAbove { version: u64, current: u64 },
 }
 
-impl ConfigProblem {
+impl ConfigError {
     pub fn code(&self) -> &'static str {
         match self {
-            ConfigProblem::Unreadable { .. } => "unreadable",
-            ConfigProblem::OutOfBounds { .. } => "out_of_bounds",
-            ConfigProblem::UnknownService { .. } => "unknown_service",
-            ConfigProblem::SamePlace { .. } => "same_place",
-            ConfigProblem::NoWeight { .. } => "no_weight",
-            ConfigProblem::SharedKey { .. } => "shared_key",
-            ConfigProblem::StampNotAbove { .. } => "stamp_not_above",
+            ConfigError::Unreadable { .. } => "unreadable",
+            ConfigError::OutOfBounds { .. } => "out_of_bounds",
+            ConfigError::UnknownService { .. } => "unknown_service",
+            ConfigError::SamePlace { .. } => "same_place",
+            ConfigError::NoWeight { .. } => "no_weight",
+            ConfigError::SharedKey { .. } => "shared_key",
+            ConfigError::VersionNotAbove { .. } => "version_not_above",
         }
     }
 }
@@ -205,16 +205,16 @@
 
 impl Configuration {
     /// Reads and checks a configuration by itself, without what is in force.
-    pub fn read(body: &[u8]) -> Result<Configuration, ConfigProblem> {
+    pub fn read(body: &[u8]) -> Result<Configuration, ConfigError> {
         let c: Configuration = serde_json::from_slice(body).map_err(|e| {
-            ConfigProblem::Unreadable { line: e.line(), column: e.column(), reason: e.to_string() }
+            ConfigError::Unreadable { line: e.line(), column: e.column(), reason: e.to_string() }
         })?;
-        c.validate().map_err(|e| ConfigProblem::OutOfBounds { place: first_place(&e) })?;
+        c.validate().map_err(|e| ConfigError::OutOfBounds { place: first_place(&e) })?;
         c.check()?;
         Ok(c)
     }
 
-    fn check(&self) -> Result<(), ConfigProblem> {
+    fn check(&self) -> Result<(), ConfigError> {
         let mut services = hashbrown::HashSet::new();
         for s in &self.services {
             services.insert(s.name.as_str());
@@ -224,26 +224,26 @@
             let place = format!("routes[{i}]");
             let key = (r.host.to_ascii_lowercase(), r.path_prefix.as_str());
             if let Some(other) = places.insert(key, i) {
-                return Err(ConfigProblem::SamePlace { place, other: format!("routes[{other}]") });
+                return Err(ConfigError::SamePlace { place, other: format!("routes[{other}]") });
             }
             let shares = r.shares();
             for (service, _) in &shares {
                 if !services.contains(service) {
-                    return Err(ConfigProblem::UnknownService {
+                    return Err(ConfigError::UnknownService {
                         place,
                         service: (*service).to_owned(),
                     });
                 }
             }
             if shares.iter().map(|(_, w)| u64::from(*w)).sum::<u64>() == 0 {
-                return Err(ConfigProblem::NoWeight { place });
+                return Err(ConfigError::NoWeight { place });
             }
         }
         let mut keys: hashbrown::HashMap<&str, usize> = hashbrown::HashMap::new();
         for (i, t) in self.tenants.iter().enumerate() {
             for (j, k) in t.api_keys.iter().enumerate() {
                 if let Some(o) = keys.insert(k.as_str(), i).filter(|o| *o != i) {
-                    return Err(ConfigProblem::SharedKey {
+                    return Err(ConfigError::SharedKey {
                         place: format!("tenants[{i}].apiKeys[{j}]"),
                         other: self.tenants[o].name.clone(),
                     });
@@ -264,66 +264,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn sheet() -> serde_json::Value {
-        serde_json::json!({
-            "revision": 3,
-            "routes": [
-                {"name": "a", "host": "h", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 10, "service": "s"},
-                {"name": "b", "host": "h", "pathPrefix": "/b/", "kind": "safe", "timeoutMs": 10,
-                 "split": [{"service": "s", "weight": 1}, {"service": "s", "weight": 0}]},
-            ],
-            "services": [{"name": "s", "maxConns": 5}],
-            "tenants": [{"name": "t", "apiKeys": ["k1", "k2"]}, {"name": "u", "apiKeys": ["k3"], "isolated": true}],
-        })
-    }
-
-    fn read(v: &serde_json::Value) -> Result<Configuration, ConfigProblem> {
-        Configuration::read(v.to_string().as_bytes())
-    }
-
-    #[test]
-    fn proper_one_is_taken() {
-        let c = read(&sheet()).unwrap();
-        assert_eq!(c.revision, 3);
-        assert_eq!(c.routes[1].shares(), vec![("s", 1), ("s", 0)]);
-        assert!(c.tenants[1].isolated);
-    }
-
-    #[test]
-    fn each_fault_is_named_with_its_place() {
-        type Edit = fn(&mut serde_json::Value);
-        let table: &[(Edit, &str, &str)] = &[
-            (
-                |v| v["routes"][1]["split"][1]["service"] = "x".into(),
-                "unknown_service",
-                "routes[1]",
-            ),
-            (|v| v["routes"][1]["pathPrefix"] = "/a/".into(), "same_place", "routes[1]"),
-            (|v| v["routes"][1]["split"][0]["weight"] = 0.into(), "no_weight", "routes[1]"),
-            (|v| v["routes"][0]["timeoutMs"] = 0.into(), "out_of_bounds", "routes[0].timeout_ms"),
-            (
-                |v| v["tenants"][1]["apiKeys"][0] = "k2".into(),
-                "shared_key",
-                "tenants[1].apiKeys[0]",
-            ),
-            (|v| v["revision"] = "x".into(), "unreadable", "line 1"),
-        ];
-        for (edit, code, place) in table {
-            let mut v = sheet();
-            edit(&mut v);
-            let e = read(&v).unwrap_err();
-            assert_eq!(e.code(), *code);
-            assert!(e.to_string().contains(place), "{e} lacks {place}");
-        }
-    }
-
-    #[test]
-    fn cut_short_is_unreadable() {
-        let text = sheet().to_string();
-        let e = Configuration::read(&text.as_bytes()[..text.len() / 2]).unwrap_err();
-        assert_eq!(e.code(), "unreadable");
-    }
-}
+#[path = "configuration_tests.rs"]
+mod tests;
--- a/crates/fleet-core/src/constants.rs
+++ b/crates/fleet-core/src/constants.rs
@@ -12,7 +12,7 @@
 pub const KEEPALIVE_GAP: Duration = Duration::from_secs(1);
 /// probes; two lost in a row are rare without a cut.
 pub const KEEPALIVE_PROBES: u32 = 2;
-/// connections; a burst of origins after a failover must not lose its opening packets.
+/// connections; a burst of clients after a failover must not lose its opening packets.
 pub const LISTEN_BACKLOG: i32 = 1024;
 /// bytes; a frame holds a configuration at the most, with room for its history.
 pub const FRAME_MAX: usize = 8 << 20;
@@ -72,7 +72,7 @@
 pub const MEMBER_SILENT: Duration = Duration::from_millis(7000);
 /// ms; a joiner asks again this often.
 pub const JOIN_PAUSE: Duration = Duration::from_millis(400);
-/// s; a controller without a disk looks for a newer roster this often.
+/// s; a controller without a disk looks for a newer membership this often.
 pub const OBSERVE_PAUSE: Duration = Duration::from_secs(2);
 /// ms; the roll-out looks at its engines this often.
 pub const ROLL_TICK: Duration = Duration::from_millis(100);
@@ -117,7 +117,7 @@
 /// ms; answers to orders and reports come within a round trip and a step.
 pub const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(800);
 /// ms; routers stop offering to old weights this long before the bound.
-pub const STAMP_MARGIN: Duration = Duration::from_millis(1500);
+pub const VERSION_MARGIN: Duration = Duration::from_millis(1500);
 /// ms; how long a call for events is held by an engine: the longest the protocol allows.
 pub const EVENTS_WAIT_MS: u64 = 1000;
 /// ms; pause after a call for events, so that busy engines don't make it a loop.
@@ -161,7 +161,7 @@
 /// tokens; unit in which loads are told.
 pub const LOAD_TOKENS: u64 = 64;
 /// connections kept idle to one engine.
-pub const IDLE_SESSIONS: usize = 12;
+pub const IDLE_CONNECTIONS: usize = 12;
 /// s; an idle connection is given up before engines usually close it.
 pub const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// tokens a ms; how fast an engine reads a prompt until more is known.
@@ -212,18 +212,18 @@
 pub const ENGINE_REST: Duration = Duration::from_millis(400);
 /// ms; longest such rest.
 pub const ENGINE_REST_MAX: Duration = Duration::from_millis(3200);
-/// ms; answer to an origin goes out this long before its deadline.
+/// ms; answer to an client goes out this long before its deadline.
 pub const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
-/// ms; what an origin with no deadline waits.
+/// ms; what an client with no deadline waits.
 pub const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
-/// s; pause told to an origin that is refused.
+/// s; pause told to an client that is refused.
 pub const RETRY_AFTER: &str = "0.3";
 /// s; after SIGTERM, the platform has seen two missed probes by then.
 pub const PROBES_MISSED: Duration = Duration::from_millis(2600);
 /// ms; a process ends this long before its grace does.
 pub const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// s; the settings file is read again this often without a signal.
-pub const PARAMS_REREAD: Duration = Duration::from_secs(5);
+pub const SETTINGS_REREAD: Duration = Duration::from_secs(5);
 /// s; counters are written out this often.
 pub const COUNTERS_PAUSE: Duration = Duration::from_secs(20);
 /// bytes of stack of a thread; calls are shallow and memory is dear.
@@ -234,7 +234,7 @@
 pub const INDEX_ENTRIES: usize = 32_768;
 /// blocks of one holder that are remembered as kept in part.
 pub const TIER_ENTRIES: usize = 256;
-/// salts whose seeds are remembered; weights of a few versions for each wall.
+/// salts whose seeds are remembered; weights of a few versions for each isolation.
 pub const SALTS_KNOWN: usize = 4096;
 /// entries that one turn of the scrub looks at.
 pub const SCRUB_ENTRIES: usize = 2048;
--- a/crates/fleet-core/src/lib.rs
+++ b/crates/fleet-core/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod load;
 pub mod log;
 pub mod node;
-pub mod params;
 pub mod program;
+pub mod settings;
 pub mod wire;
--- a/crates/fleet-core/src/link.rs
+++ b/crates/fleet-core/src/link.rs
@@ -1,6 +1,6 @@
 //! Links between the system's own processes: frames of prost over TCP, calls by number.
 
-use crate::constants as k;
+use crate::constants;
 use crate::wire::{Body, Frame};
 use prost::Message;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
-pub enum LinkProblem {
+pub enum LinkError {
     /// not connected
     Down,
     /// no answer in time
@@ -25,9 +25,9 @@
     Socket(std::io::ErrorKind),
 }
 
-impl From<std::io::Error> for LinkProblem {
+impl From<std::io::Error> for LinkError {
     fn from(e: std::io::Error) -> Self {
-        LinkProblem::Socket(e.kind())
+        LinkError::Socket(e.kind())
     }
 }
 
@@ -35,12 +35,12 @@
 pub fn tame(s: &tokio::net::TcpStream) -> std::io::Result<()> {
     s.set_nodelay(true)?;
     let r = socket2::SockRef::from(s);
-    r.set_tcp_user_timeout(Some(k::TCP_SILENCE))?;
+    r.set_tcp_user_timeout(Some(constants::TCP_SILENCE))?;
     r.set_tcp_keepalive(
         &socket2::TcpKeepalive::new()
-            .with_time(k::KEEPALIVE_IDLE)
-            .with_interval(k::KEEPALIVE_GAP)
-            .with_retries(k::KEEPALIVE_PROBES),
+            .with_time(constants::KEEPALIVE_IDLE)
+            .with_interval(constants::KEEPALIVE_GAP)
+            .with_retries(constants::KEEPALIVE_PROBES),
     )
 }
 
@@ -49,7 +49,7 @@
     s.set_reuse_address(true)?;
     s.set_nonblocking(true)?;
     s.bind(&addr.into())?;
-    s.listen(k::LISTEN_BACKLOG)?;
+    s.listen(constants::LISTEN_BACKLOG)?;
     tokio::net::TcpListener::from_std(s.into())
 }
 
@@ -58,24 +58,24 @@
     own: Ipv4Addr,
     to: SocketAddr,
     limit: Duration,
-) -> Result<tokio::net::TcpStream, LinkProblem> {
+) -> Result<tokio::net::TcpStream, LinkError> {
     let s = tokio::net::TcpSocket::new_v4()?;
     s.bind(SocketAddr::new(own.into(), 0))?;
-    let c = tokio::time::timeout(limit, s.connect(to)).await.map_err(|_| LinkProblem::Late)??;
+    let c = tokio::time::timeout(limit, s.connect(to)).await.map_err(|_| LinkError::Late)??;
     tame(&c)?;
     Ok(c)
 }
 
 async fn read_frame(
     r: &mut tokio::io::BufReader<tokio::net::tcp::OwnedReadHalf>,
-) -> Result<Frame, LinkProblem> {
+) -> Result<Frame, LinkError> {
     let len = r.read_u32().await? as usize;
-    if len > k::FRAME_MAX {
-        return Err(LinkProblem::TooLarge(len));
+    if len > constants::FRAME_MAX {
+        return Err(LinkError::TooLarge(len));
     }
     let mut buf = bytes::BytesMut::zeroed(len);
     r.read_exact(&mut buf).await?;
-    Frame::decode(buf.freeze()).map_err(|_| LinkProblem::Undecodable)
+    Frame::decode(buf.freeze()).map_err(|_| LinkError::Undecodable)
 }
 
 fn encode(f: &Frame, out: &mut Vec<u8>) {
@@ -145,7 +145,7 @@
                 ip: node.ip.to_string(),
                 zone: node.zone.clone(),
                 role: node.role as u32,
-                life: node.life,
+                incarnation: node.incarnation,
             },
             live: parking_lot::Mutex::new(None),
             calls: AtomicU64::new(1),
@@ -159,10 +159,10 @@
                 let Some(l) = weak.upgrade() else { return };
                 let (own, to, hello) = (l.own, l.to, l.hello.clone());
                 drop(l);
-                if let Ok(s) = connect(own, to, k::CONNECT_LIMIT).await {
+                if let Ok(s) = connect(own, to, constants::CONNECT_LIMIT).await {
                     Self::serve(&weak, s, hello, pushed.as_ref()).await;
                 }
-                tokio::time::sleep(k::RELINK_PAUSE).await;
+                tokio::time::sleep(constants::RELINK_PAUSE).await;
             }
         });
         *link.task.lock() = Some(task.abort_handle());
@@ -176,7 +176,7 @@
         pushed: Option<&tokio::sync::mpsc::Sender<Body>>,
     ) {
         let (r, w) = s.into_split();
-        let (tx, rx) = tokio::sync::mpsc::channel(k::LINK_BACKLOG);
+        let (tx, rx) = tokio::sync::mpsc::channel(constants::LINK_BACKLOG);
         let waiting: Waiting = Arc::default();
         let writer = tokio::spawn(write_loop(w, rx));
         let first = Frame { call: 0, answer: false, body: Some(Body::Hello(hello)) };
@@ -193,7 +193,7 @@
         loop {
             let f = tokio::select! {
                 f = read_frame(&mut r) => f,
-                () = async { while !writer.is_finished() { tokio::time::sleep(k::TCP_SILENCE).await } } => Err(LinkProblem::Down),
+                () = async { while !writer.is_finished() { tokio::time::sleep(constants::TCP_SILENCE).await } } => Err(LinkError::Down),
             };
             let Ok(f) = f else { break };
             let Some(l) = weak.upgrade() else { break };
@@ -229,34 +229,34 @@
         self.heard.lock().map(|t| t.elapsed())
     }
 
-    pub fn tell(&self, body: Body) -> Result<(), LinkProblem> {
+    pub fn tell(&self, body: Body) -> Result<(), LinkError> {
         let g = self.live.lock();
-        let live = g.as_ref().ok_or(LinkProblem::Down)?;
+        let live = g.as_ref().ok_or(LinkError::Down)?;
         live.tx
             .try_send(Frame { call: 0, answer: false, body: Some(body) })
-            .map_err(|_| LinkProblem::Down)
+            .map_err(|_| LinkError::Down)
     }
 
-    pub async fn call(&self, body: Body, limit: Duration) -> Result<Body, LinkProblem> {
+    pub async fn call(&self, body: Body, limit: Duration) -> Result<Body, LinkError> {
         let no = self.calls.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = tokio::sync::oneshot::channel();
         let waiting = {
             let g = self.live.lock();
-            let live = g.as_ref().ok_or(LinkProblem::Down)?;
+            let live = g.as_ref().ok_or(LinkError::Down)?;
             live.waiting.lock().insert(no, tx);
             let f = Frame { call: no, answer: false, body: Some(body) };
             if live.tx.try_send(f).is_err() {
                 live.waiting.lock().remove(&no);
-                return Err(LinkProblem::Down);
+                return Err(LinkError::Down);
             }
             live.waiting.clone()
         };
         match tokio::time::timeout(limit, rx).await {
             Ok(Ok(b)) => Ok(b),
-            Ok(Err(_)) => Err(LinkProblem::Down),
+            Ok(Err(_)) => Err(LinkError::Down),
             Err(_) => {
                 waiting.lock().remove(&no);
-                Err(LinkProblem::Late)
+                Err(LinkError::Late)
             }
         }
     }
@@ -264,16 +264,16 @@
 
 /// The other end, as the one who accepted it sees it.
 #[derive(Clone)]
-pub struct Origin {
+pub struct Peer {
     pub hello: Arc<crate::wire::Hello>,
     tx: tokio::sync::mpsc::Sender<Frame>,
 }
 
-impl Origin {
-    pub fn push(&self, body: Body) -> Result<(), LinkProblem> {
+impl Peer {
+    pub fn push(&self, body: Body) -> Result<(), LinkError> {
         self.tx
             .try_send(Frame { call: 0, answer: false, body: Some(body) })
-            .map_err(|_| LinkProblem::Down)
+            .map_err(|_| LinkError::Down)
     }
 
     pub fn is_closed(&self) -> bool {
@@ -282,20 +282,20 @@
 }
 
 pub trait Host: Send + Sync + 'static {
-    fn joined(self: &Arc<Self>, origin: &Origin);
-    fn left(self: &Arc<Self>, origin: &Origin);
+    fn joined(self: &Arc<Self>, peer: &Peer);
+    fn left(self: &Arc<Self>, peer: &Peer);
     fn answer(
         self: &Arc<Self>,
-        origin: &Origin,
+        peer: &Peer,
         body: Body,
     ) -> impl std::future::Future<Output = Option<Body>> + Send;
-    fn spoilt(self: &Arc<Self>, problem: &LinkProblem);
+    fn spoilt(self: &Arc<Self>, error: &LinkError);
 }
 
 pub async fn host<H: Host>(listener: tokio::net::TcpListener, host: Arc<H>) {
     loop {
         let Ok((s, _)) = listener.accept().await else {
-            tokio::time::sleep(k::RELINK_PAUSE).await;
+            tokio::time::sleep(constants::RELINK_PAUSE).await;
             continue;
         };
         if tame(&s).is_ok() {
@@ -307,31 +307,31 @@
 async fn host_one<H: Host>(s: tokio::net::TcpStream, host: Arc<H>) {
     let (r, w) = s.into_split();
     let mut r = tokio::io::BufReader::with_capacity(4096, r);
-    let first = tokio::time::timeout(k::TCP_SILENCE, read_frame(&mut r)).await;
+    let first = tokio::time::timeout(constants::TCP_SILENCE, read_frame(&mut r)).await;
     let Ok(Ok(Frame { body: Some(Body::Hello(hello)), .. })) = first else { return };
-    let (tx, rx) = tokio::sync::mpsc::channel(k::LINK_BACKLOG);
+    let (tx, rx) = tokio::sync::mpsc::channel(constants::LINK_BACKLOG);
     let writer = tokio::spawn(write_loop(w, rx));
-    let origin = Origin { hello: Arc::new(hello), tx };
-    host.joined(&origin);
+    let peer = Peer { hello: Arc::new(hello), tx };
+    host.joined(&peer);
     loop {
         let f = match read_frame(&mut r).await {
             Ok(f) => f,
             Err(e) => {
-                if !matches!(e, LinkProblem::Socket(_)) {
+                if !matches!(e, LinkError::Socket(_)) {
                     host.spoilt(&e);
                 }
                 break;
             }
         };
         let Some(body) = f.body else { continue };
-        let (host, origin) = (host.clone(), origin.clone());
+        let (host, peer) = (host.clone(), peer.clone());
         tokio::spawn(async move {
-            let Some(body) = host.answer(&origin, body).await else { return };
+            let Some(body) = host.answer(&peer, body).await else { return };
             if f.call != 0 {
-                let _ = origin.tx.try_send(Frame { call: f.call, answer: true, body: Some(body) });
+                let _ = peer.tx.try_send(Frame { call: f.call, answer: true, body: Some(body) });
             }
         });
     }
     writer.abort();
-    host.left(&origin);
+    host.left(&peer);
 }
--- a/crates/fleet-core/src/load.rs
+++ b/crates/fleet-core/src/load.rs
@@ -1,6 +1,6 @@
 //! Loads of engines, as routers and controllers add them up.
 
-use crate::constants as k;
+use crate::constants;
 use crate::wire::Loads;
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -40,7 +40,7 @@
     let mut out = Loads::default();
     for (key, l) in rows {
         out.keys.push(*key);
-        out.unread.push(l.unread.div_ceil(k::LOAD_TOKENS).min(u64::from(u32::MAX)) as u32);
+        out.unread.push(l.unread.div_ceil(constants::LOAD_TOKENS).min(u64::from(u32::MAX)) as u32);
         out.runs.push(l.runs);
         out.interactive.push(l.interactive);
     }
@@ -51,7 +51,7 @@
 pub fn unpack(l: &Loads) -> impl Iterator<Item = (u32, Load)> + '_ {
     let rows = l.keys.iter().zip(&l.unread).zip(&l.runs).zip(&l.interactive);
     rows.map(|(((key, unread), runs), interactive)| {
-        let unread = u64::from(*unread) * k::LOAD_TOKENS;
+        let unread = u64::from(*unread) * constants::LOAD_TOKENS;
         (*key, Load { unread, runs: *runs, interactive: *interactive })
     })
 }
@@ -68,7 +68,7 @@
     }
 
     pub fn sum(&mut self, now: tokio::time::Instant) -> ByEngine {
-        self.told.retain(|_, (at, _)| now.duration_since(*at) < k::LOAD_LIMIT);
+        self.told.retain(|_, (at, _)| now.duration_since(*at) < constants::LOAD_LIMIT);
         let mut out = ByEngine::default();
         for (_, l) in self.told.values() {
             for (key, l) in unpack(l) {
@@ -92,7 +92,7 @@
 impl Last {
     pub fn is_due(&mut self, now: tokio::time::Instant, l: &Loads) -> bool {
         let due = match &self.sent {
-            Some((at, was)) => was != l || now.duration_since(*at) >= k::LOAD_REFRESH,
+            Some((at, was)) => was != l || now.duration_since(*at) >= constants::LOAD_REFRESH,
             None => true,
         };
         if due {
--- a/crates/fleet-core/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -18,13 +18,13 @@
     Started = 100, Info, "started";
     Stopping = 101, Info, "stopping";
     Stopped = 102, Info, "stopped";
-    ParamsReread = 103, Info, "settings read again";
-    ParamsRejected = 104, Warning, "settings not usable, the former stay in force";
+    SettingsReread = 103, Info, "settings read again";
+    SettingsRejected = 104, Warning, "settings not usable, the former stay in force";
     Counters = 105, Info, "counters";
-    ListenProblem = 106, Error, "cannot listen";
+    ListenError = 106, Error, "cannot listen";
     DiskOpened = 200, Info, "disk opened";
     DiskEmpty = 201, Warning, "disk is empty, reading from the other members before voting";
-    DiskProblem = 202, Warning, "disk does not take writes";
+    DiskError = 202, Warning, "disk does not take writes";
     DiskMended = 203, Info, "disk takes writes again";
     SlotDamaged = 204, Warning, "a slot is damaged";
     Voting = 205, Info, "this member votes";
@@ -33,14 +33,14 @@
     OwnerLost = 211, Info, "gave a key away";
     ConfigTaken = 220, Info, "configuration taken";
     ConfigRejected = 221, Info, "configuration refused";
-    StampNamed = 222, Info, "weights named";
-    RosterMoved = 230, Info, "roster moved";
+    VersionNamed = 222, Info, "weights named";
+    MembershipMoved = 230, Info, "membership moved";
     Joining = 231, Info, "asking to join";
     DutyTaken = 240, Info, "duty taken";
     DutyLeft = 241, Info, "duty left";
     RollOrdered = 250, Info, "engine ordered to new weights";
     RollDone = 251, Info, "engine has new weights";
-    RollProblem = 252, Warning, "order not carried out";
+    RollError = 252, Warning, "order not carried out";
     EngineNew = 260, Info, "engine known";
     EngineDraining = 261, Info, "engine draining";
     EngineGone = 262, Info, "engine gone";
@@ -54,10 +54,10 @@
     Ready = 310, Info, "ready";
     Unready = 311, Info, "not ready";
     ConfigInForce = 320, Info, "configuration in force";
-    EngineProblem = 330, Info, "engine broke a connection";
+    EngineError = 330, Info, "engine broke a connection";
     AnswerSpoilt = 331, Info, "answer not passed on";
     EngineTakenIn = 333, Info, "engine taken in";
-    PassProblem = 332, Info, "request not answered by an engine";
+    PassError = 332, Info, "request not answered by an engine";
 }
 
 pub fn root(level: slog::Level, node: &str, role: &str) -> slog::Logger {
@@ -68,7 +68,7 @@
 }
 
 #[macro_export]
-macro_rules! note {
+macro_rules! log_event {
     ($log:expr, $event:expr $(, $k:literal => $v:expr)* $(,)?) => {{
         let e: $crate::log::Event = $event;
         match e.level() {
@@ -84,13 +84,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn catalogue_names_every_event() {
-        let page = include_str!("../../../docs/events.md");
-        for e in super::Event::ALL {
-            let row = format!("| {} | {} |", *e as u32, e.text());
-            assert!(page.contains(&row), "docs/events.md lacks `{row}`");
-        }
-    }
-}
+#[path = "log_tests.rs"]
+mod tests;
--- a/crates/fleet-core/src/node.rs
+++ b/crates/fleet-core/src/node.rs
@@ -15,17 +15,17 @@
     pub zone: String,
     pub ip: std::net::Ipv4Addr,
     pub role: Role,
-    pub life: u64,
+    pub incarnation: u64,
 }
 
 impl Node {
-    pub fn start(params: &crate::params::Params, role: Role) -> Node {
+    pub fn start(settings: &crate::settings::Settings, role: Role) -> Node {
         Node {
-            name: params.node_name.clone(),
-            zone: params.zone.clone(),
-            ip: params.ip,
+            name: settings.node_name.clone(),
+            zone: settings.zone.clone(),
+            ip: settings.ip,
             role,
-            life: fresh(),
+            incarnation: fresh(),
         }
     }
 
@@ -43,7 +43,7 @@
     h.finish() | 1
 }
 
-/// The same on every machine and in every life, unlike the tables' own hashes.
+/// The same on every machine and in every incarnation, unlike the tables' own hashes.
 pub fn stable_hash(parts: &[&[u8]]) -> u64 {
     let mut h: u64 = 0xcbf2_9ce4_8422_2325;
     for p in parts {
@@ -58,10 +58,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn stable_hash_tells_parts_apart() {
-        assert_ne!(super::stable_hash(&[b"ab", b"c"]), super::stable_hash(&[b"a", b"bc"]));
-        assert_eq!(super::stable_hash(&[b"ab"]), super::stable_hash(&[b"ab"]));
-    }
-}
+#[path = "node_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/fleet-core/src/node_tests.rs
@@ -0,0 +1,7 @@
+//! Tests of `node`.
+
+#[test]
+fn stable_hash_tells_parts_apart() {
+    assert_ne!(super::stable_hash(&[b"ab", b"c"]), super::stable_hash(&[b"a", b"bc"]));
+    assert_eq!(super::stable_hash(&[b"ab"]), super::stable_hash(&[b"ab"]));
+}
--- a/crates/fleet-core/src/program.rs
+++ b/crates/fleet-core/src/program.rs
@@ -1,8 +1,8 @@
 //! What both programs share: command line, settings, signals, runtime.
 
-use crate::constants as k;
+use crate::constants;
 use crate::log::Event;
-use crate::params::{Params, ParamsProblem};
+use crate::settings::{Settings, SettingsError};
 use gumdrop::Options;
 use std::process::ExitCode;
 
@@ -28,7 +28,7 @@
     pub version: &'static str,
     pub what: &'static str,
     /// settings that this program can't do without and that are missing
-    pub needs: fn(&Params) -> Vec<&'static str>,
+    pub needs: fn(&Settings) -> Vec<&'static str>,
 }
 
 const USAGE: u8 = 2;
@@ -38,10 +38,10 @@
 pub fn start<F, R, E>(about: About, run: F) -> ExitCode
 where
     F: FnOnce(
-        Params,
+        Settings,
         slog::Logger,
         tokio::sync::watch::Receiver<bool>,
-        tokio::sync::mpsc::Receiver<Params>,
+        tokio::sync::mpsc::Receiver<Settings>,
     ) -> R,
     R: Future<Output = Result<(), E>>,
     E: std::fmt::Display,
@@ -72,14 +72,14 @@
         eprintln!("{}: --log-level: `{}` is not a level", about.name, words.log_level);
         return ExitCode::from(USAGE);
     };
-    let loaded = words.settings.map_or_else(Params::path, Ok).and_then(|path| {
-        let p = Params::load(&path)?;
+    let loaded = words.settings.map_or_else(Settings::path, Ok).and_then(|path| {
+        let p = Settings::load(&path)?;
         if let Some(field) = (about.needs)(&p).first() {
-            return Err(ParamsProblem::Missing { field });
+            return Err(SettingsError::Missing { field });
         }
         Ok((path, p))
     });
-    let (path, params) = match loaded {
+    let (path, settings) = match loaded {
         Ok(x) => x,
         Err(e) => {
             eprintln!("{}: {e}", about.name);
@@ -90,11 +90,11 @@
         println!("{path}: usable");
         return ExitCode::SUCCESS;
     }
-    let log = crate::log::root(level, &params.node_name, about.name);
+    let log = crate::log::root(level, &settings.node_name, about.name);
     let built = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(params.cores)
+        .worker_threads(settings.cores)
         .max_blocking_threads(1)
-        .thread_stack_size(k::STACK_BYTES)
+        .thread_stack_size(constants::STACK_BYTES)
         .enable_all()
         .build();
     let rt = match built {
@@ -105,13 +105,13 @@
         }
     };
     let out = rt.block_on(async {
-        let (stop, reread) = watch_signals(path, params.clone(), about.needs, log.clone());
-        run(params, log.clone(), stop, reread).await
+        let (stop, reread) = watch_signals(path, settings.clone(), about.needs, log.clone());
+        run(settings, log.clone(), stop, reread).await
     });
     rt.shutdown_background();
     match out {
         Ok(()) => {
-            crate::note!(log, Event::Stopped);
+            crate::log_event!(log, Event::Stopped);
             ExitCode::SUCCESS
         }
         Err(e) => {
@@ -121,13 +121,13 @@
     }
 }
 
-type Watched = (tokio::sync::watch::Receiver<bool>, tokio::sync::mpsc::Receiver<Params>);
+type Watched = (tokio::sync::watch::Receiver<bool>, tokio::sync::mpsc::Receiver<Settings>);
 
 /// SIGTERM stops; SIGHUP and a slow schedule read the settings again.
 fn watch_signals(
     path: String,
-    first: Params,
-    needs: fn(&Params) -> Vec<&'static str>,
+    first: Settings,
+    needs: fn(&Settings) -> Vec<&'static str>,
     log: slog::Logger,
 ) -> Watched {
     use tokio::signal::unix::{SignalKind, signal};
@@ -148,15 +148,15 @@
                 _ = term.recv() => break,
                 _ = int.recv() => break,
                 _ = hup.recv() => {}
-                () = tokio::time::sleep(k::PARAMS_REREAD) => {}
+                () = tokio::time::sleep(constants::SETTINGS_REREAD) => {}
             }
-            let read = Params::load(&path).and_then(|p| match needs(&p).first() {
-                Some(field) => Err(ParamsProblem::Missing { field }),
+            let read = Settings::load(&path).and_then(|p| match needs(&p).first() {
+                Some(field) => Err(SettingsError::Missing { field }),
                 None => Ok(p),
             });
             match read {
                 Ok(p) if p != now => {
-                    crate::note!(log, Event::ParamsReread);
+                    crate::log_event!(log, Event::SettingsReread);
                     last.clear();
                     now = p.clone();
                     let _ = tx.send(p).await;
@@ -165,7 +165,7 @@
                 Err(e) => {
                     let text = e.to_string();
                     if text != last {
-                        crate::note!(log, Event::ParamsRejected, "why" => &text);
+                        crate::log_event!(log, Event::SettingsRejected, "why" => &text);
                         last = text;
                     }
                 }
--- a/crates/fleet-core/src/params.rs
+++ b/crates/fleet-core/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 #[derive(Debug, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
-pub enum ParamsProblem {
+pub enum SettingsError {
     /// the variable ANISEDYKE_SETTINGS names no settings file
     Unnamed,
     /// the settings file {0} can't be read: {1}
@@ -23,7 +23,7 @@
     pub grace: Duration,
     pub apply: Duration,
     pub lease: Duration,
-    pub stamp: Duration,
+    pub version: Duration,
     pub contact: Duration,
     pub retry_ratio: f64,
     pub retry_window: Duration,
@@ -31,7 +31,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq)]
-pub struct Params {
+pub struct Settings {
     pub node_name: String,
     pub role: String,
     pub ip: Ipv4Addr,
@@ -58,7 +58,7 @@
 }
 
 impl<'a> Lines<'a> {
-    fn parse(text: &'a str) -> Result<Self, ParamsProblem> {
+    fn parse(text: &'a str) -> Result<Self, SettingsError> {
         let mut pairs = hashbrown::HashMap::new();
         for (i, raw) in text.lines().enumerate() {
             let line = raw.trim();
@@ -66,7 +66,7 @@
                 continue;
             }
             let Some((k, v)) = line.split_once('=') else {
-                return Err(ParamsProblem::NoPair { line: i + 1 });
+                return Err(SettingsError::NoPair { line: i + 1 });
             };
             pairs.insert(k.trim(), (i + 1, v.trim()));
         }
@@ -77,11 +77,11 @@
         &self,
         field: &'static str,
         wanted: &'static str,
-    ) -> Result<Option<T>, ParamsProblem> {
+    ) -> Result<Option<T>, SettingsError> {
         let Some((line, v)) = self.pairs.get(field) else { return Ok(None) };
         match v.parse() {
             Ok(t) => Ok(Some(t)),
-            Err(_) => Err(ParamsProblem::Malformed {
+            Err(_) => Err(SettingsError::Malformed {
                 line: *line,
                 field: field.to_owned(),
                 value: (*v).to_owned(),
@@ -94,8 +94,8 @@
         &self,
         field: &'static str,
         wanted: &'static str,
-    ) -> Result<T, ParamsProblem> {
-        self.opt(field, wanted)?.ok_or(ParamsProblem::Missing { field })
+    ) -> Result<T, SettingsError> {
+        self.opt(field, wanted)?.ok_or(SettingsError::Missing { field })
     }
 
     fn span(
@@ -103,11 +103,11 @@
         field: &'static str,
         unit_ms: f64,
         default: f64,
-    ) -> Result<Duration, ParamsProblem> {
+    ) -> Result<Duration, SettingsError> {
         let v: f64 = self.opt(field, "a number")?.unwrap_or(default);
         if !(v.is_finite() && (0.0..1e9).contains(&v)) {
             let (line, value) = self.pairs[field];
-            return Err(ParamsProblem::Malformed {
+            return Err(SettingsError::Malformed {
                 line,
                 field: field.to_owned(),
                 value: value.to_owned(),
@@ -118,16 +118,16 @@
     }
 }
 
-impl Params {
-    pub fn parse(text: &str) -> Result<Params, ParamsProblem> {
+impl Settings {
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
         let l = Lines::parse(text)?;
         let (line, range) =
-            *l.pairs.get("portRange").ok_or(ParamsProblem::Missing { field: "portRange" })?;
+            *l.pairs.get("portRange").ok_or(SettingsError::Missing { field: "portRange" })?;
         let ports = range
             .split_once(',')
             .and_then(|(a, b)| Some((a.trim().parse().ok()?, b.trim().parse().ok()?)))
             .filter(|(a, b): &(u16, u16)| a < b)
-            .ok_or(ParamsProblem::Malformed {
+            .ok_or(SettingsError::Malformed {
                 line,
                 field: "portRange".to_owned(),
                 value: range.to_owned(),
@@ -137,7 +137,7 @@
         if let Some((line, v)) = l.pairs.get("seeds") {
             for s in v.split(',').map(str::trim).filter(|s| !s.is_empty()) {
                 let Ok(a) = s.parse() else {
-                    return Err(ParamsProblem::Malformed {
+                    return Err(SettingsError::Malformed {
                         line: *line,
                         field: "seeds".to_owned(),
                         value: s.to_owned(),
@@ -155,7 +155,7 @@
         zones.sort();
         let ratio: f64 = l.opt("bounds.retryRatio", "a number")?.unwrap_or(0.0);
         let slack: f64 = l.opt("bounds.retrySlack", "a number")?.unwrap_or(0.0);
-        Ok(Params {
+        Ok(Settings {
             node_name: l.must("nodeName", "a name")?,
             role: l.opt("role", "a name")?.unwrap_or_default(),
             ip: l.must("ip", "an IPv4 address")?,
@@ -178,7 +178,7 @@
                 grace: l.span("bounds.graceS", 1000.0, 8.0)?,
                 apply: l.span("bounds.applyMs", 1.0, 2000.0)?,
                 lease: l.span("bounds.leaseMs", 1.0, 3000.0)?,
-                stamp: l.span("bounds.versionMs", 1.0, 8000.0)?,
+                version: l.span("bounds.versionMs", 1.0, 8000.0)?,
                 contact: l.span("bounds.contactMs", 1.0, 3000.0)?,
                 retry_ratio: ratio,
                 retry_window: l.span("bounds.retryWindowS", 1000.0, 10.0)?,
@@ -187,14 +187,14 @@
         })
     }
 
-    pub fn load(path: &str) -> Result<Params, ParamsProblem> {
+    pub fn load(path: &str) -> Result<Settings, SettingsError> {
         let text = std::fs::read_to_string(path)
-            .map_err(|e| ParamsProblem::Unreadable(path.to_owned(), e.to_string()))?;
+            .map_err(|e| SettingsError::Unreadable(path.to_owned(), e.to_string()))?;
         Self::parse(&text)
     }
 
-    pub fn path() -> Result<String, ParamsProblem> {
-        std::env::var("ANISEDYKE_SETTINGS").map_err(|_| ParamsProblem::Unnamed)
+    pub fn path() -> Result<String, SettingsError> {
+        std::env::var("ANISEDYKE_SETTINGS").map_err(|_| SettingsError::Unnamed)
     }
 
     pub fn peer_port(&self) -> u16 {
@@ -211,31 +211,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const GOOD: &str = "nodeName=n1\nip=10.0.0.1\nzone=z\nportRange=100,110\nseeds=10.0.0.1:80,10.0.0.2:80\nnew.field=7\nzones.z=r\nbounds.leaseMs=1500\n";
-
-    #[test]
-    fn reads_what_it_knows_and_ignores_the_rest() {
-        let p = Params::parse(GOOD).unwrap();
-        assert_eq!(p.node_name, "n1");
-        assert_eq!(p.seeds.len(), 2);
-        assert_eq!(p.bounds.lease, Duration::from_millis(1500));
-        assert_eq!(p.zones, vec![("z".to_owned(), "r".to_owned())]);
-        assert!(!p.bootstrap);
-    }
-
-    #[test]
-    fn names_field_and_line_of_what_is_wrong() {
-        let bad = GOOD.replace("ip=10.0.0.1", "ip=ten");
-        let e = Params::parse(&bad).unwrap_err();
-        assert_eq!(e.to_string(), "line 2: ip: `ten` is not an IPv4 address");
-        let e = Params::parse(&GOOD.replace("nodeName=n1\n", "")).unwrap_err();
-        assert_eq!(e, ParamsProblem::Missing { field: "nodeName" });
-        let e = Params::parse(&GOOD.replace("100,110", "110,100")).unwrap_err();
-        assert!(matches!(e, ParamsProblem::Malformed { line: 4, .. }));
-        let e = Params::parse("nodeName\n").unwrap_err();
-        assert_eq!(e, ParamsProblem::NoPair { line: 1 });
-    }
-}
+#[path = "settings_tests.rs"]
+mod tests;
--- a/crates/fleet-core/src/wire.rs
+++ b/crates/fleet-core/src/wire.rs
@@ -38,7 +38,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct Roster {
+pub struct Membership {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     #[prost(message, repeated, tag = "2")]
@@ -60,7 +60,7 @@
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Taken {
     #[prost(uint64, tag = "1")]
-    pub stamp: u64,
+    pub version: u64,
     #[prost(uint64, tag = "2")]
     pub digest: u64,
 }
@@ -68,19 +68,19 @@
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ConfigValue {
     #[prost(uint64, tag = "1")]
-    pub stamp: u64,
+    pub version: u64,
     #[prost(bytes = "bytes", tag = "2")]
     pub body: bytes::Bytes,
     #[prost(message, repeated, tag = "3")]
     pub taken: Vec<Taken>,
     #[prost(uint64, tag = "4")]
-    pub wall: u64,
+    pub isolation: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct WeightsValue {
     #[prost(uint64, tag = "1")]
-    pub stamp: u64,
+    pub version: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -102,7 +102,7 @@
     #[prost(uint32, tag = "4")]
     pub role: u32,
     #[prost(uint64, tag = "5")]
-    pub life: u64,
+    pub incarnation: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -110,11 +110,11 @@
     #[prost(string, tag = "1")]
     pub key: String,
     #[prost(uint64, tag = "2")]
-    pub roster: u64,
+    pub membership: u64,
     #[prost(message, required, tag = "3")]
     pub ballot: Ballot,
     #[prost(uint64, tag = "4")]
-    pub era: u64,
+    pub recovery_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -122,13 +122,13 @@
     #[prost(string, tag = "1")]
     pub key: String,
     #[prost(uint64, tag = "2")]
-    pub roster: u64,
+    pub membership: u64,
     #[prost(message, required, tag = "3")]
     pub ballot: Ballot,
     #[prost(bytes = "bytes", tag = "4")]
     pub value: bytes::Bytes,
     #[prost(uint64, tag = "5")]
-    pub era: u64,
+    pub recovery_epoch: u64,
 }
 
 /// Answer to Prepare and Accept.
@@ -139,15 +139,15 @@
     #[prost(message, optional, tag = "2")]
     pub register: Option<Register>,
     #[prost(message, optional, tag = "3")]
-    pub roster: Option<Roster>,
+    pub membership: Option<Membership>,
     #[prost(uint64, tag = "4")]
-    pub era: u64,
+    pub recovery_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Peek {
     #[prost(uint64, tag = "1")]
-    pub roster: u64,
+    pub membership: u64,
     #[prost(bool, tag = "2")]
     pub values: bool,
 }
@@ -159,21 +159,21 @@
     #[prost(message, repeated, tag = "2")]
     pub registers: Vec<Register>,
     #[prost(message, optional, tag = "3")]
-    pub roster: Option<Roster>,
+    pub membership: Option<Membership>,
     #[prost(uint64, tag = "4")]
-    pub era: u64,
+    pub recovery_epoch: u64,
 }
 
-/// An empty disk asks for all, and ends what its former life had on the way: whoever answers is in
-/// the new era, and votes in no earlier one.
+/// An empty disk asks for all, and ends what its former incarnation had on the way: whoever answers is in
+/// the new recovery_epoch, and votes in no earlier one.
 #[derive(Clone, PartialEq, Message)]
 pub struct Recover {
     #[prost(uint64, tag = "1")]
-    pub roster: u64,
+    pub membership: u64,
     #[prost(uint64, tag = "2")]
-    pub life: u64,
+    pub incarnation: u64,
     #[prost(uint64, tag = "3")]
-    pub era: u64,
+    pub recovery_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -212,7 +212,7 @@
     #[prost(message, tag = "1")]
     Replace(ReplaceConfig),
     #[prost(message, tag = "2")]
-    Name(NameStamp),
+    Name(NameVersion),
     #[prost(message, tag = "3")]
     Raise(RaiseFence),
 }
@@ -222,17 +222,17 @@
     #[prost(uint64, tag = "1")]
     pub base: u64,
     #[prost(uint64, tag = "2")]
-    pub stamp: u64,
+    pub version: u64,
     #[prost(bytes = "bytes", tag = "3")]
     pub body: bytes::Bytes,
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct NameStamp {
+pub struct NameVersion {
     #[prost(string, tag = "1")]
     pub model: String,
     #[prost(uint64, tag = "2")]
-    pub stamp: u64,
+    pub version: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -269,13 +269,13 @@
     #[prost(string, tag = "1")]
     pub duty: String,
     #[prost(uint64, tag = "2")]
-    pub life: u64,
+    pub incarnation: u64,
     #[prost(uint64, tag = "3")]
     pub ms: u64,
     /// gives it back
     #[prost(bool, tag = "4")]
     pub leave: bool,
-    /// a new life of the same node may stand in for the one before it at once
+    /// a new incarnation of the same node may stand in for the one before it at once
     #[prost(string, tag = "5")]
     pub node: String,
 }
@@ -291,7 +291,7 @@
     #[prost(string, tag = "1")]
     pub model: String,
     #[prost(uint64, tag = "2")]
-    pub stamp: u64,
+    pub version: u64,
 }
 
 /// What is known of an engine; the highest call of an instance wins.
@@ -344,7 +344,7 @@
 pub struct Join {
     #[prost(message, required, tag = "1")]
     pub member: Member,
-    /// has no disk: wants to know the roster, never to be in it
+    /// has no disk: wants to know the membership, never to be in it
     #[prost(bool, tag = "2")]
     pub observes: bool,
 }
@@ -352,14 +352,14 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Joined {
     #[prost(message, optional, tag = "1")]
-    pub roster: Option<Roster>,
+    pub membership: Option<Membership>,
 }
 
-/// A router tells that it lives, and what it has.
+/// A router tells that it incarnations, and what it has.
 #[derive(Clone, PartialEq, Message)]
 pub struct Alive {
     #[prost(uint64, tag = "1")]
-    pub stamp: u64,
+    pub version: u64,
     #[prost(bool, tag = "2")]
     pub leaving: bool,
 }
@@ -386,7 +386,7 @@
     #[prost(string, tag = "1")]
     pub model: String,
     #[prost(uint64, tag = "2")]
-    pub stamp: u64,
+    pub version: u64,
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
 }
@@ -395,7 +395,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct View {
     #[prost(message, optional, tag = "1")]
-    pub roster: Option<Roster>,
+    pub membership: Option<Membership>,
     #[prost(uint64, tag = "2")]
     pub config: u64,
     #[prost(message, repeated, tag = "3")]
@@ -416,7 +416,7 @@
     #[prost(uint64, tag = "1")]
     pub fence: u64,
     #[prost(uint64, tag = "2")]
-    pub life: u64,
+    pub incarnation: u64,
     #[prost(uint64, tag = "3")]
     pub head: u64,
     #[prost(string, tag = "4")]
@@ -431,7 +431,7 @@
     #[prost(uint64, tag = "1")]
     pub fence: u64,
     #[prost(uint64, tag = "2")]
-    pub life: u64,
+    pub incarnation: u64,
     #[prost(uint64, tag = "3")]
     pub cursor: u64,
     #[prost(uint64, tag = "4")]
@@ -478,9 +478,9 @@
     /// all kept under older weights of a model
     #[prost(message, tag = "4")]
     Weights(Weights),
-    /// all kept under older generations of the shared wall
+    /// all kept under older generations of the shared isolation
     #[prost(uint64, tag = "5")]
-    Wall(u64),
+    Isolation(u64),
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
--- a/crates/fleet-core/tests/load.rs
+++ b/crates/fleet-core/tests/load.rs
@@ -1,6 +1,6 @@
 //! Loads of engines, added up over routers and controllers.
 
-use fleet_core::constants as k;
+use fleet_core::constants;
 use fleet_core::load::{Book, ByEngine, Last, Load, key_of, pack, unpack};
 use tokio::time::Instant;
 
@@ -34,11 +34,11 @@
     let mut b = Book::default();
     b.hear(1, t, pack(&one("e", load(64, 1))));
     b.hear(2, t, pack(&one("e", load(64, 9))));
-    b.hear(2, t + k::LOAD_REFRESH, pack(&one("e", load(64, 2))));
-    assert_eq!(b.sum(t + k::LOAD_REFRESH)[&key_of("e")].runs, 3);
-    assert_eq!(b.sum(t + k::LOAD_LIMIT)[&key_of("e")].runs, 2);
+    b.hear(2, t + constants::LOAD_REFRESH, pack(&one("e", load(64, 2))));
+    assert_eq!(b.sum(t + constants::LOAD_REFRESH)[&key_of("e")].runs, 3);
+    assert_eq!(b.sum(t + constants::LOAD_LIMIT)[&key_of("e")].runs, 2);
     assert_eq!(b.tellers().collect::<Vec<_>>(), [2]);
-    assert!(b.sum(t + k::LOAD_LIMIT * 2).is_empty());
+    assert!(b.sum(t + constants::LOAD_LIMIT * 2).is_empty());
 }
 
 #[test]
@@ -47,7 +47,7 @@
     let mut last = Last::default();
     let (a, b) = (pack(&one("e", load(64, 1))), pack(&one("e", load(64, 2))));
     assert!(last.is_due(t, &a));
-    assert!(!last.is_due(t + k::LOAD_PAUSE, &a));
-    assert!(last.is_due(t + k::LOAD_PAUSE, &b));
-    assert!(last.is_due(t + k::LOAD_PAUSE + k::LOAD_REFRESH, &b));
+    assert!(!last.is_due(t + constants::LOAD_PAUSE, &a));
+    assert!(last.is_due(t + constants::LOAD_PAUSE, &b));
+    assert!(last.is_due(t + constants::LOAD_PAUSE + constants::LOAD_REFRESH, &b));
 }
--- a/crates/fleet-core/tests/sizes.rs
+++ b/crates/fleet-core/tests/sizes.rs
@@ -39,7 +39,7 @@
                 address: "10.128.100.100:8080".into(),
                 zone: "zone-a".into(),
                 slots: 12,
-                weights: vec![Weights { model: "daka510000".into(), stamp: 2 }],
+                weights: vec![Weights { model: "daka510000".into(), version: 2 }],
                 ..Default::default()
             })
             .collect(),
--- a/crates/fleetctl/src/ask.rs
+++ b/crates/fleetctl/src/ask.rs
@@ -7,7 +7,7 @@
 const REDIRECTS: usize = 2;
 
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum AskProblem {
+pub enum AskError {
     /// no node answered: {0}
     Unreachable(String),
     /// {0}: the answer can't be read: {1}
@@ -59,7 +59,7 @@
     path: &str,
     limit: Duration,
     good: &[u16],
-) -> Result<(SocketAddr, u16, Vec<u8>), AskProblem> {
+) -> Result<(SocketAddr, u16, Vec<u8>), AskError> {
     let mut why = Vec::new();
     for n in nodes {
         match get(*n, path, limit).await {
@@ -68,7 +68,7 @@
             Err(e) => why.push(e),
         }
     }
-    Err(AskProblem::Unreachable(why.join("; ")))
+    Err(AskError::Unreachable(why.join("; ")))
 }
 
 /// What each node answers, one after the other.
@@ -94,15 +94,15 @@
     pub fleet: Fleet,
 }
 
-pub async fn look(nodes: &[SocketAddr], limit: Duration) -> Result<AsItIs, AskProblem> {
+pub async fn look(nodes: &[SocketAddr], limit: Duration) -> Result<AsItIs, AskError> {
     let (at, _, body) = first_of(nodes, "/anisedyke/Fleet.Look", limit, &[200]).await?;
     let fleet: Fleet =
-        serde_json::from_slice(&body).map_err(|e| AskProblem::Malformed(at, e.to_string()))?;
+        serde_json::from_slice(&body).map_err(|e| AskError::Malformed(at, e.to_string()))?;
     if fleet.revision == 0 {
         return Ok(AsItIs { in_force: None, fleet });
     }
     let (at, _, body) = first_of(nodes, "/anisedyke/Config.Fetch", limit, &[200]).await?;
     let in_force = fleet_core::configuration::Configuration::read(&body)
-        .map_err(|e| AskProblem::Malformed(at, e.to_string()))?;
+        .map_err(|e| AskError::Malformed(at, e.to_string()))?;
     Ok(AsItIs { in_force: Some(in_force), fleet })
 }
--- a/crates/fleetctl/src/rollout.rs
+++ b/crates/fleetctl/src/rollout.rs
@@ -1,6 +1,6 @@
 //! How a roll-out of weights stands, for people and for programs.
 
-use crate::ask::{AskProblem, answers};
+use crate::ask::{AskError, answers};
 use crate::report;
 pub use control_plane::duties::rollout::look::State;
 use std::net::SocketAddr;
@@ -99,7 +99,7 @@
 }
 
 /// The view of the node that carries the roll-out out; any other's where that one can't be reached.
-pub async fn ask(nodes: &[SocketAddr], limit: Duration) -> Result<Rollout, AskProblem> {
+pub async fn ask(nodes: &[SocketAddr], limit: Duration) -> Result<Rollout, AskError> {
     let mut best: Option<Rollout> = None;
     let mut why = Vec::new();
     for (at, got) in answers(nodes, "/anisedyke/Rollout.Look", limit).await {
@@ -110,5 +110,5 @@
             Err(e) => why.push(e),
         }
     }
-    best.ok_or_else(|| AskProblem::Unreachable(why.join("; ")))
+    best.ok_or_else(|| AskError::Unreachable(why.join("; ")))
 }
--- a/crates/fleetctl/tests/ask.rs
+++ b/crates/fleetctl/tests/ask.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 
-use fleetctl::ask::{AskProblem, look};
+use fleetctl::ask::{AskError, look};
 use stand::{node, nowhere, ok};
 use std::time::Duration;
 
@@ -32,14 +32,14 @@
 #[tokio::test]
 async fn no_node_and_nonsense_are_told_apart() {
     let down = look(&[nowhere()], LIMIT).await.err();
-    assert!(matches!(down, Some(AskProblem::Unreachable(_))));
+    assert!(matches!(down, Some(AskError::Unreachable(_))));
     let loops = node(|h| {
         let host = h.lines().find_map(|l| l.strip_prefix("host: ")).unwrap_or_default().to_owned();
         format!("HTTP/1.1 307 Go\r\nLocation: http://{host}/x\r\nContent-Length: 0\r\n\r\n")
     })
     .await;
-    assert!(matches!(look(&[loops], LIMIT).await.err(), Some(AskProblem::Unreachable(_))));
+    assert!(matches!(look(&[loops], LIMIT).await.err(), Some(AskError::Unreachable(_))));
     let nonsense = node(|_| ok("nonsense")).await;
     let got = look(&[nonsense], LIMIT).await.err();
-    assert!(matches!(got, Some(AskProblem::Malformed(at, _)) if at == nonsense));
+    assert!(matches!(got, Some(AskError::Malformed(at, _)) if at == nonsense));
 }
--- a/crates/fleetctl/tests/rollout.rs
+++ b/crates/fleetctl/tests/rollout.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 
-use fleetctl::ask::AskProblem;
+use fleetctl::ask::AskError;
 use fleetctl::rollout::{Rollout, ask};
 use stand::{nowhere, ok};
 use std::net::SocketAddr;
@@ -46,10 +46,10 @@
 }
 
 #[tokio::test]
-async fn nobody_to_ask_is_a_problem_that_names_each() {
+async fn nobody_to_ask_is_a_error_that_names_each() {
     let garbled = node("[]".to_owned()).await;
     let gone = nowhere();
-    let Err(AskProblem::Unreachable(why)) = ask(&[gone, garbled], LIMIT).await else {
+    let Err(AskError::Unreachable(why)) = ask(&[gone, garbled], LIMIT).await else {
         panic!("nobody answered well");
     };
     assert!(why.contains(&gone.to_string()) && why.contains("can't be read"), "{why}");
--- a/crates/invalidation/src/cache.rs
+++ b/crates/invalidation/src/cache.rs
@@ -17,12 +17,12 @@
 }
 
 pub fn is_older(salt: &str, w: &fleet_core::wire::Weights) -> bool {
-    crate::view::read_salt(salt).is_some_and(|s| s.model == w.model && s.stamp < w.stamp)
+    crate::view::read_salt(salt).is_some_and(|s| s.model == w.model && s.version < w.version)
 }
 
 pub fn is_walled_before(salt: &str, generation: u64) -> bool {
-    let wall = crate::view::read_salt(salt).and_then(|s| s.wall);
-    wall.is_some_and(|w| w < generation)
+    let isolation = crate::view::read_salt(salt).and_then(|s| s.isolation);
+    isolation.is_some_and(|w| w < generation)
 }
 
 /// Applies one entry; false if it is out of scope.
@@ -36,7 +36,7 @@
         }
         Some(Purge::Holder(h)) => c.drop_holder(h),
         Some(Purge::Weights(w)) => c.drop_salts(&|s| is_older(s, w)),
-        Some(Purge::Wall(g)) => c.drop_salts(&|s| is_walled_before(s, *g)),
+        Some(Purge::Isolation(g)) => c.drop_salts(&|s| is_walled_before(s, *g)),
         None => {}
     }
     c.derive(e);
--- a/crates/invalidation/src/view.rs
+++ b/crates/invalidation/src/view.rs
@@ -15,26 +15,26 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Salt {
     pub model: String,
-    pub stamp: u64,
-    pub wall: Option<u64>,
+    pub version: u64,
+    pub isolation: Option<u64>,
 }
 
-/// The salt names weights and wall, so that an entry can void all kept under it.
-pub fn salt_text(model: &str, stamp: u64, wall: &str) -> String {
-    format!("{model}|{stamp}|{wall}")
+/// The salt names weights and isolation, so that an entry can void all kept under it.
+pub fn salt_text(model: &str, version: u64, isolation: &str) -> String {
+    format!("{model}|{version}|{isolation}")
 }
 
-pub fn shared_wall(generation: u64) -> String {
+pub fn shared_isolation(generation: u64) -> String {
     format!("#{generation}")
 }
 
 pub fn read_salt(text: &str) -> Option<Salt> {
     let mut it = text.splitn(3, '|');
-    let (model, stamp, wall) = (it.next()?, it.next()?, it.next()?);
+    let (model, version, isolation) = (it.next()?, it.next()?, it.next()?);
     Some(Salt {
         model: model.to_owned(),
-        stamp: stamp.parse().ok()?,
-        wall: wall.strip_prefix('#').and_then(|g| g.parse().ok()),
+        version: version.parse().ok()?,
+        isolation: isolation.strip_prefix('#').and_then(|g| g.parse().ok()),
     })
 }
 
@@ -44,7 +44,7 @@
 }
 
 #[derive(Default)]
-struct Shelf {
+struct PrefixView {
     parts: hashbrown::HashMap<Part, Kept, ahash::RandomState>,
 }
 
@@ -52,7 +52,7 @@
 
 /// The view of one reader.
 pub struct View {
-    holders: hashbrown::HashMap<String, Shelf, ahash::RandomState>,
+    holders: hashbrown::HashMap<String, PrefixView, ahash::RandomState>,
     salts: Vec<String>,
     numbers: hashbrown::HashMap<String, u32, ahash::RandomState>,
     clock: u64,
@@ -95,16 +95,16 @@
         let n = self.number(salt);
         self.clock += 1;
         let used = self.clock;
-        let shelf = self.holders.entry_ref(holder).or_default();
+        let prefix_view = self.holders.entry_ref(holder).or_default();
         for p in parts {
-            shelf.parts.insert(part_of(salt, p), Kept { salt: n, used });
+            prefix_view.parts.insert(part_of(salt, p), Kept { salt: n, used });
         }
-        if shelf.parts.len() > self.most {
-            let mut ages: Vec<u64> = shelf.parts.values().map(|k| k.used).collect();
+        if prefix_view.parts.len() > self.most {
+            let mut ages: Vec<u64> = prefix_view.parts.values().map(|k| k.used).collect();
             let cut = ages.len() / 4;
             let (_, edge, _) = ages.select_nth_unstable(cut);
             let edge = *edge;
-            shelf.parts.retain(|_, k| k.used > edge);
+            prefix_view.parts.retain(|_, k| k.used > edge);
         }
     }
 
@@ -153,7 +153,7 @@
         }
     }
 
-    /// An overrun reader, or one that sees another life of the ring, starts from nothing.
+    /// An overrun reader, or one that sees another incarnation of the ring, starts from nothing.
     fn reset(&mut self) {
         self.holders.clear();
         self.salts.clear();
@@ -169,68 +169,5 @@
 }
 
 #[cfg(all(test, not(feature = "checker")))]
-mod tests {
-    use super::*;
-    use fleet_core::wire::{PartAt, Purge};
-
-    fn entry(what: Purge) -> RingEntry {
-        RingEntry { scope: 0, what: Some(what) }
-    }
-
-    #[test]
-    fn entries_unlearn_what_they_name_and_nothing_else() {
-        let (a, b) = (salt_text("m", 1, "#1"), salt_text("m", 2, "t"));
-        let mut v = View::new(100);
-        let fill = |v: &mut View| {
-            v.learn("e1", &a, [1, 2].into_iter());
-            v.learn("e1", &b, [1].into_iter());
-            v.learn("e2", &a, [1].into_iter());
-        };
-        fill(&mut v);
-        v.apply(
-            &entry(Purge::Part(PartAt { holder: "e1".into(), salt: a.clone(), part: 1, kept: 0 })),
-            |_| true,
-        );
-        assert!(!v.holds("e1", part_of(&a, 1)));
-        assert!(v.holds("e1", part_of(&a, 2)) && v.holds("e1", part_of(&b, 1)));
-        v.apply(
-            &entry(Purge::Weights(fleet_core::wire::Weights { model: "m".into(), stamp: 2 })),
-            |_| true,
-        );
-        assert!(!v.holds("e1", part_of(&a, 2)) && !v.holds("e2", part_of(&a, 1)));
-        assert!(v.holds("e1", part_of(&b, 1)));
-        fill(&mut v);
-        v.apply(&entry(Purge::Wall(2)), |_| true);
-        assert!(!v.holds("e2", part_of(&a, 1)) && v.holds("e1", part_of(&b, 1)));
-        v.apply(&entry(Purge::Holder("e1".into())), |_| true);
-        assert!(!v.holds("e1", part_of(&b, 1)));
-    }
-
-    #[test]
-    fn out_of_scope_is_skipped_and_derived_views_hear_afterwards() {
-        let heard = std::sync::Arc::new(std::sync::atomic::AtomicU64::new(0));
-        let mut v = View::new(100);
-        let h = heard.clone();
-        v.on_purge(Box::new(move |_| {
-            h.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        }));
-        v.learn("e", "m|1|#1", [1].into_iter());
-        let mut e = entry(Purge::Holder("e".into()));
-        e.scope = 9;
-        v.apply(&e, |s| s == 8);
-        assert!(v.holds("e", part_of("m|1|#1", 1)));
-        v.apply(&e, |s| s == 9);
-        assert!(!v.holds("e", part_of("m|1|#1", 1)));
-        assert_eq!(heard.load(std::sync::atomic::Ordering::Relaxed), 1);
-    }
-
-    #[test]
-    fn shelf_is_bounded_and_drops_the_longest_unused() {
-        let mut v = View::new(8);
-        for i in 0..20 {
-            v.learn("e", "m|1|#1", [i].into_iter());
-        }
-        assert!(v.holders["e"].parts.len() <= 8);
-        assert!(v.holds("e", part_of("m|1|#1", 19)) && !v.holds("e", part_of("m|1|#1", 0)));
-    }
-}
+#[path = "view_tests.rs"]
+mod tests;
--- a/crates/prompt-index/src/cell.rs
+++ b/crates/prompt-index/src/cell.rs
@@ -1,4 +1,4 @@
-//! One cell of at most 256 holders: its shards, who is alive, and the life of holders' numbers.
+//! One cell of at most 256 holders: its shards, who is alive, and the incarnation of holders' numbers.
 //! Events are idempotent: told twice, or by several feeders, they leave the same state.
 
 use crate::alive::Alive;
@@ -10,7 +10,7 @@
 use crate::tier::Tiers;
 use smallvec::SmallVec;
 
-/// A holder's number in one of its lives: late events of a former life fit no more.
+/// A holder's number in one of its incarnations: late events of a former incarnation fit no more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct HolderNo {
     pub index: u8,
--- a/crates/prompt-index/src/chain.rs
+++ b/crates/prompt-index/src/chain.rs
@@ -1,6 +1,6 @@
 //! Cumulative hashes: each block's names its own content and all that goes before it.
 
-use fleet_core::constants as k;
+use fleet_core::constants;
 use smallvec::SmallVec;
 
 /// One block of a prompt. `raw` names the block alone, `hash` the whole prefix up to it.
@@ -22,7 +22,7 @@
     x ^ (x >> 33)
 }
 
-/// Weights and wall stand in the salt, so they seed chains that never meet.
+/// Weights and isolation stand in the salt, so they seed chains that never meet.
 pub fn seed(salt: &str) -> u64 {
     fleet_core::node::stable_hash(&[salt.as_bytes()])
 }
@@ -34,7 +34,7 @@
 impl Chain {
     pub fn new(seed: u64, parts: impl IntoIterator<Item = (u64, u64)>) -> Chain {
         let (mut prev, mut upto) = (seed, 0);
-        let blocks = parts.into_iter().take(k::CHAIN_BLOCKS).map(|(part, tokens)| {
+        let blocks = parts.into_iter().take(constants::CHAIN_BLOCKS).map(|(part, tokens)| {
             let raw = raw(seed, part);
             prev = mix(prev.rotate_left(17) ^ raw ^ mix(tokens));
             upto += tokens;
--- a/crates/prompt-index/src/index.rs
+++ b/crates/prompt-index/src/index.rs
@@ -2,7 +2,7 @@
 
 use crate::cell::{Cell, HolderNo};
 use crate::chain::{self, Chain};
-use fleet_core::constants as k;
+use fleet_core::constants;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
@@ -104,7 +104,7 @@
         }
         let s = chain::seed(salt);
         let mut seeds = write(&self.seeds);
-        if seeds.len() >= k::SALTS_KNOWN {
+        if seeds.len() >= constants::SALTS_KNOWN {
             seeds.clear();
         }
         seeds.insert(salt.to_owned(), s);
--- a/crates/prompt-index/src/tier.rs
+++ b/crates/prompt-index/src/tier.rs
@@ -2,7 +2,7 @@
 
 use crate::shard::Map;
 use crate::sync::{Mutex, held};
-use fleet_core::constants as k;
+use fleet_core::constants;
 
 /// Tokens of blocks that a holder keeps in part only; these set no bit.
 #[derive(Default)]
@@ -18,7 +18,7 @@
             return;
         }
         let m = t.entry(holder).or_default();
-        if m.len() >= k::TIER_ENTRIES {
+        if m.len() >= constants::TIER_ENTRIES {
             m.clear();
         }
         m.insert(raw, tokens);
--- a/crates/prompt-index/tests/index.rs
+++ b/crates/prompt-index/tests/index.rs
@@ -111,8 +111,11 @@
     assert!(turns > 4, "bounded turns");
     let next = cell.admit().unwrap();
     assert_eq!(next.index, all[7].index);
-    assert_eq!(depth(&cell, &c, next), 0, "nothing of the former life");
-    assert!(!cell.registered(all[7], SEED, c.0[0].raw, None), "late event of the former life");
+    assert_eq!(depth(&cell, &c, next), 0, "nothing of the former incarnation");
+    assert!(
+        !cell.registered(all[7], SEED, c.0[0].raw, None),
+        "late event of the former incarnation"
+    );
     assert!(!cell.evicted(all[7], c.0[0].raw, 0));
     assert_eq!(depth(&cell, &c, next), 0);
 }
@@ -212,7 +215,7 @@
 proptest::proptest! {
     #![proptest_config(proptest::prelude::ProptestConfig::with_cases(64))]
 
-    /// Events in any order and number, new lives of holders, evictions in the middle.
+    /// Events in any order and number, new incarnations of holders, evictions in the middle.
     #[test]
     fn agrees_with_the_naive_model(
         steps in proptest::collection::vec((0u8..9, 0usize..5, 0u64..6, 0usize..12), 1..200)
--- a/crates/prompt-index/tests/interleavings.rs
+++ b/crates/prompt-index/tests/interleavings.rs
@@ -1,4 +1,4 @@
-//! All interleavings of a few threads: a shard, the alive bitmap, and a number's second life.
+//! All interleavings of a few threads: a shard, the alive bitmap, and a number's second incarnation.
 #![cfg(feature = "checker")]
 
 use loom::sync::Arc;
@@ -55,9 +55,9 @@
     b
 }
 
-/// An event of a holder that goes: whatever the order, its number's next life keeps nothing.
+/// An event of a holder that goes: whatever the order, its number's next incarnation keeps nothing.
 #[test]
-fn late_event_never_marks_the_next_life() {
+fn late_event_never_marks_the_next_incarnation() {
     bounded().check(|| {
         let cell = Arc::new(Cell::new(64));
         let h = cell.admit().unwrap();
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -5,7 +5,7 @@
         fleet_core::program::About {
             name: "router",
             version: env!("CARGO_PKG_VERSION"),
-            what: "carries requests from origins to engines and answers back",
+            what: "carries requests from clients to engines and answers back",
             needs: |p| {
                 let mut out = Vec::new();
                 if p.front.is_none() {
@@ -17,6 +17,6 @@
                 out
             },
         },
-        |params, log, stop, reread| async move { data_plane::run(params, log, stop, reread).await },
+        |settings, log, stop, reread| async move { data_plane::run(settings, log, stop, reread).await },
     )
 }
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    fn params(&self, bootstrap: bool) -> fleet_core::params::Params {
+    fn settings(&self, bootstrap: bool) -> fleet_core::settings::Settings {
         let text = format!(
             "nodeName=n1\nip=127.0.0.1\nzone=z\nportRange={},{}\nseeds={}\nbootstrap={bootstrap}\n\
              dataDir={}\nbindAddrs.control={}\nbindAddrs.frontHttp={}\nbindAddrs.readiness={}\n\
@@ -52,14 +52,14 @@
             self.front,
             self.probe
         );
-        fleet_core::params::Params::parse(&text).unwrap()
+        fleet_core::settings::Settings::parse(&text).unwrap()
     }
 
     fn controller(&self, bootstrap: bool) -> Running {
         let (stop, stopped) = tokio::sync::watch::channel(false);
         let (_, reread) = tokio::sync::mpsc::channel(1);
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let run = control_plane::run(self.params(bootstrap), log, stopped, reread);
+        let run = control_plane::run(self.settings(bootstrap), log, stopped, reread);
         Running { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 
@@ -67,7 +67,7 @@
         let (stop, stopped) = tokio::sync::watch::channel(false);
         let (_, reread) = tokio::sync::mpsc::channel(1);
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let run = data_plane::run(self.params(false), log, stopped, reread);
+        let run = data_plane::run(self.settings(false), log, stopped, reread);
         Running { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 }
@@ -144,7 +144,7 @@
     let table = vec![
         ("resent", replace(0, &sheet(5, 100)), 200, ""),
         ("stale base", replace(3, &sheet(9, 100)), 412, "stale_base"),
-        ("stamp not above", replace(5, &sheet(5, 200)), 400, "stamp_not_above"),
+        ("version not above", replace(5, &sheet(5, 200)), 400, "version_not_above"),
         ("no time", replace(5, &sheet(9, 0)), 400, "out_of_bounds"),
         ("cut short", replace(5, &cut[..cut.len() / 2]), 400, "unreadable"),
         ("no base", post("Config.Replace", "", &sheet(9, 100)), 400, "no_base"),
