--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -10,6 +10,7 @@
 use futures_util::StreamExt;
 use std::sync::Arc;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub type Context = Arc<Controller>;
 
 /// Typed answer to what can't be taken.
@@ -25,6 +26,7 @@
     }
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub fn json(
     status: http::StatusCode,
     body: impl Into<dropshot::Body>,
@@ -53,6 +55,7 @@
     Ok(out.freeze())
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub fn serve(
     s: &Context,
     at: std::net::SocketAddr,
--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -1,5 +1,7 @@
 //! The part of a register that every member holds and votes with.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::disk::format::Record;
 use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
 use prost::Message;
--- a/crates/control-plane/src/control/owner.rs
+++ b/crates/control-plane/src/control/owner.rs
@@ -1,5 +1,7 @@
 //! Owning keys: take over under a higher epoch, then one accept round per change.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::round::{Round, Verdict};
 use super::values::{self, Decision};
 use crate::Controller;
--- a/crates/control-plane/src/control/round.rs
+++ b/crates/control-plane/src/control/round.rs
@@ -1,5 +1,7 @@
 //! Counting the votes of one phase.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::wire::{Ballot, Register, Vote};
 
 #[derive(Debug, PartialEq, Eq, Clone, Copy)]
--- a/crates/control-plane/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -1,5 +1,7 @@
 //! What each key holds, and the rules of changing it.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::configuration::{ConfigError, Configuration};
 use fleet_core::wire::{
     ChangeKind, Changed, ConfigValue, DutyValue, Outcome, RaiseFence, ReplaceConfig, Taken,
--- a/crates/control-plane/src/disk/format.rs
+++ b/crates/control-plane/src/disk/format.rs
@@ -1,5 +1,7 @@
 //! Bytes on the disk.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::wire::Register;
 use prost::Message;
 
--- a/crates/control-plane/src/disk/mod.rs
+++ b/crates/control-plane/src/disk/mod.rs
@@ -3,6 +3,7 @@
 pub mod format;
 pub mod writer;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
 pub enum DiskError {
     /// {what}: {kind}
@@ -13,6 +14,7 @@
     Absent,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub fn refused(what: &'static str) -> impl Fn(std::io::Error) -> DiskError {
     move |e| DiskError::Refused { what, kind: e.kind() }
 }
--- a/crates/control-plane/src/disk/writer.rs
+++ b/crates/control-plane/src/disk/writer.rs
@@ -1,5 +1,7 @@
 //! The thread that writes and syncs; what it has answered is on the disk.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::format::{self, Record, Slot, State};
 use super::{DiskError, refused};
 use fleet_core::constants;
--- a/crates/control-plane/src/duties/keeper.rs
+++ b/crates/control-plane/src/duties/keeper.rs
@@ -1,6 +1,8 @@
 //! The index-keeper: tails what engines and stores tell of their kept parts,
 //! and derives invalidations from it (docs/purge.md).
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::INDEX_KEEPER;
 use crate::Controller;
 use crate::engines::outside::Line;
@@ -337,6 +339,10 @@
     }
 }
 
+#[expect(
+    clippy::too_many_lines,
+    reason = "older than the lint; mended when the file is next changed"
+)]
 /// Until the duty ends: tails all holders, and publishes what other changes void.
 async fn keep(s: &Arc<Controller>, keeper: &Arc<Keeper>) {
     let mut tails = hashbrown::HashMap::<String, tokio::task::AbortHandle>::new();
--- a/crates/control-plane/src/duties/mod.rs
+++ b/crates/control-plane/src/duties/mod.rs
@@ -12,7 +12,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub const ROLL_OUT: &str = "roll-out";
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub const INDEX_KEEPER: &str = "index-keeper";
 
 /// What this member granted. After a restart it grants nothing that gives orders for a whole lease.
@@ -27,6 +29,7 @@
     until: Instant,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Grants {
     pub fn grant(&mut self, l: &Lease, now: Instant, lease: Duration) -> bool {
         let other =
@@ -68,6 +71,7 @@
     }
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub struct Duties {
     grants: parking_lot::Mutex<Grants>,
     held: parking_lot::Mutex<hashbrown::HashMap<&'static str, Holding>>,
@@ -75,6 +79,7 @@
     pub plan: parking_lot::Mutex<rollout::plan::Plan>,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Duties {
     pub fn new(first_start: bool, lease: Duration) -> Self {
         let closed_until = (!first_start).then(|| Instant::now() + lease);
@@ -100,6 +105,7 @@
     if orders(duty) { bound } else { bound.min(constants::KEEPER_LEASE) }
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub fn grant(s: &Controller, l: &Lease) -> Leased {
     let lease = lease_of(s, &l.duty);
     let votes = s.acceptor.lock().votes();
@@ -137,6 +143,7 @@
     have >= quorum
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub async fn leave_all(s: &Arc<Controller>) {
     for duty in [ROLL_OUT, INDEX_KEEPER] {
         if s.duties.held.lock().remove(duty).is_some() {
--- a/crates/control-plane/src/duties/rollout/look.rs
+++ b/crates/control-plane/src/duties/rollout/look.rs
@@ -1,5 +1,7 @@
 //! The roll-out as this controller sees it; made only when asked for, and changes nothing.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::plan::{Plan, Step};
 use crate::Controller;
 use fleet_core::constants;
--- a/crates/control-plane/src/duties/rollout/mod.rs
+++ b/crates/control-plane/src/duties/rollout/mod.rs
@@ -93,6 +93,7 @@
     out
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub async fn rolling(s: Arc<Controller>) {
     let mut news = s.news();
     loop {
--- a/crates/control-plane/src/duties/rollout/plan.rs
+++ b/crates/control-plane/src/duties/rollout/plan.rs
@@ -1,6 +1,8 @@
 //! Which engines turn to new weights next: those that serve people who wait come first.
 //! Serving, then (with long streams) Fading, then Turning, then at the named weights.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::constants;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/control-plane/src/engines/outside.rs
+++ b/crates/control-plane/src/engines/outside.rs
@@ -1,5 +1,7 @@
 //! Calls to engines and the store: one kept connection each.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::constants;
 use http_body_util::BodyExt;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/control-plane/src/engines/registry.rs
+++ b/crates/control-plane/src/engines/registry.rs
@@ -1,5 +1,7 @@
 //! Engines by instance; rebuilt from their own heartbeats.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::Controller;
 use crate::facts::Fact;
 use fleet_core::constants;
--- a/crates/control-plane/src/facts.rs
+++ b/crates/control-plane/src/facts.rs
@@ -1,5 +1,7 @@
 //! Events of a controller, and the view folded from them.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::wire::{Engine, Membership, NamedWeights, RingHead, View};
 
 #[derive(Debug, Clone)]
--- a/crates/control-plane/src/learner.rs
+++ b/crates/control-plane/src/learner.rs
@@ -1,5 +1,7 @@
 //! Learning what a majority holds, also after lost notices and restarts.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::control::{owner, values};
 use crate::facts::Fact;
 use crate::{Controller, members};
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum ControllerError {
     /// {0}: not in the settings, which a controller needs
@@ -26,6 +27,7 @@
     Control(std::io::ErrorKind),
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// All state of a controller. Lock order: acceptor, learned, known, then the rest one at a time.
 pub struct Controller {
     pub node: fleet_core::node::Node,
@@ -45,6 +47,7 @@
     rng_state: AtomicU64,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Controller {
     pub fn settings(&self) -> Arc<fleet_core::settings::Settings> {
         self.settings.read().clone()
@@ -139,6 +142,10 @@
     Ok((disk::writer::Disk::start(files, log.clone()), state, first))
 }
 
+#[expect(
+    clippy::too_many_lines,
+    reason = "older than the lint; mended when the file is next changed"
+)]
 /// Runs a controller until it is told to stop.
 pub async fn run(
     settings: fleet_core::settings::Settings,
--- a/crates/control-plane/src/members/loads.rs
+++ b/crates/control-plane/src/members/loads.rs
@@ -1,5 +1,7 @@
 //! Loads of engines: each controller adds up its routers', and gives them the sum over all.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::Controller;
 use fleet_core::constants;
 use fleet_core::link::Peer;
--- a/crates/control-plane/src/members/membership.rs
+++ b/crates/control-plane/src/members/membership.rs
@@ -1,5 +1,7 @@
 //! Who the controllers are, and how a lost one is exchanged: one at a time, by the membership's own key.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::Controller;
 use crate::control::{owner, values};
 use fleet_core::constants;
--- a/crates/control-plane/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -11,11 +11,13 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub struct RouterSeen {
     pub incarnation: u64,
     pub heard: tokio::time::Instant,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 #[derive(Default)]
 pub struct Members {
     links: parking_lot::Mutex<hashbrown::HashMap<Ipv4Addr, Arc<Link>>>,
@@ -36,6 +38,7 @@
     dead: hashbrown::HashSet<u64>,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Members {
     /// Keeps one link to each member and seed.
     pub fn relink(&self, s: &crate::Controller) {
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -1,5 +1,7 @@
 //! Answers what other processes of the system say.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::RouterSeen;
 use crate::control::owner;
 use crate::facts::Fact;
@@ -31,6 +33,10 @@
         }
     }
 
+    #[expect(
+        clippy::too_many_lines,
+        reason = "older than the lint; mended when the file is next changed"
+    )]
     async fn answer(self: &Arc<Self>, peer: &Peer, body: Body) -> Option<Body> {
         let s = &self.0;
         if s.members.is_dead(&peer.hello) {
--- a/crates/data-plane/src/budget.rs
+++ b/crates/data-plane/src/budget.rs
@@ -1,5 +1,7 @@
 //! Second sends, held in common by all routers: each uses its own share.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::constants;
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -1,5 +1,7 @@
 //! Links to the controllers: views come in, signs of incarnation go out.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::Router;
 use fleet_core::constants;
 use fleet_core::link::Link;
--- a/crates/data-plane/src/fleet_view/loads.rs
+++ b/crates/data-plane/src/fleet_view/loads.rs
@@ -1,5 +1,7 @@
 //! What all routers have in flight at each engine: told to one controller, heard back as a sum.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::FleetView;
 use crate::Router;
 use fleet_core::constants;
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -12,8 +12,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::Instant;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub type Seats = hashbrown::HashMap<String, Arc<Seat>, ahash::RandomState>;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// Newest named weights of a model, and since when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Named {
@@ -21,6 +23,7 @@
     pub since: Instant,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub struct FleetView {
     table: parking_lot::RwLock<Option<Arc<table::Table>>>,
     pub seats: parking_lot::RwLock<Seats>,
@@ -35,6 +38,7 @@
     links: parking_lot::Mutex<hashbrown::HashMap<std::net::Ipv4Addr, Arc<fleet_core::link::Link>>>,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl FleetView {
     pub fn new() -> Self {
         FleetView {
--- a/crates/data-plane/src/fleet_view/purge.rs
+++ b/crates/data-plane/src/fleet_view/purge.rs
@@ -1,5 +1,7 @@
 //! The router's end of the ring: entries are fetched in the background, applied before a placement.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::Router;
 use fleet_core::constants;
 use fleet_core::log::Event;
--- a/crates/data-plane/src/fleet_view/roll.rs
+++ b/crates/data-plane/src/fleet_view/roll.rs
@@ -1,5 +1,7 @@
 //! The engines of a service in dense rows, made anew only when something of them changes.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::Seats;
 use crate::pool::Seat;
 use fleet_core::constants;
--- a/crates/data-plane/src/fleet_view/table.rs
+++ b/crates/data-plane/src/fleet_view/table.rs
@@ -1,5 +1,7 @@
 //! A configuration as requests ask for it.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::configuration::{ConfigError, Configuration, Kind, Limits, Route, Service};
 use std::sync::Arc;
 
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum RouterError {
     /// {0}: not in the settings, which a router needs
@@ -19,6 +20,7 @@
     Listen(std::net::SocketAddr, std::io::ErrorKind),
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// Counted in memory, written out now and then.
 #[derive(Default)]
 pub struct Counters {
@@ -42,6 +44,7 @@
     pub heavy_wait_us: AtomicU64,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// All state of a router. Lock order: table, engines, one engine's work, inbox, index; never two engines.
 pub struct Router {
     pub node: fleet_core::node::Node,
@@ -58,6 +61,7 @@
     rng_state: AtomicU64,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Router {
     /// A router that as yet listens nowhere and sees nothing.
     pub fn assemble(settings: fleet_core::settings::Settings, log: slog::Logger) -> Arc<Router> {
--- a/crates/data-plane/src/place/mod.rs
+++ b/crates/data-plane/src/place/mod.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 use weigh::Ask;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// One engine for one send, and under what memory it may run.
 pub struct Choice {
     pub seat: Arc<Seat>,
@@ -31,6 +32,7 @@
     pub sink: Option<String>,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 #[derive(Debug, PartialEq, Eq, Clone, Copy)]
 pub enum Nowhere {
     /// no engine of the service is known that may run it
@@ -113,6 +115,10 @@
     out
 }
 
+#[expect(
+    clippy::too_many_arguments,
+    reason = "older than the lint; mended when the file is next changed"
+)]
 /// What each version of the weights in use means for this prompt.
 fn memories(
     index: &Index,
@@ -154,6 +160,11 @@
     out
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+#[expect(
+    clippy::too_many_lines,
+    reason = "older than the lint; mended when the file is next changed"
+)]
 pub fn place(
     d: &Router,
     table: &Table,
--- a/crates/data-plane/src/place/prompt.rs
+++ b/crates/data-plane/src/place/prompt.rs
@@ -1,5 +1,7 @@
 //! What a request says of its prompt; malformed parts are served without affinity.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
     pub id: u64,
--- a/crates/data-plane/src/place/sources.rs
+++ b/crates/data-plane/src/place/sources.rs
@@ -1,5 +1,7 @@
 //! Where the parts of a prompt that an engine lacks can be had cheaper than by reading them.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::weigh::Ask;
 use crate::fleet_view::roll::{Roll, Row};
 use crate::pool::Seat;
--- a/crates/data-plane/src/place/weigh.rs
+++ b/crates/data-plane/src/place/weigh.rs
@@ -1,5 +1,7 @@
 //! What a request would cost at one engine, in ms.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::prompt::Prompt;
 use super::sources::{Offer, Store};
 use crate::fleet_view::roll::Row;
--- a/crates/data-plane/src/pool/connection.rs
+++ b/crates/data-plane/src/pool/connection.rs
@@ -1,5 +1,7 @@
 //! One connection to an engine: Idle, Leased, Streaming, then Reusable (idle again) or Spent (dropped).
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::Seat;
 use crate::Router;
 use fleet_core::constants;
--- a/crates/data-plane/src/pool/mod.rs
+++ b/crates/data-plane/src/pool/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// What an engine told of itself with an answer.
 #[derive(Debug, Clone, Copy)]
 pub struct Told {
@@ -21,6 +22,7 @@
     pub at: Instant,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Told {
     pub fn read(text: &str, at: Instant) -> Option<Told> {
         let mut it = text.split(',').map(|x| x.trim().parse::<u32>());
@@ -33,6 +35,7 @@
     }
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 #[derive(Default)]
 pub struct Work {
     /// own sends that have no end yet
@@ -58,6 +61,7 @@
     firsts: (u64, Duration),
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Work {
     pub fn own(&self) -> Load {
         Load { unread: self.unread, runs: self.runs, interactive: self.interactive }
@@ -73,6 +77,7 @@
     }
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// One instance of an engine.
 pub struct Seat {
     pub id: String,
@@ -89,6 +94,7 @@
     open: AtomicU32,
 }
 
+#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Seat {
     pub fn new(e: &Engine) -> Option<Seat> {
         Some(Seat {
--- a/crates/data-plane/src/serve/answer.rs
+++ b/crates/data-plane/src/serve/answer.rs
@@ -1,5 +1,7 @@
 //! A small value describes an answer; it is written here and nowhere else.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use bytes::Bytes;
 use http::StatusCode;
 use std::pin::Pin;
--- a/crates/data-plane/src/serve/events.rs
+++ b/crates/data-plane/src/serve/events.rs
@@ -1,5 +1,7 @@
 //! The events of a stream, parsed just enough to go on at the last whole one.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use bytes::{Bytes, BytesMut};
 
 #[derive(Default)]
--- a/crates/data-plane/src/serve/relay.rs
+++ b/crates/data-plane/src/serve/relay.rs
@@ -1,5 +1,7 @@
 //! Passing an engine's answer on as it comes, and going on elsewhere where that is allowed.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::answer::{AnswerError, Out};
 use super::events::Cutter;
 use super::request::{ATTEMPT, Begun, Fate, LAST_EVENT, Offered};
--- a/crates/data-plane/src/serve/request.rs
+++ b/crates/data-plane/src/serve/request.rs
@@ -1,6 +1,8 @@
 //! One request from its head to its answer, read from top to bottom.
 //! States: Taken, then Offered, then Begun. Only what is Taken can be refused.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::answer::{Answer, Out};
 use crate::Router;
 use crate::fleet_view::table::{Repeat, Table, Tenant, repeat};
@@ -145,6 +147,10 @@
     Late(Offered),
 }
 
+#[expect(
+    clippy::too_many_lines,
+    reason = "older than the lint; mended when the file is next changed"
+)]
 pub async fn deliver(d: &Arc<Router>, rq: http::Request<Incoming>) -> http::Response<Out> {
     let arrived = Instant::now();
     let Some(table) = d.fleet_view.table() else { return Answer::refuse().write() };
@@ -302,6 +308,10 @@
         Some(rq)
     }
 
+    #[expect(
+        clippy::too_many_lines,
+        reason = "older than the lint; mended when the file is next changed"
+    )]
     /// Sends it, and waits for the head of an answer.
     pub async fn offer(
         mut self,
--- a/crates/fleet-core/src/configuration.rs
+++ b/crates/fleet-core/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The operator's configuration: its form, and what makes it invalid.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use serde::Deserialize;
 use validator::Validate;
 
--- a/crates/fleet-core/src/fleet.rs
+++ b/crates/fleet-core/src/fleet.rs
@@ -1,5 +1,7 @@
 //! What is believed of an engine, and how news of it merge; alike at controllers and routers.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::wire::{Engine, Standing};
 
 /// Takes the news into what is known; false if they tell nothing new.
--- a/crates/fleet-core/src/journal.rs
+++ b/crates/fleet-core/src/journal.rs
@@ -1,5 +1,7 @@
 //! A journal in memory: events are appended, views are folded from it.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 pub trait Fold {
     type Event;
     fn fold(&mut self, event: &Self::Event);
--- a/crates/fleet-core/src/link.rs
+++ b/crates/fleet-core/src/link.rs
@@ -1,5 +1,7 @@
 //! Links between the system's own processes: frames of prost over TCP, calls by number.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::constants;
 use crate::wire::{Body, Frame};
 use prost::Message;
--- a/crates/fleet-core/src/load.rs
+++ b/crates/fleet-core/src/load.rs
@@ -1,5 +1,7 @@
 //! Loads of engines, as routers and controllers add them up.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::constants;
 use crate::wire::Loads;
 
--- a/crates/fleet-core/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -1,5 +1,7 @@
 //! Numbered events; their catalogue is docs/events.md.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use slog::Drain;
 
 macro_rules! events {
--- a/crates/fleet-core/src/node.rs
+++ b/crates/fleet-core/src/node.rs
@@ -1,5 +1,7 @@
 //! Who a process is.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use std::hash::{BuildHasher, Hasher};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/fleet-core/src/program.rs
+++ b/crates/fleet-core/src/program.rs
@@ -1,5 +1,7 @@
 //! What both programs share: command line, settings, signals, runtime.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::constants;
 use crate::log::Event;
 use crate::settings::{Settings, SettingsError};
@@ -35,6 +37,10 @@
 const SETTINGS: u8 = 3;
 const RUN: u8 = 1;
 
+#[expect(
+    clippy::too_many_lines,
+    reason = "older than the lint; mended when the file is next changed"
+)]
 pub fn start<F, R, E>(about: About, run: F) -> ExitCode
 where
     F: FnOnce(
--- a/crates/fleet-core/src/settings.rs
+++ b/crates/fleet-core/src/settings.rs
@@ -1,5 +1,7 @@
 //! The settings file: lines of the form a.b=value.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -119,6 +121,10 @@
 }
 
 impl Settings {
+    #[expect(
+        clippy::too_many_lines,
+        reason = "older than the lint; mended when the file is next changed"
+    )]
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
         let l = Lines::parse(text)?;
         let (line, range) =
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -1,5 +1,7 @@
 //! Changes of the control state, and the values that its keys hold.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use prost::Message;
 
 #[derive(Clone, PartialEq, Eq, Message)]
--- a/crates/fleet-core/src/wire/engines.rs
+++ b/crates/fleet-core/src/wire/engines.rs
@@ -1,5 +1,7 @@
 //! Engines, their heartbeats and their loads.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use prost::Message;
 
 #[derive(Clone, PartialEq, Eq, Message)]
--- a/crates/fleet-core/src/wire/frame.rs
+++ b/crates/fleet-core/src/wire/frame.rs
@@ -1,5 +1,7 @@
 //! The frame that every message travels in.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::{
     Accept, Alive, Beats, Change, Changed, Committed, Fetch, Fetched, Found, Hello, Join, Joined,
     Lease, Leased, Loads, Peek, Peeked, Prepare, Recover, RingAsk, RingGive, View, Vote,
--- a/crates/fleet-core/src/wire/invalidations.rs
+++ b/crates/fleet-core/src/wire/invalidations.rs
@@ -1,5 +1,7 @@
 //! Messages of the ring of invalidations and of the prompt index.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::Weights;
 use prost::Message;
 
--- a/crates/fleet-core/src/wire/leases.rs
+++ b/crates/fleet-core/src/wire/leases.rs
@@ -1,5 +1,7 @@
 //! Messages of duty leases.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use prost::Message;
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/fleet-core/src/wire/registers.rs
+++ b/crates/fleet-core/src/wire/registers.rs
@@ -1,5 +1,7 @@
 //! Messages of the replicated registers: prepare, accept, reads and recovery.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::Membership;
 use prost::Message;
 
--- a/crates/fleet-core/src/wire/views.rs
+++ b/crates/fleet-core/src/wire/views.rs
@@ -1,5 +1,7 @@
 //! What controllers push to routers.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use super::{Engine, Membership, RingHead};
 use prost::Message;
 
--- a/crates/fleetctl/src/ask.rs
+++ b/crates/fleetctl/src/ask.rs
@@ -1,5 +1,7 @@
 //! Reads what is in force and the fleet as seen; never writes.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use control_plane::engines::outside::Line;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
--- a/crates/fleetctl/src/findings.rs
+++ b/crates/fleetctl/src/findings.rs
@@ -1,5 +1,7 @@
 //! What is wrong with a configuration, and what is valid but unwise now.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::ask::AsItIs;
 use fleet_core::configuration::{ConfigError, Configuration, Route};
 
--- a/crates/fleetctl/src/report.rs
+++ b/crates/fleetctl/src/report.rs
@@ -1,5 +1,7 @@
 //! Findings for people and for programs, and the exit code that goes with them.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::findings::{Finding, Weight};
 
 pub const CLEAN: u8 = 0;
--- a/crates/fleetctl/src/rollout.rs
+++ b/crates/fleetctl/src/rollout.rs
@@ -1,5 +1,7 @@
 //! How a roll-out of weights stands, for people and for programs.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::ask::{AskError, answers};
 use crate::report;
 pub use control_plane::duties::rollout::look::State;
--- a/crates/invalidation/src/cache.rs
+++ b/crates/invalidation/src/cache.rs
@@ -1,5 +1,7 @@
 //! What a reader keeps, as the ring's entries change it: the view of this crate, or a router's index.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::wire::{HeldParts, PartAt, Purge, RingEntry};
 
 pub trait Cache {
--- a/crates/invalidation/src/draft.rs
+++ b/crates/invalidation/src/draft.rs
@@ -1,5 +1,7 @@
 //! Messages of a change in flight: collected, and published only at its commit.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 /// Applied to the writer's own index at once; readers hear of it at commit only.
 pub struct Draft<'a, T, L: Local<T>> {
     entries: Vec<T>,
--- a/crates/invalidation/src/ring.rs
+++ b/crates/invalidation/src/ring.rs
@@ -1,6 +1,8 @@
 //! The ring, its writer and the cursors of its readers.
 //! Lock order: readers, then slots.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::sync::{Arc, AtomicBool, AtomicU64, Mutex, Ordering};
 
 /// Of one reader; the writer sets the flags, the reader moves the cursor.
--- a/crates/invalidation/src/view.rs
+++ b/crates/invalidation/src/view.rs
@@ -1,5 +1,7 @@
 //! What a reader believes that holders keep, and how it unlearns.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::cache::Cache;
 use fleet_core::wire::RingEntry;
 
--- a/crates/prompt-index/src/alive.rs
+++ b/crates/prompt-index/src/alive.rs
@@ -1,5 +1,7 @@
 //! Who of a cell's holders is there: apart from the shards, so that one of them goes at once.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::bitmap::{HolderBitmap, WORDS};
 use crate::sync::{AtomicU64, Ordering};
 
--- a/crates/prompt-index/src/bitmap.rs
+++ b/crates/prompt-index/src/bitmap.rs
@@ -1,5 +1,7 @@
 //! A set of holders of one cell: a flat array of words, no heap.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 pub const WORDS: usize = 4;
 pub const HOLDERS: usize = WORDS * 64;
 
--- a/crates/prompt-index/src/cell.rs
+++ b/crates/prompt-index/src/cell.rs
@@ -1,6 +1,8 @@
 //! One cell of at most 256 holders: its shards, who is alive, and the incarnation of holders' numbers.
 //! Events are idempotent: told twice, or by several feeders, they leave the same state.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::alive::Alive;
 use crate::bitmap::{HOLDERS, HolderBitmap};
 use crate::chain::Chain;
--- a/crates/prompt-index/src/chain.rs
+++ b/crates/prompt-index/src/chain.rs
@@ -1,5 +1,7 @@
 //! Cumulative hashes: each block's names its own content and all that goes before it.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use fleet_core::constants;
 use smallvec::SmallVec;
 
--- a/crates/prompt-index/src/index.rs
+++ b/crates/prompt-index/src/index.rs
@@ -1,5 +1,7 @@
 //! All cells of a router: who has which number where, and what the ring of purges does to them.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::cell::{Cell, HolderNo};
 use crate::chain::{self, Chain};
 use fleet_core::constants;
--- a/crates/prompt-index/src/query.rs
+++ b/crates/prompt-index/src/query.rs
@@ -1,5 +1,7 @@
 //! How deep each holder keeps a chain: a binary search of the points where holders drop off.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::bitmap::HolderBitmap;
 use smallvec::SmallVec;
 
--- a/crates/prompt-index/src/shard.rs
+++ b/crates/prompt-index/src/shard.rs
@@ -1,5 +1,7 @@
 //! A map in independent parts, each with a lock of its own, so that few wait for each other.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::sync::{Mutex, held};
 
 /// 2^64 over the golden ratio: scatters what is alike.
--- a/crates/prompt-index/src/sync.rs
+++ b/crates/prompt-index/src/sync.rs
@@ -1,3 +1,5 @@
+//! Locks and atomics: those of the standard library, or of loom under the `checker` feature.
+
 #[cfg(feature = "checker")]
 pub use loom::sync::{
     Mutex, MutexGuard,
@@ -9,6 +11,7 @@
     atomic::{AtomicU32, AtomicU64, Ordering},
 };
 
+/// Locks `m`, also after a panic under the lock: shards hold no broken invariants.
 pub fn held<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
--- a/crates/prompt-index/src/tier.rs
+++ b/crates/prompt-index/src/tier.rs
@@ -1,5 +1,7 @@
 //! Where on its holder a block lies: asked for the winner and its sources only.
 
+#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+
 use crate::shard::Map;
 use crate::sync::{Mutex, held};
 use fleet_core::constants;
