--- a/crates/control-plane/src/api/config.rs
+++ b/crates/control-plane/src/api/config.rs
@@ -1,7 +1,7 @@
 //! The operator's configurations.
 
 use super::{Context, json, rejected, whole};
-use crate::control::{owner, values};
+use crate::control::{submit, values};
 use fleet_core::log::Event;
 use fleet_core::wire::{ChangeKind, ConfigValue, Outcome, ReplaceConfig};
 use http::StatusCode;
@@ -27,7 +27,7 @@
         rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string())
     })?;
     let r = ReplaceConfig { base, version: c.revision, body };
-    let changed = owner::submit(s, ChangeKind::Replace(r.clone())).await;
+    let changed = submit::submit(s, ChangeKind::Replace(r.clone())).await;
     match changed.outcome() {
         Outcome::Done => json(StatusCode::OK, format!("{{\"revision\":{}}}", r.version)),
         Outcome::Stale => Err(rejected(
--- a/crates/control-plane/src/api/weights.rs
+++ b/crates/control-plane/src/api/weights.rs
@@ -1,7 +1,7 @@
 //! New weights are named.
 
 use super::{Context, json, rejected, whole};
-use crate::control::owner;
+use crate::control::submit;
 use fleet_core::wire::{ChangeKind, NameVersion, Outcome};
 use http::StatusCode;
 
@@ -21,7 +21,7 @@
     let p: Put = serde_json::from_slice(&body)
         .map_err(|e| rejected(StatusCode::BAD_REQUEST, "malformed", e.to_string()))?;
     let change = ChangeKind::Name(NameVersion { model: p.model, version: p.revision });
-    match owner::submit(s, change).await.outcome() {
+    match submit::submit(s, change).await.outcome() {
         Outcome::Done => json(StatusCode::OK, "{}"),
         _ => Err(rejected(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -97,8 +97,20 @@
         self.registers.get(key).map_or(0, |r| r.promised.n.max(r.accepted.n))
     }
 
+    /// The node that this voter has promised the key to.
     pub fn owner(&self, key: &str) -> Option<u64> {
-        self.registers.get(key).map(|r| r.promised.node).filter(|n| *n != 0)
+        let promised = self.registers.get(key)?.promised;
+        (promised.node != 0).then_some(promised.node)
+    }
+
+    /// Epoch of the ballot promised for this key.
+    pub fn promised(&self, key: &str) -> Ballot {
+        self.registers.get(key).map(|r| r.promised).unwrap_or_default()
+    }
+
+    /// Ballot under which the value held for this key was accepted.
+    pub fn accepted(&self, key: &str) -> Ballot {
+        self.registers.get(key).map(|r| r.accepted).unwrap_or_default()
     }
 
     fn record(&self, registers: Vec<Register>) -> Record {
@@ -147,13 +159,16 @@
             .entry_ref(p.key.as_str())
             .or_insert_with(|| Register { key: p.key.clone(), ..Default::default() });
         r.promised = p.ballot;
-        let r = r.clone();
-        let record = self.voted(r.clone(), p.recovery_epoch);
+        let mut told = r.clone();
+        let record = self.voted(told.clone(), p.recovery_epoch);
+        if told.accepted <= p.known {
+            told.value = bytes::Bytes::new();
+        }
         Step {
             record,
             answer: Vote {
                 ok: true,
-                register: Some(r),
+                register: Some(told),
                 membership: None,
                 recovery_epoch: self.recovery_epoch,
             },
@@ -164,14 +179,19 @@
         let (promised, accepted) =
             self.registers.get(&a.key).map(|r| (r.promised, r.accepted)).unwrap_or_default();
         let late = a.ballot.epoch() < promised.epoch() || a.ballot <= accepted;
-        if !self.may_vote(a.membership, a.recovery_epoch) || late {
+        let lacks_value = a.same_as.is_some_and(|same| same != accepted);
+        if !self.may_vote(a.membership, a.recovery_epoch) || late || lacks_value {
             return self.refuse(&a.key);
         }
+        let value = match a.same_as {
+            Some(_) => self.registers.get(&a.key).map(|r| r.value.clone()).unwrap_or_default(),
+            None => a.value.clone(),
+        };
         let r = Register {
             key: a.key.clone(),
             promised: Ballot { seq: 0, ..a.ballot },
             accepted: a.ballot,
-            value: a.value.clone(),
+            value,
         };
         self.registers.insert(a.key.clone(), r.clone());
         let record = self.voted(r, a.recovery_epoch);
--- a/crates/control-plane/src/control/mod.rs
+++ b/crates/control-plane/src/control/mod.rs
@@ -1,8 +1,11 @@
 //! Control state: each key a register with one owner at a time.
 
 pub mod acceptor;
+pub mod election;
 pub mod owner;
+pub mod proposer;
 pub mod round;
+pub mod submit;
 pub mod values;
 
 #[cfg(test)]
--- a/crates/control-plane/src/control/owner.rs
+++ b/crates/control-plane/src/control/owner.rs
@@ -1,156 +1,206 @@
-//! Owning keys: take over under a higher epoch, then one accept round per change.
+//! Owning keys: drives a [`Proposer`] for each key that this node owns or takes over.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
-use super::round::{Round, Verdict};
-use super::values::{self, Decision};
+use super::election::Elections;
+use super::proposer::{Action, ProposalError, Proposer, Request, Scope};
+use super::values::Decision;
 use crate::Controller;
 use fleet_core::constants;
-use fleet_core::wire::{Accept, Ballot, Body, ChangeKind, Changed, Outcome, Prepare, Vote};
+use fleet_core::link::Link;
+use fleet_core::wire::{Ballot, Body, Changed, PreVote, PreVoted, Vote};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
-/// A key that this controller has prepared on a majority, and its committed value.
-pub struct Owned {
-    ballot: Ballot,
-    value: bytes::Bytes,
-    membership: u64,
-    recovery_epoch: u64,
-}
+type Slot = Arc<tokio::sync::Mutex<Option<Proposer>>>;
+type Votes = mpsc::Receiver<(u64, Option<Vote>)>;
 
+/// The keys that this node owns, each under a lock that one change holds at a time.
 #[derive(Default)]
 pub struct Owners {
-    table: parking_lot::Mutex<hashbrown::HashMap<String, Arc<tokio::sync::Mutex<Option<Owned>>>>>,
+    slots: parking_lot::Mutex<hashbrown::HashMap<String, Slot>>,
+    elections: parking_lot::Mutex<Elections>,
+    /// highest promised ballot heard of in refusals, by key: who owns it now
+    heard: parking_lot::Mutex<hashbrown::HashMap<String, Ballot>>,
 }
 
 impl Owners {
-    fn slot(&self, key: &str) -> Arc<tokio::sync::Mutex<Option<Owned>>> {
-        self.table.lock().entry_ref(key).or_default().clone()
+    fn slot(&self, key: &str) -> Slot {
+        self.slots.lock().entry_ref(key).or_default().clone()
+    }
+
+    /// The own acceptor has voted for another node's request, or this node begins a round as the owner.
+    pub fn saw_progress(&self, key: &str) {
+        self.elections.lock().saw_progress(key, Instant::now());
+    }
+
+    /// Another voter has promised this ballot.
+    pub fn heard_promise(&self, key: &str, promised: Ballot) {
+        let mut heard = self.heard.lock();
+        let highest = heard.entry_ref(key).or_default();
+        *highest = promised.max(*highest);
+    }
+
+    /// Highest promised ballot heard of.
+    pub fn heard(&self, key: &str) -> Ballot {
+        self.heard.lock().get(key).copied().unwrap_or_default()
+    }
+
+    fn is_quiet(&self, key: &str, value_bytes: usize) -> bool {
+        let span = constants::ELECTION_QUIET + constants::phase_limit(value_bytes)
+            - constants::PHASE_LIMIT;
+        self.elections.lock().is_quiet(key, Instant::now(), span)
     }
 }
 
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum OwnerError {
-    /// no majority in time
-    NoMajority,
-    /// another owner went above
-    Overtaken,
-    /// this member doesn't vote
-    NoVote,
+/// Answers whether this voter would take part in electing another owner for the key.
+pub fn pre_vote(controller: &Controller, ask: &PreVote) -> PreVoted {
+    let (eligible, promised, bytes) = {
+        let acceptor = controller.acceptor.lock();
+        let eligible = acceptor.votes() && acceptor.membership().epoch == ask.membership;
+        let bytes = acceptor.register(&ask.key).map_or(0, |r| r.value.len());
+        (eligible, acceptor.promised(&ask.key), bytes)
+    };
+    PreVoted { ok: eligible && controller.owners.is_quiet(&ask.key, bytes), promised }
 }
 
-enum Ask {
-    Prepare(Prepare),
-    Accept(Accept),
+async fn own_vote(controller: &Arc<Controller>, request: &Request) -> Option<Vote> {
+    match request {
+        Request::Prepare(p) => controller.vote(|a| a.prepare(p)).await,
+        Request::Accept(a) => controller.vote(|acceptor| acceptor.accept(a)).await,
+    }
 }
 
-async fn own_vote(s: &Arc<Controller>, ask: &Ask) -> Option<Vote> {
-    match ask {
-        Ask::Prepare(p) => s.vote(|a| a.prepare(p)).await,
-        Ask::Accept(p) => s.vote(|a| a.accept(p)).await,
+fn body_of(request: Request) -> Body {
+    match request {
+        Request::Prepare(p) => Body::Prepare(p),
+        Request::Accept(a) => Body::Accept(a),
     }
 }
 
-/// One phase: on the own disk first, then with the others.
-async fn phase(s: &Arc<Controller>, ask: Ask) -> Result<Round, (OwnerError, Round)> {
-    let members = s.acceptor.lock().membership().members.clone();
-    let mut round = Round::new(members.len());
-    let own = tokio::time::timeout(constants::PHASE_LIMIT, own_vote(s, &ask)).await.ok().flatten();
-    round.vote(s.node.id(), own.as_ref());
-    if !own.is_some_and(|v| v.ok) {
-        let error = if round.highest > 0 { OwnerError::Overtaken } else { OwnerError::NoVote };
-        return Err((error, round));
+/// One voter's vote over its link. A later membership in the answer is adopted.
+async fn vote_of(
+    controller: Arc<Controller>,
+    link: Arc<Link>,
+    request: Request,
+    limit: Duration,
+) -> Option<Vote> {
+    let Ok(Body::Vote(vote)) = link.call(body_of(request), limit).await else { return None };
+    if let Some(membership) = &vote.membership {
+        controller.adopt(membership).await;
     }
-    let body = match &ask {
-        Ask::Prepare(p) => Body::Prepare(p.clone()),
-        Ask::Accept(a) => Body::Accept(a.clone()),
-    };
-    let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
-    for (id, link) in s.peers(&members) {
-        let (tx, body, s) = (tx.clone(), body.clone(), s.clone());
+    Some(vote)
+}
+
+/// Sends the round's request to all other voters; their votes come in as they answer.
+fn ask_others(controller: &Arc<Controller>, proposer: &Proposer) -> Votes {
+    let members = controller.acceptor.lock().membership().members.clone();
+    let limit = constants::phase_limit(proposer.value().len());
+    let (votes, inbox) = mpsc::channel(members.len().max(1));
+    for (id, link) in controller.peers(&members) {
+        let request = proposer.request_for(id);
+        let (controller, votes) = (controller.clone(), votes.clone());
         tokio::spawn(async move {
-            let vote = match link.call(body, constants::PHASE_LIMIT).await {
-                Ok(Body::Vote(v)) => Some(v),
-                _ => None,
-            };
-            if let Some(r) = vote.as_ref().and_then(|v| v.membership.as_ref()) {
-                s.adopt(r).await;
-            }
-            let _ = tx.send((id, vote)).await;
+            let vote = vote_of(controller, link, request, limit).await;
+            let _ = votes.send((id, vote)).await;
         });
     }
-    drop(tx);
-    while round.verdict() == Verdict::Open {
-        let Some((id, vote)) = rx.recv().await else { break };
-        round.vote(id, vote.as_ref());
-    }
-    if round.recovery_epoch > s.acceptor.lock().recovery_epoch() {
-        s.persist(|a| a.advance(round.recovery_epoch)).await;
-    }
-    match round.verdict() {
-        Verdict::Won => Ok(round),
-        _ if round.highest > 0 => Err((OwnerError::Overtaken, round)),
-        _ => Err((OwnerError::NoMajority, round)),
+    inbox
+}
+
+/// Carries out what a proposer asks for, until its value is chosen or it fails.
+async fn drive(
+    controller: &Arc<Controller>,
+    proposer: &mut Proposer,
+    first: Action,
+) -> Result<(), ProposalError> {
+    let mut action = first;
+    let mut inbox: Option<Votes> = None;
+    loop {
+        let step = proposer.step();
+        action = match action {
+            Action::Chosen => return Ok(()),
+            Action::Failed(error) => return Err(error),
+            Action::AskSelf(request) => {
+                let limit = constants::phase_limit(proposer.value().len());
+                let vote = tokio::time::timeout(limit, own_vote(controller, &request)).await;
+                let vote = vote.ok().flatten();
+                proposer.on_vote(step, controller.node.id(), vote.as_ref())
+            }
+            Action::AskOthers => {
+                inbox = Some(ask_others(controller, proposer));
+                Action::Wait
+            }
+            Action::Wait => match next_vote(&mut inbox).await {
+                Some((from, vote)) => proposer.on_vote(step, from, vote.as_ref()),
+                None => proposer.on_end_of_votes(),
+            },
+        };
+        let latest = proposer.latest_recovery_epoch();
+        if latest > controller.acceptor.lock().recovery_epoch() {
+            controller.persist(|a| a.advance(latest)).await;
+        }
     }
 }
 
-async fn accept(
-    s: &Arc<Controller>,
+async fn next_vote(inbox: &mut Option<Votes>) -> Option<(u64, Option<Vote>)> {
+    inbox.as_mut()?.recv().await
+}
+
+/// A round of an owner: the value is told to the others once it is chosen.
+async fn run_round(
+    controller: &Arc<Controller>,
     key: &str,
-    o: &Owned,
-    value: &bytes::Bytes,
-) -> Result<(), OwnerError> {
-    let a = Accept {
-        key: key.to_owned(),
-        membership: o.membership,
-        ballot: o.ballot,
-        value: value.clone(),
-        recovery_epoch: o.recovery_epoch,
-    };
-    phase(s, Ask::Accept(a)).await.map_err(|(p, _)| p)?;
-    s.committed(key, o.ballot, value).await;
+    proposer: &mut Proposer,
+    first: Action,
+) -> Result<(), ProposalError> {
+    let done = drive(controller, proposer, first).await;
+    if let Err(ProposalError::Overtaken(promised)) = &done {
+        controller.owners.heard_promise(key, *promised);
+    }
+    done?;
+    controller.committed(key, proposer.ballot(), proposer.value()).await;
     Ok(())
 }
 
-/// Prepares above all that was seen, then commits the highest accepted value anew.
-async fn take_over(s: &Arc<Controller>, key: &str) -> Result<Owned, OwnerError> {
-    let until = tokio::time::Instant::now() + constants::CHANGE_LIMIT;
-    let mut above = s.acceptor.lock().highest(key);
-    let mut pause = constants::DUEL_PAUSE_MS;
-    loop {
-        let (membership, recovery_epoch) = {
-            let a = s.acceptor.lock();
-            (a.membership().epoch, a.recovery_epoch())
-        };
-        let ballot = Ballot { n: above + 1, node: s.node.id(), seq: 0 };
-        let p = Prepare { key: key.to_owned(), membership, ballot, recovery_epoch };
-        let error = match phase(s, Ask::Prepare(p)).await {
-            Ok(round) => {
-                let value = round.best.map(|r| r.value).unwrap_or_default();
-                let o = Owned {
-                    ballot: Ballot { seq: 1, ..ballot },
-                    value: value.clone(),
-                    membership,
-                    recovery_epoch,
-                };
-                match accept(s, key, &o, &value).await {
-                    Ok(()) => {
-                        fleet_core::log_event!(s.log, fleet_core::log::Event::OwnerTaken, "key" => key, "epoch" => ballot.n);
-                        return Ok(o);
-                    }
-                    Err(e) => e,
-                }
-            }
-            Err((e, round)) => {
-                above = above.max(round.highest);
-                e
+/// Whether a quorum has seen nothing of the key's owner for a while.
+async fn owner_is_silent(controller: &Arc<Controller>, key: &str) -> bool {
+    let membership = controller.acceptor.lock().membership().clone();
+    let ask = PreVote { key: key.to_owned(), membership: membership.epoch };
+    let quorum = membership.members.len() / 2 + 1;
+    let (answers, mut inbox) = mpsc::channel(membership.members.len().max(1));
+    for (_, link) in controller.peers(&membership.members) {
+        let (answers, ask) = (answers.clone(), ask.clone());
+        tokio::spawn(async move {
+            if let Ok(Body::PreVoted(answer)) =
+                link.call(Body::PreVote(ask), constants::PHASE_LIMIT).await
+            {
+                let _ = answers.send(answer).await;
             }
+        });
+    }
+    drop(answers);
+    let mut willing = usize::from(pre_vote(controller, &ask).ok);
+    while willing < quorum {
+        let Some(answer) = inbox.recv().await else { return false };
+        controller.owners.heard_promise(key, answer.promised);
+        willing += usize::from(answer.ok);
+    }
+    true
+}
+
+/// Takes a key over: once its owner is silent, prepares above all that was seen and completes what was open.
+async fn take_over(controller: &Arc<Controller>, key: &str) -> Result<Proposer, ProposalError> {
+    let until = Instant::now() + constants::CHANGE_LIMIT;
+    let mut pause = constants::ELECTION_PAUSE_MS;
+    loop {
+        let error = match elect(controller, key).await {
+            Ok(proposer) => return Ok(proposer),
+            Err(error) => error,
         };
-        above = above.max(s.acceptor.lock().highest(key));
-        if matches!(error, OwnerError::NoVote) {
-            return Err(error);
-        }
-        let wait = std::time::Duration::from_millis(1 + s.chance(pause));
-        if tokio::time::Instant::now() + wait >= until {
+        let wait = Duration::from_millis(1 + controller.chance(pause));
+        let hopeless = matches!(error, ProposalError::NoOwnVote | ProposalError::Overtaken(_));
+        if hopeless || Instant::now() + wait >= until {
             return Err(error);
         }
         tokio::time::sleep(wait).await;
@@ -158,117 +208,83 @@
     }
 }
 
-/// Changes a key here: as its owner, or after taking it over.
-pub async fn settle(
-    s: &Arc<Controller>,
-    key: &str,
-    decide: impl Fn(&[u8]) -> Decision,
-) -> Result<Changed, OwnerError> {
-    let slot = s.owners.slot(key);
-    let mut slot = slot.lock().await;
-    let (membership, recovery_epoch, promised) = {
-        let a = s.acceptor.lock();
-        (a.membership().epoch, a.recovery_epoch(), a.register(key).map(|r| r.promised.epoch()))
-    };
-    let stands = |o: &Owned| o.membership == membership && o.recovery_epoch == recovery_epoch;
-    let held = slot.take().filter(|o| stands(o) && promised == Some(o.ballot.epoch()));
-    let mut owned = match held {
-        Some(o) => o,
-        None => take_over(s, key).await?,
-    };
-    match decide(&owned.value) {
-        Decision::Answer(a) => {
-            confirm(s, key, &mut owned).await?;
-            *slot = Some(owned);
-            Ok(a)
-        }
-        Decision::Write(value, a) => {
-            owned.ballot.seq += 1;
-            accept(s, key, &owned, &value).await?;
-            owned.value = value;
-            *slot = Some(owned);
-            Ok(a)
+async fn elect(controller: &Arc<Controller>, key: &str) -> Result<Proposer, ProposalError> {
+    let (scope, above) = {
+        let acceptor = controller.acceptor.lock();
+        if !acceptor.votes() {
+            return Err(ProposalError::NoOwnVote);
         }
+        let scope = Scope {
+            membership: acceptor.membership().epoch,
+            recovery_epoch: acceptor.recovery_epoch(),
+            voters: acceptor.membership().members.len(),
+        };
+        (scope, acceptor.highest(key))
+    };
+    if !owner_is_silent(controller, key).await {
+        return Err(ProposalError::OwnerActive);
     }
+    let above = above.max(controller.owners.heard(key).n);
+    let (mut proposer, first) = Proposer::prepare(controller.node.id(), key, scope, above);
+    run_round(controller, key, &mut proposer, first).await?;
+    fleet_core::log_event!(controller.log, fleet_core::log::Event::OwnerTaken,
+        "key" => key, "epoch" => proposer.ballot().n);
+    Ok(proposer)
 }
 
-/// An answer without a change still needs a majority that has not moved on.
-async fn confirm(s: &Arc<Controller>, key: &str, o: &mut Owned) -> Result<(), OwnerError> {
-    if s.majority_at(key, o.ballot).await {
-        return Ok(());
-    }
-    o.ballot.seq += 1;
-    let value = o.value.clone();
-    accept(s, key, o, &value).await
+/// Whether an ownership still stands: same scope, and the own acceptor has promised nobody else.
+fn stands(controller: &Controller, key: &str, proposer: &Proposer) -> bool {
+    let acceptor = controller.acceptor.lock();
+    let scope = proposer.scope();
+    proposer.is_owner()
+        && scope.membership == acceptor.membership().epoch
+        && scope.recovery_epoch == acceptor.recovery_epoch()
+        && acceptor.promised(key).epoch() == proposer.ballot().epoch()
 }
 
-/// Passes a change to the key's owner, or does it here when the owner doesn't answer.
-pub async fn submit(s: &Arc<Controller>, change: ChangeKind) -> Changed {
-    let key = values::key_of(&change);
-    let (owner, votes, members) = {
-        let a = s.acceptor.lock();
-        (a.owner(&key), a.votes(), a.membership().members.clone())
-    };
-    let mut asked = Vec::new();
-    if let Some(id) = owner.filter(|o| *o != s.node.id()) {
-        asked.push(id);
-        if let Some(c) = pass(s, &change, id, &members).await {
-            return c;
-        }
-    }
-    if votes && !s.disk_broken() {
-        match tokio::time::timeout(
-            constants::CHANGE_LIMIT,
-            settle(s, &key, |v| values::decide(&change, v)),
-        )
-        .await
-        {
-            Ok(Ok(c)) => return c,
-            Ok(Err(OwnerError::NoMajority | OwnerError::Overtaken)) | Err(_) => {
-                return values::unknown();
-            }
-            Ok(Err(OwnerError::NoVote)) => {}
+/// Changes a key here: as its owner, or after taking it over. `decide` sees the chosen value.
+///
+/// # Errors
+/// The change may have been chosen all the same, except after [`ProposalError::NoOwnVote`] of a take-over.
+pub async fn settle(
+    controller: &Arc<Controller>,
+    key: &str,
+    decide: impl Fn(&[u8]) -> Decision,
+) -> Result<Changed, ProposalError> {
+    let slot = controller.owners.slot(key);
+    let mut slot = slot.lock().await;
+    let owned = slot.take().filter(|proposer| stands(controller, key, proposer));
+    let mut owned = match owned {
+        Some(proposer) => {
+            controller.owners.saw_progress(key);
+            proposer
         }
-    }
-    for m in &members {
-        let Some(id) = m.addr().map(|a| u64::from(u32::from(a))) else { continue };
-        if id == s.node.id() || asked.contains(&id) {
-            continue;
+        None => take_over(controller, key).await?,
+    };
+    let answer = match decide(owned.value()) {
+        Decision::Answer(answer) => {
+            confirm(controller, key, &mut owned).await?;
+            answer
         }
-        if let Some(c) = pass(s, &change, id, &members).await {
-            return c;
+        Decision::Write(value, answer) => {
+            let first = owned.propose(value);
+            run_round(controller, key, &mut owned, first).await?;
+            answer
         }
-    }
-    values::unknown()
-}
-
-async fn pass(
-    s: &Arc<Controller>,
-    change: &ChangeKind,
-    to: u64,
-    members: &[fleet_core::wire::Member],
-) -> Option<Changed> {
-    let (_, link) = s.peers(members).into_iter().find(|(id, _)| *id == to)?;
-    let body = Body::Change(fleet_core::wire::Change { kind: Some(change.clone()) });
-    match link.call(body, constants::OWNER_LIMIT).await {
-        Ok(Body::Changed(c)) if c.outcome() != Outcome::Unknown => Some(c),
-        _ => None,
-    }
+    };
+    *slot = Some(owned);
+    Ok(answer)
 }
 
-/// A change that another controller passed here: no further passing.
-pub async fn settle_passed(s: &Arc<Controller>, change: &ChangeKind) -> Changed {
-    if s.disk_broken() {
-        return values::unknown();
-    }
-    let key = values::key_of(change);
-    match tokio::time::timeout(
-        constants::CHANGE_LIMIT,
-        settle(s, &key, |v| values::decide(change, v)),
-    )
-    .await
-    {
-        Ok(Ok(c)) => c,
-        _ => values::unknown(),
+/// An answer without a change still needs a quorum that has not moved on.
+async fn confirm(
+    controller: &Arc<Controller>,
+    key: &str,
+    owned: &mut Proposer,
+) -> Result<(), ProposalError> {
+    if controller.majority_at(key, owned.ballot()).await {
+        return Ok(());
     }
+    let first = owned.confirm();
+    run_round(controller, key, owned, first).await
 }
--- a/crates/control-plane/src/control/round.rs
+++ b/crates/control-plane/src/control/round.rs
@@ -1,73 +1,105 @@
-//! Counting the votes of one phase.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! Counting the votes of one round.
 
 use fleet_core::wire::{Ballot, Register, Vote};
 
+/// How a round stands.
 #[derive(Debug, PartialEq, Eq, Clone, Copy)]
 pub enum Verdict {
+    /// votes that could decide it are still out
     Open,
+    /// a quorum said yes
     Won,
-    /// somebody has gone above
+    /// no quorum can say yes any more
     Lost,
 }
 
+/// The votes of one prepare or accept round.
 pub struct Round {
-    quorum: usize,
-    members: usize,
-    yes: hashbrown::HashSet<u64>,
+    voters: usize,
+    yes: hashbrown::HashMap<u64, Ballot>,
     no: hashbrown::HashSet<u64>,
-    /// accepted highest among those who promised
-    pub best: Option<Register>,
-    /// epoch to go above next time
-    pub highest: u64,
-    /// latest recovery_epoch that a voter is in
-    pub recovery_epoch: u64,
+    best: Option<Register>,
+    highest: Ballot,
+    recovery_epoch: u64,
 }
 
 impl Round {
-    pub fn new(members: usize) -> Self {
+    /// A round among this many voters.
+    pub fn new(voters: usize) -> Self {
         Round {
-            quorum: members / 2 + 1,
-            members,
-            yes: hashbrown::HashSet::new(),
+            voters,
+            yes: hashbrown::HashMap::new(),
             no: hashbrown::HashSet::new(),
             best: None,
-            highest: 0,
+            highest: Ballot::default(),
             recovery_epoch: 0,
         }
     }
 
+    fn quorum(&self) -> usize {
+        self.voters / 2 + 1
+    }
+
+    /// Counts a vote once; `None` is a voter that did not answer.
     pub fn vote(&mut self, from: u64, vote: Option<&Vote>) -> Verdict {
         self.recovery_epoch = self.recovery_epoch.max(vote.map_or(0, |v| v.recovery_epoch));
-        let Some(v) = vote.filter(|v| v.ok) else {
-            if let Some(r) = vote.and_then(|v| v.register.as_ref()) {
-                self.highest = self.highest.max(r.promised.n);
-            }
-            self.no.insert(from);
-            return self.verdict();
-        };
-        self.yes.insert(from);
-        if let Some(r) = &v.register {
-            let better = self.best.as_ref().is_none_or(|b| r.accepted > b.accepted);
-            if r.accepted != Ballot::default() && better {
-                self.best = Some(r.clone());
-            }
+        match vote {
+            Some(v) if v.ok => self.count_yes(from, v),
+            _ => self.count_no(from, vote),
         }
         self.verdict()
     }
 
+    fn count_yes(&mut self, from: u64, vote: &Vote) {
+        let accepted = vote.register.as_ref().map(|r| r.accepted).unwrap_or_default();
+        self.yes.insert(from, accepted);
+        let Some(register) = &vote.register else { return };
+        let better = self.best.as_ref().is_none_or(|b| accepted > b.accepted);
+        if accepted != Ballot::default() && better {
+            self.best = Some(register.clone());
+        }
+    }
+
+    fn count_no(&mut self, from: u64, vote: Option<&Vote>) {
+        if let Some(register) = vote.and_then(|v| v.register.as_ref()) {
+            self.highest = self.highest.max(register.promised);
+        }
+        self.no.insert(from);
+    }
+
+    /// How the round stands now.
     pub fn verdict(&self) -> Verdict {
-        if self.yes.len() >= self.quorum {
+        if self.yes.len() >= self.quorum() {
             return Verdict::Won;
         }
-        if self.members - self.no.len() < self.quorum {
+        if self.voters.saturating_sub(self.no.len()) < self.quorum() {
             return Verdict::Lost;
         }
         Verdict::Open
     }
 
-    pub fn any_refused(&self) -> bool {
-        !self.no.is_empty()
+    /// Highest ballot promised by those who refused.
+    pub fn highest(&self) -> Ballot {
+        self.highest
+    }
+
+    /// Latest recovery epoch that a voter is in.
+    pub fn recovery_epoch(&self) -> u64 {
+        self.recovery_epoch
+    }
+
+    /// Last accepted ballot of each voter that said yes to a prepare.
+    pub fn accepted(&self) -> hashbrown::HashMap<u64, Ballot> {
+        self.yes.clone()
+    }
+
+    /// Those who said yes.
+    pub fn voters_for(&self) -> impl Iterator<Item = u64> {
+        self.yes.keys().copied()
+    }
+
+    /// The register that was accepted under the highest ballot among those who promised.
+    pub fn into_best(self) -> Option<Register> {
+        self.best
     }
 }
--- a/crates/control-plane/src/control/schedules_tests.rs
+++ b/crates/control-plane/src/control/schedules_tests.rs
@@ -3,9 +3,9 @@
 //! to be borne among three members, and with two among five.
 
 use super::acceptor::Acceptor;
-use super::round::{Round, Verdict};
+use super::proposer::{Action, Proposer, Request, Scope};
 use crate::disk::format::{Record, State};
-use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
+use fleet_core::wire::{Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
 use std::net::Ipv4Addr;
 
 const KEY: &str = "k";
@@ -31,9 +31,8 @@
 
 #[derive(Clone)]
 enum Message {
-    Prepare(Prepare),
-    Accept(Accept),
-    Vote { phase: u64, vote: Vote },
+    Ask(Request),
+    Vote(Vote),
 }
 
 struct Wire {
@@ -41,33 +40,20 @@
     incarnation: u64,
     to: usize,
     to_incarnation: u64,
-    phase: u64,
+    step: u64,
     message: Message,
 }
 
-enum Doing {
-    Idle,
-    Preparing {
-        ballot: Ballot,
-        round: Round,
-        recovery_epoch: u64,
-    },
-    Accepting {
-        ballot: Ballot,
-        round: Round,
-        value: Vec<u64>,
-        adds: Option<u64>,
-        recovery_epoch: u64,
-    },
-}
-
 struct Node {
     incarnation: u64,
     up: bool,
     disk: Disk,
     acceptor: Acceptor,
-    doing: Doing,
-    phase: u64,
+    proposer: Option<Proposer>,
+    /// rises with every proposer of this incarnation, so that votes for a former one are dropped
+    attempt: u64,
+    /// the change that the round under way adds
+    adds: Option<u64>,
 }
 
 impl Node {
@@ -75,13 +61,23 @@
         let mut disk = Disk { state: State::default() };
         let mut acceptor = Acceptor::new(ip(i), State::default());
         disk.keep(&acceptor.found(&membership(n)).unwrap());
-        Node { incarnation: 1, up: true, disk, acceptor, doing: Doing::Idle, phase: 0 }
+        Node { incarnation: 1, up: true, disk, acceptor, proposer: None, attempt: 0, adds: None }
+    }
+
+    fn vote(&mut self, request: &Request) -> Vote {
+        let step = match request {
+            Request::Prepare(p) => self.acceptor.prepare(p),
+            Request::Accept(a) => self.acceptor.accept(a),
+        };
+        self.disk.keep(&step.record);
+        step.answer
     }
 
     fn restart(&mut self, i: usize) {
         self.incarnation += 1;
         self.up = true;
-        self.doing = Doing::Idle;
+        self.proposer = None;
+        self.adds = None;
         self.acceptor = Acceptor::new(ip(i), self.disk.state.clone());
     }
 }
@@ -111,65 +107,65 @@
         World { nodes, wires: vec![], acknowledged: vec![], chains: vec![], next: 1, n, careful }
     }
 
-    fn cast(&mut self, i: usize, message: &Message) {
+    fn broadcast(&mut self, i: usize) {
         for to in (0..self.n).filter(|t| *t != i) {
-            let (incarnation, to_incarnation) =
-                (self.nodes[i].incarnation, self.nodes[to].incarnation);
-            let phase = self.nodes[i].phase;
-            self.wires.push(Wire {
+            let node = &self.nodes[i];
+            let Some(proposer) = &node.proposer else { return };
+            let wire = Wire {
                 from: i,
-                incarnation,
+                incarnation: node.incarnation,
                 to,
-                to_incarnation,
-                phase,
-                message: message.clone(),
-            });
+                to_incarnation: self.nodes[to].incarnation,
+                step: node.attempt << 32 | proposer.step(),
+                message: Message::Ask(proposer.request_for(to as u64)),
+            };
+            self.wires.push(wire);
         }
     }
 
     fn start(&mut self, i: usize) {
-        let (members, n) = (self.n, &mut self.nodes[i]);
+        let (voters, n) = (self.n, &mut self.nodes[i]);
         if !n.up || !n.acceptor.votes() {
             return;
         }
-        let ballot = Ballot { n: n.acceptor.highest(KEY) + 1, node: i as u64 + 1, seq: 0 };
-        let p = Prepare {
-            key: KEY.into(),
-            membership: 1,
-            ballot,
-            recovery_epoch: n.acceptor.recovery_epoch(),
-        };
-        let step = n.acceptor.prepare(&p);
-        n.disk.keep(&step.record);
-        n.phase += 1;
-        let mut round = Round::new(members);
-        round.vote(i as u64, Some(&step.answer));
-        n.doing = Doing::Preparing { ballot, round, recovery_epoch: p.recovery_epoch };
-        self.cast(i, &Message::Prepare(p));
+        let scope = Scope { membership: 1, recovery_epoch: n.acceptor.recovery_epoch(), voters };
+        let above = n.acceptor.highest(KEY);
+        let (proposer, action) = Proposer::prepare(i as u64, KEY, scope, above);
+        n.attempt += 1;
+        n.proposer = Some(proposer);
+        n.adds = None;
+        self.act(i, action);
     }
 
-    fn accept(
-        &mut self,
-        i: usize,
-        ballot: Ballot,
-        recovery_epoch: u64,
-        value: Vec<u64>,
-        adds: Option<u64>,
-    ) {
-        let (members, n) = (self.n, &mut self.nodes[i]);
-        let a =
-            Accept { key: KEY.into(), membership: 1, ballot, value: pack(&value), recovery_epoch };
-        n.phase += 1;
-        let step = n.acceptor.accept(&a);
-        n.disk.keep(&step.record);
-        if !step.answer.ok {
-            n.doing = Doing::Idle;
-            return;
+    /// Carries out what the proposer of a node asks for; an owner goes on with a further change.
+    fn act(&mut self, i: usize, first: Action) {
+        let mut action = first;
+        loop {
+            let node = &mut self.nodes[i];
+            action = match action {
+                Action::Wait => return,
+                Action::AskOthers => return self.broadcast(i),
+                Action::Failed(_) => {
+                    node.proposer = None;
+                    return;
+                }
+                Action::AskSelf(request) => {
+                    let vote = node.vote(&request);
+                    let Some(proposer) = &mut node.proposer else { return };
+                    proposer.on_vote(proposer.step(), i as u64, Some(&vote))
+                }
+                Action::Chosen => {
+                    let Some(proposer) = &mut node.proposer else { return };
+                    let mut chain = unpack(proposer.value());
+                    self.chains.push(chain.clone());
+                    self.acknowledged.extend(node.adds.take());
+                    chain.push(self.next);
+                    node.adds = Some(self.next);
+                    self.next += 1;
+                    proposer.propose(pack(&chain))
+                }
+            };
         }
-        let mut round = Round::new(members);
-        round.vote(i as u64, Some(&step.answer));
-        n.doing = Doing::Accepting { ballot, round, value, adds, recovery_epoch };
-        self.cast(i, &Message::Accept(a));
     }
 
     fn deliver(&mut self, at: usize) {
@@ -181,66 +177,28 @@
         if !n.up || n.incarnation != w.to_incarnation {
             return;
         }
-        let (from, phase) = (w.from, w.phase);
-        let step = match w.message {
-            Message::Prepare(p) => n.acceptor.prepare(&p),
-            Message::Accept(a) => n.acceptor.accept(&a),
-            Message::Vote { phase, vote } => {
-                if phase == n.phase {
-                    self.count(w.to, from, &vote);
-                }
-                return;
+        match &w.message {
+            Message::Ask(request) => {
+                let vote = n.vote(request);
+                self.wires.push(Wire {
+                    from: w.to,
+                    incarnation: n.incarnation,
+                    to: w.from,
+                    to_incarnation: w.incarnation,
+                    step: w.step,
+                    message: Message::Vote(vote),
+                });
             }
-        };
-        n.disk.keep(&step.record);
-        let message = Message::Vote { phase, vote: step.answer };
-        let incarnation = n.incarnation;
-        self.wires.push(Wire {
-            from: w.to,
-            incarnation,
-            to: from,
-            to_incarnation: w.incarnation,
-            phase,
-            message,
-        });
+            Message::Vote(vote) => self.count(&w, vote),
+        }
     }
 
-    fn count(&mut self, i: usize, from: usize, vote: &Vote) {
-        let doing = std::mem::replace(&mut self.nodes[i].doing, Doing::Idle);
-        match doing {
-            Doing::Idle => {}
-            Doing::Preparing { ballot, mut round, recovery_epoch } => {
-                match round.vote(from as u64, Some(vote)) {
-                    Verdict::Open => {
-                        self.nodes[i].doing = Doing::Preparing { ballot, round, recovery_epoch }
-                    }
-                    Verdict::Lost => {}
-                    Verdict::Won => {
-                        let value = round.best.map(|r| unpack(&r.value)).unwrap_or_default();
-                        self.accept(i, Ballot { seq: 1, ..ballot }, recovery_epoch, value, None);
-                    }
-                }
-            }
-            Doing::Accepting { ballot, mut round, value, adds, recovery_epoch } => {
-                match round.vote(from as u64, Some(vote)) {
-                    Verdict::Open => {
-                        self.nodes[i].doing =
-                            Doing::Accepting { ballot, round, value, adds, recovery_epoch };
-                    }
-                    Verdict::Lost => {}
-                    Verdict::Won => {
-                        self.chains.push(value.clone());
-                        self.acknowledged.extend(adds);
-                        let mut longer = value;
-                        longer.push(self.next);
-                        self.next += 1;
-                        let b = Ballot { seq: ballot.seq + 1, ..ballot };
-                        let adds = longer.last().copied();
-                        self.accept(i, b, recovery_epoch, longer, adds);
-                    }
-                }
-            }
-        }
+    fn count(&mut self, w: &Wire, vote: &Vote) {
+        let n = &mut self.nodes[w.to];
+        let attempt = w.step >> 32;
+        let Some(proposer) = n.proposer.as_mut().filter(|_| attempt == n.attempt) else { return };
+        let action = proposer.on_vote(w.step & 0xffff_ffff, w.from as u64, Some(vote));
+        self.act(w.to, action);
     }
 
     fn recover(&mut self, i: usize) {
@@ -406,7 +364,13 @@
     let mut a = Acceptor::new(ip(0), State::default());
     a.adopt(&membership(3)).unwrap();
     let ballot = Ballot { n: 1, node: 2, seq: 0 };
-    let p = Prepare { key: KEY.into(), membership: 1, ballot, recovery_epoch: 4 };
+    let p = Prepare {
+        key: KEY.into(),
+        membership: 1,
+        ballot,
+        recovery_epoch: 4,
+        known: Ballot::default(),
+    };
     assert!(!a.prepare(&p).answer.ok);
     let held = |n| Peeked {
         votes: true,
@@ -440,6 +404,7 @@
         membership,
         ballot: Ballot { n, node: 2, seq: 0 },
         recovery_epoch: 0,
+        known: Ballot::default(),
     };
     assert!(!n.acceptor.prepare(&p(2, 1)).answer.ok);
     assert!(n.acceptor.prepare(&p(1, 1)).answer.ok);
--- /dev/null
+++ b/crates/control-plane/src/control/submit.rs
@@ -0,0 +1,120 @@
+//! Bringing a change to the owner of its key, wherever it comes in.
+
+use super::owner::settle;
+use super::proposer::ProposalError;
+use super::values;
+use crate::Controller;
+use fleet_core::constants;
+use fleet_core::wire::{Body, Change, ChangeKind, Changed, Outcome};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn value_bytes(change: &ChangeKind) -> usize {
+    match change {
+        ChangeKind::Replace(r) => r.body.len(),
+        ChangeKind::Name(_) | ChangeKind::Raise(_) | ChangeKind::Confirm(_) => 0,
+    }
+}
+
+/// The node that owns a key, as far as this node has heard: it may be behind.
+fn believed_owner(controller: &Controller, key: &str) -> Option<u64> {
+    let promised = controller.acceptor.lock().promised(key);
+    let learned = controller.learned.lock().get(key).map(|(b, _)| *b).unwrap_or_default();
+    let highest = promised.max(learned).max(controller.owners.heard(key));
+    (highest.node != 0).then_some(highest.node)
+}
+
+/// Has a change decided by the owner of its key, which is elected anew if it is silent.
+///
+/// An outcome of `Unknown` says that the change may yet be chosen.
+pub async fn submit(controller: &Arc<Controller>, change: ChangeKind) -> Changed {
+    let limit = constants::change_limit(value_bytes(&change));
+    let run = bring(controller, &change, 0);
+    tokio::time::timeout(limit, run).await.unwrap_or_else(|_| values::unknown())
+}
+
+/// A change that another controller passed here.
+pub async fn submit_passed(controller: &Arc<Controller>, change: &Change) -> Changed {
+    let Some(kind) = &change.kind else { return values::unknown() };
+    let limit = constants::change_limit(value_bytes(kind));
+    let run = bring(controller, kind, change.hops);
+    tokio::time::timeout(limit, run).await.unwrap_or_else(|_| values::unknown())
+}
+
+/// Passes the change to the owner or decides it here, and goes on to a new owner when one was elected.
+async fn bring(controller: &Arc<Controller>, change: &ChangeKind, hops: u32) -> Changed {
+    let key = values::key_of(change);
+    let own = controller.node.id();
+    let until = Instant::now() + constants::change_limit(value_bytes(change));
+    let mut asked = None;
+    loop {
+        let owner = believed_owner(controller, &key).filter(|o| *o != own);
+        if let Some(owner) = owner.filter(|o| asked != Some(*o) && hops < constants::CHANGE_HOPS) {
+            asked = Some(owner);
+            if let Some(changed) = pass(controller, change, owner, hops).await {
+                return changed;
+            }
+        }
+        if !can_decide(controller) {
+            return pass_to_any(controller, change, asked, hops).await;
+        }
+        let settled = settle(controller, &key, |now| values::decide(change, now)).await;
+        match settled {
+            Ok(changed) => return changed,
+            Err(ProposalError::NoOwnVote) => {
+                return pass_to_any(controller, change, asked, hops).await;
+            }
+            Err(ProposalError::Overtaken(_) | ProposalError::OwnerActive) => asked = None,
+            Err(ProposalError::NoQuorum) => return values::unknown(),
+        }
+        let wait = Duration::from_millis(1 + controller.chance(constants::ELECTION_PAUSE_MS));
+        if Instant::now() + wait >= until {
+            return values::unknown();
+        }
+        tokio::time::sleep(wait).await;
+    }
+}
+
+fn can_decide(controller: &Controller) -> bool {
+    !controller.disk_broken() && controller.acceptor.lock().votes()
+}
+
+/// For a node without a vote: one member after the other brings the change to its owner.
+async fn pass_to_any(
+    controller: &Arc<Controller>,
+    change: &ChangeKind,
+    asked: Option<u64>,
+    hops: u32,
+) -> Changed {
+    if hops >= constants::CHANGE_HOPS {
+        return values::unknown();
+    }
+    let members = controller.acceptor.lock().membership().members.clone();
+    for member in &members {
+        let Some(id) = member.addr().map(|a| u64::from(u32::from(a))) else { continue };
+        if id == controller.node.id() || asked == Some(id) {
+            continue;
+        }
+        if let Some(changed) = pass(controller, change, id, hops).await {
+            return changed;
+        }
+    }
+    values::unknown()
+}
+
+/// The answer of the node that the change was passed to, unless it is unknown there.
+async fn pass(
+    controller: &Arc<Controller>,
+    change: &ChangeKind,
+    to: u64,
+    hops: u32,
+) -> Option<Changed> {
+    let members = controller.acceptor.lock().membership().members.clone();
+    let (_, link) = controller.peers(&members).into_iter().find(|(id, _)| *id == to)?;
+    let body = Body::Change(Change { kind: Some(change.clone()), hops: hops + 1 });
+    match link.call(body, constants::owner_limit(value_bytes(change))).await {
+        Ok(Body::Changed(changed)) if changed.outcome() != Outcome::Unknown => Some(changed),
+        _ => None,
+    }
+}
--- a/crates/control-plane/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -25,6 +25,7 @@
         ChangeKind::Replace(_) => CONFIG.to_owned(),
         ChangeKind::Name(n) => weights_key(&n.model),
         ChangeKind::Raise(r) => format!("duty/{}", r.duty),
+        ChangeKind::Confirm(key) => key.clone(),
     }
 }
 
@@ -59,6 +60,7 @@
             Decision::Write(v.encode_to_vec().into(), answer(Outcome::Done, n.version))
         }
         ChangeKind::Raise(r) => raise(r, now),
+        ChangeKind::Confirm(_) => Decision::Answer(answer(Outcome::Done, 0)),
     }
 }
 
--- a/crates/control-plane/src/duties/mod.rs
+++ b/crates/control-plane/src/duties/mod.rs
@@ -4,7 +4,7 @@
 pub mod rollout;
 
 use crate::Controller;
-use crate::control::owner;
+use crate::control::submit;
 use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Body, ChangeKind, Lease, Leased, Outcome, RaiseFence};
@@ -203,7 +203,7 @@
         return;
     }
     let raise = RaiseFence { duty: duty.to_owned(), holder: s.node.name.clone() };
-    let c = owner::submit(s, ChangeKind::Raise(raise)).await;
+    let c = submit::submit(s, ChangeKind::Raise(raise)).await;
     if c.outcome() != Outcome::Done {
         ask(s, duty, true).await;
         return;
--- a/crates/control-plane/src/learner.rs
+++ b/crates/control-plane/src/learner.rs
@@ -2,16 +2,18 @@
 
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
-use crate::control::{owner, values};
+use crate::Controller;
+use crate::control::{submit, values};
 use crate::facts::Fact;
-use crate::{Controller, members};
 use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{
-    Ballot, Body, Committed, ConfigValue, Fetch, Membership, Peek, Peeked, WeightsValue,
+    Ballot, Body, ChangeKind, Committed, ConfigValue, Fetch, Membership, Outcome, Peek, Peeked,
+    WeightsValue,
 };
 use prost::Message;
 use std::sync::Arc;
+use std::time::Duration;
 
 type Held = hashbrown::HashMap<String, Vec<(u64, Ballot)>>;
 
@@ -72,31 +74,43 @@
         self.acceptor.lock().membership().members.len() / 2 + 1
     }
 
+    /// Whether a majority holds the key at just this ballot, asked after the call began.
     pub async fn majority_at(self: &Arc<Self>, key: &str, ballot: Ballot) -> bool {
-        let q = self.quorum();
+        let quorum = self.quorum();
         let count =
             |h: &Held| h.get(key).map_or(0, |v| v.iter().filter(|(_, b)| *b == ballot).count());
-        let held = self.peek(|h| count(h) >= q).await;
-        count(&held) >= q
+        let held = self.peek(|h| count(h) >= quorum).await;
+        count(&held) >= quorum
     }
 
-    /// The committed value, confirmed with a majority after the call came.
+    /// The chosen value, confirmed with a majority after the call came.
+    ///
+    /// While an owner's round is under way, voters stand at different ballots: the read waits for it, and
+    /// then asks the owner to complete what is open. It never takes the key from an owner itself.
     pub async fn read(self: &Arc<Self>, key: &str) -> Option<(Ballot, bytes::Bytes)> {
-        let q = self.quorum();
-        let at = |h: &Held| h.get(key).and_then(|v| settled(v, q)).filter(|(_, all)| *all);
-        let held = self.peek(|h| at(h).is_some()).await;
-        if let Some((b, _)) = at(&held)
-            && let Some(v) = self.value_at(key, b, &held).await
-        {
-            return Some((b, v));
+        let mut pause = constants::READ_PAUSE_MS;
+        for _ in 0..constants::READ_LOOKS {
+            if let Some(found) = self.read_once(key).await {
+                return Some(found);
+            }
+            tokio::time::sleep(Duration::from_millis(1 + self.chance(pause))).await;
+            pause *= 2;
         }
-        let same = |_: &[u8]| values::Decision::Answer(values::unknown());
-        let done =
-            tokio::time::timeout(constants::CHANGE_LIMIT, owner::settle(self, key, same)).await;
-        if !matches!(done, Ok(Ok(_))) {
+        let confirmed = submit::submit(self, ChangeKind::Confirm(key.to_owned())).await;
+        if confirmed.outcome() != Outcome::Done {
             return None;
         }
-        self.learned.lock().get(key).cloned()
+        self.read_once(key).await
+    }
+
+    /// The value that a majority stands at now, if it stands at one.
+    async fn read_once(self: &Arc<Self>, key: &str) -> Option<(Ballot, bytes::Bytes)> {
+        let quorum = self.quorum();
+        let at = |h: &Held| h.get(key).and_then(|v| settled(v, quorum)).filter(|(_, all)| *all);
+        let held = self.peek(|h| at(h).is_some()).await;
+        let (ballot, _) = at(&held)?;
+        let value = self.value_at(key, ballot, &held).await?;
+        Some((ballot, value))
     }
 
     async fn value_at(self: &Arc<Self>, key: &str, b: Ballot, held: &Held) -> Option<bytes::Bytes> {
@@ -192,6 +206,7 @@
         let full = |h: &Held| n > 0 && h.values().any(|v| v.len() >= n);
         let held = s.peek(full).await;
         let mut still = hashbrown::HashMap::new();
+        let mut stalled = Vec::new();
         for (key, h) in &held {
             let Some((top, all)) = settled(h, q) else { continue };
             if all {
@@ -203,14 +218,14 @@
                 }
                 continue;
             }
-            if open.get(key) == Some(&top) && members::is_first_alive(&s) {
-                let same = |_: &[u8]| values::Decision::Answer(values::unknown());
-                let _ = tokio::time::timeout(constants::CHANGE_LIMIT, owner::settle(&s, key, same))
-                    .await;
+            if open.get(key) == Some(&top) && s.acceptor.lock().votes() {
+                stalled.push(ChangeKind::Confirm(key.clone()));
             }
             still.insert(key.clone(), top);
         }
         open = still;
+        let completed = stalled.into_iter().map(|confirm| submit::submit(&s, confirm));
+        futures_util::future::join_all(completed).await;
     }
 }
 
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -3,7 +3,7 @@
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
 use super::RouterSeen;
-use crate::control::owner;
+use crate::control::{owner, submit};
 use crate::facts::Fact;
 use crate::{Controller, duties, engines};
 use fleet_core::constants;
@@ -44,8 +44,17 @@
             return None;
         }
         match body {
-            Body::Prepare(p) => s.vote(|a| a.prepare(&p)).await.map(Body::Vote),
-            Body::Accept(p) => s.vote(|a| a.accept(&p)).await.map(Body::Vote),
+            Body::Prepare(p) => {
+                let vote = s.vote(|a| a.prepare(&p)).await;
+                note_progress(s, &p.key, vote.as_ref());
+                vote.map(Body::Vote)
+            }
+            Body::Accept(p) => {
+                let vote = s.vote(|a| a.accept(&p)).await;
+                note_progress(s, &p.key, vote.as_ref());
+                vote.map(Body::Vote)
+            }
+            Body::PreVote(p) => Some(Body::PreVoted(owner::pre_vote(s, &p))),
             Body::Peek(p) => s.vote(|a| a.peek(p.values)).await.map(Body::Peeked),
             Body::Recover(r) => {
                 if r.membership != s.acceptor.lock().membership().epoch {
@@ -85,10 +94,7 @@
                 s.heard_committed(&c).await;
                 None
             }
-            Body::Change(c) => {
-                let c = c.kind?;
-                Some(Body::Changed(owner::settle_passed(s, &c).await))
-            }
+            Body::Change(c) => Some(Body::Changed(submit::submit_passed(s, &c).await)),
             Body::Lease(l) => Some(Body::Leased(duties::grant(s, &l))),
             Body::Beats(b) => Some(Body::Beats(heard_beats(s, b))),
             Body::Join(j) => {
@@ -121,6 +127,13 @@
     }
 }
 
+/// A voter that has just voted for an owner takes part in no election for a while.
+fn note_progress(s: &Arc<Controller>, key: &str, vote: Option<&fleet_core::wire::Vote>) {
+    if vote.is_some_and(|v| v.ok) {
+        s.owners.saw_progress(key);
+    }
+}
+
 fn heard_beats(s: &Arc<Controller>, b: Beats) -> Beats {
     for e in b.engines {
         engines::registry::hear(s, e, false);
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -22,3 +22,31 @@
 pub const TAKEN_KEPT: usize = 64;
 /// bytes; largest configuration read, above any limit an operator sets on bodies.
 pub const CONFIG_BYTES: usize = 6 << 20;
+/// bytes a ms; rate at which a value reaches all other voters at least. Four copies share the sender's line of
+/// 100 Mbit/s, other traffic takes a part of it, and the disk writes the value too.
+pub const VALUE_BYTES_PER_MS: u64 = 2_000;
+/// ms; an owner that moved its key more recently is left alone.
+pub const ELECTION_QUIET: Duration = Duration::from_millis(300);
+/// ms; longest first pause before an election is tried again; doubles.
+pub const ELECTION_PAUSE_MS: u64 = 60;
+/// times that a change is passed on before it is decided where it is.
+pub const CHANGE_HOPS: u32 = 2;
+/// times that a read looks at a quorum before it asks the owner to complete what is open.
+pub const READ_LOOKS: u32 = 4;
+/// ms; longest first pause between two looks of a read; doubles. A round takes two syncs and a round trip.
+pub const READ_PAUSE_MS: u64 = 20;
+
+/// ms; limit of one round that carries a value of so many bytes.
+pub fn phase_limit(bytes: usize) -> Duration {
+    PHASE_LIMIT + Duration::from_millis(bytes as u64 / VALUE_BYTES_PER_MS)
+}
+
+/// ms; limit of a change that carries so many bytes: its caller waits longer for large bodies.
+pub fn change_limit(bytes: usize) -> Duration {
+    CHANGE_LIMIT + Duration::from_millis(bytes as u64 / VALUE_BYTES_PER_MS)
+}
+
+/// ms; limit of a change that is passed to its owner.
+pub fn owner_limit(bytes: usize) -> Duration {
+    OWNER_LIMIT + Duration::from_millis(bytes as u64 / VALUE_BYTES_PER_MS)
+}
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -40,8 +40,11 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Change {
-    #[prost(oneof = "ChangeKind", tags = "1, 2, 3")]
+    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4")]
     pub kind: Option<ChangeKind>,
+    /// How often it was passed on already.
+    #[prost(uint32, tag = "5")]
+    pub hops: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Oneof)]
@@ -52,6 +55,9 @@
     Name(NameVersion),
     #[prost(message, tag = "3")]
     Raise(RaiseFence),
+    /// Changes nothing: asks the key's owner to complete what is open and to prove its value current.
+    #[prost(string, tag = "4")]
+    Confirm(String),
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/fleet-core/src/wire/frame.rs
+++ b/crates/fleet-core/src/wire/frame.rs
@@ -4,7 +4,8 @@
 
 use super::{
     Accept, Alive, Beats, Change, Changed, Committed, Fetch, Fetched, Found, Hello, Join, Joined,
-    Lease, Leased, Loads, Peek, Peeked, Prepare, Recover, RingAsk, RingGive, View, Vote,
+    Lease, Leased, Loads, Peek, Peeked, PreVote, PreVoted, Prepare, Recover, RingAsk, RingGive,
+    View, Vote,
 };
 use prost::Message;
 
@@ -20,7 +21,7 @@
     pub answer: bool,
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -77,4 +78,8 @@
     Found(Found),
     #[prost(message, tag = "27")]
     Loads(Loads),
+    #[prost(message, tag = "40")]
+    PreVote(PreVote),
+    #[prost(message, tag = "41")]
+    PreVoted(PreVoted),
 }
--- a/crates/fleet-core/src/wire/registers.rs
+++ b/crates/fleet-core/src/wire/registers.rs
@@ -44,6 +44,31 @@
     pub ballot: Ballot,
     #[prost(uint64, tag = "4")]
     pub recovery_epoch: u64,
+    /// Accepted ballot of the proposer's own acceptor: values that are not newer may be left out.
+    #[prost(message, required, tag = "5")]
+    pub known: Ballot,
+}
+
+/// Asks a voter whether the key's owner has gone silent, before any ballot is prepared.
+#[derive(Clone, PartialEq, Message)]
+pub struct PreVote {
+    /// Key that the asker means to take over.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Membership epoch of the asker; voters of another one say no.
+    #[prost(uint64, tag = "2")]
+    pub membership: u64,
+}
+
+/// Answer to [`PreVote`].
+#[derive(Clone, PartialEq, Message)]
+pub struct PreVoted {
+    /// Whether this voter would take part in an election now.
+    #[prost(bool, tag = "1")]
+    pub ok: bool,
+    /// Ballot that the voter has promised for the key; its proposer is the owner.
+    #[prost(message, required, tag = "2")]
+    pub promised: Ballot,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -58,6 +83,9 @@
     pub value: bytes::Bytes,
     #[prost(uint64, tag = "5")]
     pub recovery_epoch: u64,
+    /// In place of the value: the ballot under which this voter has accepted the very same value.
+    #[prost(message, optional, tag = "6")]
+    pub same_as: Option<Ballot>,
 }
 
 /// Answer to Prepare and Accept.
