Seams for simulation: transport, record queue, environment and service functions

Cause: a controller could run over TCP, files and the system's randomness only, and what it decides about a call was part of its HTTP handlers, so that no test ran the real one under faults.

Change, without another behaviour: - fleet-core transport.rs: Transport, Listener and ByteStream, with Tcp as what programs use; links, their host and the lines to engines and stores go over it. - disk: RecordQueue is all that the controller knows of its disk; the thread implements it. - running.rs: Controller::start with an Environment (transport, disk, state, first start, seed) gives a Running to leave or abort; run adds the HTTP server and the signals. - service/: what is decided for configurations, instances and weights; api/ translates. - Order and chance: tables whose order can change what is sent are ordered, selects take their branches in order, incarnations and pauses follow from the seed. - The tasks of connections, and the keeper's tails, end with the task that started them.

--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -7,10 +7,11 @@
 mod weights;
 
 use crate::Controller;
+use crate::service::Rejection;
 use futures_util::StreamExt;
 use std::sync::Arc;
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// What each handler is given: the controller that it answers for.
 pub type Context = Arc<Controller>;
 
 /// Typed answer to what can't be taken.
@@ -26,7 +27,13 @@
     }
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+impl From<Rejection> for dropshot::HttpError {
+    fn from(rejection: Rejection) -> Self {
+        rejected(rejection.status, rejection.code, rejection.message)
+    }
+}
+
+/// An answer of JSON.
 pub fn json(
     status: http::StatusCode,
     body: impl Into<dropshot::Body>,
@@ -55,7 +62,7 @@
     Ok(out.freeze())
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// Starts the server of all handlers.
 pub fn serve(
     s: &Context,
     at: std::net::SocketAddr,
--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -13,7 +13,7 @@
 const RECOVERY_EPOCH: &str = "\u{1}recovery_epoch";
 
 pub struct Acceptor {
-    registers: hashbrown::HashMap<String, Register, ahash::RandomState>,
+    registers: std::collections::BTreeMap<String, Register>,
     membership: Membership,
     voting: bool,
     recovery_epoch: u64,
@@ -29,7 +29,7 @@
 impl Acceptor {
     pub fn new(own: std::net::Ipv4Addr, state: crate::disk::format::State) -> Self {
         let mut a = Acceptor {
-            registers: hashbrown::HashMap::default(),
+            registers: std::collections::BTreeMap::default(),
             membership: Membership::default(),
             voting: state.voting,
             recovery_epoch: 0,
@@ -144,7 +144,7 @@
         }
         let r = self
             .registers
-            .entry_ref(p.key.as_str())
+            .entry(p.key.clone())
             .or_insert_with(|| Register { key: p.key.clone(), ..Default::default() });
         r.promised = p.ballot;
         let r = r.clone();
@@ -247,7 +247,7 @@
         for r in from.iter().filter(full).flat_map(|p| &p.registers) {
             let own = self
                 .registers
-                .entry_ref(r.key.as_str())
+                .entry(r.key.clone())
                 .or_insert_with(|| Register { key: r.key.clone(), ..Default::default() });
             own.promised = own.promised.max(r.promised);
             if r.accepted > own.accepted {
--- a/crates/control-plane/src/disk/mod.rs
+++ b/crates/control-plane/src/disk/mod.rs
@@ -1,8 +1,13 @@
 //! Two slots written in turn, a short log between; synced on a thread of its own.
+//!
+//! The controller knows the disk as a [`RecordQueue`] only, so that tests and simulations put a
+//! disk of their own behind it.
 
 pub mod format;
 pub mod writer;
 
+use fleet_core::transport::BoxFuture;
+
 #[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
 pub enum DiskError {
@@ -18,3 +23,16 @@
 pub fn refused(what: &'static str) -> impl Fn(std::io::Error) -> DiskError {
     move |e| DiskError::Refused { what, kind: e.kind() }
 }
+
+/// What a controller keeps its records with: they are taken in the order of the calls, and each
+/// future ends once its record is durable or can't be kept.
+pub trait RecordQueue: Send + Sync + 'static {
+    /// Queues a record at once; the future needs no polling for it to be written.
+    fn keep(&self, record: format::Record) -> BoxFuture<'static, Result<(), DiskError>>;
+
+    /// Whether the last write failed.
+    fn is_broken(&self) -> bool;
+
+    /// Whether there is no disk at all: such a controller never votes.
+    fn is_absent(&self) -> bool;
+}
--- a/crates/control-plane/src/disk/writer.rs
+++ b/crates/control-plane/src/disk/writer.rs
@@ -3,8 +3,9 @@
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
 use super::format::{self, Record, Slot, State};
-use super::{DiskError, refused};
+use super::{DiskError, RecordQueue, refused};
 use fleet_core::constants;
+use fleet_core::transport::BoxFuture;
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
@@ -197,25 +198,26 @@
     pub fn absent() -> Disk {
         Disk { tx: None, broken: std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true)) }
     }
+}
 
-    pub fn is_absent(&self) -> bool {
-        self.tx.is_none()
-    }
-
-    /// Queued in the order of the calls; true once it is on the disk.
-    pub fn keep(&self, record: Record) -> impl Future<Output = Result<(), DiskError>> + use<> {
+impl RecordQueue for Disk {
+    fn keep(&self, record: Record) -> BoxFuture<'static, Result<(), DiskError>> {
         let (done, rx) = tokio::sync::oneshot::channel();
         let sent = match &self.tx {
             Some(tx) => tx.send(Job { record, done }).map_err(|_| DiskError::Ended),
             None => Err(DiskError::Absent),
         };
-        async move {
+        Box::pin(async move {
             sent?;
             rx.await.map_err(|_| DiskError::Ended)?
-        }
+        })
+    }
+
+    fn is_absent(&self) -> bool {
+        self.tx.is_none()
     }
 
-    pub fn is_broken(&self) -> bool {
+    fn is_broken(&self) -> bool {
         self.broken.load(std::sync::atomic::Ordering::Relaxed)
     }
 }
--- a/crates/control-plane/src/duties/keeper.rs
+++ b/crates/control-plane/src/duties/keeper.rs
@@ -325,7 +325,7 @@
         let keeper = Arc::new(Keeper {
             started: tokio::time::Instant::now(),
             fence,
-            incarnation: fleet_core::node::fresh(),
+            incarnation: s.draw() | 1,
             ring: Ring::new(constants::RING_SLOTS, constants::RING_BATCH, constants::RING_LAG),
             index: parking_lot::Mutex::default(),
             readers: parking_lot::Mutex::default(),
@@ -345,7 +345,9 @@
 )]
 /// Until the duty ends: tails all holders, and publishes what other changes void.
 async fn keep(s: &Arc<Controller>, keeper: &Arc<Keeper>) {
-    let mut tails = hashbrown::HashMap::<String, tokio::task::AbortHandle>::new();
+    // ends with this task, also where that is aborted
+    let mut tail_tasks = tokio::task::JoinSet::new();
+    let mut tails = std::collections::BTreeMap::<String, tokio::task::AbortHandle>::new();
     let mut seen_weights = hashbrown::HashMap::<String, u64>::new();
     let mut seen_isolation = 0;
     let mut told = (0, 0);
@@ -355,10 +357,11 @@
                 .values()
                 .filter(|e| e.standing() != Standing::Gone && !e.silent)
                 .map(|e| (e.id.clone(), e.address.clone()))
-                .collect::<hashbrown::HashMap<_, _>>()
+                .collect::<std::collections::BTreeMap<_, _>>()
         });
         want.extend(stores(s));
         let mut purges = Vec::new();
+        while tail_tasks.try_join_next().is_some() {}
         tails.retain(|holder, t| {
             let stays = want.contains_key(holder);
             if !stays {
@@ -369,9 +372,9 @@
         });
         for (holder, address) in want {
             let Ok(to) = address.parse() else { continue };
-            tails.entry(holder.clone()).or_insert_with(|| {
-                tokio::spawn(tail(s.clone(), keeper.clone(), holder, to)).abort_handle()
-            });
+            tails
+                .entry(holder.clone())
+                .or_insert_with(|| tail_tasks.spawn(tail(s.clone(), keeper.clone(), holder, to)));
         }
         s.look(|n| {
             for (model, (version, _)) in &n.weights {
@@ -414,9 +417,6 @@
         }
         tokio::time::sleep(constants::RING_TELL_PAUSE).await;
     }
-    for t in tails.into_values() {
-        t.abort();
-    }
 }
 
 fn stores(s: &Controller) -> Vec<(String, String)> {
@@ -430,7 +430,7 @@
 }
 
 async fn tail(s: Arc<Controller>, keeper: Arc<Keeper>, holder: String, to: std::net::SocketAddr) {
-    let mut line = Line::new(s.node.ip, to);
+    let mut line = Line::over(s.transport.clone(), s.node.ip, to);
     let wait = constants::EVENTS_WAIT_MS.to_string();
     let limit =
         std::time::Duration::from_millis(constants::EVENTS_WAIT_MS) + constants::ENGINE_CALL_LIMIT;
--- a/crates/control-plane/src/duties/rollout/mod.rs
+++ b/crates/control-plane/src/duties/rollout/mod.rs
@@ -145,7 +145,7 @@
 ) -> Result<Duration, RollError> {
     let e = &s.look(|n| n.engines.get(id).cloned()).ok_or(RollError::Unknown)?;
     let to = e.address.parse().map_err(|_| RollError::Unknown)?;
-    let mut line = Line::new(s.node.ip, to);
+    let mut line = Line::over(s.transport.clone(), s.node.ip, to);
     tell(s, &e.id, |x| x.turn += 1 + x.turn % 2).await;
     tokio::time::sleep(constants::ROLL_NOTICE).await;
     let done = order(s, &mut line, e, model, version).await;
--- a/crates/control-plane/src/engines/outside.rs
+++ b/crates/control-plane/src/engines/outside.rs
@@ -1,16 +1,17 @@
 //! Calls to engines and the store: one kept connection each.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use fleet_core::constants;
+use fleet_core::transport::{Tcp, Transport, TransportError};
 use http_body_util::BodyExt;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
+/// Why a call gave no answer.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum OutsideError {
     /// cannot connect: {0}
-    Connect(fleet_core::link::LinkError),
+    Connect(TransportError),
     /// the call broke off
     Broken,
     /// no answer in time
@@ -21,22 +22,33 @@
 
 type Body = http_body_util::Full<bytes::Bytes>;
 
+/// A connection to one address that is kept between calls.
 pub struct Line {
+    transport: Arc<dyn Transport>,
     own: Ipv4Addr,
     to: SocketAddr,
     sender: Option<hyper::client::conn::http1::SendRequest<Body>>,
 }
 
+/// What was answered, read whole.
 pub struct Answer {
+    /// the answer's status
     pub status: http::StatusCode,
+    /// the answer's body
     pub body: bytes::Bytes,
     /// where a node that doesn't answer itself points to
     pub location: Option<String>,
 }
 
 impl Line {
+    /// A line over TCP; it connects with the first call.
     pub fn new(own: Ipv4Addr, to: SocketAddr) -> Self {
-        Line { own, to, sender: None }
+        Self::over(Tcp::shared(), own, to)
+    }
+
+    /// As `new`, over any transport.
+    pub fn over(transport: Arc<dyn Transport>, own: Ipv4Addr, to: SocketAddr) -> Self {
+        Line { transport, own, to, sender: None }
     }
 
     async fn sender(
@@ -47,7 +59,9 @@
         {
             return Ok(s);
         }
-        let io = fleet_core::link::connect(self.own, self.to, constants::CONNECT_LIMIT)
+        let io = self
+            .transport
+            .connect(self.own, self.to, constants::CONNECT_LIMIT)
             .await
             .map_err(OutsideError::Connect)?;
         let (s, conn) = hyper::client::conn::http1::Builder::new()
@@ -59,6 +73,7 @@
         Ok(s)
     }
 
+    /// Sends one request and reads its answer whole, both within the limit.
     pub async fn call(
         &mut self,
         method: http::Method,
--- a/crates/control-plane/src/engines/registry.rs
+++ b/crates/control-plane/src/engines/registry.rs
@@ -12,7 +12,7 @@
 #[derive(Default)]
 pub struct Registry {
     heard: parking_lot::Mutex<hashbrown::HashMap<String, tokio::time::Instant>>,
-    outbox: parking_lot::Mutex<hashbrown::HashMap<String, Engine>>,
+    outbox: parking_lot::Mutex<std::collections::BTreeMap<String, Engine>>,
 }
 
 /// Takes news of an engine; its own heartbeats are told on, those of other controllers are not.
@@ -86,7 +86,8 @@
     let mut up: hashbrown::HashSet<std::net::Ipv4Addr> = hashbrown::HashSet::new();
     loop {
         tokio::time::sleep(constants::BEAT_SHARE_PAUSE).await;
-        let engines: Vec<Engine> = s.engines.outbox.lock().drain().map(|(_, e)| e).collect();
+        let outbox = std::mem::take(&mut *s.engines.outbox.lock());
+        let engines: Vec<Engine> = outbox.into_values().collect();
         let links = s.members.links();
         up.retain(|ip| links.iter().any(|(i, l)| i == ip && l.is_up()));
         for (ip, link) in links {
--- a/crates/control-plane/src/facts.rs
+++ b/crates/control-plane/src/facts.rs
@@ -17,9 +17,9 @@
 #[derive(Debug, Default)]
 pub struct Known {
     pub config: Option<(u64, u64)>,
-    pub weights: hashbrown::HashMap<String, (u64, Option<tokio::time::Instant>)>,
+    pub weights: std::collections::BTreeMap<String, (u64, Option<tokio::time::Instant>)>,
     pub membership: Membership,
-    pub engines: hashbrown::HashMap<String, Engine>,
+    pub engines: std::collections::BTreeMap<String, Engine>,
     pub ring: Option<RingHead>,
     pub routers: u32,
 }
--- a/crates/control-plane/src/learner.rs
+++ b/crates/control-plane/src/learner.rs
@@ -13,7 +13,7 @@
 use prost::Message;
 use std::sync::Arc;
 
-type Held = hashbrown::HashMap<String, Vec<(u64, Ballot)>>;
+type Held = std::collections::BTreeMap<String, Vec<(u64, Ballot)>>;
 
 fn add(held: &mut Held, id: u64, p: &Peeked) {
     if !p.votes {
@@ -21,7 +21,7 @@
     }
     for r in &p.registers {
         if r.accepted != Ballot::default() {
-            held.entry_ref(r.key.as_str()).or_default().push((id, r.accepted));
+            held.entry(r.key.clone()).or_default().push((id, r.accepted));
         }
     }
 }
--- a/crates/control-plane/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -8,27 +8,34 @@
 pub use peer_service::PeerService;
 
 use fleet_core::link::Link;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// When a router was last heard.
 pub struct RouterSeen {
+    /// the process that was heard
     pub incarnation: u64,
+    /// when
     pub heard: tokio::time::Instant,
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// Who else there is. Tables whose order can change what is sent are ordered.
 #[derive(Default)]
 pub struct Members {
-    links: parking_lot::Mutex<hashbrown::HashMap<Ipv4Addr, Arc<Link>>>,
-    zones: parking_lot::Mutex<hashbrown::HashMap<Ipv4Addr, String>>,
+    links: parking_lot::Mutex<BTreeMap<Ipv4Addr, Arc<Link>>>,
+    /// no link comes up any more
+    unlinked: std::sync::atomic::AtomicBool,
+    zones: parking_lot::Mutex<BTreeMap<Ipv4Addr, String>>,
     incarnations: parking_lot::Mutex<hashbrown::HashMap<String, Incarnations>>,
-    joiners: parking_lot::Mutex<
-        hashbrown::HashMap<String, (fleet_core::wire::Member, tokio::time::Instant)>,
-    >,
+    joiners: parking_lot::Mutex<BTreeMap<String, (fleet_core::wire::Member, tokio::time::Instant)>>,
+    /// loads of engines, as routers and controllers tell them
     pub loads: loads::PeerService,
-    pub router_links: parking_lot::Mutex<hashbrown::HashMap<u64, fleet_core::link::Peer>>,
-    pub routers: parking_lot::Mutex<hashbrown::HashMap<String, RouterSeen>>,
+    /// routers that are linked, by incarnation
+    pub router_links: parking_lot::Mutex<BTreeMap<u64, fleet_core::link::Peer>>,
+    /// routers that were heard lately, by name
+    pub routers: parking_lot::Mutex<BTreeMap<String, RouterSeen>>,
 }
 
 /// Incarnations of one address; those before an empty disk are dead, with all they had on the way.
@@ -38,12 +45,11 @@
     dead: hashbrown::HashSet<u64>,
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Members {
     /// Keeps one link to each member and seed.
     pub fn relink(&self, s: &crate::Controller) {
         let p = s.settings();
-        let mut want: hashbrown::HashSet<Ipv4Addr> = hashbrown::HashSet::new();
+        let mut want = BTreeSet::<Ipv4Addr>::new();
         want.extend(s.acceptor.lock().membership().members.iter().filter_map(|m| m.addr()));
         if !s.acceptor.lock().votes() {
             want.extend(p.seeds.iter().filter_map(|a| match a.ip() {
@@ -53,12 +59,25 @@
         }
         want.remove(&s.node.ip);
         let mut links = self.links.lock();
+        if self.unlinked.load(Ordering::Relaxed) {
+            return;
+        }
         links.retain(|ip, _| want.contains(ip));
         for ip in want {
-            links.entry(ip).or_insert_with(|| Link::keep(&s.node, p.peer_addr(ip.into()), None));
+            let keep =
+                || Link::keep_over(s.transport.clone(), &s.node, p.peer_addr(ip.into()), None);
+            links.entry(ip).or_insert_with(keep);
         }
     }
 
+    /// Drops all links for good.
+    pub fn unlink(&self) {
+        let mut links = self.links.lock();
+        self.unlinked.store(true, Ordering::Relaxed);
+        links.clear();
+    }
+
+    /// All links, by address.
     pub fn links(&self) -> Vec<(Ipv4Addr, Arc<Link>)> {
         self.links.lock().iter().map(|(ip, l)| (*ip, l.clone())).collect()
     }
@@ -78,7 +97,7 @@
         }
     }
 
-    /// A incarnation that came back with an empty disk ends all earlier ones of its address.
+    /// An incarnation that came back with an empty disk ends all earlier ones of its address.
     pub fn bury(&self, ip: &str, but: u64) {
         let mut l = self.incarnations.lock();
         let l = l.entry_ref(ip).or_default();
@@ -86,6 +105,7 @@
         l.dead.extend(dead);
     }
 
+    /// Whether a process was ended by a later one of its address that came with an empty disk.
     pub fn is_dead(&self, hello: &fleet_core::wire::Hello) -> bool {
         self.incarnations.lock().get(&hello.ip).is_some_and(|l| l.dead.contains(&hello.incarnation))
     }
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -158,6 +158,7 @@
             return;
         }
         tokio::select! {
+            biased;
             changed = news.changed() => if changed.is_err() { return },
             () = tokio::time::sleep(constants::ROUTER_SILENT) => {}
         }
--- /dev/null
+++ b/crates/control-plane/src/service/configuration.rs
@@ -0,0 +1,71 @@
+//! The operator's configurations: replaced on a base, and read as a majority has it.
+
+use super::Rejection;
+use crate::Controller;
+use crate::control::{owner, values};
+use bytes::Bytes;
+use fleet_core::configuration::Configuration;
+use fleet_core::constants;
+use fleet_core::log::Event;
+use fleet_core::wire::{ChangeKind, Changed, ConfigValue, Outcome, ReplaceConfig};
+use http::StatusCode;
+use prost::Message;
+use std::sync::Arc;
+
+/// A configuration that is in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Replaced {
+    /// its version
+    pub version: u64,
+}
+
+/// The version that a change builds on, from the text of its header.
+pub fn base_of(header: Option<&str>) -> Result<u64, Rejection> {
+    header
+        .and_then(|text| text.trim().parse().ok())
+        .ok_or_else(|| Rejection::bad_request("no_base", "X-Base-Revision: not a version"))
+}
+
+/// Puts a configuration in force in place of the one that it builds on.
+pub async fn replace(
+    s: &Arc<Controller>,
+    base_header: Option<&str>,
+    body: Bytes,
+) -> Result<Replaced, Rejection> {
+    let base = base_of(base_header)?;
+    let configuration = Configuration::read(&body).map_err(|error| refused(s, &error))?;
+    let change = ReplaceConfig { base, version: configuration.revision, body };
+    let changed = owner::submit(s, ChangeKind::Replace(change.clone())).await;
+    match changed.outcome() {
+        Outcome::Done => Ok(Replaced { version: change.version }),
+        Outcome::Stale => Err(stale(&changed)),
+        Outcome::Invalid => Err(refused(s, &values::error_of(&change, &changed))),
+        Outcome::Unknown => {
+            Err(Rejection::unavailable("unknown", "no majority in time: it may yet be in force"))
+        }
+    }
+}
+
+fn stale(changed: &Changed) -> Rejection {
+    Rejection {
+        status: StatusCode::PRECONDITION_FAILED,
+        code: "stale_base",
+        message: format!("version {} is in place", changed.number),
+    }
+}
+
+fn refused(s: &Controller, error: &fleet_core::configuration::ConfigError) -> Rejection {
+    fleet_core::log_event!(s.log, Event::ConfigRejected, "why" => error.to_string());
+    Rejection::bad_request(error.code(), error)
+}
+
+/// The configuration in force, confirmed by a majority after the call came.
+pub async fn fetch(s: &Arc<Controller>) -> Result<Bytes, Rejection> {
+    let read = tokio::time::timeout(constants::CHANGE_LIMIT, s.read(values::CONFIG)).await;
+    let register = read.ok().flatten();
+    let value = register.and_then(|(_, value)| ConfigValue::decode(value).ok());
+    match value {
+        Some(value) if value.version > 0 => Ok(value.body),
+        _ => Err(Rejection::unavailable("unknown", "no configuration confirmed by a majority")),
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/service/instances.rs
@@ -0,0 +1,108 @@
+//! Engines tell that they live, and that they leave.
+
+use super::Rejection;
+use crate::Controller;
+use crate::engines::registry;
+use bytes::Bytes;
+use fleet_core::wire::{Engine, Standing, Weights};
+use std::sync::Arc;
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Beat {
+    service: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    slots: u32,
+    state: State,
+    #[serde(default)]
+    models: Vec<Loaded>,
+    call_seq: u64,
+}
+
+#[derive(serde::Deserialize, Clone, Copy, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Ready,
+    Draining,
+}
+
+#[derive(serde::Deserialize)]
+struct Loaded {
+    name: String,
+    revision: u64,
+}
+
+#[derive(serde::Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct Leave {
+    #[serde(default)]
+    call_seq: Option<u64>,
+}
+
+fn malformed(error: impl ToString) -> Rejection {
+    Rejection::bad_request("malformed", error)
+}
+
+impl Beat {
+    fn into_engine(self, id: String) -> Engine {
+        let weights =
+            self.models.into_iter().map(|m| Weights { model: m.name, version: m.revision });
+        let mut engine = Engine {
+            id,
+            call: self.call_seq,
+            service: self.service,
+            address: self.address,
+            zone: self.zone,
+            slots: self.slots,
+            weights: weights.collect(),
+            ..Default::default()
+        };
+        engine.set_standing(match self.state {
+            State::Ready => Standing::Ready,
+            State::Draining => Standing::Draining,
+        });
+        engine
+    }
+}
+
+/// Takes a heartbeat; that of a draining engine is acknowledged when a majority has it.
+pub async fn heartbeat(s: &Arc<Controller>, id: String, body: Bytes) -> Result<(), Rejection> {
+    let beat: Beat = serde_json::from_slice(&body).map_err(malformed)?;
+    if beat.address.parse::<std::net::SocketAddr>().is_err() {
+        return Err(malformed("address: not an address with a port"));
+    }
+    let draining = beat.state == State::Draining;
+    registry::hear(s, beat.into_engine(id.clone()), true);
+    if draining {
+        told(s, &id).await?;
+    }
+    Ok(())
+}
+
+/// Acknowledged only when a majority of the controllers has it.
+async fn told(s: &Arc<Controller>, id: &str) -> Result<(), Rejection> {
+    let Some(engine) = s.look(|n| n.engines.get(id).cloned()) else { return Ok(()) };
+    if registry::share_now(s, engine).await {
+        return Ok(());
+    }
+    Err(Rejection::unavailable("no_majority", "not told to a majority"))
+}
+
+/// Takes an engine's farewell, acknowledged when a majority has it.
+pub async fn deregister(s: &Arc<Controller>, id: String, body: Bytes) -> Result<(), Rejection> {
+    let leave: Leave = if body.is_empty() {
+        Leave::default()
+    } else {
+        serde_json::from_slice(&body).map_err(malformed)?
+    };
+    let known = s.look(|n| n.engines.get(&id).cloned());
+    let call = known.as_ref().map_or(0, |e| e.call);
+    let mut engine = known.unwrap_or_else(|| Engine { id: id.clone(), ..Default::default() });
+    engine.call = call.max(leave.call_seq.unwrap_or(call + 1));
+    engine.set_standing(Standing::Gone);
+    registry::hear(s, engine, true);
+    told(s, &id).await
+}
--- /dev/null
+++ b/crates/control-plane/src/service/weights.rs
@@ -0,0 +1,25 @@
+//! New weights are named.
+
+use super::Rejection;
+use crate::Controller;
+use crate::control::owner;
+use bytes::Bytes;
+use fleet_core::wire::{ChangeKind, NameVersion, Outcome};
+use std::sync::Arc;
+
+#[derive(serde::Deserialize)]
+struct Put {
+    model: String,
+    revision: u64,
+}
+
+/// Names the version that a model's engines shall have.
+pub async fn put(s: &Arc<Controller>, body: Bytes) -> Result<(), Rejection> {
+    let put: Put = serde_json::from_slice(&body)
+        .map_err(|error| Rejection::bad_request("malformed", error))?;
+    let change = ChangeKind::Name(NameVersion { model: put.model, version: put.revision });
+    match owner::submit(s, change).await.outcome() {
+        Outcome::Done => Ok(()),
+        _ => Err(Rejection::unavailable("unknown", "no majority in time: it may yet be named")),
+    }
+}
--- a/crates/data-plane/src/pool/connection.rs
+++ b/crates/data-plane/src/pool/connection.rs
@@ -17,7 +17,7 @@
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum ConnectionError {
     /// no connection came up: {0}
-    Connect(fleet_core::link::LinkError),
+    Connect(fleet_core::transport::TransportError),
     /// no connection is left for this router
     Full,
     /// the engine closed before anything was sent
--- a/crates/fleet-core/src/lib.rs
+++ b/crates/fleet-core/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod node;
 pub mod program;
 pub mod settings;
+pub mod transport;
 pub mod wire;
--- a/crates/fleet-core/src/link.rs
+++ b/crates/fleet-core/src/link.rs
@@ -1,16 +1,19 @@
-//! Links between the system's own processes: frames of prost over TCP, calls by number.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! Links between the system's own processes: frames of prost over a transport, calls by number.
 
 use crate::constants;
+use crate::transport::{self, BoxedStream, ByteReader, ByteWriter, Listener, Transport};
 use crate::wire::{Body, Frame};
 use prost::Message;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+pub use transport::{connect, listen, tame};
+
+/// Why a message or a call failed.
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
 pub enum LinkError {
     /// not connected
@@ -33,44 +36,7 @@
     }
 }
 
-/// Bounds how long a socket may hang behind a cut.
-pub fn tame(s: &tokio::net::TcpStream) -> std::io::Result<()> {
-    s.set_nodelay(true)?;
-    let r = socket2::SockRef::from(s);
-    r.set_tcp_user_timeout(Some(constants::TCP_SILENCE))?;
-    r.set_tcp_keepalive(
-        &socket2::TcpKeepalive::new()
-            .with_time(constants::KEEPALIVE_IDLE)
-            .with_interval(constants::KEEPALIVE_GAP)
-            .with_retries(constants::KEEPALIVE_PROBES),
-    )
-}
-
-pub fn listen(addr: SocketAddr) -> std::io::Result<tokio::net::TcpListener> {
-    let s = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
-    s.set_reuse_address(true)?;
-    s.set_nonblocking(true)?;
-    s.bind(&addr.into())?;
-    s.listen(constants::LISTEN_BACKLOG)?;
-    tokio::net::TcpListener::from_std(s.into())
-}
-
-/// Connects from the machine's own address.
-pub async fn connect(
-    own: Ipv4Addr,
-    to: SocketAddr,
-    limit: Duration,
-) -> Result<tokio::net::TcpStream, LinkError> {
-    let s = tokio::net::TcpSocket::new_v4()?;
-    s.bind(SocketAddr::new(own.into(), 0))?;
-    let c = tokio::time::timeout(limit, s.connect(to)).await.map_err(|_| LinkError::Late)??;
-    tame(&c)?;
-    Ok(c)
-}
-
-async fn read_frame(
-    r: &mut tokio::io::BufReader<tokio::net::tcp::OwnedReadHalf>,
-) -> Result<Frame, LinkError> {
+async fn read_frame(r: &mut tokio::io::BufReader<ByteReader>) -> Result<Frame, LinkError> {
     let len = r.read_u32().await? as usize;
     if len > constants::FRAME_MAX {
         return Err(LinkError::TooLarge(len));
@@ -85,10 +51,7 @@
     f.encode_raw(out);
 }
 
-async fn write_loop(
-    mut w: tokio::net::tcp::OwnedWriteHalf,
-    mut rx: tokio::sync::mpsc::Receiver<Frame>,
-) {
+async fn write_loop(mut w: ByteWriter, mut rx: tokio::sync::mpsc::Receiver<Frame>) {
     let mut out = Vec::new();
     while let Some(f) = rx.recv().await {
         out.clear();
@@ -105,7 +68,27 @@
     }
 }
 
-type Waiting = Arc<parking_lot::Mutex<hashbrown::HashMap<u64, tokio::sync::oneshot::Sender<Body>>>>;
+/// The task that writes a connection's frames; it ends with its connection.
+struct Writer(tokio::task::JoinHandle<()>);
+
+impl Writer {
+    fn start(w: ByteWriter, rx: tokio::sync::mpsc::Receiver<Frame>) -> Writer {
+        Writer(tokio::spawn(write_loop(w, rx)))
+    }
+
+    fn is_finished(&self) -> bool {
+        self.0.is_finished()
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Ordered, so that a broken link wakes its callers in the order of their calls.
+type Waiting = Arc<parking_lot::Mutex<BTreeMap<u64, tokio::sync::oneshot::Sender<Body>>>>;
 
 struct Live {
     tx: tokio::sync::mpsc::Sender<Frame>,
@@ -114,8 +97,10 @@
 
 /// Our end of a link that we keep up to one address.
 pub struct Link {
+    /// The address of the other side.
     pub to: SocketAddr,
     own: Ipv4Addr,
+    transport: Arc<dyn Transport>,
     hello: crate::wire::Hello,
     live: parking_lot::Mutex<Option<Live>>,
     calls: AtomicU64,
@@ -124,6 +109,17 @@
     task: parking_lot::Mutex<Option<tokio::task::AbortHandle>>,
 }
 
+/// How a node introduces itself on a new connection.
+fn hello(node: &crate::node::Node) -> crate::wire::Hello {
+    crate::wire::Hello {
+        name: node.name.clone(),
+        ip: node.ip.to_string(),
+        zone: node.zone.clone(),
+        role: node.role as u32,
+        incarnation: node.incarnation,
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         if let Some(t) = self.task.lock().take() {
@@ -133,22 +129,27 @@
 }
 
 impl Link {
-    /// Keeps the link up until dropped; what the other side pushes goes to `pushed`.
+    /// Keeps a link over TCP up until dropped; what the other side pushes goes to `pushed`.
     pub fn keep(
         node: &crate::node::Node,
         to: SocketAddr,
         pushed: Option<tokio::sync::mpsc::Sender<Body>>,
+    ) -> Arc<Link> {
+        Self::keep_over(transport::Tcp::shared(), node, to, pushed)
+    }
+
+    /// As `keep`, over any transport.
+    pub fn keep_over(
+        transport: Arc<dyn Transport>,
+        node: &crate::node::Node,
+        to: SocketAddr,
+        pushed: Option<tokio::sync::mpsc::Sender<Body>>,
     ) -> Arc<Link> {
         let link = Arc::new(Link {
             to,
             own: node.ip,
-            hello: crate::wire::Hello {
-                name: node.name.clone(),
-                ip: node.ip.to_string(),
-                zone: node.zone.clone(),
-                role: node.role as u32,
-                incarnation: node.incarnation,
-            },
+            transport,
+            hello: hello(node),
             live: parking_lot::Mutex::new(None),
             calls: AtomicU64::new(1),
             heard: parking_lot::Mutex::new(None),
@@ -156,31 +157,34 @@
             task: parking_lot::Mutex::new(None),
         });
         let weak = Arc::downgrade(&link);
-        let task = tokio::spawn(async move {
-            loop {
-                let Some(l) = weak.upgrade() else { return };
-                let (own, to, hello) = (l.own, l.to, l.hello.clone());
-                drop(l);
-                if let Ok(s) = connect(own, to, constants::CONNECT_LIMIT).await {
-                    Self::serve(&weak, s, hello, pushed.as_ref()).await;
-                }
-                tokio::time::sleep(constants::RELINK_PAUSE).await;
-            }
-        });
+        let task = tokio::spawn(Self::reconnect(weak, pushed));
         *link.task.lock() = Some(task.abort_handle());
         link
     }
 
+    async fn reconnect(weak: Weak<Link>, pushed: Option<tokio::sync::mpsc::Sender<Body>>) {
+        loop {
+            let Some(link) = weak.upgrade() else { return };
+            let (own, to, hello) = (link.own, link.to, link.hello.clone());
+            let transport = link.transport.clone();
+            drop(link);
+            if let Ok(stream) = transport.connect(own, to, constants::CONNECT_LIMIT).await {
+                Self::serve(&weak, stream, hello, pushed.as_ref()).await;
+            }
+            tokio::time::sleep(constants::RELINK_PAUSE).await;
+        }
+    }
+
     async fn serve(
-        weak: &std::sync::Weak<Link>,
-        s: tokio::net::TcpStream,
+        weak: &Weak<Link>,
+        stream: BoxedStream,
         hello: crate::wire::Hello,
         pushed: Option<&tokio::sync::mpsc::Sender<Body>>,
     ) {
-        let (r, w) = s.into_split();
+        let (r, w) = stream.into_halves();
         let (tx, rx) = tokio::sync::mpsc::channel(constants::LINK_BACKLOG);
         let waiting: Waiting = Arc::default();
-        let writer = tokio::spawn(write_loop(w, rx));
+        let writer = Writer::start(w, rx);
         let first = Frame { call: 0, answer: false, body: Some(Body::Hello(hello)) };
         if tx.send(first).await.is_err() {
             return;
@@ -194,6 +198,7 @@
         let mut r = tokio::io::BufReader::with_capacity(4096, r);
         loop {
             let f = tokio::select! {
+                biased;
                 f = read_frame(&mut r) => f,
                 () = async { while !writer.is_finished() { tokio::time::sleep(constants::TCP_SILENCE).await } } => Err(LinkError::Down),
             };
@@ -212,25 +217,29 @@
                 break;
             }
         }
-        writer.abort();
+        drop(writer);
         if let Some(l) = weak.upgrade() {
             *l.live.lock() = None;
             l.state.send_replace(false);
         }
     }
 
+    /// Whether the connection stands, as far as this side knows.
     pub fn is_up(&self) -> bool {
         *self.state.borrow()
     }
 
+    /// Follows whether the connection stands.
     pub fn watch(&self) -> tokio::sync::watch::Receiver<bool> {
         self.state.subscribe()
     }
 
+    /// Since the other side was last heard; none before the first time.
     pub fn silent_for(&self) -> Option<Duration> {
         self.heard.lock().map(|t| t.elapsed())
     }
 
+    /// Sends without an answer; it is lost where the link breaks.
     pub fn tell(&self, body: Body) -> Result<(), LinkError> {
         let g = self.live.lock();
         let live = g.as_ref().ok_or(LinkError::Down)?;
@@ -239,6 +248,7 @@
             .map_err(|_| LinkError::Down)
     }
 
+    /// Asks and waits for the answer, not longer than the limit.
     pub async fn call(&self, body: Body, limit: Duration) -> Result<Body, LinkError> {
         let no = self.calls.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = tokio::sync::oneshot::channel();
@@ -267,52 +277,61 @@
 /// The other end, as the one who accepted it sees it.
 #[derive(Clone)]
 pub struct Peer {
+    /// How it introduced itself.
     pub hello: Arc<crate::wire::Hello>,
     tx: tokio::sync::mpsc::Sender<Frame>,
 }
 
 impl Peer {
+    /// Sends to the other end what it hasn't asked for.
     pub fn push(&self, body: Body) -> Result<(), LinkError> {
         self.tx
             .try_send(Frame { call: 0, answer: false, body: Some(body) })
             .map_err(|_| LinkError::Down)
     }
 
+    /// Whether nothing can be pushed any more.
     pub fn is_closed(&self) -> bool {
         self.tx.is_closed()
     }
 }
 
+/// What the accepting end does with connections and messages.
 pub trait Host: Send + Sync + 'static {
+    /// A peer has introduced itself.
     fn joined(self: &Arc<Self>, peer: &Peer);
+    /// The connection of a peer has ended.
     fn left(self: &Arc<Self>, peer: &Peer);
+    /// The answer to a message; none where it needs none.
     fn answer(
         self: &Arc<Self>,
         peer: &Peer,
         body: Body,
     ) -> impl std::future::Future<Output = Option<Body>> + Send;
+    /// A connection ended for bytes that make no frame.
     fn spoilt(self: &Arc<Self>, error: &LinkError);
 }
 
-pub async fn host<H: Host>(listener: tokio::net::TcpListener, host: Arc<H>) {
+/// Serves all who connect to the listener, until it is dropped.
+pub async fn host<H: Host>(mut listener: Box<dyn Listener>, host: Arc<H>) {
+    let mut connections = tokio::task::JoinSet::new();
     loop {
-        let Ok((s, _)) = listener.accept().await else {
+        while connections.try_join_next().is_some() {}
+        let Ok(stream) = listener.accept().await else {
             tokio::time::sleep(constants::RELINK_PAUSE).await;
             continue;
         };
-        if tame(&s).is_ok() {
-            tokio::spawn(host_one(s, host.clone()));
-        }
+        connections.spawn(host_one(stream, host.clone()));
     }
 }
 
-async fn host_one<H: Host>(s: tokio::net::TcpStream, host: Arc<H>) {
-    let (r, w) = s.into_split();
+async fn host_one<H: Host>(stream: BoxedStream, host: Arc<H>) {
+    let (r, w) = stream.into_halves();
     let mut r = tokio::io::BufReader::with_capacity(4096, r);
     let first = tokio::time::timeout(constants::TCP_SILENCE, read_frame(&mut r)).await;
     let Ok(Ok(Frame { body: Some(Body::Hello(hello)), .. })) = first else { return };
     let (tx, rx) = tokio::sync::mpsc::channel(constants::LINK_BACKLOG);
-    let writer = tokio::spawn(write_loop(w, rx));
+    let writer = Writer::start(w, rx);
     let peer = Peer { hello: Arc::new(hello), tx };
     host.joined(&peer);
     loop {
@@ -334,6 +353,6 @@
             }
         });
     }
-    writer.abort();
+    drop(writer);
     host.left(&peer);
 }
--- a/crates/fleet-core/src/node.rs
+++ b/crates/fleet-core/src/node.rs
@@ -21,13 +21,20 @@
 }
 
 impl Node {
+    /// A process of a program: its incarnation is like no other.
     pub fn start(settings: &crate::settings::Settings, role: Role) -> Node {
+        Self::seeded(settings, role, fresh())
+    }
+
+    /// A process whose incarnation follows from a seed; another start needs another seed.
+    pub fn seeded(settings: &crate::settings::Settings, role: Role, seed: u64) -> Node {
+        let name = settings.node_name.as_bytes();
         Node {
             name: settings.node_name.clone(),
             zone: settings.zone.clone(),
             ip: settings.ip,
             role,
-            incarnation: fresh(),
+            incarnation: stable_hash(&[b"incarnation", name, &seed.to_le_bytes()]) | 1,
         }
     }
 
