Wire messages: what each promises, units and optional fields in doc comments

Cause: the wire files carried an exception from missing_docs, and units and empty values were to be guessed from their uses. Change: doc comments on every type and field; no change of format. The exceptions are gone.

--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -1,102 +1,139 @@
 //! Changes of the control state, and the values that its keys hold.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use prost::Message;
 
+/// A configuration that was committed earlier; recognises one that is sent again.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Taken {
+    /// The operator's number of it.
     #[prost(uint64, tag = "1")]
     pub version: u64,
+    /// Hash of its bytes, the same on every machine.
     #[prost(uint64, tag = "2")]
     pub digest: u64,
 }
 
+/// What the key `config` holds. The default stands for "no configuration yet".
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ConfigValue {
+    /// The operator's number (`revision` in the body); 0 for none.
     #[prost(uint64, tag = "1")]
     pub version: u64,
+    /// The configuration as the operator sent it, JSON.
     #[prost(bytes = "bytes", tag = "2")]
     pub body: bytes::Bytes,
+    /// Configurations committed lately, oldest first, this one included; at most `TAKEN_KEPT`.
     #[prost(message, repeated, tag = "3")]
     pub taken: Vec<Taken>,
+    /// Isolation generation of what tenants share: rises by one with each configuration that isolates a
+    /// tenant which was not isolated before. Kept prompts of older generations are void.
     #[prost(uint64, tag = "4")]
     pub isolation: u64,
 }
 
+/// What the key `weights/MODEL` holds.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct WeightsValue {
+    /// The named version; it only rises, 0 for none.
     #[prost(uint64, tag = "1")]
     pub version: u64,
 }
 
+/// What the key `duty/NAME` holds.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct DutyValue {
+    /// Fencing token of the newest holder; rises by one with each raise and is never used again.
     #[prost(uint64, tag = "1")]
     pub fence: u64,
+    /// Name of the node that raised it last.
     #[prost(string, tag = "2")]
     pub holder: String,
 }
 
+/// Asks the owner of a key for one change; a controller that does not own the key passes the change on.
+/// Answered with [`Changed`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Change {
+    /// What to change; a change of a kind unknown to the receiver is not answered.
     #[prost(oneof = "ChangeKind", tags = "1, 2, 3")]
     pub kind: Option<ChangeKind>,
 }
 
+/// The kinds of change, one for each kind of key.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum ChangeKind {
+    /// Replaces the configuration.
     #[prost(message, tag = "1")]
     Replace(ReplaceConfig),
+    /// Names a version of a model's weights.
     #[prost(message, tag = "2")]
     Name(NameVersion),
+    /// Raises a duty's fencing token.
     #[prost(message, tag = "3")]
     Raise(RaiseFence),
 }
 
+/// Replaces the configuration `base` by a newer one.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReplaceConfig {
+    /// Version that the operator took for the one in force; the change is stale if it is not.
     #[prost(uint64, tag = "1")]
     pub base: u64,
+    /// The new configuration's number; has to be above the one in force.
     #[prost(uint64, tag = "2")]
     pub version: u64,
+    /// The new configuration, JSON. The sender has checked that it can be read.
     #[prost(bytes = "bytes", tag = "3")]
     pub body: bytes::Bytes,
 }
 
+/// Names the version to which the engines of a model are to be brought.
 #[derive(Clone, PartialEq, Message)]
 pub struct NameVersion {
+    /// Name of the model.
     #[prost(string, tag = "1")]
     pub model: String,
+    /// The version; a lower one than the named one changes nothing.
     #[prost(uint64, tag = "2")]
     pub version: u64,
 }
 
+/// Raises the fencing token of a duty for a new holding.
 #[derive(Clone, PartialEq, Message)]
 pub struct RaiseFence {
+    /// Name of the duty.
     #[prost(string, tag = "1")]
     pub duty: String,
+    /// Name of the node that is about to hold it; it already has the lease.
     #[prost(string, tag = "2")]
     pub holder: String,
 }
 
+/// What came of a change.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
-    /// nothing is known: it may yet be in force
+    /// Nothing is known: the change may yet come into force.
     Unknown = 0,
+    /// Committed, now or earlier.
     Done = 1,
-    /// another version is in place
+    /// Not committed: another version than the given base is committed.
     Stale = 2,
+    /// Not committed: the value breaks a rule.
     Invalid = 3,
 }
 
+/// Answer to [`Change`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Changed {
+    /// An [`Outcome`].
     #[prost(enumeration = "Outcome", tag = "1")]
     pub outcome: i32,
+    /// Version or fence in force after the change; for a refused one, the version that stands in its
+    /// way; 0 if unknown.
     #[prost(uint64, tag = "2")]
     pub number: u64,
+    /// For a raise, the node that held the duty before; else empty.
     #[prost(string, tag = "3")]
     pub holder: String,
 }
--- a/crates/fleet-core/src/wire/leases.rs
+++ b/crates/fleet-core/src/wire/leases.rs
@@ -1,27 +1,34 @@
 //! Messages of duty leases.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use prost::Message;
 
+/// Asks a member for its grant of a duty lease, or gives the lease back. The asker counts the lease
+/// from before it asked, and holds the duty with the grants of a majority only.
 #[derive(Clone, PartialEq, Message)]
 pub struct Lease {
+    /// Name of the duty.
     #[prost(string, tag = "1")]
     pub duty: String,
+    /// Incarnation of the asking process.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// Length of the lease in ms. Granters go by their own settings.
     #[prost(uint64, tag = "3")]
     pub ms: u64,
-    /// gives it back
+    /// Gives the lease back.
     #[prost(bool, tag = "4")]
     pub leave: bool,
-    /// a new incarnation of the same node may stand in for the one before it at once
+    /// Name of the asking node. A new incarnation of the same node may stand in for the one before it
+    /// at once.
     #[prost(string, tag = "5")]
     pub node: String,
 }
 
+/// Answer to [`Lease`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Leased {
+    /// Granted: the granter grants this duty to no other node until the lease has passed, counted from
+    /// its answer.
     #[prost(bool, tag = "1")]
     pub ok: bool,
 }
--- a/crates/fleet-core/src/wire/registers.rs
+++ b/crates/fleet-core/src/wire/registers.rs
@@ -1,131 +1,176 @@
 //! Messages of the replicated registers: prepare, accept, reads and recovery.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use super::Membership;
 use prost::Message;
 
+/// Orders the rounds of a register. Compared field by field in this order.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Message)]
 pub struct Ballot {
+    /// Epoch: rises with each take-over of the key.
     #[prost(uint64, tag = "1")]
     pub n: u64,
+    /// The owner's number (its IPv4 address); parts owners that chose the same epoch.
     #[prost(uint64, tag = "2")]
     pub node: u64,
+    /// Rounds of this owner under this epoch; 0 for the prepare phase.
     #[prost(uint64, tag = "3")]
     pub seq: u64,
 }
 
 impl Ballot {
-    /// Rounds of one owner under one epoch.
+    /// What all rounds of one owner under one epoch share.
     pub fn epoch(&self) -> (u64, u64) {
         (self.n, self.node)
     }
 }
 
+/// One replicated register, as a member holds it.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Register {
+    /// Name of the key.
     #[prost(string, tag = "1")]
     pub key: String,
+    /// No round below this epoch is accepted any more.
     #[prost(message, required, tag = "2")]
     pub promised: Ballot,
+    /// Ballot of the accepted value; the default if there is none.
     #[prost(message, required, tag = "3")]
     pub accepted: Ballot,
+    /// The accepted value, encoded as the key demands; may be left out on the wire where only ballots
+    /// are asked for.
     #[prost(bytes = "bytes", tag = "4")]
     pub value: bytes::Bytes,
 }
 
+/// First phase: asks for the promise to accept no round of a lower epoch.
 #[derive(Clone, PartialEq, Message)]
 pub struct Prepare {
+    /// Name of the key.
     #[prost(string, tag = "1")]
     pub key: String,
+    /// Epoch of the sender's membership; refused under any other.
     #[prost(uint64, tag = "2")]
     pub membership: u64,
+    /// The epoch to promise.
     #[prost(message, required, tag = "3")]
     pub ballot: Ballot,
+    /// The sender's recovery epoch; refused where the receiver's is later.
     #[prost(uint64, tag = "4")]
     pub recovery_epoch: u64,
 }
 
+/// Second phase: asks to accept a value. The sender has it on its own disk already.
 #[derive(Clone, PartialEq, Message)]
 pub struct Accept {
+    /// Name of the key.
     #[prost(string, tag = "1")]
     pub key: String,
+    /// Epoch of the sender's membership; refused under any other.
     #[prost(uint64, tag = "2")]
     pub membership: u64,
+    /// The round.
     #[prost(message, required, tag = "3")]
     pub ballot: Ballot,
+    /// The value.
     #[prost(bytes = "bytes", tag = "4")]
     pub value: bytes::Bytes,
+    /// The sender's recovery epoch; refused where the receiver's is later.
     #[prost(uint64, tag = "5")]
     pub recovery_epoch: u64,
 }
 
-/// Answer to Prepare and Accept.
+/// Answer to [`Prepare`] and [`Accept`]; sent only once what it says is on the voter's disk.
 #[derive(Clone, PartialEq, Message)]
 pub struct Vote {
+    /// Promised or accepted.
     #[prost(bool, tag = "1")]
     pub ok: bool,
+    /// On a promise, the voter's register with its value; on a refusal, its ballots without the value,
+    /// if it knows the key; else none.
     #[prost(message, optional, tag = "2")]
     pub register: Option<Register>,
+    /// On a refusal, the voter's membership, which may be newer.
     #[prost(message, optional, tag = "3")]
     pub membership: Option<Membership>,
+    /// The voter's recovery epoch; votes of two recovery epochs do not count together.
     #[prost(uint64, tag = "4")]
     pub recovery_epoch: u64,
 }
 
+/// Asks for all registers of a member; changes nothing.
 #[derive(Clone, PartialEq, Message)]
 pub struct Peek {
+    /// Epoch of the asker's membership.
     #[prost(uint64, tag = "1")]
     pub membership: u64,
+    /// Whether values are wanted, or ballots only.
     #[prost(bool, tag = "2")]
     pub values: bool,
 }
 
+/// Answer to [`Peek`] and [`Recover`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Peeked {
+    /// Whether the member votes at all; only then does its answer count.
     #[prost(bool, tag = "1")]
     pub votes: bool,
+    /// All its registers, on [`Recover`] with values.
     #[prost(message, repeated, tag = "2")]
     pub registers: Vec<Register>,
+    /// The membership that it votes in.
     #[prost(message, optional, tag = "3")]
     pub membership: Option<Membership>,
+    /// Its recovery epoch.
     #[prost(uint64, tag = "4")]
     pub recovery_epoch: u64,
 }
 
-/// An empty disk asks for all, and ends what its former incarnation had on the way: whoever answers is in
-/// the new recovery_epoch, and votes in no earlier one.
+/// An empty disk asks for everything, and ends what its former incarnation had on the way: whoever
+/// answers is in the new recovery epoch, and votes in no earlier one.
 #[derive(Clone, PartialEq, Message)]
 pub struct Recover {
+    /// Epoch of the asker's membership; under another one the answer has no values.
     #[prost(uint64, tag = "1")]
     pub membership: u64,
+    /// The asker's present incarnation; messages of earlier ones are dropped from now on.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// The new recovery epoch, above all that the asker has heard of.
     #[prost(uint64, tag = "3")]
     pub recovery_epoch: u64,
 }
 
+/// Asks for one register.
 #[derive(Clone, PartialEq, Message)]
 pub struct Fetch {
+    /// Name of the key.
     #[prost(string, tag = "1")]
     pub key: String,
-    /// asks a majority first
+    /// Reads with a majority first: the answer is then committed, and was current after the call came.
+    /// Else it is what the receiver happens to know.
     #[prost(bool, tag = "2")]
     pub confirm: bool,
 }
 
+/// Answer to [`Fetch`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Fetched {
+    /// Whether there is an answer; not if a majority could not be reached.
     #[prost(bool, tag = "1")]
     pub known: bool,
+    /// The register, with its value.
     #[prost(message, optional, tag = "2")]
     pub register: Option<Register>,
 }
 
+/// Tells that the value at this ballot is committed. A hint: who has accepted it may count it as
+/// committed, others find out by themselves.
 #[derive(Clone, PartialEq, Message)]
 pub struct Committed {
+    /// Name of the key.
     #[prost(string, tag = "1")]
     pub key: String,
+    /// Ballot of the committed value.
     #[prost(message, required, tag = "2")]
     pub ballot: Ballot,
 }
--- a/crates/fleet-core/src/wire/views.rs
+++ b/crates/fleet-core/src/wire/views.rs
@@ -1,45 +1,57 @@
 //! What controllers push to routers.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use super::{Engine, Membership, RingHead};
 use prost::Message;
 
-/// A router tells that it incarnations, and what it has.
+/// A router tells each controller, once every `ROUTER_BEAT`, that it lives and what it has.
 #[derive(Clone, PartialEq, Message)]
 pub struct Alive {
+    /// Version of the configuration in force at the router; 0 for none.
     #[prost(uint64, tag = "1")]
     pub version: u64,
+    /// It has been told to stop, and takes no new connections.
     #[prost(bool, tag = "2")]
     pub leaving: bool,
 }
 
+/// The version named for a model.
 #[derive(Clone, PartialEq, Message)]
 pub struct NamedWeights {
+    /// Name of the model.
     #[prost(string, tag = "1")]
     pub model: String,
+    /// The named version.
     #[prost(uint64, tag = "2")]
     pub version: u64,
+    /// How long the telling controller has known it, in ms.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
 }
 
-/// Pushed to routers; each field only when it has news.
+/// Pushed to routers whenever something changed, and once in full at the start of a link. Each field is
+/// set only when it has news.
 #[derive(Clone, PartialEq, Message)]
 pub struct View {
+    /// The membership in force.
     #[prost(message, optional, tag = "1")]
     pub membership: Option<Membership>,
+    /// Version of the newest committed configuration; the router fetches it by [`super::Fetch`]. 0 for
+    /// no news.
     #[prost(uint64, tag = "2")]
     pub config: u64,
+    /// Newly named weights.
     #[prost(message, repeated, tag = "3")]
     pub weights: Vec<NamedWeights>,
+    /// Engines that changed.
     #[prost(message, repeated, tag = "4")]
     pub engines: Vec<Engine>,
+    /// Where the ring of invalidations stands.
     #[prost(message, optional, tag = "5")]
     pub ring: Option<RingHead>,
+    /// Live routers; 0 for no news.
     #[prost(uint32, tag = "6")]
     pub routers: u32,
-    /// the reader is behind by more than half of the ring
+    /// This reader is behind by more than half of the ring, and is asked to fetch at once.
     #[prost(bool, tag = "7")]
     pub nudge: bool,
 }
