--- a/crates/fleet-core/src/configuration.rs
+++ b/crates/fleet-core/src/configuration.rs
@@ -1,29 +1,62 @@
 //! The operator's configuration: its form, and what makes it invalid.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use serde::Deserialize;
 use validator::Validate;
 
+/// What makes a configuration invalid, with the place in it.
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
 pub enum ConfigError {
     /// unreadable: {reason} (line {line}, column {column})
-    Unreadable { line: usize, column: usize, reason: String },
+    Unreadable {
+        /// line of the JSON text, from 1
+        line: usize,
+        /// column of that line, from 1
+        column: usize,
+        /// what is wrong there
+        reason: String,
+    },
     /// {place}: out of bounds
-    OutOfBounds { place: String },
+    OutOfBounds {
+        /// path of the field
+        place: String,
+    },
     /// {place}: names the unknown service `{service}`
-    UnknownService { place: String, service: String },
+    UnknownService {
+        /// path of the route
+        place: String,
+        /// the name that no service has
+        service: String,
+    },
     /// {place}: same host and prefix as {other}
-    SamePlace { place: String, other: String },
+    SamePlace {
+        /// path of the later route
+        place: String,
+        /// path of the earlier route
+        other: String,
+    },
     /// {place}: its weights sum to 0
-    NoWeight { place: String },
+    NoWeight {
+        /// path of the route
+        place: String,
+    },
     /// {place}: a key of tenant `{other}` too
-    SharedKey { place: String, other: String },
+    SharedKey {
+        /// path of the key
+        place: String,
+        /// name of the other tenant
+        other: String,
+    },
     /// revision: {version} is not above {current}
-    VersionNotAbove { version: u64, current: u64 },
+    VersionNotAbove {
+        /// the number sent
+        version: u64,
+        /// the number in force
+        current: u64,
+    },
 }
 
 impl ConfigError {
+    /// The error's stable name, for programs.
     pub fn code(&self) -> &'static str {
         match self {
             ConfigError::Unreadable { .. } => "unreadable",
@@ -37,115 +70,160 @@
     }
 }
 
+/// What may be repeated on a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
+    /// A request may run more than once.
     Safe,
+    /// A request may run at most once.
     Unsafe,
+    /// The answer is a series of events; a request may run at most once unless it can be resumed.
     Streaming,
 }
 
+/// A service's share of a route.
 #[derive(Debug, Clone, Deserialize, Validate)]
 #[serde(rename_all = "camelCase")]
 pub struct Share {
+    /// Name of the service.
     pub service: String,
+    /// Its part, in relation to the other weights of the route; 0 for none.
     #[serde(default)]
     pub weight: u32,
 }
 
+/// Which requests go to which service, and how.
 #[derive(Debug, Clone, Deserialize, Validate)]
 #[serde(rename_all = "camelCase")]
 pub struct Route {
+    /// For people; may be empty.
     #[serde(default)]
     pub name: String,
+    /// Host that it belongs to; case does not count.
     pub host: String,
+    /// Start of the paths that it takes; of several, the longest wins.
     pub path_prefix: String,
+    /// What may be repeated.
     pub kind: Kind,
+    /// Longest time that a request is held, in ms; at least 1.
     #[serde(deserialize_with = "whole")]
     #[validate(range(min = 1))]
     pub timeout_ms: u64,
+    /// Time in ms within which an answer is worth most; 0 for none.
     #[serde(default, deserialize_with = "whole")]
     pub target_ms: u64,
+    /// Rank, 0 is the highest; a tenant's goes before it.
     #[serde(default)]
     pub priority: i64,
+    /// The only service, if there is no split.
     #[serde(default)]
     pub service: Option<String>,
+    /// Services with their weights; goes before `service`.
     #[serde(default)]
     pub split: Option<Vec<Share>>,
+    /// Engines that one request may be sent to; 1 if not told.
     #[serde(default = "one")]
     pub max_attempts: u32,
+    /// Whether requests need no key.
     #[serde(default)]
     pub public: bool,
+    /// Whether requests share parts of their prompts.
     #[serde(default)]
     pub sticky: bool,
+    /// Whether a broken stream may go on at another engine.
     #[serde(default)]
     pub resumable: bool,
+    /// Longest pause in ms between two events of a stream that is in time; 0 for none.
     #[serde(default, deserialize_with = "whole")]
     pub gap_target_ms: u64,
 }
 
 /// Whole numbers are also taken when written as fractions.
-fn whole<'de, D: serde::Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
-    let v = f64::deserialize(d)?;
-    if !(0.0..1e15).contains(&v) || v.fract() != 0.0 {
+fn whole<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let number = f64::deserialize(deserializer)?;
+    if !(0.0..1e15).contains(&number) || number.fract() != 0.0 {
         return Err(serde::de::Error::custom("not a whole number"));
     }
-    Ok(v as u64)
+    Ok(number as u64)
 }
 
 fn one() -> u32 {
     1
 }
 
+/// A model that engines run.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Model {
+    /// Name of the model.
     pub name: String,
 }
 
+/// What the operator says of the engines of a service. 0 where not told.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct EngineFacts {
+    /// Requests that an engine runs at a time.
     #[serde(default)]
     pub slots: u32,
+    /// Tokens of running requests and kept parts that fit its memory.
     #[serde(default)]
     pub kv_capacity: u64,
+    /// Bytes of a token that is moved.
     #[serde(default)]
     pub kv_token_bytes: f64,
+    /// The engine's line, in Mbit/s.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Calls that it takes at a time besides requests.
     #[serde(default)]
     pub max_inflight: u32,
+    /// Models that it runs.
     #[serde(default)]
     pub models: Vec<Model>,
 }
 
+/// A group of engines that answer alike, or a store of kept prompts.
 #[derive(Debug, Clone, Deserialize, Validate)]
 #[serde(rename_all = "camelCase")]
 pub struct Service {
+    /// Its name; never empty.
     #[validate(length(min = 1))]
     pub name: String,
+    /// Connections that one engine takes from all callers together.
     #[serde(default)]
     pub max_conns: u32,
+    /// What its engines are; none for a store.
     #[serde(default)]
     pub engine: Option<EngineFacts>,
+    /// Address of the store; only a store has one.
     #[serde(default)]
     pub kv_store: Option<String>,
+    /// Zone of the store.
     #[serde(default)]
     pub zone: Option<String>,
+    /// Tokens that the store holds.
     #[serde(default)]
     pub kv_capacity: u64,
+    /// The store's line, in Mbit/s.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Calls that the store takes at a time.
     #[serde(default)]
     pub max_inflight: u32,
 }
 
+/// Limits on what clients send.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 pub struct Limits {
+    /// Longest head of a request, in bytes.
     pub max_header_bytes: usize,
+    /// Longest body of a request, in bytes.
     pub max_body_bytes: usize,
+    /// Time in ms for a head to arrive.
     pub header_timeout_ms: u64,
+    /// Time in ms that a connection without a request stays open.
     pub idle_timeout_ms: u64,
 }
 
@@ -160,40 +238,52 @@
     }
 }
 
+/// Who requests belong to.
 #[derive(Debug, Clone, Deserialize, Validate)]
 #[serde(rename_all = "camelCase")]
 pub struct Tenant {
+    /// Its name; never empty.
     #[validate(length(min = 1))]
     pub name: String,
+    /// Keys that stand for it.
     #[serde(default)]
     pub api_keys: Vec<String>,
+    /// Rank of its requests, before the route's; 0 is the highest.
     #[serde(default)]
     pub priority: i64,
+    /// Whether it shares no kept prompts with others.
     #[serde(default)]
     pub isolated: bool,
 }
 
+/// The operator's configuration as a whole.
 #[derive(Debug, Clone, Deserialize, Validate)]
 #[serde(rename_all = "camelCase")]
 pub struct Configuration {
+    /// The operator's number of it; higher ones replace lower ones.
     pub revision: u64,
+    /// All routes.
     #[validate(nested)]
     pub routes: Vec<Route>,
+    /// All services and stores.
     #[validate(nested)]
     pub services: Vec<Service>,
+    /// Limits on what clients send.
     #[serde(default)]
     pub limits: Limits,
+    /// All tenants; none if requests need no key.
     #[serde(default)]
     #[validate(nested)]
     pub tenants: Vec<Tenant>,
 }
 
-fn first_place(e: &validator::ValidationErrors) -> String {
-    for (field, kind) in e.errors() {
+/// Path of the first field that is out of bounds.
+fn first_place(errors: &validator::ValidationErrors) -> String {
+    for (field, kind) in errors.errors() {
         match kind {
-            validator::ValidationErrorsKind::List(m) => {
-                if let Some((i, inner)) = m.iter().next() {
-                    return format!("{field}[{i}].{}", first_place(inner));
+            validator::ValidationErrorsKind::List(items) => {
+                if let Some((index, inner)) = items.iter().next() {
+                    return format!("{field}[{index}].{}", first_place(inner));
                 }
             }
             validator::ValidationErrorsKind::Struct(inner) => {
@@ -208,46 +298,49 @@
 impl Configuration {
     /// Reads and checks a configuration by itself, without what is in force.
     pub fn read(body: &[u8]) -> Result<Configuration, ConfigError> {
-        let c: Configuration = serde_json::from_slice(body).map_err(|e| {
+        let configuration: Configuration = serde_json::from_slice(body).map_err(|e| {
             ConfigError::Unreadable { line: e.line(), column: e.column(), reason: e.to_string() }
         })?;
-        c.validate().map_err(|e| ConfigError::OutOfBounds { place: first_place(&e) })?;
-        c.check()?;
-        Ok(c)
+        configuration
+            .validate()
+            .map_err(|e| ConfigError::OutOfBounds { place: first_place(&e) })?;
+        configuration.check_routes()?;
+        configuration.check_keys()?;
+        Ok(configuration)
     }
 
-    fn check(&self) -> Result<(), ConfigError> {
-        let mut services = hashbrown::HashSet::new();
-        for s in &self.services {
-            services.insert(s.name.as_str());
-        }
+    /// Each route has a place of its own, known services and some weight.
+    fn check_routes(&self) -> Result<(), ConfigError> {
+        let services: hashbrown::HashSet<&str> =
+            self.services.iter().map(|service| service.name.as_str()).collect();
         let mut places = hashbrown::HashMap::new();
-        for (i, r) in self.routes.iter().enumerate() {
-            let place = format!("routes[{i}]");
-            let key = (r.host.to_ascii_lowercase(), r.path_prefix.as_str());
-            if let Some(other) = places.insert(key, i) {
+        for (index, route) in self.routes.iter().enumerate() {
+            let place = format!("routes[{index}]");
+            let key = (route.host.to_ascii_lowercase(), route.path_prefix.as_str());
+            if let Some(other) = places.insert(key, index) {
                 return Err(ConfigError::SamePlace { place, other: format!("routes[{other}]") });
             }
-            let shares = r.shares();
-            for (service, _) in &shares {
-                if !services.contains(service) {
-                    return Err(ConfigError::UnknownService {
-                        place,
-                        service: (*service).to_owned(),
-                    });
-                }
+            let shares = route.shares();
+            if let Some((unknown, _)) = shares.iter().find(|(name, _)| !services.contains(name)) {
+                return Err(ConfigError::UnknownService { place, service: (*unknown).to_owned() });
             }
-            if shares.iter().map(|(_, w)| u64::from(*w)).sum::<u64>() == 0 {
+            if shares.iter().map(|(_, weight)| u64::from(*weight)).sum::<u64>() == 0 {
                 return Err(ConfigError::NoWeight { place });
             }
         }
-        let mut keys: hashbrown::HashMap<&str, usize> = hashbrown::HashMap::new();
-        for (i, t) in self.tenants.iter().enumerate() {
-            for (j, k) in t.api_keys.iter().enumerate() {
-                if let Some(o) = keys.insert(k.as_str(), i).filter(|o| *o != i) {
+        Ok(())
+    }
+
+    /// No key stands for two tenants.
+    fn check_keys(&self) -> Result<(), ConfigError> {
+        let mut owners: hashbrown::HashMap<&str, usize> = hashbrown::HashMap::new();
+        for (index, tenant) in self.tenants.iter().enumerate() {
+            for (key_index, key) in tenant.api_keys.iter().enumerate() {
+                let other = owners.insert(key.as_str(), index).filter(|other| *other != index);
+                if let Some(other) = other {
                     return Err(ConfigError::SharedKey {
-                        place: format!("tenants[{i}].apiKeys[{j}]"),
-                        other: self.tenants[o].name.clone(),
+                        place: format!("tenants[{index}].apiKeys[{key_index}]"),
+                        other: self.tenants[other].name.clone(),
                     });
                 }
             }
@@ -257,11 +350,12 @@
 }
 
 impl Route {
+    /// The services that it goes to, with their weights.
     pub fn shares(&self) -> Vec<(&str, u32)> {
         if let Some(split) = &self.split {
-            return split.iter().map(|s| (s.service.as_str(), s.weight)).collect();
+            return split.iter().map(|share| (share.service.as_str(), share.weight)).collect();
         }
-        self.service.iter().map(|s| (s.as_str(), 1)).collect()
+        self.service.iter().map(|service| (service.as_str(), 1)).collect()
     }
 }
 
--- a/crates/fleet-core/src/fleet.rs
+++ b/crates/fleet-core/src/fleet.rs
@@ -1,10 +1,10 @@
 //! What is believed of an engine, and how news of it merge; alike at controllers and routers.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::wire::{Engine, Standing};
 
-/// Takes the news into what is known; false if they tell nothing new.
+/// Takes the news into what is known; false if they tell nothing new but the call's number.
+/// News of a later call replace what is known; of an earlier one, only what never falls counts:
+/// versions, marks of the roll-out, and that it is gone.
 pub fn merge(known: &mut Engine, news: &Engine) -> bool {
     let before = known.clone();
     if news.call > known.call {
@@ -39,33 +39,38 @@
     changed
 }
 
-/// Weights of one instance only ever rise.
-pub fn raise(e: &mut Engine, model: &str, version: u64) -> bool {
-    match e.weights.iter_mut().find(|w| w.model == model) {
+/// Raises the version of a model at an instance; false if it was there already. Versions of one
+/// instance only ever rise.
+pub fn raise(engine: &mut Engine, model: &str, version: u64) -> bool {
+    match engine.weights.iter_mut().find(|w| w.model == model) {
         Some(w) if w.version >= version => false,
         Some(w) => {
             w.version = version;
             true
         }
         None => {
-            e.weights.push(crate::wire::Weights { model: model.to_owned(), version });
+            engine.weights.push(crate::wire::Weights { model: model.to_owned(), version });
             true
         }
     }
 }
 
-pub fn version_of(e: &Engine, model: &str) -> Option<u64> {
-    e.weights.iter().find(|w| w.model == model).map(|w| w.version)
+/// Version of a model that an engine has; none if it lacks the model.
+pub fn version_of(engine: &Engine, model: &str) -> Option<u64> {
+    engine.weights.iter().find(|w| w.model == model).map(|w| w.version)
 }
 
-/// To be ordered soon, and not yet at the named weights.
-pub fn is_fading(e: &Engine, model: &str, named: Option<u64>) -> bool {
-    e.fade % 2 == 1 && version_of(e, model).is_some_and(|s| named.is_some_and(|n| s < n))
+/// Whether the engine is to be ordered soon, and is not yet at the named weights.
+pub fn is_fading(engine: &Engine, model: &str, named: Option<u64>) -> bool {
+    let is_behind = |version| named.is_some_and(|named| version < named);
+    engine.fade % 2 == 1 && version_of(engine, model).is_some_and(is_behind)
 }
 
-/// Under order, and not yet at the named weights: who ordered it may have died before telling the end.
-pub fn is_changing(e: &Engine, model: &str, named: Option<u64>) -> bool {
-    e.turn % 2 == 1 && version_of(e, model).is_none_or(|s| named.is_none_or(|n| s < n))
+/// Whether the engine is under order, and not yet at the named weights: whoever ordered it may have
+/// died before telling the end.
+pub fn is_changing(engine: &Engine, model: &str, named: Option<u64>) -> bool {
+    let is_behind = |version| named.is_none_or(|named| version < named);
+    engine.turn % 2 == 1 && version_of(engine, model).is_none_or(is_behind)
 }
 
 #[cfg(test)]
--- a/crates/fleet-core/src/journal.rs
+++ b/crates/fleet-core/src/journal.rs
@@ -1,9 +1,10 @@
 //! A journal in memory: events are appended, views are folded from it.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
+/// A view that is made from events alone.
 pub trait Fold {
+    /// What happens to the view.
     type Event;
+    /// Brings one event into the view.
     fn fold(&mut self, event: &Self::Event);
 }
 
@@ -17,10 +18,12 @@
 }
 
 impl<V: Fold> Journal<V> {
+    /// A journal with this view of the events before it, which keeps `kept` events.
     pub fn new(view: V, kept: usize) -> Self {
         Journal { view, tail: std::collections::VecDeque::new(), kept, head: 0 }
     }
 
+    /// Folds an event into the view and keeps it; gives the new head.
     pub fn append(&mut self, event: V::Event) -> u64 {
         self.view.fold(&event);
         self.tail.push_back(event);
@@ -31,20 +34,23 @@
         self.head
     }
 
-    /// What no reader of the events has to hear of.
-    pub fn amend(&mut self, f: impl FnOnce(&mut V)) {
-        f(&mut self.view);
+    /// Changes the view by what no reader of the events has to hear of.
+    pub fn amend(&mut self, change: impl FnOnce(&mut V)) {
+        change(&mut self.view);
     }
 
+    /// The view of all events so far.
     pub fn view(&self) -> &V {
         &self.view
     }
 
+    /// Number of events so far.
     pub fn head(&self) -> u64 {
         self.head
     }
 
-    /// The events after `seen`, or none if some of them are no longer kept.
+    /// The events after the first `seen`; none if some of them are no longer kept, or if there were
+    /// never so many.
     pub fn since(&self, seen: u64) -> Option<impl Iterator<Item = &V::Event>> {
         let gap = self.head.checked_sub(seen)? as usize;
         let skip = self.tail.len().checked_sub(gap)?;
--- a/crates/fleet-core/src/lib.rs
+++ b/crates/fleet-core/src/lib.rs
@@ -1,4 +1,5 @@
-//! Shared ground of the controller and the router.
+//! What the controller, the router and the tool share: settings, configuration, messages and the links that carry
+//! them, log events, constants. It depends on no other crate of the workspace.
 
 pub mod configuration;
 pub mod constants;
--- a/crates/fleet-core/src/load.rs
+++ b/crates/fleet-core/src/load.rs
@@ -1,104 +1,118 @@
 //! Loads of engines, as routers and controllers add them up.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::constants;
 use crate::wire::Loads;
 
+/// Load of one engine by sends in flight.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
-    /// tokens that wait to be read
+    /// Tokens of sends whose answer has not begun.
     pub unread: u64,
+    /// Sends in flight.
     pub runs: u32,
+    /// Of these, sends that somebody waits for.
     pub interactive: u32,
 }
 
 impl Load {
-    pub fn add(&mut self, o: &Load) {
-        self.unread += o.unread;
-        self.runs += o.runs;
-        self.interactive += o.interactive;
+    /// Adds another load.
+    pub fn add(&mut self, other: &Load) {
+        self.unread += other.unread;
+        self.runs += other.runs;
+        self.interactive += other.interactive;
     }
 
-    pub fn less(&self, o: &Load) -> Load {
+    /// What is left without another load; never below 0.
+    pub fn less(&self, other: &Load) -> Load {
         Load {
-            unread: self.unread.saturating_sub(o.unread),
-            runs: self.runs.saturating_sub(o.runs),
-            interactive: self.interactive.saturating_sub(o.interactive),
+            unread: self.unread.saturating_sub(other.unread),
+            runs: self.runs.saturating_sub(other.runs),
+            interactive: self.interactive.saturating_sub(other.interactive),
         }
     }
 }
 
+/// Loads by the engine's key ([`key_of`]).
 pub type ByEngine = hashbrown::HashMap<u32, Load, ahash::RandomState>;
 
+/// Short name of an engine among loads. Two engines that share one only look busier than they are.
 pub fn key_of(id: &str) -> u32 {
     (crate::node::stable_hash(&[id.as_bytes()]) >> 32) as u32
 }
 
+/// The message that tells these loads: without idle engines, ordered by key, tokens rounded up to
+/// `LOAD_TOKENS`.
 pub fn pack(loads: &ByEngine) -> Loads {
     let mut rows: Vec<(&u32, &Load)> =
-        loads.iter().filter(|(_, l)| **l != Load::default()).collect();
-    rows.sort_unstable_by_key(|(k, _)| **k);
-    let mut out = Loads::default();
-    for (key, l) in rows {
-        out.keys.push(*key);
-        out.unread.push(l.unread.div_ceil(constants::LOAD_TOKENS).min(u64::from(u32::MAX)) as u32);
-        out.runs.push(l.runs);
-        out.interactive.push(l.interactive);
+        loads.iter().filter(|(_, load)| **load != Load::default()).collect();
+    rows.sort_unstable_by_key(|(key, _)| **key);
+    let mut message = Loads::default();
+    for (key, load) in rows {
+        let unread = load.unread.div_ceil(constants::LOAD_TOKENS).min(u64::from(u32::MAX));
+        message.keys.push(*key);
+        message.unread.push(unread as u32);
+        message.runs.push(load.runs);
+        message.interactive.push(load.interactive);
     }
-    out
+    message
 }
 
-/// Lists of unequal length are read as far as all reach.
-pub fn unpack(l: &Loads) -> impl Iterator<Item = (u32, Load)> + '_ {
-    let rows = l.keys.iter().zip(&l.unread).zip(&l.runs).zip(&l.interactive);
+/// The loads that a message tells. Lists of unequal length are read as far as all reach.
+pub fn unpack(message: &Loads) -> impl Iterator<Item = (u32, Load)> + '_ {
+    let rows =
+        message.keys.iter().zip(&message.unread).zip(&message.runs).zip(&message.interactive);
     rows.map(|(((key, unread), runs), interactive)| {
         let unread = u64::from(*unread) * constants::LOAD_TOKENS;
         (*key, Load { unread, runs: *runs, interactive: *interactive })
     })
 }
 
-/// What each teller said last, as long as it keeps telling.
+/// What each sender told last, for as long as it keeps telling.
 #[derive(Default)]
 pub struct Book {
     told: hashbrown::HashMap<u64, (tokio::time::Instant, Loads)>,
 }
 
 impl Book {
-    pub fn hear(&mut self, teller: u64, now: tokio::time::Instant, l: Loads) {
-        self.told.insert(teller, (now, l));
+    /// Remembers what a sender told now.
+    pub fn hear(&mut self, teller: u64, now: tokio::time::Instant, loads: Loads) {
+        self.told.insert(teller, (now, loads));
     }
 
+    /// The sum over all senders that were heard within `LOAD_LIMIT`; forgets the others.
     pub fn sum(&mut self, now: tokio::time::Instant) -> ByEngine {
         self.told.retain(|_, (at, _)| now.duration_since(*at) < constants::LOAD_LIMIT);
-        let mut out = ByEngine::default();
-        for (_, l) in self.told.values() {
-            for (key, l) in unpack(l) {
-                out.entry(key).or_default().add(&l);
+        let mut sum = ByEngine::default();
+        for (_, message) in self.told.values() {
+            for (key, load) in unpack(message) {
+                sum.entry(key).or_default().add(&load);
             }
         }
-        out
+        sum
     }
 
+    /// The senders that are remembered.
     pub fn tellers(&self) -> impl Iterator<Item = u64> + '_ {
         self.told.keys().copied()
     }
 }
 
-/// Whether a message goes out now: when it has changed, and now and then so that it still counts.
+/// Decides whether a message goes out now: when it has changed, and every `LOAD_REFRESH` so that it
+/// still counts.
 #[derive(Default)]
 pub struct Last {
     sent: Option<(tokio::time::Instant, Loads)>,
 }
 
 impl Last {
-    pub fn is_due(&mut self, now: tokio::time::Instant, l: &Loads) -> bool {
+    /// Whether these loads go out now; they are then the ones sent last.
+    pub fn is_due(&mut self, now: tokio::time::Instant, loads: &Loads) -> bool {
         let due = match &self.sent {
-            Some((at, was)) => was != l || now.duration_since(*at) >= constants::LOAD_REFRESH,
+            Some((at, was)) => was != loads || now.duration_since(*at) >= constants::LOAD_REFRESH,
             None => true,
         };
         if due {
-            self.sent = Some((now, l.clone()));
+            self.sent = Some((now, loads.clone()));
         }
         due
     }
--- a/crates/fleet-core/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -1,16 +1,20 @@
-//! Numbered events; their catalogue is docs/events.md.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! Numbered log events; their catalogue is docs/events.md. CONTRIBUTING.md tells how to add one.
 
 use slog::Drain;
 
 macro_rules! events {
     ($($name:ident = $no:literal, $level:ident, $text:literal;)*) => {
+        /// What a log line tells; its value is the number in the catalogue.
         #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-        pub enum Event { $($name = $no,)* }
+        pub enum Event { $(#[doc = $text] $name = $no,)* }
         impl Event {
+            /// All events.
             pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// The text of its lines.
             pub fn text(self) -> &'static str { match self { $(Event::$name => $text,)* } }
+
+            /// The level of its lines.
             pub fn level(self) -> slog::Level { match self { $(Event::$name => slog::Level::$level,)* } }
         }
     };
@@ -62,6 +66,7 @@
     PassError = 332, Info, "request not answered by an engine";
 }
 
+/// The logger of a process, to standard error; each line names the node and the role.
 pub fn root(level: slog::Level, node: &str, role: &str) -> slog::Logger {
     let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
     let drain = slog_term::FullFormat::new(plain).use_original_order().build().fuse();
@@ -69,6 +74,9 @@
     slog::Logger::root(drain, slog::o!("node" => node.to_owned(), "role" => role.to_owned()))
 }
 
+/// Logs an [`Event`](crate::log::Event) at its level, with its number as `no` and the given values.
+///
+/// `log_event!(log, Event::Ready, "version" => 3)`
 #[macro_export]
 macro_rules! log_event {
     ($log:expr, $event:expr $(, $k:literal => $v:expr)* $(,)?) => {{
--- a/crates/fleet-core/src/node.rs
+++ b/crates/fleet-core/src/node.rs
@@ -1,26 +1,34 @@
 //! Who a process is.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use std::hash::{BuildHasher, Hasher};
 
+/// Which of the two programs a process is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u16)]
 pub enum Role {
+    /// Control plane.
     Controller = 0,
+    /// Data plane.
     Router = 1,
 }
 
+/// Who a process is, for as long as it runs.
 #[derive(Debug, Clone)]
 pub struct Node {
+    /// Name of the node; both programs of a machine share it.
     pub name: String,
+    /// Zone of the machine.
     pub zone: String,
+    /// Address of the machine.
     pub ip: std::net::Ipv4Addr,
+    /// Which program this is.
     pub role: Role,
+    /// Random number of this start; never 0.
     pub incarnation: u64,
 }
 
 impl Node {
+    /// The node that a process is, in a new incarnation.
     pub fn start(settings: &crate::settings::Settings, role: Role) -> Node {
         Node {
             name: settings.node_name.clone(),
@@ -31,32 +39,35 @@
         }
     }
 
+    /// The machine's address as a number, which names it in ballots.
     pub fn id(&self) -> u64 {
         u64::from(u32::from(self.ip))
     }
 }
 
+/// A random number, never 0, which no other process is likely to have. Not for secrets.
 pub fn fresh() -> u64 {
-    let mut h = std::hash::RandomState::new().build_hasher();
-    h.write_u32(std::process::id());
-    if let Ok(t) = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH) {
-        h.write_u128(t.as_nanos());
+    let mut hasher = std::hash::RandomState::new().build_hasher();
+    hasher.write_u32(std::process::id());
+    if let Ok(now) = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH) {
+        hasher.write_u128(now.as_nanos());
     }
-    h.finish() | 1
+    hasher.finish() | 1
 }
 
-/// The same on every machine and in every incarnation, unlike the tables' own hashes.
+/// Hash of these parts, which tells `ab, c` from `a, bc`. The same on every machine and in every
+/// incarnation, unlike the tables' own hashes. Not for secrets.
 pub fn stable_hash(parts: &[&[u8]]) -> u64 {
-    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
-    for p in parts {
-        for b in *p {
-            h = (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+    for part in parts {
+        for byte in *part {
+            hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
         }
-        h = (h ^ 0xff).wrapping_mul(0x0000_0100_0000_01b3);
+        hash = (hash ^ 0xff).wrapping_mul(0x0000_0100_0000_01b3);
     }
-    h ^= h >> 32;
-    h = h.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    h ^ (h >> 29)
+    hash ^= hash >> 32;
+    hash = hash.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    hash ^ (hash >> 29)
 }
 
 #[cfg(test)]
--- a/crates/fleet-core/src/program.rs
+++ b/crates/fleet-core/src/program.rs
@@ -1,7 +1,5 @@
 //! What both programs share: command line, settings, signals, runtime.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::constants;
 use crate::log::Event;
 use crate::settings::{Settings, SettingsError};
@@ -9,7 +7,7 @@
 use std::process::ExitCode;
 
 #[derive(Debug, Options)]
-struct Words {
+struct CommandLine {
     /// print this help
     help: bool,
     /// print the version
@@ -25,22 +23,35 @@
     log_level: String,
 }
 
+/// What tells one program from the other.
 pub struct About {
+    /// Name of the program.
     pub name: &'static str,
+    /// Version of its crate.
     pub version: &'static str,
+    /// What it does, in half a sentence.
     pub what: &'static str,
-    /// settings that this program can't do without and that are missing
+    /// Settings that this program can't do without and that are missing.
     pub needs: fn(&Settings) -> Vec<&'static str>,
 }
 
+/// Exit code: the program could not run.
+const RUN: u8 = 1;
+/// Exit code: unknown option or value.
 const USAGE: u8 = 2;
+/// Exit code: settings missing or malformed.
 const SETTINGS: u8 = 3;
-const RUN: u8 = 1;
 
-#[expect(
-    clippy::too_many_lines,
-    reason = "older than the lint; mended when the file is next changed"
-)]
+/// Settings, and the file that they were read from.
+struct Loaded {
+    path: String,
+    settings: Settings,
+}
+
+/// Runs a program from its command line to its exit code.
+///
+/// `run` gets the settings, the root logger, a flag that turns true once the program is to end, and the settings
+/// that are read again while it runs.
 pub fn start<F, R, E>(about: About, run: F) -> ExitCode
 where
     F: FnOnce(
@@ -52,84 +63,97 @@
     R: Future<Output = Result<(), E>>,
     E: std::fmt::Display,
 {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let words = match Words::parse_args_default(&args) {
-        Ok(w) => w,
-        Err(e) => {
-            eprintln!("{}: {e}\ntry {} --help", about.name, about.name);
-            return ExitCode::from(USAGE);
-        }
-    };
-    if words.help {
-        println!(
-            "{}: {}\n\nusage: {} [options]\n\n{}",
-            about.name,
-            about.what,
-            about.name,
-            Words::usage()
-        );
-        return ExitCode::SUCCESS;
-    }
-    if words.version {
-        println!("{} {}", about.name, about.version);
-        return ExitCode::SUCCESS;
-    }
-    let Ok(level) = words.log_level.parse::<slog::Level>() else {
-        eprintln!("{}: --log-level: `{}` is not a level", about.name, words.log_level);
-        return ExitCode::from(USAGE);
-    };
-    let loaded = words.settings.map_or_else(Settings::path, Ok).and_then(|path| {
-        let p = Settings::load(&path)?;
-        if let Some(field) = (about.needs)(&p).first() {
-            return Err(SettingsError::Missing { field });
-        }
-        Ok((path, p))
-    });
-    let (path, settings) = match loaded {
-        Ok(x) => x,
-        Err(e) => {
-            eprintln!("{}: {e}", about.name);
-            return ExitCode::from(SETTINGS);
-        }
+    let (level, loaded) = match prepare(&about) {
+        Ok(prepared) => prepared,
+        Err(code) => return code,
     };
-    if words.check {
-        println!("{path}: usable");
-        return ExitCode::SUCCESS;
-    }
+    let Loaded { path, settings } = loaded;
     let log = crate::log::root(level, &settings.node_name, about.name);
-    let built = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.cores)
-        .max_blocking_threads(1)
-        .thread_stack_size(constants::STACK_BYTES)
-        .enable_all()
-        .build();
-    let rt = match built {
-        Ok(rt) => rt,
-        Err(e) => {
-            eprintln!("{}: no runtime: {e}", about.name);
-            return ExitCode::from(RUN);
-        }
+    let runtime = match build_runtime(settings.cores) {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(&about, RUN, format!("no runtime: {e}")),
     };
-    let out = rt.block_on(async {
+    let ended = runtime.block_on(async {
         let (stop, reread) = watch_signals(path, settings.clone(), about.needs, log.clone());
         run(settings, log.clone(), stop, reread).await
     });
-    rt.shutdown_background();
-    match out {
+    runtime.shutdown_background();
+    match ended {
         Ok(()) => {
             crate::log_event!(log, Event::Stopped);
             ExitCode::SUCCESS
         }
-        Err(e) => {
-            eprintln!("{}: {e}", about.name);
-            ExitCode::from(RUN)
-        }
+        Err(e) => fail(&about, RUN, e),
+    }
+}
+
+fn fail(about: &About, code: u8, why: impl std::fmt::Display) -> ExitCode {
+    eprintln!("{}: {why}", about.name);
+    ExitCode::from(code)
+}
+
+/// Command line and settings; an exit code where the program is to end here, in order or not.
+fn prepare(about: &About) -> Result<(slog::Level, Loaded), ExitCode> {
+    let command_line = read_command_line(about)?;
+    let Ok(level) = command_line.log_level.parse::<slog::Level>() else {
+        let why = format!("--log-level: `{}` is not a level", command_line.log_level);
+        return Err(fail(about, USAGE, why));
+    };
+    let loaded = load(about, command_line.settings).map_err(|e| fail(about, SETTINGS, e))?;
+    if command_line.check {
+        println!("{}: usable", loaded.path);
+        return Err(ExitCode::SUCCESS);
     }
+    Ok((level, loaded))
+}
+
+fn read_command_line(about: &About) -> Result<CommandLine, ExitCode> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let name = about.name;
+    let command_line = CommandLine::parse_args_default(&args)
+        .map_err(|e| fail(about, USAGE, format!("{e}\ntry {name} --help")))?;
+    if command_line.help {
+        let usage = CommandLine::usage();
+        println!("{name}: {}\n\nusage: {name} [options]\n\n{usage}", about.what);
+        return Err(ExitCode::SUCCESS);
+    }
+    if command_line.version {
+        println!("{name} {}", about.version);
+        return Err(ExitCode::SUCCESS);
+    }
+    Ok(command_line)
+}
+
+fn load(about: &About, path: Option<String>) -> Result<Loaded, SettingsError> {
+    let path = path.map_or_else(Settings::path, Ok)?;
+    let settings = load_complete(&path, about.needs)?;
+    Ok(Loaded { path, settings })
+}
+
+/// Settings in which nothing is missing that this program needs.
+fn load_complete(
+    path: &str,
+    needs: fn(&Settings) -> Vec<&'static str>,
+) -> Result<Settings, SettingsError> {
+    let settings = Settings::load(path)?;
+    match needs(&settings).first() {
+        Some(field) => Err(SettingsError::Missing { field }),
+        None => Ok(settings),
+    }
+}
+
+fn build_runtime(cores: usize) -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(cores)
+        .max_blocking_threads(1)
+        .thread_stack_size(constants::STACK_BYTES)
+        .enable_all()
+        .build()
 }
 
 type Watched = (tokio::sync::watch::Receiver<bool>, tokio::sync::mpsc::Receiver<Settings>);
 
-/// SIGTERM stops; SIGHUP and a slow schedule read the settings again.
+/// SIGTERM and SIGINT stop; SIGHUP and a slow schedule read the settings again.
 fn watch_signals(
     path: String,
     first: Settings,
@@ -138,47 +162,62 @@
 ) -> Watched {
     use tokio::signal::unix::{SignalKind, signal};
     let (stop, stopped) = tokio::sync::watch::channel(false);
-    let (tx, rx) = tokio::sync::mpsc::channel(1);
+    let (changed, reread) = tokio::sync::mpsc::channel(1);
+    let mut rereader = Rereader { path, needs, current: first, last_error: String::new(), log };
     tokio::spawn(async move {
-        let (Ok(mut term), Ok(mut hup), Ok(mut int)) = (
+        let (Ok(mut terminate), Ok(mut hangup), Ok(mut interrupt)) = (
             signal(SignalKind::terminate()),
             signal(SignalKind::hangup()),
             signal(SignalKind::interrupt()),
         ) else {
             return;
         };
-        let mut now = first;
-        let mut last = String::new();
         loop {
             tokio::select! {
-                _ = term.recv() => break,
-                _ = int.recv() => break,
-                _ = hup.recv() => {}
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => {}
                 () = tokio::time::sleep(constants::SETTINGS_REREAD) => {}
             }
-            let read = Settings::load(&path).and_then(|p| match needs(&p).first() {
-                Some(field) => Err(SettingsError::Missing { field }),
-                None => Ok(p),
-            });
-            match read {
-                Ok(p) if p != now => {
-                    crate::log_event!(log, Event::SettingsReread);
-                    last.clear();
-                    now = p.clone();
-                    let _ = tx.send(p).await;
-                }
-                Ok(_) => last.clear(),
-                Err(e) => {
-                    let text = e.to_string();
-                    if text != last {
-                        crate::log_event!(log, Event::SettingsRejected, "why" => &text);
-                        last = text;
-                    }
-                }
+            if let Some(settings) = rereader.reread() {
+                let _ = changed.send(settings).await;
             }
         }
         stop.send_replace(true);
         std::future::pending::<()>().await;
     });
-    (stopped, rx)
+    (stopped, reread)
+}
+
+/// Reads the settings again, and logs a problem once for as long as it stays the same.
+struct Rereader {
+    path: String,
+    needs: fn(&Settings) -> Vec<&'static str>,
+    current: Settings,
+    last_error: String,
+    log: slog::Logger,
+}
+
+impl Rereader {
+    /// The settings, if they are usable and have changed.
+    fn reread(&mut self) -> Option<Settings> {
+        let settings = match load_complete(&self.path, self.needs) {
+            Ok(settings) => settings,
+            Err(e) => {
+                let why = e.to_string();
+                if why != self.last_error {
+                    crate::log_event!(self.log, Event::SettingsRejected, "why" => &why);
+                    self.last_error = why;
+                }
+                return None;
+            }
+        };
+        self.last_error.clear();
+        if settings == self.current {
+            return None;
+        }
+        crate::log_event!(self.log, Event::SettingsReread);
+        self.current = settings.clone();
+        Some(settings)
+    }
 }
