invalidation: doc comments, salts in a module of their own, loom tests out of the source

Cause: public items without documentation, cache and view used each other, and the loom tests stood inside ring.rs. Change: salt.rs holds what both need (view gives the names on), publish and read in short functions, whole names; the loom tests moved as they were to ring_interleavings_tests.rs.

--- a/crates/invalidation/src/cache.rs
+++ b/crates/invalidation/src/cache.rs
@@ -1,60 +1,69 @@
-//! What a reader keeps, as the ring's entries change it: the view of this crate, or a router's index.
+//! What entries of the ring do to a cache: the [`View`](crate::view::View) of this crate, the index-keeper's
+//! index, or a router's prompt index.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
-use fleet_core::wire::{HeldParts, PartAt, Purge, RingEntry};
+use crate::salt::read_salt;
+use fleet_core::wire::{HeldParts, PartAt, Purge, RingEntry, Weights};
 
+/// A cache of what holders (engines and stores) keep.
 pub trait Cache {
-    /// A holder that answers, with or without anything kept.
+    /// Hears of a holder that answers, with or without anything kept.
     fn meet(&mut self, holder: &str);
-    /// `kept` tokens of each part, none where all of it is kept.
+    /// Learns that a holder keeps `kept` tokens of a part, or all of it where none are told.
     fn found(&mut self, holder: &str, salt: &str, part: u64, kept: Option<u64>);
+    /// Learns that a holder keeps no more than `kept` tokens of a part.
     fn evict(&mut self, holder: &str, salt: &str, part: u64, kept: u64);
+    /// Forgets all that a holder keeps.
     fn drop_holder(&mut self, holder: &str);
-    /// All kept under the salts that are void.
+    /// Forgets all that is kept under the salts that are void.
     fn drop_salts(&mut self, void: &dyn Fn(&str) -> bool);
+    /// Forgets everything: the reader was overrun, or sees another incarnation of the ring.
     fn reset(&mut self);
-    /// After the entry itself has been applied: what was derived from it.
+    /// Mends what was derived from the cache, after the entry itself has been applied.
     fn derive(&mut self, _entry: &RingEntry) {}
 }
 
-pub fn is_older(salt: &str, w: &fleet_core::wire::Weights) -> bool {
-    crate::view::read_salt(salt).is_some_and(|s| s.model == w.model && s.version < w.version)
+/// Whether a salt names older weights of this model.
+pub fn is_older(salt: &str, weights: &Weights) -> bool {
+    read_salt(salt)
+        .is_some_and(|salt| salt.model == weights.model && salt.version < weights.version)
 }
 
-pub fn is_walled_before(salt: &str, generation: u64) -> bool {
-    let isolation = crate::view::read_salt(salt).and_then(|s| s.isolation);
-    isolation.is_some_and(|w| w < generation)
+/// Whether a salt names an older generation of the shared isolation.
+pub fn is_isolated_before(salt: &str, generation: u64) -> bool {
+    let isolation = read_salt(salt).and_then(|salt| salt.isolation);
+    isolation.is_some_and(|isolation| isolation < generation)
 }
 
 /// Applies one entry; false if it is out of scope.
-pub fn apply(c: &mut impl Cache, e: &RingEntry, in_scope: impl Fn(u64) -> bool) -> bool {
-    if e.scope != 0 && !in_scope(e.scope) {
+pub fn apply(cache: &mut impl Cache, entry: &RingEntry, in_scope: impl Fn(u64) -> bool) -> bool {
+    if entry.scope != 0 && !in_scope(entry.scope) {
         return false;
     }
-    match &e.what {
+    match &entry.what {
         Some(Purge::Part(PartAt { holder, salt, part, kept })) => {
-            c.evict(holder, salt, *part, *kept);
+            cache.evict(holder, salt, *part, *kept);
+        }
+        Some(Purge::Holder(holder)) => cache.drop_holder(holder),
+        Some(Purge::Weights(weights)) => cache.drop_salts(&|salt| is_older(salt, weights)),
+        Some(Purge::Isolation(generation)) => {
+            cache.drop_salts(&|salt| is_isolated_before(salt, *generation));
         }
-        Some(Purge::Holder(h)) => c.drop_holder(h),
-        Some(Purge::Weights(w)) => c.drop_salts(&|s| is_older(s, w)),
-        Some(Purge::Isolation(g)) => c.drop_salts(&|s| is_walled_before(s, *g)),
         None => {}
     }
-    c.derive(e);
+    cache.derive(entry);
     true
 }
 
 /// Takes in what holders were found to keep.
-pub fn refill(c: &mut impl Cache, digest: &[HeldParts]) {
-    for h in digest {
-        c.meet(&h.holder);
-        if h.salt.is_empty() {
+pub fn refill(cache: &mut impl Cache, snapshot: &[HeldParts]) {
+    for held in snapshot {
+        cache.meet(&held.holder);
+        if held.salt.is_empty() {
             continue;
         }
-        for (i, part) in h.parts.iter().enumerate() {
-            let kept = h.kept.get(i).copied().filter(|k| *k > 0);
-            c.found(&h.holder, &h.salt, *part, kept);
+        for (index, part) in held.parts.iter().enumerate() {
+            let kept = held.kept.get(index).copied().filter(|kept| *kept > 0);
+            cache.found(&held.holder, &held.salt, *part, kept);
         }
     }
 }
--- a/crates/invalidation/src/ring.rs
+++ b/crates/invalidation/src/ring.rs
@@ -1,15 +1,17 @@
 //! The ring, its writer and the cursors of its readers.
 //! Lock order: readers, then slots.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::sync::{Arc, AtomicBool, AtomicU64, Mutex, Ordering};
 
-/// Of one reader; the writer sets the flags, the reader moves the cursor.
+/// Where one reader stands; the writer sets the flags, the reader moves the position.
 pub struct Cursor {
+    /// position of the next entry to read
     next: AtomicU64,
+    /// something was published since the last read
     pending: AtomicBool,
+    /// entries were overwritten before they were read
     overrun: AtomicBool,
+    /// was named as a laggard, and has not caught up yet
     signalled: AtomicBool,
 }
 
@@ -19,6 +21,7 @@
     floor: u64,
 }
 
+/// A bounded ring of entries with one order for all readers. Positions count from 0 and never fall.
 pub struct Ring<T> {
     readers: Mutex<hashbrown::HashMap<u64, Arc<Cursor>>>,
     slots: Mutex<Slots<T>>,
@@ -26,16 +29,20 @@
     lag: u64,
 }
 
+/// What a reader gets.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Read<T> {
+    /// Nothing new.
     Nothing,
-    /// the whole view is void; the reader stands at this head now
+    /// Entries were lost: the whole view is void, and the reader stands at this head now.
     Reset(u64),
+    /// The next entries, in order.
     Entries(Vec<T>),
 }
 
-fn held<'a, T>(m: &'a Mutex<T>) -> crate::ring::Guard<'a, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
+/// Locks, also after a panic under the lock.
+fn held<T>(mutex: &Mutex<T>) -> Guard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 #[cfg(feature = "checker")]
@@ -44,6 +51,8 @@
 type Guard<'a, T> = std::sync::MutexGuard<'a, T>;
 
 impl<T: Clone> Ring<T> {
+    /// A ring of `size` slots that publishes up to `batch` entries under one hold of its locks, and names
+    /// readers that are behind by more than `lag` entries.
     pub fn new(size: usize, batch: usize, lag: u64) -> Self {
         Ring {
             readers: Mutex::new(hashbrown::HashMap::new()),
@@ -53,6 +62,7 @@
         }
     }
 
+    /// Position behind the newest entry.
     pub fn head(&self) -> u64 {
         held(&self.slots).head
     }
@@ -62,25 +72,26 @@
         held(&self.slots).floor
     }
 
-    /// A reader that starts at the head; whatever it knew before is void.
+    /// Lets a reader start at the head, which is given as well; whatever it knew before is void.
     pub fn enter(&self, reader: u64) -> (Arc<Cursor>, u64) {
         let mut readers = held(&self.readers);
         let head = held(&self.slots).head;
-        let c = Arc::new(Cursor {
+        let cursor = Arc::new(Cursor {
             next: AtomicU64::new(head),
             pending: AtomicBool::new(false),
             overrun: AtomicBool::new(false),
             signalled: AtomicBool::new(false),
         });
-        readers.insert(reader, c.clone());
-        (c, head)
+        readers.insert(reader, cursor.clone());
+        (cursor, head)
     }
 
+    /// The cursor of a reader that has entered and was not dropped.
     pub fn cursor(&self, reader: u64) -> Option<Arc<Cursor>> {
         held(&self.readers).get(&reader).cloned()
     }
 
-    /// A reader that is stuck never holds the floor: its cursor goes, and it is reset on return.
+    /// Drops the cursor of a reader that is stuck, so that it does not hold the floor; it has to enter anew.
     pub fn drop_reader(&self, reader: u64) -> bool {
         held(&self.readers).remove(&reader).is_some()
     }
@@ -90,64 +101,87 @@
         let mut nudged = Vec::new();
         for batch in entries.chunks(self.batch) {
             let readers = held(&self.readers);
-            let mut s = held(&self.slots);
-            let size = s.kept.len() as u64;
-            let end = s.head + batch.len() as u64;
-            let mut floor = end;
-            for (id, c) in readers.iter() {
-                let next = c.next.load(Ordering::Relaxed);
-                if c.overrun.load(Ordering::Relaxed) {
-                    continue;
-                }
-                if end - next > size {
-                    c.overrun.store(true, Ordering::Relaxed);
-                    continue;
-                }
-                floor = floor.min(next);
-                if end - next > self.lag && !c.signalled.swap(true, Ordering::Relaxed) {
-                    nudged.push(*id);
-                }
+            let mut slots = held(&self.slots);
+            let end = slots.head + batch.len() as u64;
+            slots.floor = self.advance(&readers, end, slots.kept.len() as u64, &mut nudged);
+            slots.append(batch);
+            for cursor in readers.values() {
+                cursor.pending.store(true, Ordering::Release);
+            }
+        }
+        nudged
+    }
+
+    /// Marks the readers that a head at `end` overruns or leaves behind; gives the floor.
+    fn advance(
+        &self,
+        readers: &hashbrown::HashMap<u64, Arc<Cursor>>,
+        end: u64,
+        size: u64,
+        nudged: &mut Vec<u64>,
+    ) -> u64 {
+        let mut floor = end;
+        for (reader, cursor) in readers {
+            let next = cursor.next.load(Ordering::Relaxed);
+            if cursor.overrun.load(Ordering::Relaxed) {
+                continue;
             }
-            for (i, e) in batch.iter().enumerate() {
-                let at = ((s.head + i as u64) % size) as usize;
-                s.kept[at] = Some(e.clone());
+            if end - next > size {
+                cursor.overrun.store(true, Ordering::Relaxed);
+                continue;
             }
-            s.head = end;
-            s.floor = floor;
-            for c in readers.values() {
-                c.pending.store(true, Ordering::Release);
+            floor = floor.min(next);
+            if end - next > self.lag && !cursor.signalled.swap(true, Ordering::Relaxed) {
+                nudged.push(*reader);
             }
         }
-        nudged
+        floor
     }
 
-    pub fn read(&self, c: &Cursor, most: usize) -> Read<T> {
-        if !c.pending.load(Ordering::Acquire) {
+    /// Reads up to `most` entries; without a lock where nothing is new.
+    pub fn read(&self, cursor: &Cursor, most: usize) -> Read<T> {
+        if !cursor.pending.load(Ordering::Acquire) {
             return Read::Nothing;
         }
-        let s = held(&self.slots);
-        c.pending.store(false, Ordering::Relaxed);
-        if c.overrun.load(Ordering::Relaxed) {
-            c.next.store(s.head, Ordering::Relaxed);
-            c.overrun.store(false, Ordering::Relaxed);
-            c.signalled.store(false, Ordering::Relaxed);
-            return Read::Reset(s.head);
+        let slots = held(&self.slots);
+        cursor.pending.store(false, Ordering::Relaxed);
+        if cursor.overrun.load(Ordering::Relaxed) {
+            cursor.next.store(slots.head, Ordering::Relaxed);
+            cursor.overrun.store(false, Ordering::Relaxed);
+            cursor.signalled.store(false, Ordering::Relaxed);
+            return Read::Reset(slots.head);
         }
-        let size = s.kept.len() as u64;
-        let from = c.next.load(Ordering::Relaxed);
-        let to = s.head.min(from + most as u64);
-        let out: Vec<T> = (from..to).filter_map(|n| s.kept[(n % size) as usize].clone()).collect();
-        c.next.store(to, Ordering::Relaxed);
-        if to < s.head {
-            c.pending.store(true, Ordering::Relaxed);
+        let from = cursor.next.load(Ordering::Relaxed);
+        let to = slots.head.min(from + most as u64);
+        let entries = slots.copy(from, to);
+        cursor.next.store(to, Ordering::Relaxed);
+        if to < slots.head {
+            cursor.pending.store(true, Ordering::Relaxed);
         } else {
-            c.signalled.store(false, Ordering::Relaxed);
+            cursor.signalled.store(false, Ordering::Relaxed);
+        }
+        if entries.is_empty() { Read::Nothing } else { Read::Entries(entries) }
+    }
+}
+
+impl<T: Clone> Slots<T> {
+    fn append(&mut self, batch: &[T]) {
+        let size = self.kept.len() as u64;
+        for entry in batch {
+            let slot = (self.head % size) as usize;
+            self.kept[slot] = Some(entry.clone());
+            self.head += 1;
         }
-        if out.is_empty() { Read::Nothing } else { Read::Entries(out) }
+    }
+
+    fn copy(&self, from: u64, to: u64) -> Vec<T> {
+        let size = self.kept.len() as u64;
+        (from..to).filter_map(|position| self.kept[(position % size) as usize].clone()).collect()
     }
 }
 
 impl Cursor {
+    /// Position of the next entry to read.
     pub fn next(&self) -> u64 {
         self.next.load(Ordering::Relaxed)
     }
@@ -158,85 +192,5 @@
 mod tests;
 
 #[cfg(all(test, feature = "checker"))]
-mod checked {
-    use super::*;
-
-    #[test]
-    fn no_entry_is_skipped_without_a_reset() {
-        loom::model(|| {
-            let r = Arc::new(Ring::new(2, 2, 1));
-            let (c, _) = r.enter(1);
-            let w = {
-                let r = r.clone();
-                loom::thread::spawn(move || {
-                    r.publish(&[0u64, 1]);
-                    r.publish(&[2u64]);
-                })
-            };
-            let mut at = 0;
-            let take = |at: &mut u64| match r.read(&c, 8) {
-                Read::Nothing => {}
-                Read::Reset(h) => *at = h,
-                Read::Entries(e) => {
-                    for x in e {
-                        assert_eq!(x, *at);
-                        *at += 1;
-                    }
-                }
-            };
-            take(&mut at);
-            w.join().unwrap();
-            take(&mut at);
-            take(&mut at);
-            assert_eq!(at, 3);
-        });
-    }
-
-    #[test]
-    fn two_writers_and_a_reader_agree_on_one_order() {
-        loom::model(|| {
-            let r = Arc::new(Ring::new(4, 2, 4));
-            let (c, _) = r.enter(1);
-            let w = {
-                let r = r.clone();
-                loom::thread::spawn(move || {
-                    r.publish(&[1u64]);
-                })
-            };
-            r.publish(&[2u64]);
-            let mut got = Vec::new();
-            if let Read::Entries(e) = r.read(&c, 8) {
-                got.extend(e);
-            }
-            w.join().unwrap();
-            if let Read::Entries(e) = r.read(&c, 8) {
-                got.extend(e);
-            }
-            got.sort();
-            assert_eq!(got, vec![1, 2]);
-            assert_eq!(c.next(), 2);
-        });
-    }
-
-    #[test]
-    fn pending_is_never_lost_between_publish_and_read() {
-        loom::model(|| {
-            let r = Arc::new(Ring::new(4, 2, 4));
-            let (c, _) = r.enter(1);
-            let reader = {
-                let (r, c) = (r.clone(), c.clone());
-                loom::thread::spawn(move || match r.read(&c, 8) {
-                    Read::Entries(e) => e.len(),
-                    _ => 0,
-                })
-            };
-            r.publish(&[1u64, 2]);
-            let first = reader.join().unwrap();
-            let rest = match r.read(&c, 8) {
-                Read::Entries(e) => e.len(),
-                _ => 0,
-            };
-            assert_eq!(first + rest, 2);
-        });
-    }
-}
+#[path = "ring_interleavings_tests.rs"]
+mod checked;
--- a/crates/invalidation/src/sync.rs
+++ b/crates/invalidation/src/sync.rs
@@ -1,3 +1,5 @@
+//! Locks and atomics: those of the standard library, or of loom under the feature `checker`.
+
 #[cfg(feature = "checker")]
 pub use loom::sync::{
     Arc, Mutex,
--- a/crates/invalidation/src/view.rs
+++ b/crates/invalidation/src/view.rs
@@ -1,50 +1,25 @@
-//! What a reader believes that holders keep, and how it unlearns.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! A plain cache of what holders keep, and how it unlearns; tests compare the other caches with it.
 
 use crate::cache::Cache;
 use fleet_core::wire::RingEntry;
 
-pub type Holder = u32;
+pub use crate::salt::{Salt, read_salt, salt_text, shared_isolation};
 
-/// salt and part, folded
+/// Salt and part, hashed together.
 pub type Part = u64;
 
+/// The name of a part under a salt.
 pub fn part_of(salt: &str, part: u64) -> Part {
     fleet_core::node::stable_hash(&[salt.as_bytes(), &part.to_be_bytes()])
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Salt {
-    pub model: String,
-    pub version: u64,
-    pub isolation: Option<u64>,
-}
-
-/// The salt names weights and isolation, so that an entry can void all kept under it.
-pub fn salt_text(model: &str, version: u64, isolation: &str) -> String {
-    format!("{model}|{version}|{isolation}")
-}
-
-pub fn shared_isolation(generation: u64) -> String {
-    format!("#{generation}")
-}
-
-pub fn read_salt(text: &str) -> Option<Salt> {
-    let mut it = text.splitn(3, '|');
-    let (model, version, isolation) = (it.next()?, it.next()?, it.next()?);
-    Some(Salt {
-        model: model.to_owned(),
-        version: version.parse().ok()?,
-        isolation: isolation.strip_prefix('#').and_then(|g| g.parse().ok()),
-    })
-}
-
+/// A part that is kept: the number of its salt, and when it was used last.
 struct Kept {
     salt: u32,
     used: u64,
 }
 
+/// What one holder keeps.
 #[derive(Default)]
 struct PrefixView {
     parts: hashbrown::HashMap<Part, Kept, ahash::RandomState>,
@@ -52,7 +27,7 @@
 
 type Callback = Box<dyn Fn(&RingEntry) + Send + Sync>;
 
-/// The view of one reader.
+/// The view of one reader. Bounded: of each holder, the parts used longest ago go first.
 pub struct View {
     holders: hashbrown::HashMap<String, PrefixView, ahash::RandomState>,
     salts: Vec<String>,
@@ -60,11 +35,14 @@
     clock: u64,
     most: usize,
     derived: Vec<Callback>,
+    /// Resets so far.
     pub resets: u64,
+    /// Entries applied so far.
     pub applied: u64,
 }
 
 impl View {
+    /// An empty view that keeps at most `most` parts of each holder.
     pub fn new(most: usize) -> Self {
         View {
             holders: hashbrown::HashMap::default(),
@@ -78,49 +56,52 @@
         }
     }
 
-    /// Called after the parts themselves have been dropped.
-    pub fn on_purge(&mut self, f: Callback) {
-        self.derived.push(f);
+    /// Registers what is called after the parts of an entry have been dropped.
+    pub fn on_purge(&mut self, callback: Callback) {
+        self.derived.push(callback);
     }
 
     fn number(&mut self, salt: &str) -> u32 {
-        if let Some(n) = self.numbers.get(salt) {
-            return *n;
+        if let Some(number) = self.numbers.get(salt) {
+            return *number;
         }
-        let n = self.salts.len() as u32;
+        let number = self.salts.len() as u32;
         self.salts.push(salt.to_owned());
-        self.numbers.insert(salt.to_owned(), n);
-        n
+        self.numbers.insert(salt.to_owned(), number);
+        number
     }
 
+    /// Learns that a holder keeps these parts.
     pub fn learn(&mut self, holder: &str, salt: &str, parts: impl Iterator<Item = u64>) {
-        let n = self.number(salt);
+        let number = self.number(salt);
         self.clock += 1;
         let used = self.clock;
         let prefix_view = self.holders.entry_ref(holder).or_default();
-        for p in parts {
-            prefix_view.parts.insert(part_of(salt, p), Kept { salt: n, used });
+        for part in parts {
+            prefix_view.parts.insert(part_of(salt, part), Kept { salt: number, used });
         }
         if prefix_view.parts.len() > self.most {
-            let mut ages: Vec<u64> = prefix_view.parts.values().map(|k| k.used).collect();
+            let mut ages: Vec<u64> = prefix_view.parts.values().map(|kept| kept.used).collect();
             let cut = ages.len() / 4;
             let (_, edge, _) = ages.select_nth_unstable(cut);
             let edge = *edge;
-            prefix_view.parts.retain(|_, k| k.used > edge);
+            prefix_view.parts.retain(|_, kept| kept.used > edge);
         }
     }
 
-    /// Known to answer, whatever it keeps.
+    /// Whether the holder is known to answer, whatever it keeps.
     pub fn knows(&self, holder: &str) -> bool {
         self.holders.contains_key(holder)
     }
 
+    /// Whether the holder keeps a part, as far as is known.
     pub fn holds(&self, holder: &str, part: Part) -> bool {
-        self.holders.get(holder).is_some_and(|s| s.parts.contains_key(&part))
+        self.holders.get(holder).is_some_and(|view| view.parts.contains_key(&part))
     }
 
-    pub fn apply(&mut self, e: &RingEntry, in_scope: impl Fn(u64) -> bool) {
-        if crate::cache::apply(self, e, in_scope) {
+    /// Applies one entry, unless it is out of scope.
+    pub fn apply(&mut self, entry: &RingEntry, in_scope: impl Fn(u64) -> bool) {
+        if crate::cache::apply(self, entry, in_scope) {
             self.applied += 1;
         }
     }
@@ -136,8 +117,8 @@
     }
 
     fn evict(&mut self, holder: &str, salt: &str, part: u64, _: u64) {
-        if let Some(s) = self.holders.get_mut(holder) {
-            s.parts.remove(&part_of(salt, part));
+        if let Some(prefix_view) = self.holders.get_mut(holder) {
+            prefix_view.parts.remove(&part_of(salt, part));
         }
     }
 
@@ -146,12 +127,12 @@
     }
 
     fn drop_salts(&mut self, void: &dyn Fn(&str) -> bool) {
-        let dead: Vec<bool> = self.salts.iter().map(|s| void(s)).collect();
+        let dead: Vec<bool> = self.salts.iter().map(|salt| void(salt)).collect();
         if !dead.contains(&true) {
             return;
         }
-        for s in self.holders.values_mut() {
-            s.parts.retain(|_, k| !dead[k.salt as usize]);
+        for prefix_view in self.holders.values_mut() {
+            prefix_view.parts.retain(|_, kept| !dead[kept.salt as usize]);
         }
     }
 
@@ -163,9 +144,9 @@
         self.resets += 1;
     }
 
-    fn derive(&mut self, e: &RingEntry) {
-        for f in &self.derived {
-            f(e);
+    fn derive(&mut self, entry: &RingEntry) {
+        for callback in &self.derived {
+            callback(entry);
         }
     }
 }
