Typed stages Accepted, Dispatched, Responding; answers must prove what they say

Causes: an engine's own 408, 429 or 503 without X-Not-Executed was passed on for requests that may run only once, though only the header or a 421 states that a request has not run. A request that may run twice was refused with 503 after an uncertain send that had no second engine. A 503 that says "not executed" but bears no id was believed on a connection that had served before, where it may answer an earlier request. A body that ends with its connection, or that has both a length and chunks, was passed on as whole. The body of a refusal was waited for without limit. At the deadline a full channel to a slow client lost the mark of a break, and the client got a proper last chunk.

Change: serve/verdict.rs reads what a head proves and alone makes the proofs; serve/stage.rs lets a 503 leave only from Accepted, which is had back from Dispatched by such a proof, or for what may run twice, and then remembers that it may have run (502). The end of a body is a message of its own, so that a closed channel is always a break. A refusal's body is read for 50 ms in the background. An engine that closes a new connection before anything was sent is left alone, where it was asked again without a pause.

--- a/crates/data-plane/src/pool/connection.rs
+++ b/crates/data-plane/src/pool/connection.rs
@@ -1,7 +1,5 @@
 //! One connection to an engine: Idle, Leased, Streaming, then Reusable (idle again) or Spent (dropped).
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use super::Seat;
 use crate::Router;
 use fleet_core::constants;
@@ -12,17 +10,30 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// The body of a request as it goes out: whole.
 pub type Sent = http_body_util::Full<bytes::Bytes>;
 
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
+/// Why there is no connection to an engine.
+#[derive(Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
 pub enum ConnectionError {
     /// no connection came up: {0}
     Connect(fleet_core::transport::TransportError),
     /// no connection is left for this router
     Full,
-    /// the engine closed before anything was sent
-    Unsent,
-    /// broke off after the request was sent
+    /// the engine closed it at once
+    Closed,
+}
+
+/// Proof that not a byte of a request went out.
+#[derive(Debug)]
+pub struct NotSent(());
+
+/// Why a send has no answer.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum SendError {
+    /// the engine had closed before anything was sent
+    NotSent(NotSent),
+    /// broke off after the request, or a part of it, was sent
     Uncertain,
 }
 
@@ -40,22 +51,26 @@
     open: Open,
 }
 
+/// A connection that nobody uses.
 pub struct Idle {
     wire: Wire,
     until: Instant,
 }
 
+/// A connection for one request.
 pub struct Leased {
     wire: Wire,
+    is_new: bool,
 }
 
-/// An answer has begun on it.
+/// A connection that an answer has begun on.
 pub struct Streaming {
     wire: Wire,
     keep: Option<Duration>,
 }
 
 impl Idle {
+    /// May the next request go out on it?
     pub fn is_usable(&self, now: Instant) -> bool {
         now < self.until && !self.wire.sender.is_closed() && self.wire.sender.is_ready()
     }
@@ -63,9 +78,13 @@
 
 /// An idle connection if there is one, else a new one within this router's share.
 pub async fn lease(d: &Router, seat: &Arc<Seat>, share: u32) -> Result<Leased, ConnectionError> {
-    if let Some(i) = seat.take_idle(Instant::now()) {
-        return Ok(Leased { wire: i.wire });
+    if let Some(idle) = seat.take_idle(Instant::now()) {
+        return Ok(Leased { wire: idle.wire, is_new: false });
     }
+    connect(d, seat, share).await
+}
+
+async fn connect(d: &Router, seat: &Arc<Seat>, share: u32) -> Result<Leased, ConnectionError> {
     let open = Open(seat.clone());
     if seat.open.fetch_add(1, Ordering::Relaxed) >= share {
         return Err(ConnectionError::Full);
@@ -74,32 +93,38 @@
         .await
         .map_err(ConnectionError::Connect)?;
     d.counters.connections.fetch_add(1, Ordering::Relaxed);
-    let (sender, conn) = hyper::client::conn::http1::Builder::new()
+    let (mut sender, conn) = hyper::client::conn::http1::Builder::new()
         .max_buf_size(32 << 10)
         .handshake(hyper_util::rt::TokioIo::new(io))
         .await
-        .map_err(|_| ConnectionError::Unsent)?;
+        .map_err(|_| ConnectionError::Closed)?;
     tokio::spawn(conn);
-    Ok(Leased { wire: Wire { sender, open } })
+    sender.ready().await.map_err(|_| ConnectionError::Closed)?;
+    Ok(Leased { wire: Wire { sender, open }, is_new: true })
 }
 
 impl Leased {
+    /// No request went out on it before.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Gives the answer's head, or says whether the request may have been read.
     pub async fn send(
         mut self,
         rq: http::Request<Sent>,
-    ) -> Result<(Streaming, http::Response<Incoming>), ConnectionError> {
+    ) -> Result<(Streaming, http::Response<Incoming>), SendError> {
         if self.wire.sender.ready().await.is_err() {
-            return Err(ConnectionError::Unsent);
+            return Err(SendError::NotSent(NotSent(())));
         }
         match self.wire.sender.try_send_request(rq).await {
             Ok(res) => {
                 let keep = keep_for(res.headers());
                 Ok((Streaming { wire: self.wire, keep }, res))
             }
-            Err(mut e) => match e.take_message() {
-                Some(_) => Err(ConnectionError::Unsent),
-                None => Err(ConnectionError::Uncertain),
+            Err(mut error) => match error.take_message() {
+                Some(_unsent) => Err(SendError::NotSent(NotSent(()))),
+                None => Err(SendError::Uncertain),
             },
         }
     }
--- a/crates/data-plane/src/serve/answer.rs
+++ b/crates/data-plane/src/serve/answer.rs
@@ -1,22 +1,34 @@
-//! A small value describes an answer; it is written here and nowhere else.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! Answers to clients: those of our own, and the bodies that an engine sends through us.
 
 use bytes::Bytes;
-use http::StatusCode;
+use fleet_core::constants;
+use http::{HeaderValue, Response, StatusCode, header};
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use tokio::sync::mpsc;
 
+/// Why the body of an answer ends before its end.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum AnswerError {
     /// the engine broke off; the answer must not look complete
     BrokenOff,
 }
 
-/// The body of an answer: ours in one piece, or an engine's as it comes.
+/// A piece of an engine's body on its way to the client.
+#[derive(Debug)]
+pub enum Piece {
+    /// bytes to pass on
+    Data(Bytes),
+    /// the body is whole; a channel that closes without this was broken off
+    End,
+}
+
+/// The body of an answer.
 pub enum Out {
-    Whole(Option<Bytes>),
-    Events(tokio::sync::mpsc::Receiver<Result<Bytes, AnswerError>>),
+    /// one of our own, which has none
+    Empty,
+    /// an engine's, as it comes
+    Relayed(mpsc::Receiver<Piece>),
 }
 
 impl http_body::Body for Out {
@@ -27,60 +39,96 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<http_body::Frame<Bytes>, AnswerError>>> {
-        match self.get_mut() {
-            Out::Whole(b) => Poll::Ready(b.take().map(|b| Ok(http_body::Frame::data(b)))),
-            Out::Events(rx) => rx.poll_recv(cx).map(|x| x.map(|r| r.map(http_body::Frame::data))),
-        }
+        let Out::Relayed(pieces) = self.get_mut() else { return Poll::Ready(None) };
+        pieces.poll_recv(cx).map(|piece| match piece {
+            Some(Piece::Data(data)) => Some(Ok(http_body::Frame::data(data))),
+            Some(Piece::End) => None,
+            None => Some(Err(AnswerError::BrokenOff)),
+        })
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Out::Whole(None))
+        matches!(self, Out::Empty)
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
-            Out::Whole(b) => {
-                http_body::SizeHint::with_exact(b.as_ref().map_or(0, |b| b.len() as u64))
-            }
-            Out::Events(_) => http_body::SizeHint::default(),
+            Out::Empty => http_body::SizeHint::with_exact(0),
+            Out::Relayed(_) => http_body::SizeHint::default(),
         }
     }
 }
 
+/// Why a request ends before any engine was given it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Answer {
-    status: StatusCode,
-    retry: bool,
-    close: bool,
+pub enum Rejection {
+    /// no configuration, or a route that leads nowhere
+    NotReady,
+    /// no route for this host and path
+    NoRoute,
+    /// a key is needed, and this is none
+    Unauthorized,
+    /// a header that is needed is missing or malformed
+    BadRequest,
+    /// where the request ends can't be told, or it broke off
+    Unreadable,
+    /// the body is over the limit
+    BodyTooLarge,
+    /// the body did not come in time
+    BodyLate,
 }
 
-impl Answer {
-    pub fn plain(status: StatusCode) -> Answer {
-        Answer { status, retry: false, close: false }
-    }
-
-    /// Has not run and never will: come back.
-    pub fn refuse() -> Answer {
-        Answer { status: StatusCode::SERVICE_UNAVAILABLE, retry: true, close: false }
+impl Rejection {
+    /// The answer to the client; what was not read whole closes the connection.
+    pub fn write(self) -> Response<Out> {
+        match self {
+            Rejection::NotReady => refusal(),
+            Rejection::NoRoute => empty(StatusCode::NOT_FOUND),
+            Rejection::Unauthorized => empty(StatusCode::UNAUTHORIZED),
+            Rejection::BadRequest => empty(StatusCode::BAD_REQUEST),
+            Rejection::Unreadable => closing(StatusCode::BAD_REQUEST),
+            Rejection::BodyTooLarge => closing(StatusCode::PAYLOAD_TOO_LARGE),
+            Rejection::BodyLate => closing(StatusCode::REQUEST_TIMEOUT),
+        }
     }
+}
 
-    pub fn closing(self) -> Answer {
-        Answer { close: true, ..self }
-    }
+/// How a request ends that an engine may have run. None of these promises anything.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// the engine gave no answer that could be passed on
+    BadGateway,
+    /// no answer before the deadline
+    GatewayTimeout,
+}
 
-    pub fn write(self) -> http::Response<Out> {
-        let mut r = http::Response::new(Out::Whole(None));
-        *r.status_mut() = self.status;
-        let h = r.headers_mut();
-        if self.retry {
-            h.insert(
-                http::header::RETRY_AFTER,
-                http::HeaderValue::from_static(fleet_core::constants::RETRY_AFTER),
-            );
-        }
-        if self.close {
-            h.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+impl Failure {
+    /// The status that the client gets.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Failure::BadGateway => StatusCode::BAD_GATEWAY,
+            Failure::GatewayTimeout => StatusCode::GATEWAY_TIMEOUT,
         }
-        r
     }
 }
+
+/// An answer of our own, with no body.
+pub fn empty(status: StatusCode) -> Response<Out> {
+    let mut response = Response::new(Out::Empty);
+    *response.status_mut() = status;
+    response
+}
+
+/// The promise that the request has not run and never will, and when to come back.
+pub(super) fn refusal() -> Response<Out> {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    let pause = HeaderValue::from_static(constants::RETRY_AFTER);
+    response.headers_mut().insert(header::RETRY_AFTER, pause);
+    response
+}
+
+fn closing(status: StatusCode) -> Response<Out> {
+    let mut response = empty(status);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- /dev/null
+++ b/crates/data-plane/src/serve/dispatch.rs
@@ -0,0 +1,218 @@
+//! Sending a request to one engine, and what becomes of that send.
+
+use super::headers;
+use super::observe;
+use super::send_load::SendLoad;
+use super::stage::{Accepted, ClientRequest, Dispatched, Responding};
+use super::verdict::{self, Asked, Verdict};
+use crate::Router;
+use crate::place::{self, Choice};
+use crate::pool::connection::{self, ConnectionError, Leased, SendError, Sent, Streaming};
+use fleet_core::constants;
+use fleet_core::log::Event;
+use http::{HeaderValue, Request, Response};
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+/// An engine, and a connection to it.
+pub struct Placed {
+    choice: Choice,
+    connection: Leased,
+}
+
+/// What became of a send.
+pub enum Outcome {
+    /// an answer for the client has begun
+    Responding(Box<Responding>),
+    /// the engine proves that it has not run it
+    NotExecuted(Accepted),
+    /// nothing went out
+    NotSent(Accepted),
+    /// it may have run, and no answer of use came
+    Uncertain(Dispatched),
+    /// it may have run, and the deadline is here
+    Late(Dispatched),
+}
+
+/// Finds an engine and a connection to it; none before the deadline gives the request back.
+pub async fn find_engine(
+    router: &Router,
+    mut accepted: Accepted,
+) -> Result<(Placed, Accepted), Accepted> {
+    while Instant::now() + constants::DEADLINE_MARGIN < accepted.request().deadline {
+        let request = accepted.request();
+        let Ok(choice) = place::place(
+            router,
+            &request.table,
+            &request.service,
+            request.tenant.as_deref(),
+            &request.prompt,
+            &request.tried,
+        ) else {
+            return Err(accepted);
+        };
+        match connection::lease(router, &choice.seat, connection_share(router, request)).await {
+            Ok(connection) => return Ok((Placed { choice, connection }, accepted)),
+            Err(error) => {
+                if error != ConnectionError::Full {
+                    note_break(router, &choice, &error.to_string());
+                }
+                accepted.avoid(&choice.seat.id);
+            }
+        }
+    }
+    Err(accepted)
+}
+
+/// This router's part of the connections that an engine takes from all callers.
+fn connection_share(router: &Router, request: &ClientRequest) -> u32 {
+    let most = request.table.service(&request.service).map_or(0, |s| s.max_conns) as usize;
+    let routers = router.fleet_view.routers() + constants::BUDGET_SPARES;
+    (most / routers).max(constants::CONNECTIONS_LEAST) as u32
+}
+
+/// Sends the request, and waits for the head of an answer.
+pub async fn dispatch(
+    router: &Router,
+    accepted: Accepted,
+    placed: Placed,
+    resume_after: Option<&str>,
+) -> Outcome {
+    let Placed { choice, connection } = placed;
+    let Some(outgoing) = outgoing_request(accepted.request(), &choice, resume_after) else {
+        let mut accepted = accepted;
+        accepted.avoid(&choice.seat.id);
+        return Outcome::NotSent(accepted);
+    };
+    let request = accepted.request();
+    let interactive = request.table.is_interactive(&request.route);
+    let load = SendLoad::start(&choice, request.prompt.load(), interactive);
+    let dispatched = accepted.dispatch(&choice.seat.id);
+    let send = Send { choice, load, at: Instant::now(), first: connection.is_new() };
+    let until = dispatched.request().deadline - constants::DEADLINE_MARGIN;
+    match tokio::time::timeout_at(until, connection.send(outgoing)).await {
+        Ok(Ok((connection, response))) => send.answered(router, dispatched, connection, response),
+        Ok(Err(error)) => send.failed(router, dispatched, error),
+        Err(_) => Outcome::Late(dispatched),
+    }
+}
+
+/// A send under way.
+struct Send {
+    choice: Choice,
+    load: SendLoad,
+    at: Instant,
+    /// nothing went out on its connection before
+    first: bool,
+}
+
+impl Send {
+    fn failed(self, router: &Router, dispatched: Dispatched, error: SendError) -> Outcome {
+        match error {
+            SendError::NotSent(proof) => {
+                let mut accepted = dispatched.not_sent(proof);
+                if self.first {
+                    note_break(router, &self.choice, "closed a new connection");
+                    accepted.avoid(&self.choice.seat.id);
+                }
+                Outcome::NotSent(accepted)
+            }
+            SendError::Uncertain => {
+                note_break(router, &self.choice, "no answer");
+                Outcome::Uncertain(dispatched)
+            }
+        }
+    }
+
+    /// Reads what the head of an answer proves.
+    fn answered(
+        mut self,
+        router: &Router,
+        dispatched: Dispatched,
+        connection: Streaming,
+        response: Response<Incoming>,
+    ) -> Outcome {
+        let (head, body) = response.into_parts();
+        let request = dispatched.request();
+        let (engine, status) = (&self.choice.seat, head.status);
+        observe::read_engine_news(router, engine, request.prompt.model.as_deref(), &head.headers);
+        let asked = Asked {
+            attempt: &request.attempt,
+            method: &request.method,
+            repeat: request.repeat,
+            first_on_connection: self.first,
+        };
+        match verdict::judge(head, &asked) {
+            Verdict::NotExecuted(proof) => {
+                keep_after_refusal(connection, body);
+                Outcome::NotExecuted(dispatched.not_executed(proof))
+            }
+            Verdict::Spoilt(why) => {
+                fleet_core::log_event!(router.log, Event::AnswerSpoilt, "id" => &engine.id,
+                    "status" => status.as_u16(), "why" => why.to_string());
+                Outcome::Uncertain(dispatched)
+            }
+            Verdict::Relay(head) => {
+                self.load.prompt_read();
+                observe::count_answer(router, request, &self.choice, status, self.at.elapsed());
+                let responding = dispatched.responding(self.load, connection, head, body);
+                Outcome::Responding(Box::new(responding))
+            }
+        }
+    }
+}
+
+/// The request as the engine gets it; none if a name in it fits no header.
+fn outgoing_request(
+    request: &ClientRequest,
+    choice: &Choice,
+    resume_after: Option<&str>,
+) -> Option<Request<Sent>> {
+    let left = request.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let urgency = headers::urgency(&request.route, request.tenant.as_deref());
+    let tenant = request.tenant.as_ref().map(|t| t.name.as_str());
+    let mut outgoing = Request::new(Sent::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    let head = outgoing.headers_mut();
+    *head = request.headers.clone();
+    head.insert(headers::DEADLINE_MS, HeaderValue::from(left));
+    head.insert(headers::URGENCY, HeaderValue::from(urgency));
+    if let Some(version) = choice.version {
+        head.insert(headers::EXPECTED_VERSION, HeaderValue::from(version));
+    }
+    let texts = [
+        (headers::TARGET_INSTANCE, Some(choice.seat.id.as_str())),
+        (headers::TENANT, tenant),
+        (headers::CACHE_SALT, choice.salt.as_deref()),
+        (headers::KV_SOURCE, choice.source.as_deref()),
+        (headers::KV_SINK, choice.sink.as_deref()),
+        (headers::LAST_EVENT_ID, resume_after),
+    ];
+    for (name, text) in texts {
+        let Some(text) = text else { continue };
+        head.insert(name, HeaderValue::from_str(text).ok()?);
+    }
+    Some(outgoing)
+}
+
+/// The refusal itself is known: its body only matters to the connection, and holds nobody up.
+fn keep_after_refusal(connection: Streaming, body: Incoming) {
+    if body.is_end_stream() {
+        return connection.end();
+    }
+    tokio::spawn(async move {
+        let rest = tokio::time::timeout(constants::REFUSAL_BODY_LIMIT, body.collect());
+        if matches!(rest.await, Ok(Ok(_))) {
+            connection.end();
+        }
+    });
+}
+
+/// An engine that broke off or let no connection come up is left alone for a while.
+fn note_break(router: &Router, choice: &Choice, why: &str) {
+    choice.seat.broke(Instant::now());
+    fleet_core::log_event!(router.log, Event::EngineError, "id" => &choice.seat.id, "why" => why);
+}
--- a/crates/data-plane/src/serve/mod.rs
+++ b/crates/data-plane/src/serve/mod.rs
@@ -1,9 +1,15 @@
 //! Clients: their connections, their requests, the answers.
 
 pub mod answer;
+pub mod dispatch;
 pub mod events;
+pub mod headers;
+pub mod observe;
 pub mod relay;
 pub mod request;
+pub mod send_load;
+pub mod stage;
+pub mod verdict;
 
 use crate::Router;
 use answer::Out;
@@ -37,7 +43,7 @@
     let idle = limits.idle_timeout_ms.max(limits.header_timeout_ms).max(1000);
     let service = hyper::service::service_fn(|rq| {
         let d = d.clone();
-        async move { Ok::<http::Response<Out>, Infallible>(request::deliver(&d, rq).await) }
+        async move { Ok::<http::Response<Out>, Infallible>(request::serve(&d, rq).await) }
     });
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(hyper_util::rt::TokioTimer::new())
@@ -69,7 +75,7 @@
                     (true, true) => http::StatusCode::OK,
                     (true, false) => http::StatusCode::SERVICE_UNAVAILABLE,
                 };
-                async move { Ok::<_, Infallible>(answer::Answer::plain(status).write()) }
+                async move { Ok::<_, Infallible>(answer::empty(status)) }
             });
             let _ = hyper::server::conn::http1::Builder::new()
                 .timer(hyper_util::rt::TokioTimer::new())
--- /dev/null
+++ b/crates/data-plane/src/serve/observe.rs
@@ -0,0 +1,55 @@
+//! What an answer tells of the engine that gave it.
+
+use super::headers;
+use super::stage::ClientRequest;
+use crate::Router;
+use crate::place::Choice;
+use crate::pool::{Seat, Told};
+use fleet_core::log::Event;
+use http::{HeaderMap, StatusCode};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The load and the weights that an engine names beside any answer.
+pub fn read_engine_news(router: &Router, engine: &Seat, model: Option<&str>, head: &HeaderMap) {
+    let load = headers::text(head, &headers::INSTANCE_LOAD);
+    if let Some(told) = load.and_then(|text| Told::read(text, Instant::now())) {
+        engine.work().told = Some(told);
+    }
+    let version = headers::text(head, &headers::WEIGHT_VERSIONS);
+    let version = version.and_then(|text| text.trim().parse().ok());
+    if let (Some(model), Some(version)) = (model, version) {
+        router.fleet_view.saw_weights(engine, model, version);
+    }
+}
+
+/// Counts an answer that has begun, and what its engine now keeps of the prompt.
+pub fn count_answer(
+    router: &Router,
+    request: &ClientRequest,
+    choice: &Choice,
+    status: StatusCode,
+    wait: Duration,
+) {
+    choice.seat.served();
+    router.counters.begun.fetch_add(1, Ordering::Relaxed);
+    if request.prompt.is_heavy() {
+        count_wait(router, &choice.seat, wait);
+    }
+    if let Some(salt) = choice.salt.as_ref().filter(|_| status.is_success()) {
+        router.fleet_view.prefix_view.sent(&choice.seat.id, salt, &request.prompt.pairs());
+    }
+}
+
+/// Sets the first waits at a newcomer against those at all engines.
+fn count_wait(router: &Router, engine: &Seat, wait: Duration) {
+    let counters = &router.counters;
+    let answers = counters.heavy_answers.fetch_add(1, Ordering::Relaxed) + 1;
+    let wait_us = wait.as_micros() as u64;
+    let all_us = counters.heavy_wait_us.fetch_add(wait_us, Ordering::Relaxed) + wait_us;
+    if let Some(own) = engine.first_waits(wait) {
+        fleet_core::log_event!(router.log, Event::EngineTakenIn, "id" => &engine.id,
+            "own_ms" => own.as_millis() as u64, "all_ms" => all_us / answers / 1000);
+    }
+}
--- a/crates/data-plane/src/serve/relay.rs
+++ b/crates/data-plane/src/serve/relay.rs
@@ -1,152 +1,155 @@
 //! Passing an engine's answer on as it comes, and going on elsewhere where that is allowed.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
-use super::answer::{AnswerError, Out};
+use super::answer::{Out, Piece};
+use super::dispatch::{self, Outcome};
 use super::events::Cutter;
-use super::request::{ATTEMPT, Begun, Fate, LAST_EVENT, Offered};
+use super::headers;
+use super::stage::Responding;
 use crate::Router;
 use crate::fleet_view::table::Repeat;
 use bytes::Bytes;
+use fleet_core::constants;
 use fleet_core::log::Event;
-use http::header;
+use http::{Response, header};
+use http_body::Body;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
-type Tx = tokio::sync::mpsc::Sender<Result<Bytes, AnswerError>>;
-
-enum End {
+/// How a body ended.
+enum BodyEnd {
+    /// all of it was passed on
     Whole,
+    /// the engine broke off
     Broken,
     /// the client has gone, or the time is over
-    Left,
+    Abandoned,
 }
 
-pub async fn relay(d: &Arc<Router>, b: Begun) -> http::Response<Out> {
-    let resumes = b.job.repeat == Repeat::ByResuming && b.head.status.is_success();
-    let (tx, rx) = tokio::sync::mpsc::channel(4);
-    let mut res = http::Response::new(Out::Events(rx));
-    *res.status_mut() = b.head.status;
-    let h = res.headers_mut();
-    *h = b.head.headers.clone();
-    for n in [header::CONNECTION, header::TRANSFER_ENCODING, header::TRAILER, header::UPGRADE] {
-        h.remove(n);
+/// Begins the answer to the client; its body follows as it comes.
+pub fn relay(router: &Arc<Router>, mut responding: Responding) -> Response<Out> {
+    let status = responding.head.status();
+    let mut response = Response::new(Out::Empty);
+    *response.status_mut() = status;
+    *response.headers_mut() = responding.head.take_headers();
+    headers::strip_answer(response.headers_mut());
+    if responding.body.is_end_stream() {
+        responding.connection.end();
+        return response;
     }
-    h.remove("keep-alive");
-    if resumes {
-        h.remove(header::CONTENT_LENGTH);
+    let resumable = responding.request.repeat == Repeat::ByResuming && status.is_success();
+    if resumable {
+        response.headers_mut().remove(header::CONTENT_LENGTH);
     }
-    let d = d.clone();
+    *response.body_mut() = relay_body(router.clone(), responding, resumable);
+    response
+}
+
+/// Passes the body on in a task of its own.
+fn relay_body(router: Arc<Router>, responding: Responding, resumable: bool) -> Out {
+    let (pieces, body) = mpsc::channel(constants::RELAY_BACKLOG);
     tokio::spawn(async move {
-        if resumes { pump_events(&d, b, &tx).await } else { pump(&d, b, &tx).await }
+        if resumable {
+            relay_events(&router, responding, &pieces).await;
+        } else {
+            relay_bytes(&router, responding, &pieces).await;
+        }
     });
-    res
+    Out::Relayed(body)
 }
 
 /// Bytes as they come; a break is passed on as a break.
-async fn pump(d: &Router, b: Begun, tx: &Tx) {
-    let Begun { job, run, connection, mut body, .. } = b;
-    let end = tokio::time::timeout_at(job.deadline, pass(&mut body, Some, tx));
-    match end.await.unwrap_or(End::Left) {
-        End::Whole => connection.end(),
-        End::Broken => {
-            run.seat.broke(tokio::time::Instant::now());
-            fleet_core::log_event!(d.log, Event::EngineError, "id" => &run.seat.id, "why" => "stream broken");
-            let _ = tx.send(Err(AnswerError::BrokenOff)).await;
-        }
-        End::Left => {
-            let _ = tx.try_send(Err(AnswerError::BrokenOff));
+async fn relay_bytes(router: &Router, mut responding: Responding, pieces: &mpsc::Sender<Piece>) {
+    let deadline = responding.request.deadline;
+    let passing = pass(&mut responding.body, Some, pieces);
+    match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::Abandoned) {
+        BodyEnd::Whole => {
+            responding.connection.end();
+            let _ = pieces.send(Piece::End).await;
         }
+        BodyEnd::Broken => note_break(router, &responding),
+        BodyEnd::Abandoned => {}
     }
 }
 
 /// Whole events only; after a break the stream goes on at another engine.
-async fn pump_events(d: &Arc<Router>, b: Begun, tx: &Tx) {
-    let start = b.job.header(&LAST_EVENT);
-    let mut cutter = Cutter::starting_after(start);
-    let mut b = b;
+async fn relay_events(
+    router: &Arc<Router>,
+    mut responding: Responding,
+    pieces: &mpsc::Sender<Piece>,
+) {
+    let mut cutter = Cutter::starting_after(responding.request.last_event_id());
     loop {
-        let deadline = b.job.deadline;
-        let end =
-            tokio::time::timeout_at(deadline, pass(&mut b.body, |d| cutter.take(&d), tx)).await;
-        match end.unwrap_or(End::Left) {
-            End::Whole => {
+        let deadline = responding.request.deadline;
+        let passing = pass(&mut responding.body, |bytes| cutter.take(&bytes), pieces);
+        match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::Abandoned) {
+            BodyEnd::Whole => {
+                responding.connection.end();
                 if let Some(rest) = cutter.rest() {
-                    let _ = tx.send(Ok(rest)).await;
+                    let _ = pieces.send(Piece::Data(rest)).await;
                 }
-                b.connection.end();
-                return;
-            }
-            End::Left => {
-                let _ = tx.try_send(Err(AnswerError::BrokenOff));
+                let _ = pieces.send(Piece::End).await;
                 return;
             }
-            End::Broken => {}
+            BodyEnd::Abandoned => return,
+            BodyEnd::Broken => note_break(router, &responding),
         }
-        b.run.seat.broke(tokio::time::Instant::now());
-        fleet_core::log_event!(d.log, Event::EngineError, "id" => &b.run.seat.id, "why" => "stream broken");
         cutter.drop_half();
-        match go_on(d, b, cutter.last()).await {
-            Some(next) => {
-                d.counters.resumed.fetch_add(1, Ordering::Relaxed);
-                b = next;
-            }
-            None => {
-                let _ = tx.send(Err(AnswerError::BrokenOff)).await;
-                return;
-            }
-        }
+        let Some(next) = resume(router, responding, cutter.last()).await else { return };
+        router.counters.resumed.fetch_add(1, Ordering::Relaxed);
+        responding = next;
     }
 }
 
-/// What `cut` makes of the bytes, as they come.
+/// Passes on what `cut` makes of the bytes, as they come.
 async fn pass(
-    body: &mut hyper::body::Incoming,
+    body: &mut Incoming,
     mut cut: impl FnMut(Bytes) -> Option<Bytes>,
-    tx: &Tx,
-) -> End {
+    pieces: &mpsc::Sender<Piece>,
+) -> BodyEnd {
     loop {
         let frame = tokio::select! {
-            f = body.frame() => f,
-            () = tx.closed() => return End::Left,
+            frame = body.frame() => frame,
+            () = pieces.closed() => return BodyEnd::Abandoned,
         };
-        match frame {
-            None => return End::Whole,
-            Some(Err(_)) => return End::Broken,
-            Some(Ok(f)) => {
-                if let Ok(data) = f.into_data()
-                    && let Some(data) = cut(data)
-                    && tx.send(Ok(data)).await.is_err()
-                {
-                    return End::Left;
-                }
-            }
+        let frame = match frame {
+            None => return BodyEnd::Whole,
+            Some(Err(_)) => return BodyEnd::Broken,
+            Some(Ok(frame)) => frame,
+        };
+        let Some(data) = frame.into_data().ok().and_then(&mut cut) else { continue };
+        if pieces.send(Piece::Data(data)).await.is_err() {
+            return BodyEnd::Abandoned;
         }
     }
 }
 
-/// The same request behind the last event that was passed on.
-async fn go_on(d: &Arc<Router>, b: Begun, last: Option<&str>) -> Option<Begun> {
-    let mut offered = Offered::of(b);
+/// The same request at another engine, behind the last event that was passed on.
+async fn resume(
+    router: &Arc<Router>,
+    broken: Responding,
+    last_event: Option<&str>,
+) -> Option<Responding> {
+    let mut accepted = broken.broken_off().retry(router).ok()?;
     loop {
-        let mut taken = offered.again(d).ok()?;
-        let next = loop {
-            let (choice, leased, t) = taken.find(d).await.ok()?;
-            match t.offer(d, choice, leased, last).await {
-                Fate::Unsent(t) => taken = t,
-                Fate::Back(t) => taken = t.again(d).ok()?,
-                Fate::Unsure(o) => break Err(o),
-                Fate::Late(_) => return None,
-                Fate::Begun(b) => break Ok(b),
-            }
+        let (placed, ready) = dispatch::find_engine(router, accepted).await.ok()?;
+        accepted = match dispatch::dispatch(router, ready, placed, last_event).await {
+            Outcome::NotSent(accepted) => accepted,
+            Outcome::NotExecuted(accepted) => accepted.retry(router).ok()?,
+            Outcome::Uncertain(dispatched) => dispatched.retry(router).ok()?,
+            Outcome::Late(_) => return None,
+            Outcome::Responding(next) if next.head.status().is_success() => return Some(*next),
+            Outcome::Responding(next) if next.is_worth_retrying() => next.retry(router).ok()?,
+            Outcome::Responding(_) => return None,
         };
-        match next {
-            Ok(b) if b.head.status.is_success() && b.head.headers.contains_key(ATTEMPT) => {
-                return Some(*b);
-            }
-            Ok(_) => return None,
-            Err(o) => offered = o,
-        }
     }
 }
+
+fn note_break(router: &Router, responding: &Responding) {
+    let engine = &responding.load.engine;
+    engine.broke(Instant::now());
+    fleet_core::log_event!(router.log, Event::EngineError, "id" => &engine.id, "why" => "stream broken");
+}
--- a/crates/data-plane/tests/engines.rs
+++ b/crates/data-plane/tests/engines/main.rs
@@ -1,5 +1,8 @@
 //! Engines that misbehave: nothing of theirs is passed on as a success, nothing runs twice.
 
+mod answers;
+mod promises;
+mod silence;
 mod stand;
 
 use stand::{Fleet, StandIn, Then, chunk, event, head_for, request, status, whole};
--- /dev/null
+++ b/crates/data-plane/tests/engines/promises.rs
@@ -0,0 +1,98 @@
+//! 408, 421, 429 and 503 promise that a request has not run: they need proof.
+
+use super::stand::{Fleet, StandIn, Then, sealed, status, whole};
+
+/// Unproven: an engine's own refusal without the mark that it has not run the request.
+const UNPROVEN: [&str; 3] = ["408 Request Timeout", "429 Too Many", "503 Unavailable"];
+
+fn has_seal(answer: &str) -> bool {
+    answer.to_ascii_lowercase().contains("x-server-seal")
+}
+
+#[tokio::test]
+async fn refusal_without_proof_is_no_promise_for_what_may_run_only_once() {
+    for what in UNPROVEN {
+        for path in ["/once/", "/twice/"] {
+            let script = move |_: usize, s: &super::stand::Seen| {
+                (sealed(s, what, "Content-Length: 0\r\n").into_bytes(), Then::Keep)
+            };
+            let (a, b) = (StandIn::start("e1", script).await, StandIn::start("e2", script).await);
+            let f = Fleet::start(&[&a, &b]).await;
+            let got = f.ask(path, "").await;
+            assert_eq!(status(&got), 502, "{what} at {path}: {got}");
+            assert!(!has_seal(&got), "{what} at {path}: a seal with a status of our own");
+            assert_eq!(a.arrivals() + b.arrivals(), 1, "{what} at {path}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn refusal_by_its_status_alone_is_proof_where_the_engine_is_another_one() {
+    let script = |_: usize, s: &super::stand::Seen| {
+        (sealed(s, "421 Misdirected", "Content-Length: 0\r\n").into_bytes(), Then::Keep)
+    };
+    let e = StandIn::start("e1", script).await;
+    let f = Fleet::start(&[&e]).await;
+    let got = f.ask("/once/", "").await;
+    assert_eq!((status(&got), has_seal(&got)), (503, false));
+}
+
+/// What may be repeated keeps the engine's own answer, status and seal together.
+#[tokio::test]
+async fn failures_of_the_engine_are_passed_on_with_its_own_status_and_seal() {
+    for (what, path, code) in [
+        ("500 Error", "/once/", 500),
+        ("504 Late", "/once/", 504),
+        ("404 Not Found", "/once/", 404),
+        ("503 Unavailable", "/safe/", 503),
+    ] {
+        let script = move |_: usize, s: &super::stand::Seen| {
+            (sealed(s, what, "Content-Length: 2\r\n").into_bytes(), Then::Keep)
+        };
+        let with_body = move |n: usize, s: &super::stand::Seen| {
+            let (mut bytes, then) = script(n, s);
+            bytes.extend_from_slice(b"no");
+            (bytes, then)
+        };
+        let (a, b) = (StandIn::start("e1", with_body).await, StandIn::start("e2", with_body).await);
+        let f = Fleet::start(&[&a, &b]).await;
+        let got = f.ask(path, "").await;
+        assert_eq!((status(&got), has_seal(&got)), (code, true), "{what} at {path}: {got}");
+    }
+}
+
+/// Once a request may have run somewhere, nothing that follows can promise the contrary.
+#[tokio::test]
+async fn nothing_is_refused_after_an_uncertain_send() {
+    let lost = |_: usize, _: &super::stand::Seen| (Vec::new(), Then::Close);
+    let alone = StandIn::start("e1", lost).await;
+    let f = Fleet::start(&[&alone]).await;
+    let got = f.ask("/safe/", "").await;
+    assert_eq!((status(&got), alone.arrivals()), (502, 1), "no second engine: {got}");
+
+    let first = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let script = move |_: usize, s: &super::stand::Seen| {
+        if first.swap(false, std::sync::atomic::Ordering::Relaxed) {
+            return (Vec::new(), Then::Close);
+        }
+        (
+            sealed(s, "503 Full", "X-Not-Executed: 1\r\nContent-Length: 0\r\n").into_bytes(),
+            Then::Keep,
+        )
+    };
+    let (a, b) = (StandIn::start("e1", script.clone()).await, StandIn::start("e2", script).await);
+    let f = Fleet::start(&[&a, &b]).await;
+    let got = f.ask("/safe/", "").await;
+    assert_eq!((status(&got), a.arrivals() + b.arrivals()), (502, 2), "turned away after: {got}");
+}
+
+#[tokio::test]
+async fn what_may_be_repeated_is_sent_again_after_an_uncertain_end() {
+    let lost = StandIn::start("e1", |_, _| (Vec::new(), Then::Reset)).await;
+    let well = StandIn::start("e2", |_, s| (whole(s, 1..=1), Then::Keep)).await;
+    let f = Fleet::start(&[&lost, &well]).await;
+    for _ in 0..8 {
+        assert_eq!(status(&f.ask("/safe/", "").await), 200);
+    }
+    assert_eq!(well.arrivals(), 8);
+}
--- /dev/null
+++ b/crates/data-plane/tests/engines/silence.rs
@@ -0,0 +1,85 @@
+//! Engines that run and say nothing, and what the time limits make of them.
+
+use super::stand::{
+    Fleet, Seen, StandIn, Then, chunk, head_for, pass, request, sealed, status, until,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// The answer to one request after its deadline of 15 s has passed.
+async fn answer_after_deadline(f: &Arc<Fleet>, e: &StandIn, path: &str, arrivals: usize) -> String {
+    let (asked, bytes) = (f.clone(), request(path, ""));
+    let asking = tokio::spawn(async move { asked.raw(bytes.as_bytes()).await });
+    until(|| e.arrivals() == arrivals).await;
+    for _ in 0..50 {
+        tokio::task::yield_now().await;
+    }
+    assert!(!asking.is_finished(), "ended before its time");
+    pass(Duration::from_secs(15)).await;
+    asking.await.unwrap()
+}
+
+#[tokio::test]
+async fn silence_lasts_until_the_deadline_and_is_never_a_refusal() {
+    for path in ["/once/", "/twice/", "/on/", "/safe/"] {
+        let e = StandIn::start("e1", |_, _| (Vec::new(), Then::Keep)).await;
+        let f = Arc::new(Fleet::start(&[&e]).await);
+        let got = answer_after_deadline(&f, &e, path, 1).await;
+        assert_eq!(status(&got), 504, "{path}: {got}");
+        assert_eq!(e.arrivals(), 1, "{path}");
+    }
+}
+
+/// The head says that it has not run; the rest of that answer is of no use, and is not waited for.
+#[tokio::test]
+async fn refusal_whose_body_never_ends_holds_nobody_up() {
+    let script = |_: usize, s: &Seen| {
+        (
+            sealed(s, "503 Full", "X-Not-Executed: 1\r\nContent-Length: 9\r\n").into_bytes(),
+            Then::Keep,
+        )
+    };
+    let e = StandIn::start("e1", script).await;
+    let f = Arc::new(Fleet::start(&[&e]).await);
+    let asked = f.clone();
+    let asking = tokio::spawn(async move { asked.ask("/once/", "").await });
+    until(|| e.arrivals() == 1).await;
+    for _ in 0..500 {
+        tokio::task::yield_now().await;
+    }
+    pass(Duration::from_secs(1)).await;
+    for _ in 0..500 {
+        tokio::task::yield_now().await;
+    }
+    assert!(asking.is_finished(), "held up by the body of a refusal");
+    assert_eq!(status(&asking.await.unwrap()), 503);
+}
+
+/// The deadline comes while the client still has much to read: what it gets then has no proper end.
+#[tokio::test]
+async fn deadline_that_finds_a_slow_client_never_makes_the_answer_look_complete() {
+    for path in ["/once/", "/on/"] {
+        let script = |_: usize, s: &Seen| {
+            let mut bytes = head_for(s, "").into_bytes();
+            let large = chunk(&format!("id: 1\ndata: {}\n\n", "x".repeat(1 << 20)));
+            for _ in 0..24 {
+                bytes.extend_from_slice(large.as_bytes());
+            }
+            (bytes, Then::Keep)
+        };
+        let e = StandIn::start("e1", script).await;
+        let f = Fleet::start(&[&e]).await;
+        let mut client = f.connect().await;
+        client.write_all(request(path, "").as_bytes()).await.unwrap();
+        until(|| e.arrivals() == 1).await;
+        for _ in 0..5_000 {
+            tokio::task::yield_now().await;
+        }
+        pass(Duration::from_secs(16)).await;
+        let mut got = Vec::new();
+        let _ = client.read_to_end(&mut got).await;
+        assert!(got.starts_with(b"HTTP/1.1 200"), "{path}");
+        assert!(!got.ends_with(b"0\r\n\r\n"), "{path}: looks complete after {} bytes", got.len());
+    }
+}
--- a/crates/data-plane/tests/stand/mod.rs
+++ b/crates/data-plane/tests/engines/stand.rs
@@ -28,9 +28,14 @@
         .map(|(_, v)| v.trim())
 }
 
+/// What the stand-in does with the connection after its bytes.
 pub enum Then {
+    /// Reads the next request; with no bytes written this is silence.
     Keep,
+    /// Closes in order.
     Close,
+    /// Resets, as an engine that has forgotten the connection.
+    Reset,
 }
 
 type Script = dyn Fn(usize, &Seen) -> (Vec<u8>, Then) + Send + Sync;
@@ -101,9 +106,17 @@
             a.len()
         };
         let (bytes, then) = script(n, &seen);
-        if s.write_all(&bytes).await.is_err() || matches!(then, Then::Close) {
+        if s.write_all(&bytes).await.is_err() {
             return;
         }
+        match then {
+            Then::Keep => {}
+            Then::Close => return,
+            Then::Reset => {
+                socket2::SockRef::from(&s).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+                return;
+            }
+        }
     }
 }
 
@@ -143,9 +156,11 @@
             serde_json::json!({"host": "h.example", "pathPrefix": prefix, "kind": "streaming",
                 "timeoutMs": 20000, "service": "s", "maxAttempts": attempts, "resumable": resumable})
         };
+        let safe = serde_json::json!({"host": "h.example", "pathPrefix": "/safe/", "kind": "safe",
+            "timeoutMs": 20000, "service": "s", "maxAttempts": 2});
         let sheet = serde_json::json!({
             "revision": 1,
-            "routes": [route("/once/", false, 1), route("/twice/", false, 2), route("/on/", true, 3)],
+            "routes": [route("/once/", false, 1), route("/twice/", false, 2), route("/on/", true, 3), safe],
             "services": [{"name": "s", "maxConns": 100, "engine": {"slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}}],
             "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
             "tenants": [{"name": "t1", "apiKeys": ["k1"]}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
@@ -163,9 +178,14 @@
         Fleet { d, front }
     }
 
+    /// A client's connection to the router.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.front).await.unwrap()
+    }
+
     /// Sends bytes and gives all that comes until the router closes or the answer is whole.
     pub async fn raw(&self, bytes: &[u8]) -> String {
-        let mut s = TcpStream::connect(self.front).await.unwrap();
+        let mut s = self.connect().await;
         s.write_all(bytes).await.unwrap();
         let mut out = Vec::new();
         let mut b = [0u8; 4096];
@@ -182,11 +202,50 @@
         String::from_utf8_lossy(&out).into_owned()
     }
 
+    /// Sends bytes and gives all that comes until the router closes the connection.
+    pub async fn raw_to_end(&self, bytes: &[u8]) -> String {
+        let mut s = self.connect().await;
+        s.write_all(bytes).await.unwrap();
+        let mut out = Vec::new();
+        let mut b = [0u8; 4096];
+        while let Ok(n) = s.read(&mut b).await {
+            if n == 0 {
+                break;
+            }
+            out.extend_from_slice(&b[..n]);
+        }
+        String::from_utf8_lossy(&out).into_owned()
+    }
+
     pub async fn ask(&self, path: &str, more: &str) -> String {
         self.raw(request(path, more).as_bytes()).await
     }
 }
 
+/// Lets time pass with no wait on the wall clock.
+pub async fn pass(span: std::time::Duration) {
+    tokio::time::pause();
+    tokio::time::advance(span).await;
+    tokio::time::resume();
+}
+
+/// Lets all tasks run until the condition holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    for _ in 0..100_000 {
+        if condition() {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+    panic!("the awaited condition never held");
+}
+
+/// Head of an answer of any status that bears the request's id and a seal.
+pub fn sealed(seen: &Seen, status: &str, more: &str) -> String {
+    let id = seen.header("x-attempt-id").unwrap_or("");
+    format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s1\r\n{more}\r\n")
+}
+
 pub fn request(path: &str, more: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Model: m\r\nX-Key: k1\r\n\
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -20,6 +20,12 @@
 pub const LOAD_TOKENS: u64 = 64;
 /// connections kept idle to one engine.
 pub const IDLE_CONNECTIONS: usize = 12;
+/// connections to one engine that a router may open, whatever its part of all of them.
+pub const CONNECTIONS_LEAST: usize = 2;
+/// ms; how long the body of a refusal is read, so that its connection may serve again.
+pub const REFUSAL_BODY_LIMIT: Duration = Duration::from_millis(50);
+/// pieces of a body read ahead of its client; an event each, so that slow clients slow the engine.
+pub const RELAY_BACKLOG: usize = 4;
 /// s; an idle connection is given up before engines usually close it.
 pub const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// tokens a ms; how fast an engine reads a prompt until more is known.
