Idle connections: last used first, and never longer rested than a service is known to keep

Cause: the pool handed out the connection that had rested longest, for any request. An engine may forget an idle connection early and silently; what goes out next is reset and may have run, so a request that may run only once was lost each time (502), again and again. A connection whose last answer had just ended was thrown away if its task had not run yet, and a full list dropped the newest one.

Change: most recently used first. pool/idle_life.rs learns for each service how long connections live, from resets after a rest and from closes seen while idle; they count once the engine has answered again, so that the end of an engine teaches nothing. What may run only once takes a connection that rested for less (2 s until more is known, doubled again every 30 s after it was learnt to be shorter), else a new one; a rested one gives way if the router's share is used up. What may be repeated takes any open one. A reset after a rest drops the engine's other idle connections and does not make the engine rest.

--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -52,6 +52,8 @@
     settings: parking_lot::RwLock<Arc<fleet_core::settings::Settings>>,
     pub fleet_view: fleet_view::FleetView,
     pub budgets: budget::Budgets,
+    /// how long engines keep idle connections
+    pub idle_lives: pool::idle_life::IdleLives,
     pub counters: Counters,
     pub started: tokio::time::Instant,
     ready: AtomicBool,
@@ -70,6 +72,7 @@
             rng_state: AtomicU64::new(node.incarnation),
             fleet_view: fleet_view::FleetView::new(),
             budgets: budget::Budgets::default(),
+            idle_lives: pool::idle_life::IdleLives::default(),
             counters: Counters::default(),
             started: tokio::time::Instant::now(),
             ready: AtomicBool::new(false),
--- a/crates/data-plane/src/pool/connection.rs
+++ b/crates/data-plane/src/pool/connection.rs
@@ -1,13 +1,16 @@
 //! One connection to an engine: Idle, Leased, Streaming, then Reusable (idle again) or Spent (dropped).
 
 use super::Seat;
+use super::idle_life::IdleLife;
 use crate::Router;
 use fleet_core::constants;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
+use hyper::client::conn::http1::{Connection, SendRequest};
+use hyper_util::rt::TokioIo;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// The body of a request as it goes out: whole.
@@ -35,6 +38,8 @@
     NotSent(NotSent),
     /// broke off after the request, or a part of it, was sent
     Uncertain,
+    /// reset by an engine that had perhaps forgotten the idle connection; the request may have run
+    Forgotten,
 }
 
 /// Counts an open connection until dropped.
@@ -46,21 +51,35 @@
     }
 }
 
+/// Since when a connection rests; none while it is used, and once we close it ourselves.
+#[derive(Default)]
+struct Resting(parking_lot::Mutex<Option<Instant>>);
+
 struct Wire {
     sender: SendRequest<Sent>,
     open: Open,
+    resting: Arc<Resting>,
+    life: Arc<IdleLife>,
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        self.resting.0.lock().take();
+    }
 }
 
 /// A connection that nobody uses.
 pub struct Idle {
     wire: Wire,
+    since: Instant,
     until: Instant,
 }
 
 /// A connection for one request.
 pub struct Leased {
     wire: Wire,
-    is_new: bool,
+    /// how long it rested before; none for a new one
+    rested: Option<Duration>,
 }
 
 /// A connection that an answer has begun on.
@@ -70,64 +89,142 @@
 }
 
 impl Idle {
-    /// May the next request go out on it?
-    pub fn is_usable(&self, now: Instant) -> bool {
-        now < self.until && !self.wire.sender.is_closed() && self.wire.sender.is_ready()
+    /// Neither closed by the engine nor rested for as long as it was to be kept.
+    pub fn is_open(&self, now: Instant) -> bool {
+        now < self.until && !self.wire.sender.is_closed()
     }
-}
 
-/// An idle connection if there is one, else a new one within this router's share.
-pub async fn lease(d: &Router, seat: &Arc<Seat>, share: u32) -> Result<Leased, ConnectionError> {
-    if let Some(idle) = seat.take_idle(Instant::now()) {
-        return Ok(Leased { wire: idle.wire, is_new: false });
+    /// Whatever went over it before is over.
+    pub fn is_ready(&self) -> bool {
+        self.wire.sender.is_ready()
     }
-    connect(d, seat, share).await
+
+    /// How long it has rested.
+    pub fn rest(&self, now: Instant) -> Duration {
+        now.duration_since(self.since)
+    }
+
+    fn lease(self, now: Instant) -> Leased {
+        self.wire.resting.0.lock().take();
+        Leased { rested: Some(self.rest(now)), wire: self.wire }
+    }
+}
+
+/// What a connection is wanted for.
+pub struct Wanted<'a> {
+    /// the service that the engine belongs to
+    pub service: &'a str,
+    /// connections to the engine that this router may have open
+    pub share: u32,
+    /// whether the request may run twice
+    pub repeatable: bool,
 }
 
-async fn connect(d: &Router, seat: &Arc<Seat>, share: u32) -> Result<Leased, ConnectionError> {
-    let open = Open(seat.clone());
-    if seat.open.fetch_add(1, Ordering::Relaxed) >= share {
-        return Err(ConnectionError::Full);
+/// The idle connection that was used last, if it is fit, else a new one within the router's share.
+pub async fn lease(
+    router: &Router,
+    engine: &Arc<Seat>,
+    wanted: Wanted<'_>,
+) -> Result<Leased, ConnectionError> {
+    let now = Instant::now();
+    let life = router.idle_lives.of(wanted.service);
+    let longest = if wanted.repeatable { Duration::MAX } else { life.safe_rest(now) };
+    if let Some(idle) = engine.take_idle(now, longest) {
+        return Ok(idle.lease(now));
     }
-    let io = fleet_core::link::connect(d.node.ip, seat.address, constants::CONNECT_LIMIT)
+    connect(router, engine, life, wanted.share).await
+}
+
+async fn connect(
+    router: &Router,
+    engine: &Arc<Seat>,
+    life: Arc<IdleLife>,
+    share: u32,
+) -> Result<Leased, ConnectionError> {
+    let open = open_within(engine, share).ok_or(ConnectionError::Full)?;
+    let io = fleet_core::link::connect(router.node.ip, engine.address, constants::CONNECT_LIMIT)
         .await
         .map_err(ConnectionError::Connect)?;
-    d.counters.connections.fetch_add(1, Ordering::Relaxed);
-    let (mut sender, conn) = hyper::client::conn::http1::Builder::new()
-        .max_buf_size(32 << 10)
-        .handshake(hyper_util::rt::TokioIo::new(io))
+    router.counters.connections.fetch_add(1, Ordering::Relaxed);
+    let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(constants::ENGINE_READ_BUFFER)
+        .handshake(TokioIo::new(io))
         .await
         .map_err(|_| ConnectionError::Closed)?;
-    tokio::spawn(conn);
+    let resting = Arc::<Resting>::default();
+    tokio::spawn(drive(connection, resting.clone(), engine.clone()));
     sender.ready().await.map_err(|_| ConnectionError::Closed)?;
-    Ok(Leased { wire: Wire { sender, open }, is_new: true })
+    Ok(Leased { wire: Wire { sender, open, resting, life }, rested: None })
+}
+
+/// Counts one more connection; an idle one that is not fit gives way where there is no room.
+fn open_within(engine: &Arc<Seat>, share: u32) -> Option<Open> {
+    loop {
+        let before = engine.open.fetch_add(1, Ordering::Relaxed);
+        let open = Open(engine.clone());
+        if before < share {
+            return Some(open);
+        }
+        drop(open);
+        if !engine.drop_oldest_idle() {
+            return None;
+        }
+    }
+}
+
+/// Moves the bytes, and notes an end that the engine made while nobody used the connection.
+async fn drive(
+    connection: Connection<TokioIo<TcpStream>, Sent>,
+    resting: Arc<Resting>,
+    engine: Arc<Seat>,
+) {
+    let _ = connection.await;
+    let since = resting.0.lock().take();
+    if let Some(since) = since {
+        engine.suspect_forgetting(since.elapsed());
+    }
 }
 
 impl Leased {
     /// No request went out on it before.
     pub fn is_new(&self) -> bool {
-        self.is_new
+        self.rested.is_none()
     }
 
     /// Gives the answer's head, or says whether the request may have been read.
     pub async fn send(
         mut self,
-        rq: http::Request<Sent>,
+        request: http::Request<Sent>,
     ) -> Result<(Streaming, http::Response<Incoming>), SendError> {
         if self.wire.sender.ready().await.is_err() {
             return Err(SendError::NotSent(NotSent(())));
         }
-        match self.wire.sender.try_send_request(rq).await {
-            Ok(res) => {
-                let keep = keep_for(res.headers());
-                Ok((Streaming { wire: self.wire, keep }, res))
+        match self.wire.sender.try_send_request(request).await {
+            Ok(response) => {
+                if let Some(rested) = self.rested {
+                    self.wire.life.served_after(rested, Instant::now());
+                }
+                let keep = keep_for(response.headers());
+                Ok((Streaming { wire: self.wire, keep }, response))
             }
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(SendError::NotSent(NotSent(()))),
-                None => Err(SendError::Uncertain),
+                None => Err(self.uncertain_end()),
             },
         }
     }
+
+    /// A break after a rest is laid to the rest; all that rested longer is then dropped too.
+    fn uncertain_end(self) -> SendError {
+        let Some(rested) = self.rested.filter(|rested| *rested >= constants::IDLE_LIFE_LEAST)
+        else {
+            return SendError::Uncertain;
+        };
+        let engine = &self.wire.open.0;
+        engine.suspect_forgetting(rested);
+        engine.drop_all_idle();
+        SendError::Forgotten
+    }
 }
 
 /// How long the engine lets it idle; none if it closes.
@@ -153,8 +250,10 @@
         if self.wire.sender.is_closed() {
             return;
         }
-        let seat = self.wire.open.0.clone();
-        seat.put_idle(Idle { wire: self.wire, until: Instant::now() + keep });
+        let now = Instant::now();
+        *self.wire.resting.0.lock() = Some(now);
+        let engine = self.wire.open.0.clone();
+        engine.put_idle(Idle { wire: self.wire, since: now, until: now + keep });
     }
 }
 
--- a/crates/data-plane/src/pool/mod.rs
+++ b/crates/data-plane/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Engines as a router uses them: their load, their rests, and the connections to them.
 
 pub mod connection;
+pub mod idle_life;
 
 use connection::Idle;
 use fleet_core::constants;
@@ -53,7 +54,10 @@
     /// load of all other routers, and when it was heard
     pub others: Load,
     pub others_at: Option<Instant>,
+    /// the one used last is the last
     idle: VecDeque<Idle>,
+    /// shortest rest after which it dropped a connection, as long as it has not answered since
+    suspected: Option<Duration>,
     pub told: Option<Told>,
     rest_until: Option<Instant>,
     rest: Duration,
@@ -175,31 +179,54 @@
         w.rest_until = Some(now + w.rest);
     }
 
-    pub fn served(&self) {
+    /// It answers: what it dropped before was not lost by its end. Gives the shortest rest after
+    /// which that happened.
+    pub fn served(&self) -> Option<Duration> {
         let mut w = self.work();
         w.rest = Duration::ZERO;
         w.rest_until = None;
+        w.suspected.take()
     }
 
-    fn take_idle(&self, now: Instant) -> Option<Idle> {
+    /// Dropped a connection after this rest: forgotten, unless the engine ended.
+    pub fn suspect_forgetting(&self, rest: Duration) {
+        if rest < constants::IDLE_LIFE_LEAST || self.news().standing() != Standing::Ready {
+            return;
+        }
         let mut w = self.work();
-        while let Some(i) = w.idle.pop_front() {
-            if i.is_usable(now) {
-                return Some(i);
-            }
+        w.suspected = Some(w.suspected.map_or(rest, |known| known.min(rest)));
+    }
+
+    /// The connection that was used last, unless it has rested for too long.
+    fn take_idle(&self, now: Instant, longest: Duration) -> Option<Idle> {
+        let mut w = self.work();
+        w.idle.retain(|i| i.is_open(now));
+        let newest = w.idle.iter().rposition(Idle::is_ready)?;
+        if w.idle[newest].rest(now) > longest {
+            return None;
         }
-        None
+        w.idle.remove(newest)
     }
 
     fn put_idle(&self, i: Idle) {
         let mut w = self.work();
-        if w.idle.len() < constants::IDLE_CONNECTIONS {
-            w.idle.push_back(i);
+        if w.idle.len() >= constants::IDLE_CONNECTIONS {
+            w.idle.pop_front();
         }
+        w.idle.push_back(i);
+    }
+
+    /// False if there was none.
+    fn drop_oldest_idle(&self) -> bool {
+        self.work().idle.pop_front().is_some()
+    }
+
+    fn drop_all_idle(&self) {
+        self.work().idle.clear();
     }
 
     fn sweep(&self, now: Instant) {
-        self.work().idle.retain(|i| i.is_usable(now));
+        self.work().idle.retain(|i| i.is_open(now));
     }
 }
 
--- a/crates/data-plane/src/serve/dispatch.rs
+++ b/crates/data-plane/src/serve/dispatch.rs
@@ -6,8 +6,9 @@
 use super::stage::{Accepted, ClientRequest, Dispatched, Responding};
 use super::verdict::{self, Asked, Verdict};
 use crate::Router;
+use crate::fleet_view::table::Repeat;
 use crate::place::{self, Choice};
-use crate::pool::connection::{self, ConnectionError, Leased, SendError, Sent, Streaming};
+use crate::pool::connection::{self, ConnectionError, Leased, SendError, Sent, Streaming, Wanted};
 use fleet_core::constants;
 use fleet_core::log::Event;
 use http::{HeaderValue, Request, Response};
@@ -53,7 +54,12 @@
         ) else {
             return Err(accepted);
         };
-        match connection::lease(router, &choice.seat, connection_share(router, request)).await {
+        let wanted = Wanted {
+            service: &request.service,
+            share: connection_share(router, request),
+            repeatable: request.repeat != Repeat::Never,
+        };
+        match connection::lease(router, &choice.seat, wanted).await {
             Ok(connection) => return Ok((Placed { choice, connection }, accepted)),
             Err(error) => {
                 if error != ConnectionError::Full {
@@ -123,6 +129,7 @@
                 note_break(router, &self.choice, "no answer");
                 Outcome::Uncertain(dispatched)
             }
+            SendError::Forgotten => Outcome::Uncertain(dispatched),
         }
     }
 
--- a/crates/data-plane/src/serve/observe.rs
+++ b/crates/data-plane/src/serve/observe.rs
@@ -32,7 +32,9 @@
     status: StatusCode,
     wait: Duration,
 ) {
-    choice.seat.served();
+    if let Some(rest) = choice.seat.served() {
+        router.idle_lives.of(&request.service).forgotten_after(rest, Instant::now());
+    }
     router.counters.begun.fetch_add(1, Ordering::Relaxed);
     if request.prompt.is_heavy() {
         count_wait(router, &choice.seat, wait);
--- a/crates/data-plane/tests/engines/main.rs
+++ b/crates/data-plane/tests/engines/main.rs
@@ -1,6 +1,7 @@
 //! Engines that misbehave: nothing of theirs is passed on as a success, nothing runs twice.
 
 mod answers;
+mod idle;
 mod promises;
 mod silence;
 mod stand;
--- a/crates/data-plane/tests/engines/stand.rs
+++ b/crates/data-plane/tests/engines/stand.rs
@@ -34,6 +34,10 @@
     Keep,
     /// Closes in order.
     Close,
+    /// Waits for the word, then sends the rest.
+    Finish(Arc<tokio::sync::Notify>, Vec<u8>),
+    /// Closes in order at the word.
+    CloseOn(Arc<tokio::sync::Notify>),
     /// Resets, as an engine that has forgotten the connection.
     Reset,
 }
@@ -112,6 +116,13 @@
         match then {
             Then::Keep => {}
             Then::Close => return,
+            Then::CloseOn(word) => return word.notified().await,
+            Then::Finish(word, rest) => {
+                word.notified().await;
+                if s.write_all(&rest).await.is_err() {
+                    return;
+                }
+            }
             Then::Reset => {
                 socket2::SockRef::from(&s).set_linger(Some(std::time::Duration::ZERO)).unwrap();
                 return;
@@ -148,6 +159,11 @@
 
 impl Fleet {
     pub async fn start(engines: &[&StandIn]) -> Fleet {
+        Fleet::with_max_conns(engines, 100).await
+    }
+
+    /// A fleet whose engines take so many connections from all routers.
+    pub async fn with_max_conns(engines: &[&StandIn], max_conns: u32) -> Fleet {
         let text = "nodeName=c1\nip=127.0.0.1\nzone=z\nportRange=1,9\nbounds.retryRatio=10\n\
             bounds.retryWindowS=10\nbounds.retrySlack=0\nbounds.versionMs=8000\n";
         let settings = fleet_core::settings::Settings::parse(text).unwrap();
@@ -161,7 +177,7 @@
         let sheet = serde_json::json!({
             "revision": 1,
             "routes": [route("/once/", false, 1), route("/twice/", false, 2), route("/on/", true, 3), safe],
-            "services": [{"name": "s", "maxConns": 100, "engine": {"slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}}],
+            "services": [{"name": "s", "maxConns": max_conns, "engine": {"slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}}],
             "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
             "tenants": [{"name": "t1", "apiKeys": ["k1"]}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
         });
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -28,6 +28,21 @@
 pub const RELAY_BACKLOG: usize = 4;
 /// s; an idle connection is given up before engines usually close it.
 pub const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// s; rest after which a request that may run only once takes another connection, until more is
+/// known: half of what is kept.
+pub const IDLE_LIFE_UNPROVEN: Duration = Duration::from_secs(2);
+/// ms; a connection that rested for less was in use: its break tells of the engine, not of the rest.
+pub const IDLE_LIFE_LEAST: Duration = Duration::from_millis(100);
+/// share of the shortest rest seen forgotten that counts as safe, for rests vary.
+pub const IDLE_LIFE_SHARE: f64 = 0.6;
+/// share of the way to a longer rest by which one answer after it moves what counts as safe.
+pub const IDLE_LIFE_GAIN: f64 = 0.125;
+/// s; what was learnt to be short is doubled this often, for engines change.
+pub const IDLE_LIFE_DOUBLES: Duration = Duration::from_secs(30);
+/// doublings at the most; more than lead from the least to the unproven one.
+pub const IDLE_LIFE_DOUBLINGS: f64 = 16.0;
+/// bytes; read ahead from an engine, a few events of a stream.
+pub const ENGINE_READ_BUFFER: usize = 32 << 10;
 /// tokens a ms; how fast an engine reads a prompt until more is known.
 pub const READ_RATE: f64 = 35.0;
 /// ms; what one more running request costs the others.
