EngineHandle in place of Seat; no circle in place; the pool and the relay documented

The engine as a router sees it moves to pool/engine.rs. Public items of serve, pool and most of place have their documentation, and the lint's exceptions there are gone.

Tests added for a reset after a send that may run only once, an engine that resets every new connection, and a client that leaves before its answer.

--- a/crates/data-plane/src/fleet_view/loads.rs
+++ b/crates/data-plane/src/fleet_view/loads.rs
@@ -37,15 +37,15 @@
         let all: ByEngine = load::unpack(l).collect();
         let now = Instant::now();
         let (mut engines, mut slots) = (0, 0);
-        for seat in self.seats.read().values() {
-            let news = seat.news();
+        for engine in self.engines.read().values() {
+            let news = engine.news();
             if news.standing() == Standing::Ready && !news.silent {
                 engines += 1;
                 slots = news.slots.max(slots);
             }
             drop(news);
-            let total = all.get(&seat.key).copied().unwrap_or_default();
-            let mut w = seat.work();
+            let total = all.get(&engine.key).copied().unwrap_or_default();
+            let mut w = engine.work();
             w.others = total.less(&w.reported);
             w.others_at = Some(now);
         }
@@ -55,10 +55,10 @@
 
     fn own_loads(&self) -> ByEngine {
         let mut out = ByEngine::default();
-        for seat in self.seats.read().values() {
-            let mut w = seat.work();
+        for engine in self.engines.read().values() {
+            let mut w = engine.work();
             w.reported = w.own();
-            out.entry(seat.key).or_default().add(&w.reported);
+            out.entry(engine.key).or_default().add(&w.reported);
         }
         out
     }
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -6,14 +6,14 @@
 pub mod roll;
 pub mod table;
 
-use crate::pool::Seat;
+use crate::pool::EngineHandle;
 use fleet_core::wire::{Engine, Membership, NamedWeights, RingHead, Standing, View};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::Instant;
 
 #[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-pub type Seats = hashbrown::HashMap<String, Arc<Seat>, ahash::RandomState>;
+pub type EngineHandles = hashbrown::HashMap<String, Arc<EngineHandle>, ahash::RandomState>;
 
 #[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// Newest named weights of a model, and since when.
@@ -26,7 +26,7 @@
 #[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub struct FleetView {
     table: parking_lot::RwLock<Option<Arc<table::Table>>>,
-    pub seats: parking_lot::RwLock<Seats>,
+    pub engines: parking_lot::RwLock<EngineHandles>,
     named: parking_lot::RwLock<hashbrown::HashMap<String, Named, ahash::RandomState>>,
     disturbed: parking_lot::Mutex<Option<Instant>>,
     membership: parking_lot::Mutex<Membership>,
@@ -43,7 +43,7 @@
     pub fn new() -> Self {
         FleetView {
             table: parking_lot::RwLock::new(None),
-            seats: parking_lot::RwLock::default(),
+            engines: parking_lot::RwLock::default(),
             named: parking_lot::RwLock::default(),
             disturbed: parking_lot::Mutex::default(),
             membership: parking_lot::Mutex::default(),
@@ -91,18 +91,18 @@
     }
 
     fn hear_engine(&self, news: &Engine) {
-        let known = self.seats.read().get(&news.id).cloned();
+        let known = self.engines.read().get(&news.id).cloned();
         self.rolls.stale();
         match known {
-            Some(seat) => {
-                seat.hear(news);
+            Some(engine) => {
+                engine.hear(news);
                 if news.standing() == Standing::Gone {
                     self.prefix_view.forget(&news.id);
                 }
             }
             None => {
-                if let Some(seat) = Seat::new(news) {
-                    self.seats.write().insert(news.id.clone(), Arc::new(seat));
+                if let Some(engine) = EngineHandle::new(news) {
+                    self.engines.write().insert(news.id.clone(), Arc::new(engine));
                 }
             }
         }
@@ -110,12 +110,12 @@
 
     /// The engines of a service, as placement weighs them.
     pub fn roll(&self, service: &str, zone: &str) -> Arc<roll::Roll> {
-        self.rolls.of(service, zone, &self.seats, self.prefix_view.look())
+        self.rolls.of(service, zone, &self.engines, self.prefix_view.look())
     }
 
     /// Weights seen in an answer of an engine.
-    pub fn saw_weights(&self, seat: &Seat, model: &str, version: u64) {
-        if seat.saw_weights(model, version) {
+    pub fn saw_weights(&self, engine: &EngineHandle, model: &str, version: u64) {
+        if engine.saw_weights(model, version) {
             self.rolls.stale();
         }
     }
--- a/crates/data-plane/src/fleet_view/roll.rs
+++ b/crates/data-plane/src/fleet_view/roll.rs
@@ -2,8 +2,8 @@
 
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
-use super::Seats;
-use crate::pool::Seat;
+use super::EngineHandles;
+use crate::pool::EngineHandle;
 use fleet_core::constants;
 use fleet_core::wire::{Engine, Standing};
 use prompt_index::{At, Index};
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 pub struct Row {
-    pub seat: Arc<Seat>,
+    pub engine: Arc<EngineHandle>,
     pub at: At,
     pub news: Engine,
     pub near: bool,
@@ -48,7 +48,7 @@
 
 impl Roll {
     pub fn new(
-        engines: Vec<(Arc<Seat>, Engine)>,
+        engines: Vec<(Arc<EngineHandle>, Engine)>,
         zone: &str,
         index: &Index,
         interactive: f64,
@@ -56,12 +56,12 @@
     ) -> Self {
         let mut rows: Vec<Row> = engines
             .into_iter()
-            .map(|(seat, news)| Row {
-                at: index.admit(&seat.id),
+            .map(|(engine, news)| Row {
+                at: index.admit(&engine.id),
                 near: news.zone == zone,
                 heavy: false,
-                rank: fleet_core::node::stable_hash(&[seat.id.as_bytes()]),
-                seat,
+                rank: fleet_core::node::stable_hash(&[engine.id.as_bytes()]),
+                engine,
                 news,
             })
             .collect();
@@ -118,14 +118,14 @@
         &self,
         service: &str,
         zone: &str,
-        seats: &parking_lot::RwLock<Seats>,
+        handles: &parking_lot::RwLock<EngineHandles>,
         index: &Index,
     ) -> Arc<Roll> {
         let key = (self.news.load(Ordering::Acquire), index.moves());
         if let Some(r) = self.made.lock().get(service).filter(|r| r.key == key) {
             return r.clone();
         }
-        let engines = seats
+        let engines = handles
             .read()
             .values()
             .filter_map(|s| {
--- /dev/null
+++ b/crates/data-plane/src/place/ask.rs
@@ -0,0 +1,99 @@
+//! What a request asks of engines, stores and moves: what placement weighs and sources answer.
+
+use super::prompt::Prompt;
+use crate::fleet_view::table::Table;
+use fleet_core::configuration::Service;
+use fleet_core::constants;
+use prompt_index::{At, Index};
+use smallvec::SmallVec;
+
+/// What the engines are weighed for.
+pub struct Ask<'a> {
+    /// the prompt to be read
+    pub prompt: &'a Prompt,
+    /// this router's zone
+    pub zone: &'a str,
+    /// tokens that an engine of the service has room for
+    pub capacity: u64,
+    /// bits that a token of a prompt is moved with
+    pub token_bits: f64,
+    /// what an engine's link carries
+    pub link_mbps: f64,
+    /// stores that answer, the one where this prompt belongs first
+    pub stores: SmallVec<[Store<'a>; 4]>,
+}
+
+impl<'a> Ask<'a> {
+    /// For a prompt at a service, with the stores that the index knows.
+    pub fn new(
+        table: &'a Table,
+        service: &str,
+        prompt: &'a Prompt,
+        index: &Index,
+        zone: &'a str,
+    ) -> Ask<'a> {
+        let facts = table.service(service).and_then(|s| s.engine.as_ref());
+        let part = prompt.deepest_shared().unwrap_or(0);
+        let mut stores: SmallVec<[Store; 4]> =
+            table.stores().iter().filter_map(|s| Store::new(s, index, part)).collect();
+        stores.sort_by_key(|s| std::cmp::Reverse(s.rank));
+        Ask {
+            prompt,
+            zone,
+            capacity: facts.map_or(0, |f| f.kv_capacity),
+            token_bits: facts.map_or(0.0, |f| f.kv_token_bytes * 8.0),
+            link_mbps: facts.map_or(0.0, |f| f.link_mbps),
+            stores,
+        }
+    }
+
+    /// ms that a move of so many tokens takes.
+    pub fn move_ms(&self, tokens: u64, mbps: f64, near: bool) -> f64 {
+        let far = if near { 1.0 } else { 2.0 };
+        constants::MOVE_COST_MS + tokens as f64 * self.token_bits / (mbps.max(1.0) * 1e3) * far
+    }
+}
+
+/// A store that answers, as the configuration has it.
+pub struct Store<'a> {
+    /// where engines reach it
+    pub address: &'a str,
+    /// its zone
+    pub zone: &'a str,
+    /// what its link carries
+    pub mbps: f64,
+    /// its place in the index
+    pub at: At,
+    /// by which a part of a prompt belongs to one store, alike at all routers
+    pub rank: u64,
+}
+
+impl<'a> Store<'a> {
+    /// The service, if it is a store that the index knows.
+    pub fn new(s: &'a Service, index: &Index, part: u64) -> Option<Store<'a>> {
+        let address = s.kv_store.as_deref()?;
+        Some(Store {
+            address,
+            zone: s.zone.as_deref().unwrap_or_default(),
+            mbps: s.link_mbps,
+            at: index.at(address)?,
+            rank: fleet_core::node::stable_hash(&[address.as_bytes(), &part.to_be_bytes()]),
+        })
+    }
+}
+
+/// What a source offers one engine.
+#[derive(Clone, Copy)]
+pub struct Offer {
+    /// tokens of the prompt beyond what the engine keeps
+    pub tokens: u64,
+    /// how long the move takes
+    pub ms: f64,
+}
+
+impl Offer {
+    /// ms that the move saves over reading.
+    pub fn gain(&self) -> f64 {
+        self.tokens as f64 / constants::READ_RATE - self.ms
+    }
+}
--- a/crates/data-plane/src/place/mod.rs
+++ b/crates/data-plane/src/place/mod.rs
@@ -1,5 +1,6 @@
 //! Where a request goes: the engine that costs it and the others least.
 
+pub mod ask;
 pub mod prompt;
 pub mod sources;
 pub mod weigh;
@@ -8,7 +9,8 @@
 use crate::fleet_view::Named;
 use crate::fleet_view::roll::{Roll, Row};
 use crate::fleet_view::table::{Table, Tenant};
-use crate::pool::Seat;
+use crate::pool::EngineHandle;
+use ask::Ask;
 use fleet_core::constants;
 use fleet_core::wire::Standing;
 use prompt::Prompt;
@@ -18,21 +20,26 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tokio::time::Instant;
-use weigh::Ask;
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// One engine for one send, and under what memory it may run.
 pub struct Choice {
-    pub seat: Arc<Seat>,
+    /// the engine
+    pub engine: Arc<EngineHandle>,
+    /// the weights that it may run under
     pub version: Option<u64>,
+    /// the text under which its parts are kept
     pub salt: Option<String>,
+    /// tokens that the engine is expected to read
     pub missing: u64,
+    /// where it may take parts from
     pub source: Option<String>,
-    pub source_seat: Option<Arc<Seat>>,
+    /// the engine there, if it is none of the stores
+    pub source_engine: Option<Arc<EngineHandle>>,
+    /// the store that it sends its parts to
     pub sink: Option<String>,
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// Why no engine was chosen.
 #[derive(Debug, PartialEq, Eq, Clone, Copy)]
 pub enum Nowhere {
     /// no engine of the service is known that may run it
@@ -89,11 +96,11 @@
     let named = prompt.model.as_deref().and_then(|m| d.fleet_view.named(m));
     let mut out = Vec::with_capacity(roll.rows.len());
     for (row, r) in roll.rows.iter().enumerate() {
-        if r.news.standing() != Standing::Ready || tried.contains(&r.seat.id) {
+        if r.news.standing() != Standing::Ready || tried.contains(&r.engine.id) {
             continue;
         }
         let changing = |m| fleet_core::fleet::is_changing(&r.news, m, named.map(|x| x.version));
-        let marked = r.seat.is_marked(now);
+        let marked = r.engine.is_marked(now);
         if marked && prompt.model.as_deref().is_some_and(changing) {
             continue;
         }
@@ -107,7 +114,7 @@
         }
         let fades = |m| fleet_core::fleet::is_fading(&r.news, m, named.map(|x| x.version));
         let fading = marked && prompt.model.as_deref().is_some_and(fades);
-        out.push(Open { row, version, fading, awake: !r.news.silent && !r.seat.is_resting(now) });
+        out.push(Open { row, version, fading, awake: !r.news.silent && !r.engine.is_resting(now) });
     }
     if out.iter().any(|o| o.awake) {
         out.retain(|o| o.awake);
@@ -197,7 +204,7 @@
         let source = memory.and_then(|m| m.sources.best(&ask, row, known));
         let held = weigh::Held {
             known,
-            guessed: if at_home && !row.seat.is_warming(now) { prompt.shared() } else { 0 },
+            guessed: if at_home && !row.engine.is_warming(now) { prompt.shared() } else { 0 },
         };
         let mut w =
             weigh::weigh(&ask, row, &held, source.map(|s| s.for_row(&ask, row, known)), now);
@@ -207,7 +214,7 @@
         if o.fading && !prompt.is_heavy() {
             w.cost += constants::FADE_COST_MS;
         }
-        if at_home && source.is_some() && row.seat.is_warming(now) {
+        if at_home && source.is_some() && row.engine.is_warming(now) {
             w.cost -= constants::WARM_BONUS_MS;
         }
         if best.as_ref().is_none_or(|(b, _, _)| (w.full, w.cost) < (b.full, b.cost)) {
@@ -221,16 +228,16 @@
     d.counters.parts_missing.fetch_add(w.missing, Ordering::Relaxed);
     d.counters.parts_held.fetch_add(prompt.tokens().saturating_sub(w.missing), Ordering::Relaxed);
     let memory = o.version.and_then(|s| memories.iter().find(|m| m.version == s));
-    let seat = roll.rows[o.row].seat.clone();
+    let engine = roll.rows[o.row].engine.clone();
     let guess = home.filter(|h| *h != o.row).map(|h| &roll.rows[h]);
     let known = memory.map_or(0, |m| m.chain.tokens(usize::from(m.depths[o.row])));
     let asked = match (source, memory) {
         (Some(s), _) => {
             d.counters.moves.fetch_add(1, Ordering::Relaxed);
-            Some((s.address.clone(), s.seat.clone()))
+            Some((s.address.clone(), s.engine.clone()))
         }
         (None, Some(m)) => match m.sources.second(&roll.rows[o.row]) {
-            Some(s) => Some((s.address.clone(), s.seat.clone())),
+            Some(s) => Some((s.address.clone(), s.engine.clone())),
             None => sources::unseen(&ask, known, guess),
         },
         (None, None) => None,
@@ -244,14 +251,14 @@
     let stored = memory.is_some_and(|m| m.sources.is_stored());
     d.counters.stored.fetch_add(u64::from(stored), Ordering::Relaxed);
     d.counters.sinks.fetch_add(u64::from(sink.is_some()), Ordering::Relaxed);
-    let (source, source_seat) = asked.map_or((None, None), |(a, s)| (Some(a), s));
+    let (source, source_engine) = asked.map_or((None, None), |(a, s)| (Some(a), s));
     Ok(Choice {
-        seat,
+        engine,
         version: o.version,
         salt: memory.map(|m| m.salt.clone()),
         missing: w.missing,
         source,
-        source_seat,
+        source_engine,
         sink,
     })
 }
--- a/crates/data-plane/src/place/sources.rs
+++ b/crates/data-plane/src/place/sources.rs
@@ -1,64 +1,28 @@
 //! Where the parts of a prompt that an engine lacks can be had cheaper than by reading them.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
-use super::weigh::Ask;
+use super::ask::{Ask, Offer};
 use crate::fleet_view::roll::{Roll, Row};
-use crate::pool::Seat;
-use fleet_core::configuration::Service;
+use crate::pool::EngineHandle;
 use fleet_core::constants;
-use prompt_index::{At, Chain, Depths, Index};
+use prompt_index::{Chain, Depths};
 use smallvec::SmallVec;
 use std::sync::Arc;
 use tokio::time::Instant;
 
-/// A store that answers, as the configuration has it.
-pub struct Store<'a> {
-    pub address: &'a str,
-    zone: &'a str,
-    mbps: f64,
-    at: At,
-    pub rank: u64,
-}
-
-impl<'a> Store<'a> {
-    pub fn new(s: &'a Service, index: &Index, part: u64) -> Option<Store<'a>> {
-        let address = s.kv_store.as_deref()?;
-        Some(Store {
-            address,
-            zone: s.zone.as_deref().unwrap_or_default(),
-            mbps: s.link_mbps,
-            at: index.at(address)?,
-            rank: fleet_core::node::stable_hash(&[address.as_bytes(), &part.to_be_bytes()]),
-        })
-    }
-}
-
 /// A holder that keeps more of the prompt than some engines do.
 pub struct Source {
+    /// where engines reach it
     pub address: String,
     /// none for a store
-    pub seat: Option<Arc<Seat>>,
+    pub engine: Option<Arc<EngineHandle>>,
     zone: String,
     mbps: f64,
     tokens: u64,
     moves: u32,
 }
 
-/// What a source offers one engine.
-#[derive(Clone, Copy)]
-pub struct Offer {
-    pub tokens: u64,
-    pub ms: f64,
-}
-
-impl Offer {
-    fn gain(&self) -> f64 {
-        self.tokens as f64 / constants::READ_RATE - self.ms
-    }
-}
-
 impl Source {
+    /// What it offers an engine that keeps so much of the prompt itself.
     pub fn for_row(&self, ask: &Ask, row: &Row, known: u64) -> Offer {
         let tokens = self.tokens.saturating_sub(known);
         let one = ask.move_ms(tokens, self.mbps, self.zone == row.news.zone);
@@ -66,6 +30,7 @@
     }
 }
 
+/// The holders found for one prompt under one version of the weights.
 #[derive(Default)]
 pub struct Sources {
     found: SmallVec<[Source; 8]>,
@@ -95,7 +60,7 @@
             if tokens >= constants::MOVE_TOKENS {
                 self.found.push(Source {
                     address: s.address.to_owned(),
-                    seat: None,
+                    engine: None,
                     zone: s.zone.to_owned(),
                     mbps: s.mbps.min(ask.link_mbps),
                     tokens,
@@ -110,7 +75,7 @@
             }
             let usable = |r: &&Row| {
                 !r.news.silent
-                    && !r.seat.is_resting(now)
+                    && !r.engine.is_resting(now)
                     && fleet_core::fleet::version_of(&r.news, model) == Some(version)
             };
             let mut rows: SmallVec<[&Row; 16]> = holders
@@ -118,15 +83,15 @@
                 .filter_map(|h| roll.row(cell, h).map(|r| &roll.rows[r]))
                 .filter(usable)
                 .collect();
-            rows.sort_by_key(|r| (r.seat.work().moves, !r.near));
+            rows.sort_by_key(|r| (r.engine.work().moves, !r.near));
             for r in rows.into_iter().take(constants::SOURCES_WEIGHED) {
                 self.found.push(Source {
-                    address: r.seat.address.to_string(),
-                    seat: Some(r.seat.clone()),
+                    address: r.engine.address.to_string(),
+                    engine: Some(r.engine.clone()),
                     zone: r.news.zone.clone(),
                     mbps: ask.link_mbps,
                     tokens,
-                    moves: r.seat.work().moves,
+                    moves: r.engine.work().moves,
                 });
             }
         }
@@ -136,14 +101,15 @@
     pub fn second(&self, row: &Row) -> Option<&Source> {
         self.found
             .iter()
-            .filter(|s| s.seat.as_ref().is_none_or(|x| x.id != row.seat.id))
+            .filter(|s| s.engine.as_ref().is_none_or(|x| x.id != row.engine.id))
             .max_by_key(|s| {
-                (s.tokens, s.seat.is_none(), s.zone == row.news.zone, u32::MAX - s.moves)
+                (s.tokens, s.engine.is_none(), s.zone == row.news.zone, u32::MAX - s.moves)
             })
     }
 
+    /// A store keeps some of it.
     pub fn is_stored(&self) -> bool {
-        self.found.iter().any(|s| s.seat.is_none())
+        self.found.iter().any(|s| s.engine.is_none())
     }
 
     /// The source worth most to an engine, if any is worth a move.
@@ -159,11 +125,15 @@
 
 /// Nobody is known to keep what is missing: the part's home may, and a miss costs little. A store is
 /// never guessed at: its one line is shared by all engines.
-pub fn unseen(ask: &Ask, known: u64, home: Option<&Row>) -> Option<(String, Option<Arc<Seat>>)> {
+pub fn unseen(
+    ask: &Ask,
+    known: u64,
+    home: Option<&Row>,
+) -> Option<(String, Option<Arc<EngineHandle>>)> {
     if ask.prompt.shared().saturating_sub(known) < constants::MOVE_TOKENS {
         return None;
     }
-    home.map(|r| (r.seat.address.to_string(), Some(r.seat.clone())))
+    home.map(|r| (r.engine.address.to_string(), Some(r.engine.clone())))
 }
 
 /// Large shared parts that their store lacks are worth a place there, unless too much of what would
--- a/crates/data-plane/src/place/weigh.rs
+++ b/crates/data-plane/src/place/weigh.rs
@@ -1,72 +1,32 @@
 //! What a request would cost at one engine, in ms.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
-use super::prompt::Prompt;
-use super::sources::{Offer, Store};
+use super::ask::{Ask, Offer};
 use crate::fleet_view::roll::Row;
-use crate::fleet_view::table::Table;
 use fleet_core::constants;
-use prompt_index::Index;
-use smallvec::SmallVec;
 use tokio::time::Instant;
 
-/// What the engines are weighed for.
-pub struct Ask<'a> {
-    pub prompt: &'a Prompt,
-    pub zone: &'a str,
-    capacity: u64,
-    pub token_bits: f64,
-    pub link_mbps: f64,
-    /// stores that answer, the one where this prompt belongs first
-    pub stores: SmallVec<[Store<'a>; 4]>,
-}
-
-impl<'a> Ask<'a> {
-    pub fn new(
-        table: &'a Table,
-        service: &str,
-        prompt: &'a Prompt,
-        index: &Index,
-        zone: &'a str,
-    ) -> Ask<'a> {
-        let facts = table.service(service).and_then(|s| s.engine.as_ref());
-        let part = prompt.deepest_shared().unwrap_or(0);
-        let mut stores: SmallVec<[Store; 4]> =
-            table.stores().iter().filter_map(|s| Store::new(s, index, part)).collect();
-        stores.sort_by_key(|s| std::cmp::Reverse(s.rank));
-        Ask {
-            prompt,
-            zone,
-            capacity: facts.map_or(0, |f| f.kv_capacity),
-            token_bits: facts.map_or(0.0, |f| f.kv_token_bytes * 8.0),
-            link_mbps: facts.map_or(0.0, |f| f.link_mbps),
-            stores,
-        }
-    }
-
-    /// ms that a move of so many tokens takes.
-    pub fn move_ms(&self, tokens: u64, mbps: f64, near: bool) -> f64 {
-        let far = if near { 1.0 } else { 2.0 };
-        constants::MOVE_COST_MS + tokens as f64 * self.token_bits / (mbps.max(1.0) * 1e3) * far
-    }
-}
-
 /// Tokens of the prompt that an engine keeps: as known, and as guessed of a part's home.
 pub struct Held {
+    /// tokens that it was seen to keep
     pub known: u64,
+    /// tokens that it keeps if the part settled there unseen
     pub guessed: u64,
 }
 
+/// What one engine would cost.
 pub struct Weighed {
+    /// ms
     pub cost: f64,
+    /// tokens that it would read
     pub missing: u64,
+    /// it runs and queues twice its slots
     pub full: bool,
 }
 
+/// Weighs one engine, with what a source would spare it.
 pub fn weigh(ask: &Ask, row: &Row, held: &Held, offer: Option<Offer>, now: Instant) -> Weighed {
     let all = ask.prompt.tokens();
-    let w = row.seat.work();
+    let w = row.engine.work();
     let load = w.all(now);
     let told = w.told.filter(|t| now.duration_since(t.at) < constants::TOLD_LIMIT);
     let running = told.map_or(0, |t| t.running).max(load.runs);
--- a/crates/data-plane/src/pool/connection.rs
+++ b/crates/data-plane/src/pool/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to an engine: Idle, Leased, Streaming, then Reusable (idle again) or Spent (dropped).
 
-use super::Seat;
+use super::EngineHandle;
 use super::idle_life::IdleLife;
 use crate::Router;
 use fleet_core::constants;
@@ -43,7 +43,7 @@
 }
 
 /// Counts an open connection until dropped.
-struct Open(Arc<Seat>);
+struct Open(Arc<EngineHandle>);
 
 impl Drop for Open {
     fn drop(&mut self) {
@@ -123,7 +123,7 @@
 /// The idle connection that was used last, if it is fit, else a new one within the router's share.
 pub async fn lease(
     router: &Router,
-    engine: &Arc<Seat>,
+    engine: &Arc<EngineHandle>,
     wanted: Wanted<'_>,
 ) -> Result<Leased, ConnectionError> {
     let now = Instant::now();
@@ -137,7 +137,7 @@
 
 async fn connect(
     router: &Router,
-    engine: &Arc<Seat>,
+    engine: &Arc<EngineHandle>,
     life: Arc<IdleLife>,
     share: u32,
 ) -> Result<Leased, ConnectionError> {
@@ -158,7 +158,7 @@
 }
 
 /// Counts one more connection; an idle one that is not fit gives way where there is no room.
-fn open_within(engine: &Arc<Seat>, share: u32) -> Option<Open> {
+fn open_within(engine: &Arc<EngineHandle>, share: u32) -> Option<Open> {
     loop {
         let before = engine.open.fetch_add(1, Ordering::Relaxed);
         let open = Open(engine.clone());
@@ -176,7 +176,7 @@
 async fn drive(
     connection: Connection<TokioIo<TcpStream>, Sent>,
     resting: Arc<Resting>,
-    engine: Arc<Seat>,
+    engine: Arc<EngineHandle>,
 ) {
     let _ = connection.await;
     let since = resting.0.lock().take();
--- /dev/null
+++ b/crates/data-plane/src/pool/engine.rs
@@ -0,0 +1,244 @@
+//! One engine as this router sees it.
+
+use super::connection::Idle;
+use fleet_core::constants;
+use fleet_core::load::Load;
+use fleet_core::wire::{Engine, Standing};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What an engine told of itself with an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Told {
+    /// requests that it runs
+    pub running: u32,
+    /// requests that wait there
+    pub waiting: u32,
+    /// requests that it runs at once
+    pub slots: u32,
+    /// when it told so
+    pub at: Instant,
+}
+
+impl Told {
+    /// Reads the header; none if it is malformed.
+    pub fn read(text: &str, at: Instant) -> Option<Told> {
+        let mut it = text.split(',').map(|x| x.trim().parse::<u32>());
+        let (Some(Ok(running)), Some(Ok(waiting)), Some(Ok(slots))) =
+            (it.next(), it.next(), it.next())
+        else {
+            return None;
+        };
+        Some(Told { running, waiting, slots, at })
+    }
+}
+
+/// What goes on at one engine, as far as this router knows.
+#[derive(Default)]
+pub struct Work {
+    /// own sends that have no end yet
+    pub runs: u32,
+    /// tokens of own sends that have not begun
+    pub unread: u64,
+    /// tokens of own sends that have no end yet
+    pub tokens: u64,
+    /// moves of own sends that take from here and have no end yet
+    pub moves: u32,
+    /// own sends in flight that somebody waits for
+    pub interactive: u32,
+    /// own load as it was told last
+    pub reported: Load,
+    /// load of all other routers
+    pub others: Load,
+    /// when that was heard
+    pub others_at: Option<Instant>,
+    /// the one used last is the last
+    idle: VecDeque<Idle>,
+    /// shortest rest after which it dropped a connection, as long as it has not answered since
+    suspected: Option<Duration>,
+    /// what the engine told last
+    pub told: Option<Told>,
+    /// left alone until then
+    rest_until: Option<Instant>,
+    /// how long it was left alone last
+    rest: Duration,
+    /// heavy answers of a newcomer, and their waits
+    firsts: (u64, Duration),
+}
+
+impl Work {
+    /// Load of this router.
+    pub fn own(&self) -> Load {
+        Load { unread: self.unread, runs: self.runs, interactive: self.interactive }
+    }
+
+    /// Load of all routers, as far as it is known now.
+    pub fn all(&self, now: Instant) -> Load {
+        let mut out = self.own();
+        if self.others_at.is_some_and(|t| now.duration_since(t) < constants::LOAD_LIMIT) {
+            out.add(&self.others);
+        }
+        out
+    }
+}
+
+/// One instance of an engine.
+pub struct EngineHandle {
+    /// names this life of the engine
+    pub id: String,
+    /// names it among loads
+    pub key: u32,
+    /// where it listens
+    pub address: SocketAddr,
+    met: Instant,
+    newcomer: bool,
+    news: parking_lot::RwLock<Engine>,
+    /// when the roll-out last said something new of it
+    marked: parking_lot::Mutex<Instant>,
+    work: parking_lot::Mutex<Work>,
+    /// connections open, used or not; outside the lock, for they also end under it
+    pub(super) open: AtomicU32,
+}
+
+impl EngineHandle {
+    /// An engine that was just heard of; none if its address is none.
+    pub fn new(e: &Engine) -> Option<EngineHandle> {
+        Some(EngineHandle {
+            id: e.id.clone(),
+            key: fleet_core::load::key_of(&e.id),
+            address: e.address.parse().ok()?,
+            met: Instant::now(),
+            newcomer: e.call <= constants::NEWCOMER_CALLS,
+            news: parking_lot::RwLock::new(e.clone()),
+            marked: parking_lot::Mutex::new(Instant::now()),
+            work: parking_lot::Mutex::default(),
+            open: AtomicU32::new(0),
+        })
+    }
+
+    /// Takes in what the controllers know of it.
+    pub fn hear(&self, news: &Engine) {
+        let mut n = self.news.write();
+        let before = (n.fade, n.turn);
+        fleet_core::fleet::merge(&mut n, news);
+        if (n.fade, n.turn) != before {
+            *self.marked.lock() = Instant::now();
+        }
+        drop(n);
+        if news.standing() == Standing::Gone {
+            self.work().idle.clear();
+        }
+    }
+
+    /// Marks of the roll-out count only so long: who set them may be gone.
+    pub fn is_marked(&self, now: Instant) -> bool {
+        now.duration_since(*self.marked.lock()) < constants::MARK_LIMIT
+    }
+
+    /// What the controllers know of it.
+    pub fn news(&self) -> parking_lot::RwLockReadGuard<'_, Engine> {
+        self.news.read()
+    }
+
+    /// Weights seen in an answer; true if they are news.
+    pub fn saw_weights(&self, model: &str, version: u64) -> bool {
+        fleet_core::fleet::version_of(&self.news(), model).is_some_and(|s| s < version)
+            && fleet_core::fleet::raise(&mut self.news.write(), model, version)
+    }
+
+    /// Just started: what it was not seen to keep, it does not keep.
+    pub fn is_warming(&self, now: Instant) -> bool {
+        self.newcomer && now < self.met + constants::WARM_SPAN
+    }
+
+    /// Counts the wait of a heavy answer; gives the mean once the first few have come.
+    pub fn first_waits(&self, wait: Duration) -> Option<Duration> {
+        if !self.newcomer {
+            return None;
+        }
+        let mut w = self.work();
+        if w.firsts.0 >= constants::WARM_ANSWERS {
+            return None;
+        }
+        w.firsts.0 += 1;
+        w.firsts.1 += wait;
+        (w.firsts.0 == constants::WARM_ANSWERS).then(|| w.firsts.1 / constants::WARM_ANSWERS as u32)
+    }
+
+    /// What goes on there.
+    pub fn work(&self) -> parking_lot::MutexGuard<'_, Work> {
+        self.work.lock()
+    }
+
+    /// Is it left alone for now?
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.work().rest_until.is_some_and(|t| now < t)
+    }
+
+    /// Broke a connection or let none come up: left alone for a while, longer each time.
+    pub fn broke(&self, now: Instant) {
+        let mut w = self.work();
+        if w.rest_until.is_some_and(|t| now < t) {
+            return;
+        }
+        w.rest = (w.rest * 2).clamp(constants::ENGINE_REST, constants::ENGINE_REST_MAX);
+        w.rest_until = Some(now + w.rest);
+    }
+
+    /// It answers: what it dropped before was not lost by its end. Gives the shortest rest after
+    /// which that happened.
+    pub fn served(&self) -> Option<Duration> {
+        let mut w = self.work();
+        w.rest = Duration::ZERO;
+        w.rest_until = None;
+        w.suspected.take()
+    }
+
+    /// Dropped a connection after this rest: forgotten, unless the engine ended.
+    pub fn suspect_forgetting(&self, rest: Duration) {
+        if rest < constants::IDLE_LIFE_LEAST || self.news().standing() != Standing::Ready {
+            return;
+        }
+        let mut w = self.work();
+        w.suspected = Some(w.suspected.map_or(rest, |known| known.min(rest)));
+    }
+
+    /// The connection that was used last, unless it has rested for too long.
+    pub(super) fn take_idle(&self, now: Instant, longest: Duration) -> Option<Idle> {
+        let mut w = self.work();
+        w.idle.retain(|i| i.is_open(now));
+        let newest = w.idle.iter().rposition(Idle::is_ready)?;
+        if w.idle[newest].rest(now) > longest {
+            return None;
+        }
+        w.idle.remove(newest)
+    }
+
+    pub(super) fn put_idle(&self, i: Idle) {
+        let mut w = self.work();
+        if w.idle.len() >= constants::IDLE_CONNECTIONS {
+            w.idle.pop_front();
+        }
+        w.idle.push_back(i);
+    }
+
+    /// False if there was none.
+    pub(super) fn drop_oldest_idle(&self) -> bool {
+        self.work().idle.pop_front().is_some()
+    }
+
+    pub(super) fn drop_all_idle(&self) {
+        self.work().idle.clear();
+    }
+
+    pub(super) fn sweep(&self, now: Instant) {
+        self.work().idle.retain(|i| i.is_open(now));
+    }
+}
+
+#[cfg(test)]
+#[path = "engine_tests.rs"]
+mod tests;
--- a/crates/data-plane/src/pool/tests.rs
+++ b/crates/data-plane/src/pool/engine_tests.rs
@@ -1,15 +1,19 @@
-//! Tests of `pool`.
+//! Tests of `engine`.
 
 use super::*;
 
-fn seat() -> Seat {
-    Seat::new(&Engine { id: "i".into(), address: "10.0.0.1:80".into(), ..Default::default() })
-        .unwrap()
+fn engine() -> EngineHandle {
+    EngineHandle::new(&Engine {
+        id: "i".into(),
+        address: "10.0.0.1:80".into(),
+        ..Default::default()
+    })
+    .unwrap()
 }
 
 #[test]
 fn rests_grow_until_it_serves_again() {
-    let s = seat();
+    let s = engine();
     let t = Instant::now();
     s.broke(t);
     assert!(s.is_resting(t) && !s.is_resting(t + constants::ENGINE_REST));
@@ -24,7 +28,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn newcomer_is_warm_after_a_while_and_reports_its_first_answers_once() {
-    let s = seat();
+    let s = engine();
     assert!(s.is_warming(Instant::now()));
     tokio::time::advance(constants::WARM_SPAN).await;
     assert!(!s.is_warming(Instant::now()));
@@ -34,7 +38,7 @@
         .collect();
     assert_eq!(means, vec![ms(10)]);
     let old = Engine { call: 99, address: "10.0.0.1:80".into(), ..Default::default() };
-    assert!(!Seat::new(&old).unwrap().is_warming(Instant::now()));
+    assert!(!EngineHandle::new(&old).unwrap().is_warming(Instant::now()));
 }
 
 #[test]
--- a/crates/data-plane/src/serve/dispatch.rs
+++ b/crates/data-plane/src/serve/dispatch.rs
@@ -59,13 +59,13 @@
             share: connection_share(router, request),
             repeatable: request.repeat != Repeat::Never,
         };
-        match connection::lease(router, &choice.seat, wanted).await {
+        match connection::lease(router, &choice.engine, wanted).await {
             Ok(connection) => return Ok((Placed { choice, connection }, accepted)),
             Err(error) => {
                 if error != ConnectionError::Full {
                     note_break(router, &choice, &error.to_string());
                 }
-                accepted.avoid(&choice.seat.id);
+                accepted.avoid(&choice.engine.id);
             }
         }
     }
@@ -89,13 +89,13 @@
     let Placed { choice, connection } = placed;
     let Some(outgoing) = outgoing_request(accepted.request(), &choice, resume_after) else {
         let mut accepted = accepted;
-        accepted.avoid(&choice.seat.id);
+        accepted.avoid(&choice.engine.id);
         return Outcome::NotSent(accepted);
     };
     let request = accepted.request();
     let interactive = request.table.is_interactive(&request.route);
     let load = SendLoad::start(&choice, request.prompt.load(), interactive);
-    let dispatched = accepted.dispatch(&choice.seat.id);
+    let dispatched = accepted.dispatch(&choice.engine.id);
     let send = Send { choice, load, at: Instant::now(), first: connection.is_new() };
     let until = dispatched.request().deadline - constants::DEADLINE_MARGIN;
     match tokio::time::timeout_at(until, connection.send(outgoing)).await {
@@ -121,7 +121,7 @@
                 let mut accepted = dispatched.not_sent(proof);
                 if self.first {
                     note_break(router, &self.choice, "closed a new connection");
-                    accepted.avoid(&self.choice.seat.id);
+                    accepted.avoid(&self.choice.engine.id);
                 }
                 Outcome::NotSent(accepted)
             }
@@ -143,7 +143,7 @@
     ) -> Outcome {
         let (head, body) = response.into_parts();
         let request = dispatched.request();
-        let (engine, status) = (&self.choice.seat, head.status);
+        let (engine, status) = (&self.choice.engine, head.status);
         observe::read_engine_news(router, engine, request.prompt.model.as_deref(), &head.headers);
         let asked = Asked {
             attempt: &request.attempt,
@@ -191,7 +191,7 @@
         head.insert(headers::EXPECTED_VERSION, HeaderValue::from(version));
     }
     let texts = [
-        (headers::TARGET_INSTANCE, Some(choice.seat.id.as_str())),
+        (headers::TARGET_INSTANCE, Some(choice.engine.id.as_str())),
         (headers::TENANT, tenant),
         (headers::CACHE_SALT, choice.salt.as_deref()),
         (headers::KV_SOURCE, choice.source.as_deref()),
@@ -220,6 +220,6 @@
 
 /// An engine that broke off or let no connection come up is left alone for a while.
 fn note_break(router: &Router, choice: &Choice, why: &str) {
-    choice.seat.broke(Instant::now());
-    fleet_core::log_event!(router.log, Event::EngineError, "id" => &choice.seat.id, "why" => why);
+    choice.engine.broke(Instant::now());
+    fleet_core::log_event!(router.log, Event::EngineError, "id" => &choice.engine.id, "why" => why);
 }
--- a/crates/data-plane/src/serve/events.rs
+++ b/crates/data-plane/src/serve/events.rs
@@ -1,18 +1,18 @@
 //! The events of a stream, parsed just enough to go on at the last whole one.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use bytes::{Bytes, BytesMut};
 
+/// Parts a stream into whole events, and knows the id of the last one.
 #[derive(Default)]
-pub struct Cutter {
+pub struct EventSplitter {
     held: BytesMut,
     last: Option<String>,
 }
 
-impl Cutter {
+impl EventSplitter {
+    /// For a stream that goes on behind this event.
     pub fn starting_after(last: Option<String>) -> Self {
-        Cutter { held: BytesMut::new(), last }
+        EventSplitter { held: BytesMut::new(), last }
     }
 
     /// Takes bytes as they come and gives the whole events among them.
@@ -36,10 +36,12 @@
         self.held.clear();
     }
 
+    /// What the stream ended with behind its last whole event.
     pub fn rest(&mut self) -> Option<Bytes> {
         (!self.held.is_empty()).then(|| self.held.split().freeze())
     }
 
+    /// The id of the last whole event.
     pub fn last(&self) -> Option<&str> {
         self.last.as_deref()
     }
--- a/crates/data-plane/src/serve/events_tests.rs
+++ b/crates/data-plane/src/serve/events_tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn half_an_event_is_held_back() {
-    let mut c = Cutter::default();
+    let mut c = EventSplitter::default();
     assert_eq!(c.take(b"id: 1\ndata: a\n").as_deref(), None);
     assert_eq!(c.take(b"\nid: 2\nda").as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
     assert_eq!(c.last(), Some("1"));
@@ -18,7 +18,7 @@
     #[test]
     fn cutting_anywhere_loses_and_repeats_nothing(cuts in proptest::collection::vec(1usize..9, 1..40)) {
         let text: String = (1..20).map(|i| format!("id: {i}\ndata: x{i}\n\n")).collect();
-        let (mut c, mut out, mut at) = (Cutter::default(), Vec::new(), 0);
+        let (mut c, mut out, mut at) = (EventSplitter::default(), Vec::new(), 0);
         for n in cuts {
             let end = (at + n).min(text.len());
             if let Some(b) = c.take(&text.as_bytes()[at..end]) {
--- a/crates/data-plane/src/serve/observe.rs
+++ b/crates/data-plane/src/serve/observe.rs
@@ -4,7 +4,7 @@
 use super::stage::ClientRequest;
 use crate::Router;
 use crate::place::Choice;
-use crate::pool::{Seat, Told};
+use crate::pool::{EngineHandle, Told};
 use fleet_core::log::Event;
 use http::{HeaderMap, StatusCode};
 use std::sync::atomic::Ordering;
@@ -12,7 +12,12 @@
 use tokio::time::Instant;
 
 /// The load and the weights that an engine names beside any answer.
-pub fn read_engine_news(router: &Router, engine: &Seat, model: Option<&str>, head: &HeaderMap) {
+pub fn read_engine_news(
+    router: &Router,
+    engine: &EngineHandle,
+    model: Option<&str>,
+    head: &HeaderMap,
+) {
     let load = headers::text(head, &headers::INSTANCE_LOAD);
     if let Some(told) = load.and_then(|text| Told::read(text, Instant::now())) {
         engine.work().told = Some(told);
@@ -32,20 +37,20 @@
     status: StatusCode,
     wait: Duration,
 ) {
-    if let Some(rest) = choice.seat.served() {
+    if let Some(rest) = choice.engine.served() {
         router.idle_lives.of(&request.service).forgotten_after(rest, Instant::now());
     }
     router.counters.begun.fetch_add(1, Ordering::Relaxed);
     if request.prompt.is_heavy() {
-        count_wait(router, &choice.seat, wait);
+        count_wait(router, &choice.engine, wait);
     }
     if let Some(salt) = choice.salt.as_ref().filter(|_| status.is_success()) {
-        router.fleet_view.prefix_view.sent(&choice.seat.id, salt, &request.prompt.pairs());
+        router.fleet_view.prefix_view.sent(&choice.engine.id, salt, &request.prompt.pairs());
     }
 }
 
 /// Sets the first waits at a newcomer against those at all engines.
-fn count_wait(router: &Router, engine: &Seat, wait: Duration) {
+fn count_wait(router: &Router, engine: &EngineHandle, wait: Duration) {
     let counters = &router.counters;
     let answers = counters.heavy_answers.fetch_add(1, Ordering::Relaxed) + 1;
     let wait_us = wait.as_micros() as u64;
--- a/crates/data-plane/src/serve/relay.rs
+++ b/crates/data-plane/src/serve/relay.rs
@@ -2,7 +2,7 @@
 
 use super::answer::{Out, Piece};
 use super::dispatch::{self, Outcome};
-use super::events::Cutter;
+use super::events::EventSplitter;
 use super::headers;
 use super::stage::Responding;
 use crate::Router;
@@ -81,14 +81,14 @@
     mut responding: Responding,
     pieces: &mpsc::Sender<Piece>,
 ) {
-    let mut cutter = Cutter::starting_after(responding.request.last_event_id());
+    let mut splitter = EventSplitter::starting_after(responding.request.last_event_id());
     loop {
         let deadline = responding.request.deadline;
-        let passing = pass(&mut responding.body, |bytes| cutter.take(&bytes), pieces);
+        let passing = pass(&mut responding.body, |bytes| splitter.take(&bytes), pieces);
         match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::Abandoned) {
             BodyEnd::Whole => {
                 responding.connection.end();
-                if let Some(rest) = cutter.rest() {
+                if let Some(rest) = splitter.rest() {
                     let _ = pieces.send(Piece::Data(rest)).await;
                 }
                 let _ = pieces.send(Piece::End).await;
@@ -97,8 +97,8 @@
             BodyEnd::Abandoned => return,
             BodyEnd::Broken => note_break(router, &responding),
         }
-        cutter.drop_half();
-        let Some(next) = resume(router, responding, cutter.last()).await else { return };
+        splitter.drop_half();
+        let Some(next) = resume(router, responding, splitter.last()).await else { return };
         router.counters.resumed.fetch_add(1, Ordering::Relaxed);
         responding = next;
     }
--- a/crates/data-plane/src/serve/send_load.rs
+++ b/crates/data-plane/src/serve/send_load.rs
@@ -1,14 +1,14 @@
 //! The load of one send at its engine, for as long as it lasts.
 
 use crate::place::Choice;
-use crate::pool::Seat;
+use crate::pool::EngineHandle;
 use std::sync::Arc;
 
 /// Counted at the engine until dropped.
 pub struct SendLoad {
     /// the engine that bears it
-    pub engine: Arc<Seat>,
-    source: Option<Arc<Seat>>,
+    pub engine: Arc<EngineHandle>,
+    source: Option<Arc<EngineHandle>>,
     unread: u64,
     tokens: u64,
     interactive: u32,
@@ -17,18 +17,18 @@
 impl SendLoad {
     /// Counts a send that is about to go out.
     pub fn start(choice: &Choice, tokens: u64, interactive: bool) -> SendLoad {
-        if let Some(source) = &choice.source_seat {
+        if let Some(source) = &choice.source_engine {
             source.work().moves += 1;
         }
         let interactive = u32::from(interactive);
-        let mut work = choice.seat.work();
+        let mut work = choice.engine.work();
         work.runs += 1;
         work.interactive += interactive;
         work.unread += choice.missing;
         work.tokens += tokens;
         SendLoad {
-            engine: choice.seat.clone(),
-            source: choice.source_seat.clone(),
+            engine: choice.engine.clone(),
+            source: choice.source_engine.clone(),
             unread: choice.missing,
             tokens,
             interactive,
--- a/crates/data-plane/tests/engines/promises.rs
+++ b/crates/data-plane/tests/engines/promises.rs
@@ -96,3 +96,34 @@
     }
     assert_eq!(well.arrivals(), 8);
 }
+
+#[tokio::test]
+async fn what_may_run_only_once_is_sent_once_whatever_ends_it() {
+    for path in ["/once/", "/twice/"] {
+        let lost = |_: usize, _: &super::stand::Seen| (Vec::new(), Then::Reset);
+        let (a, b) = (StandIn::start("e1", lost).await, StandIn::start("e2", lost).await);
+        let f = Fleet::start(&[&a, &b]).await;
+        assert_eq!(status(&f.ask(path, "").await), 502, "{path}");
+        assert_eq!(a.arrivals() + b.arrivals(), 1, "{path}");
+    }
+}
+
+/// An engine over its limit resets each connection at once: it is left alone, not asked again.
+#[tokio::test]
+async fn engine_that_resets_new_connections_is_asked_once() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let count = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            socket2::SockRef::from(&socket).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        }
+    });
+    let full = StandIn { id: "e1".into(), address, seen: Default::default() };
+    let f = Fleet::start(&[&full]).await;
+    let got = status(&f.ask("/twice/", "").await);
+    assert!([502, 503].contains(&got), "{got}");
+    assert_eq!(accepted.load(std::sync::atomic::Ordering::Relaxed), 1);
+}
--- a/crates/data-plane/tests/engines/silence.rs
+++ b/crates/data-plane/tests/engines/silence.rs
@@ -1,7 +1,7 @@
 //! Engines that run and say nothing, and what the time limits make of them.
 
 use super::stand::{
-    Fleet, Seen, StandIn, Then, chunk, head_for, pass, request, sealed, status, until,
+    Fleet, Seen, StandIn, Then, chunk, head_for, pass, request, sealed, status, until, whole,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -83,3 +83,23 @@
         assert!(!got.ends_with(b"0\r\n\r\n"), "{path}: looks complete after {} bytes", got.len());
     }
 }
+
+/// A client leaves before any answer: a late answer on that connection reaches nobody.
+#[tokio::test]
+async fn connection_of_a_client_that_left_before_its_answer_is_not_used_again() {
+    let e = StandIn::start("e1", |n, s| match n {
+        1 => (Vec::new(), Then::Keep),
+        _ => (whole(s, 2..=2), Then::Keep),
+    })
+    .await;
+    let f = Fleet::start(&[&e]).await;
+    let mut client = f.connect().await;
+    client.write_all(request("/once/", "").as_bytes()).await.unwrap();
+    until(|| e.arrivals() == 1).await;
+    drop(client);
+    let got = f.raw(request("/once/", "").replace("a1", "a2").as_bytes()).await;
+    assert_eq!(status(&got), 200, "{got}");
+    let seen = e.seen.lock();
+    assert_eq!(seen.len(), 2);
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
--- a/crates/data-plane/tests/loads.rs
+++ b/crates/data-plane/tests/loads.rs
@@ -40,19 +40,19 @@
     let fleet_view = data_plane::fleet_view::FleetView::new();
     let e = Engine { id: "e".into(), address: "10.0.0.9:80".into(), ..Default::default() };
     fleet_view.hear(&View { engines: vec![e], ..Default::default() });
-    let seat = fleet_view.seats.read()["e"].clone();
+    let engine = fleet_view.engines.read()["e"].clone();
     {
-        let mut w = seat.work();
+        let mut w = engine.work();
         w.runs = 2;
         w.reported = w.own();
         w.runs = 3;
     }
     let told = fleet_core::load::Load { unread: 640, runs: 5, interactive: 0 };
-    let sum = std::iter::once((seat.key, told)).collect();
+    let sum = std::iter::once((engine.key, told)).collect();
     fleet_view.hear_loads(&fleet_core::load::pack(&sum));
     let now = tokio::time::Instant::now();
-    let all = seat.work().all(now);
+    let all = engine.work().all(now);
     assert_eq!((all.runs, all.unread), (6, 640));
-    let late = seat.work().all(now + fleet_core::constants::LOAD_LIMIT);
+    let late = engine.work().all(now + fleet_core::constants::LOAD_LIMIT);
     assert_eq!((late.runs, late.unread), (3, 0), "old news of others count no more");
 }
