--- a/crates/data-plane/tests/engines.rs
+++ b/crates/data-plane/tests/engines/main.rs
@@ -1,5 +1,9 @@
 //! Engines that misbehave: nothing of theirs is passed on as a success, nothing runs twice.
 
+mod answers;
+mod idle;
+mod promises;
+mod silence;
 mod stand;
 
 use stand::{Fleet, StandIn, Then, chunk, event, head_for, request, status, whole};
