--- a/crates/fleet-core/src/wire/frame.rs
+++ b/crates/fleet-core/src/wire/frame.rs
@@ -108,8 +108,10 @@
     /// Both ways between routers and controllers, and between controllers; not answered.
     #[prost(message, tag = "27")]
     Loads(Loads),
+    /// Asks whether a key's owner is silent.
     #[prost(message, tag = "40")]
     PreVote(PreVote),
+    /// Answers `PreVote`.
     #[prost(message, tag = "41")]
     PreVoted(PreVoted),
 }
