A member that was removed comes back with nothing to vote with

Cause: the writer joined the flags of a batch by OR, with the flag on the disk too, so a removed member kept the right to vote there; and a member that was away while it was removed and taken back went straight from the old membership to the new one with its old registers. A quorum of it and one other then lacked what had been committed meanwhile.

Change: the flag follows the newest record; a member carries the epoch that took it in, and one that knows only earlier memberships forgets its registers and reads all anew; recovery takes nothing from what was held before, and only answers of the membership in force.

A member of {A,B,C} cannot form the old quorum after {B,C,D} has voted: the newcomer votes only after enough old members have the move on their disks (own test).

--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -44,9 +44,18 @@
                 a.registers.insert(r.key.clone(), r);
             }
         }
+        if !a.is_member() {
+            a.forget();
+        }
         a
     }
 
+    /// What was held under a membership that this one has left must never be voted with again.
+    fn forget(&mut self) {
+        self.voting = false;
+        self.registers.clear();
+    }
+
     pub fn membership(&self) -> &Membership {
         &self.membership
     }
@@ -102,7 +111,7 @@
     }
 
     fn record(&self, registers: Vec<Register>) -> Record {
-        Record { registers, voting: self.voting }
+        Record { registers, voting: self.voting, reset: false }
     }
 
     /// An empty record still waits for all that went before it.
@@ -209,21 +218,29 @@
         Step { record, answer: self.peek(true).answer }
     }
 
-    /// A membership that was decided: one member at a time is exchanged.
+    /// A membership that was decided: one member at a time is exchanged. Who was not a member all the
+    /// time since the one known here, though only in between, goes on as with an empty disk.
     pub fn adopt(&mut self, membership: &Membership) -> Option<Record> {
         if membership.epoch <= self.membership.epoch {
             return None;
         }
+        let known = self.membership.epoch;
         self.membership = membership.clone();
-        if !self.is_member() {
-            self.voting = false;
+        let stayed = membership.members.iter().any(|m| self.is_own(m) && m.joined_epoch <= known);
+        let mut registers = vec![self.membership_register()];
+        if !stayed {
+            self.forget();
+            registers.push(self.recovery_epoch_register());
         }
-        let kept = Register {
+        Some(Record { reset: !stayed, ..self.record(registers) })
+    }
+
+    fn membership_register(&self) -> Register {
+        Register {
             key: MEMBERSHIP_IN_FORCE.to_owned(),
-            value: membership.encode_to_vec().into(),
+            value: self.membership.encode_to_vec().into(),
             ..Default::default()
-        };
-        Some(self.record(vec![kept]))
+        }
     }
 
     /// The first start of all, on empty disks.
@@ -231,33 +248,44 @@
         if self.membership.epoch != 0 || !self.registers.is_empty() {
             return None;
         }
+        let record = self.adopt(membership)?;
         self.voting = true;
-        self.adopt(membership)
+        Some(Record { voting: true, ..record })
     }
 
-    /// Answers in the new recovery_epoch from a majority without it, promises and values both: then it votes.
+    /// Takes up what a majority of the membership in force gave, all in the new recovery epoch: then it votes.
+    /// Nothing that was held before counts: an accepted value that was never chosen may have the higher ballot.
     pub fn recover(&mut self, recovery_epoch: u64, from: &[Peeked]) -> Option<Record> {
-        let most = self.membership.members.len() / 2 + 1;
-        let full = |p: &&Peeked| p.votes && p.recovery_epoch >= recovery_epoch;
-        if self.voting || !self.is_member() || from.iter().filter(full).count() < most {
+        let quorum = self.membership.members.len() / 2 + 1;
+        let epoch = self.membership.epoch;
+        let in_force = |p: &Peeked| p.membership.as_ref().is_some_and(|m| m.epoch == epoch);
+        let full = |p: &&Peeked| p.votes && p.recovery_epoch >= recovery_epoch && in_force(p);
+        if self.voting || !self.is_member() || from.iter().filter(full).count() < quorum {
             return None;
         }
-        self.recovery_epoch =
-            self.recovery_epoch.max(from.iter().map(|p| p.recovery_epoch).max().unwrap_or(0));
-        for r in from.iter().filter(full).flat_map(|p| &p.registers) {
-            let own = self
-                .registers
-                .entry_ref(r.key.as_str())
-                .or_insert_with(|| Register { key: r.key.clone(), ..Default::default() });
-            own.promised = own.promised.max(r.promised);
-            if r.accepted > own.accepted {
-                own.accepted = r.accepted;
-                own.value = r.value.clone();
-            }
+        let latest = from.iter().map(|p| p.recovery_epoch).max().unwrap_or(0);
+        self.recovery_epoch = self.recovery_epoch.max(latest);
+        self.registers.clear();
+        for register in from.iter().filter(full).flat_map(|p| &p.registers) {
+            self.merge(register);
         }
         self.voting = true;
         let mut all: Vec<Register> = self.registers.values().cloned().collect();
         all.push(self.recovery_epoch_register());
-        Some(self.record(all))
+        all.push(self.membership_register());
+        Some(Record { reset: true, ..self.record(all) })
+    }
+
+    /// Keeps the highest promise and the highest accepted value of a key.
+    fn merge(&mut self, other: &Register) {
+        let own = self
+            .registers
+            .entry_ref(other.key.as_str())
+            .or_insert_with(|| Register { key: other.key.clone(), ..Default::default() });
+        own.promised = own.promised.max(other.promised);
+        if other.accepted > own.accepted {
+            own.accepted = other.accepted;
+            own.value = other.value.clone();
+        }
     }
 }
--- a/crates/control-plane/src/control/mod.rs
+++ b/crates/control-plane/src/control/mod.rs
@@ -8,3 +8,7 @@
 #[cfg(test)]
 #[path = "schedules_tests.rs"]
 mod schedules;
+
+#[cfg(test)]
+#[path = "moves_tests.rs"]
+mod moves;
--- /dev/null
+++ b/crates/control-plane/src/control/moves_tests.rs
@@ -0,0 +1,399 @@
+//! Moves of the membership under schedules of lost messages, restarts with old disks, wiped disks and
+//! members that are removed and come back: what was chosen stays, whatever membership chose it.
+
+use super::acceptor::Acceptor;
+use super::round::{Round, Verdict};
+use super::values::{CONFIG, MEMBERSHIP};
+use crate::disk::format::State;
+use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare};
+use hashbrown::HashSet;
+use prost::Message;
+use std::net::Ipv4Addr;
+
+const MACHINES: usize = 6;
+
+fn ip(i: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, i as u8 + 1)
+}
+
+fn member(i: usize, joined_epoch: u64) -> Member {
+    Member { ip: ip(i).to_string(), joined_epoch, ..Default::default() }
+}
+
+fn founding(n: usize) -> Membership {
+    Membership { epoch: 1, members: (0..n).map(|i| member(i, 0)).collect() }
+}
+
+fn holds(membership: &Membership, i: usize) -> bool {
+    membership.members.iter().any(|m| m.ip == ip(i).to_string())
+}
+
+fn quorum(membership: &Membership) -> usize {
+    membership.members.len() / 2 + 1
+}
+
+struct Machine {
+    incarnation: u64,
+    state: State,
+    acceptor: Acceptor,
+}
+
+impl Machine {
+    fn adopt(&mut self, membership: &Membership) {
+        if let Some(record) = self.acceptor.adopt(membership) {
+            self.state.apply(&record);
+        }
+    }
+
+    fn restart(&mut self, i: usize) {
+        self.incarnation += 1;
+        self.acceptor = Acceptor::new(ip(i), self.state.clone());
+    }
+}
+
+/// One accept round of an owner; its messages arrive one at a time, or never.
+struct Attempt {
+    owner: usize,
+    incarnation: u64,
+    accept: Accept,
+    membership: Membership,
+    round: Round,
+    done: bool,
+    /// what the owner commits next
+    then: Option<bytes::Bytes>,
+}
+
+struct World {
+    machines: Vec<Machine>,
+    attempts: Vec<Attempt>,
+    wires: Vec<(usize, usize, u64)>,
+    chosen: Vec<bytes::Bytes>,
+    memberships: Vec<Membership>,
+    next: u8,
+}
+
+impl World {
+    fn new(n: usize) -> World {
+        let mut machines: Vec<Machine> = (0..MACHINES)
+            .map(|i| Machine {
+                incarnation: 1,
+                state: State::default(),
+                acceptor: Acceptor::new(ip(i), State::default()),
+            })
+            .collect();
+        for machine in machines.iter_mut().take(n) {
+            let record = machine.acceptor.found(&founding(n)).unwrap();
+            machine.state.apply(&record);
+        }
+        World {
+            machines,
+            attempts: vec![],
+            wires: vec![],
+            chosen: vec![],
+            memberships: vec![founding(n)],
+            next: 1,
+        }
+    }
+
+    /// Prepares a key at all of `reached` and opens the round that accepts the highest value anew.
+    fn prepare(&mut self, owner: usize, key: &str, reached: &[usize], then: Option<bytes::Bytes>) {
+        let a = &self.machines[owner].acceptor;
+        let (membership, recovery_epoch) = (a.membership().clone(), a.recovery_epoch());
+        let ballot = Ballot { n: a.highest(key) + 1, node: owner as u64 + 1, seq: 0 };
+        let epoch = membership.epoch;
+        let ask = Prepare { key: key.into(), membership: epoch, ballot, recovery_epoch };
+        let mut round = Round::new(membership.members.len());
+        for voter in std::iter::once(owner).chain(reached.iter().copied().filter(|v| *v != owner)) {
+            if !holds(&membership, voter) {
+                continue;
+            }
+            let step = self.machines[voter].acceptor.prepare(&ask);
+            self.machines[voter].state.apply(&step.record);
+            if voter == owner && !step.answer.ok {
+                return;
+            }
+            round.vote(voter as u64, Some(&step.answer));
+        }
+        if round.verdict() != Verdict::Won {
+            return;
+        }
+        let value = round.best.map(|r| r.value).unwrap_or_default();
+        let ballot = Ballot { seq: 1, ..ballot };
+        let accept = Accept { key: key.into(), membership: epoch, ballot, value, recovery_epoch };
+        self.open(owner, accept, membership, then);
+    }
+
+    fn open(
+        &mut self,
+        owner: usize,
+        accept: Accept,
+        membership: Membership,
+        then: Option<bytes::Bytes>,
+    ) {
+        let step = self.machines[owner].acceptor.accept(&accept);
+        self.machines[owner].state.apply(&step.record);
+        if !step.answer.ok {
+            return;
+        }
+        let mut round = Round::new(membership.members.len());
+        round.vote(owner as u64, Some(&step.answer));
+        for to in (0..MACHINES).filter(|to| *to != owner && holds(&membership, *to)) {
+            self.wires.push((self.attempts.len(), to, self.machines[to].incarnation));
+        }
+        let incarnation = self.machines[owner].incarnation;
+        let attempt = Attempt { owner, incarnation, accept, membership, round, done: false, then };
+        self.attempts.push(attempt);
+    }
+
+    fn deliver(&mut self, at: usize) {
+        if self.wires.is_empty() {
+            return;
+        }
+        let (attempt, to, incarnation) = self.wires.swap_remove(at % self.wires.len());
+        if self.machines[to].incarnation != incarnation {
+            return;
+        }
+        let step = self.machines[to].acceptor.accept(&self.attempts[attempt].accept);
+        self.machines[to].state.apply(&step.record);
+        let a = &mut self.attempts[attempt];
+        let verdict = a.round.vote(to as u64, Some(&step.answer));
+        let alive = self.machines[a.owner].incarnation == a.incarnation;
+        if a.done || !alive || verdict != Verdict::Won {
+            return;
+        }
+        a.done = true;
+        self.chose(attempt);
+    }
+
+    fn chose(&mut self, attempt: usize) {
+        let a = &mut self.attempts[attempt];
+        let (owner, mut accept, then) = (a.owner, a.accept.clone(), a.then.take());
+        let membership = a.membership.clone();
+        if accept.key == CONFIG {
+            self.chosen.push(accept.value.clone());
+        } else if let Ok(chosen) = Membership::decode(accept.value.clone())
+            && chosen.epoch > 0
+        {
+            self.memberships.push(chosen.clone());
+            self.machines[owner].adopt(&chosen);
+        }
+        let Some(then) = then else { return };
+        if accept.key == CONFIG {
+            accept.value = [accept.value, then].concat().into();
+        } else {
+            accept.value = then;
+        }
+        accept.ballot.seq += 1;
+        self.open(owner, accept, membership, None);
+    }
+
+    fn change(&mut self, owner: usize, reached: &[usize]) {
+        let value = vec![self.next].into();
+        self.next = self.next.wrapping_add(1);
+        self.prepare(owner, CONFIG, reached, Some(value));
+    }
+
+    /// One member more, or another in place of one.
+    fn move_members(&mut self, owner: usize, reached: &[usize], out: usize, joiner: usize) {
+        let now = self.machines[owner].acceptor.membership().clone();
+        let grows = !holds(&now, out);
+        if holds(&now, joiner) || now.members.is_empty() || (grows && now.members.len() == 5) {
+            return;
+        }
+        let mut next = Membership { epoch: now.epoch + 1, ..now.clone() };
+        next.members.push(member(joiner, next.epoch));
+        next.members.retain(|m| m.ip != ip(out).to_string());
+        self.prepare(owner, MEMBERSHIP, reached, Some(next.encode_to_vec().into()));
+    }
+
+    fn recover(&mut self, i: usize, reached: &[usize]) {
+        let acceptor = &self.machines[i].acceptor;
+        let membership = acceptor.membership().clone();
+        if acceptor.votes() || !acceptor.is_member() {
+            return;
+        }
+        let from: Vec<usize> =
+            reached.iter().copied().filter(|o| *o != i && holds(&membership, *o)).collect();
+        let in_force = |o: &usize| {
+            let a = &self.machines[*o].acceptor;
+            a.votes() && a.membership().epoch == membership.epoch
+        };
+        let from: Vec<usize> = from.into_iter().filter(in_force).collect();
+        if from.len() < quorum(&membership) {
+            return;
+        }
+        let latest = from.iter().map(|o| self.machines[*o].acceptor.recovery_epoch()).max();
+        let recovery_epoch = latest.unwrap_or(0) + 1;
+        let mut got: Vec<Peeked> = Vec::new();
+        for o in from {
+            let step = self.machines[o].acceptor.hand_over(recovery_epoch);
+            self.machines[o].state.apply(&step.record);
+            got.push(step.answer);
+        }
+        if let Some(record) = self.machines[i].acceptor.recover(recovery_epoch, &got) {
+            self.machines[i].state.apply(&record);
+        }
+    }
+
+    /// Not beyond what the last two memberships bear.
+    fn wipe(&mut self, i: usize) {
+        let newest = self.memberships.iter().map(|m| m.epoch).max().unwrap_or(0);
+        let borne = |m: &Membership| {
+            let votes = |o: usize| o != i && self.machines[o].state.voting && holds(m, o);
+            (0..MACHINES).filter(|o| votes(*o)).count() >= quorum(m)
+        };
+        if self.memberships.iter().filter(|m| m.epoch + 1 >= newest).all(borne) {
+            self.machines[i].state = State::default();
+            self.machines[i].restart(i);
+        }
+    }
+
+    fn hear(&mut self, i: usize, from: usize) {
+        let known = self.machines[from].acceptor.membership().clone();
+        self.machines[i].adopt(&known);
+    }
+
+    fn step(&mut self, what: u8, mask: u8, a: usize) {
+        let reached: Vec<usize> = (0..MACHINES).filter(|i| mask & (1 << i) != 0).collect();
+        let everyone: Vec<usize> = (0..MACHINES).collect();
+        let (i, j) = (a % MACHINES, a / MACHINES % MACHINES);
+        match what {
+            0..=2 => self.change(i, &reached),
+            3 => self.move_members(i, &reached, a / 36 % (MACHINES * 2), j),
+            4..=7 => self.deliver(a),
+            8 => self.machines[i].restart(i),
+            9 => self.wipe(i),
+            10..=12 => self.hear(i, j),
+            13..=15 => self.recover(i, &everyone),
+            16..=17 => self.all(&reached, |w, at| w.change(i, at)),
+            _ => self.all(&reached, |w, at| w.move_members(i, at, a / 36 % (MACHINES * 2), j)),
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let mut chains: Vec<&bytes::Bytes> = self.chosen.iter().collect();
+        chains.sort_by_key(|c| c.len());
+        if let Some(w) = chains.windows(2).find(|w| !w[1].starts_with(w[0])) {
+            return Err(format!("{:?} and {:?} were both chosen", w[0], w[1]));
+        }
+        let mut seen: hashbrown::HashMap<u64, &Membership> = hashbrown::HashMap::new();
+        for membership in &self.memberships {
+            if *seen.entry(membership.epoch).or_insert(membership) != membership {
+                return Err(format!("two memberships of epoch {}", membership.epoch));
+            }
+        }
+        self.check_sealed()
+    }
+
+    /// No two memberships have a quorum that may vote, other than those that follow each other
+    /// without the later one's having voted.
+    fn check_sealed(&self) -> Result<(), String> {
+        let forms = |m: &&Membership| {
+            let may = |i: &usize| {
+                let a = &self.machines[*i].acceptor;
+                a.votes() && a.membership().epoch == m.epoch
+            };
+            (0..MACHINES).filter(may).count() >= quorum(m)
+        };
+        let formed: HashSet<u64> = self.memberships.iter().filter(forms).map(|m| m.epoch).collect();
+        if formed.len() > 1 {
+            return Err(format!("quorums of memberships {formed:?} can form at once"));
+        }
+        Ok(())
+    }
+
+    /// Among just these, with all of its messages delivered; those to others come late.
+    fn all(&mut self, at: &[usize], act: impl FnOnce(&mut World, &[usize])) {
+        let before = self.attempts.len();
+        act(self, at);
+        let due = |(attempt, to, _): &(usize, usize, u64)| *attempt >= before && at.contains(to);
+        while let Some(w) = self.wires.iter().position(due) {
+            self.deliver(w);
+        }
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::test_runner::Config { cases: 1500, failure_persistence: None, ..Default::default() })]
+    #[test]
+    fn chosen_values_survive_moves(
+        steps in proptest::collection::vec((0u8..20, 0u8..64, 0usize..9973), 50..600),
+        founders in 3usize..5,
+    ) {
+        let mut w = World::new(founders);
+        for (what, mask, a) in steps {
+            w.step(what, mask, a);
+            w.check().map_err(proptest::test_runner::TestCaseError::fail)?;
+        }
+    }
+}
+
+/// A is away while B and C move to {B,C,D}, commit, and move to {A,C,D}.
+#[test]
+fn a_member_taken_back_unheard_reads_everything_before_it_votes() {
+    let (a, b, c, d) = (0, 1, 2, 3);
+    let mut w = World::new(3);
+    w.all(&[b, c], |w, at| w.move_members(b, at, a, d));
+    w.hear(c, b);
+    w.hear(d, b);
+    w.recover(d, &[b, c]);
+    w.all(&[b, d], |w, at| w.change(b, at));
+    let committed = w.chosen.len();
+    w.all(&[c, d], |w, at| w.move_members(d, at, b, a));
+    let newest = w.memberships.last().unwrap();
+    assert!(newest.epoch == 3 && holds(newest, a) && !holds(newest, b));
+    w.machines[a].restart(a);
+    w.hear(c, d);
+    w.hear(a, d);
+    assert!(!w.machines[a].acceptor.votes(), "it was no member at epoch 2");
+    w.all(&[a, c], |w, at| w.change(c, at));
+    assert_eq!(w.chosen.len(), committed, "no quorum without D, who holds the change");
+    w.recover(a, &[c, d]);
+    w.all(&[a, c], |w, at| w.change(c, at));
+    assert!(w.chosen.len() > committed);
+    w.check().unwrap();
+}
+
+/// {A,B,C} to {B,C,D} to {C,D,E}: A and B come back with what they had on their disks.
+#[test]
+fn members_of_an_old_membership_cannot_form_its_quorum_again() {
+    let (a, b, c, d, e) = (0, 1, 2, 3, 4);
+    let mut w = World::new(3);
+    w.all(&[b, c], |w, at| w.move_members(c, at, a, d));
+    w.hear(d, c);
+    w.recover(d, &[b, c]);
+    assert!(!w.machines[d].acceptor.votes(), "B votes under the old membership still");
+    w.hear(b, c);
+    w.recover(d, &[b, c]);
+    assert!(w.machines[d].acceptor.votes());
+    w.all(&[c, d], |w, at| w.move_members(c, at, b, e));
+    assert_eq!(w.memberships.last().unwrap().epoch, 3);
+    let before = w.chosen.len();
+    for old in [a, b] {
+        w.machines[old].restart(old);
+    }
+    assert_eq!(w.machines[a].acceptor.membership().epoch, 1);
+    assert_eq!(w.machines[b].acceptor.membership().epoch, 2, "kept before D could vote");
+    w.all(&[a, b], |w, at| w.change(a, at));
+    w.all(&[a, b], |w, at| w.change(b, at));
+    assert_eq!(w.chosen.len(), before);
+    w.check().unwrap();
+}
+
+/// A hears of its removal, and restarts: its disk must not let it vote once it is taken back.
+#[test]
+fn a_member_that_heard_of_its_removal_comes_back_empty() {
+    let (a, b, c, d) = (0, 1, 2, 3);
+    let mut w = World::new(3);
+    w.all(&[a, b, c], |w, at| w.change(a, at));
+    w.all(&[b, c], |w, at| w.move_members(b, at, a, d));
+    for hearer in [a, c, d] {
+        w.hear(hearer, b);
+    }
+    w.machines[a].restart(a);
+    assert_eq!(w.machines[a].acceptor.registers().count(), 0);
+    w.recover(d, &[b, c]);
+    w.all(&[b, d], |w, at| w.move_members(b, at, c, a));
+    w.hear(a, b);
+    assert!(w.machines[a].acceptor.is_member() && !w.machines[a].acceptor.votes());
+}
--- a/crates/control-plane/src/control/schedules_tests.rs
+++ b/crates/control-plane/src/control/schedules_tests.rs
@@ -415,10 +415,13 @@
             promised: Ballot { n, node: 2, seq: 0 },
             ..Default::default()
         }],
-        membership: None,
+        membership: Some(membership(3)),
         recovery_epoch: 4,
     };
+    let elsewhere = Membership { epoch: 2, ..membership(3) };
     assert!(a.recover(4, &[held(1)]).is_none());
+    let moved = Peeked { membership: Some(elsewhere), ..held(7) };
+    assert!(a.recover(4, &[held(1), moved]).is_none(), "of another membership");
     assert!(a.recover(4, &[held(1), Peeked { votes: false, ..held(7) }]).is_none());
     assert!(a.recover(4, &[held(1), Peeked { recovery_epoch: 3, ..held(7) }]).is_none());
     assert!(a.recover(4, &[held(1), held(5)]).is_some());
--- a/crates/control-plane/src/disk/format.rs
+++ b/crates/control-plane/src/disk/format.rs
@@ -1,30 +1,62 @@
 //! Bytes on the disk.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use fleet_core::wire::Register;
 use prost::Message;
 
 const MAGIC: u32 = 0xA215_ED01;
+/// Bytes of a slot before its body: magic, checksum, sequence number, length.
 pub const SLOT_HEAD: usize = 24;
+/// Bytes of a record before its body: length, checksum, sequence number of its slot.
 pub const RECORD_HEAD: usize = 16;
 
+/// Everything that a member keeps.
 #[derive(Clone, PartialEq, Message)]
 pub struct State {
+    /// One register a key, in no order.
     #[prost(message, repeated, tag = "1")]
     pub registers: Vec<Register>,
+    /// Whether the member may vote with these registers.
     #[prost(bool, tag = "2")]
     pub voting: bool,
 }
 
+/// One change of the state.
 #[derive(Clone, PartialEq, Message)]
 pub struct Record {
+    /// The registers that changed, each whole.
     #[prost(message, repeated, tag = "1")]
     pub registers: Vec<Register>,
+    /// The flag of the state from this record on.
     #[prost(bool, tag = "2")]
     pub voting: bool,
+    /// Forget all registers that were kept before this record.
+    #[prost(bool, tag = "3")]
+    pub reset: bool,
+}
+
+impl Record {
+    /// Joins a later record to this one; the outcome is that of both in their order.
+    pub fn merge(&mut self, later: &Record) {
+        if later.reset {
+            self.registers.clear();
+            self.reset = true;
+        }
+        self.voting = later.voting;
+        put_all(&mut self.registers, &later.registers);
+    }
+}
+
+/// Each register takes the place of the one of its key.
+fn put_all(registers: &mut Vec<Register>, newer: &[Register]) {
+    for register in newer {
+        match registers.iter_mut().find(|known| known.key == register.key) {
+            Some(known) => *known = register.clone(),
+            None => registers.push(register.clone()),
+        }
+    }
 }
 
+/// A slot as it is written: head and state.
 pub fn slot_bytes(seq: u64, state: &State) -> Vec<u8> {
     let body = state.encode_to_vec();
     let mut out = Vec::with_capacity(SLOT_HEAD + body.len());
@@ -36,12 +68,17 @@
     out
 }
 
+/// What a slot's file was found to hold.
 pub enum Slot {
+    /// Never written.
     Blank,
+    /// Torn or spoilt.
     Damaged,
+    /// Sequence number and state.
     Whole(u64, State),
 }
 
+/// Reads a slot, checking its sum.
 pub fn read_slot(b: &[u8]) -> Slot {
     let Some(head) = b.get(..SLOT_HEAD) else {
         return if b.iter().all(|x| *x == 0) { Slot::Blank } else { Slot::Damaged };
@@ -60,6 +97,7 @@
     State::decode(body).map_or(Slot::Damaged, |s| Slot::Whole(seq, s))
 }
 
+/// A record as it is written behind the slot `seq`.
 pub fn record_bytes(seq: u64, r: &Record) -> Vec<u8> {
     let body = r.encode_to_vec();
     let mut out = Vec::with_capacity(RECORD_HEAD + body.len());
@@ -104,13 +142,12 @@
 }
 
 impl State {
-    pub fn apply(&mut self, r: &Record) {
-        self.voting = r.voting;
-        for g in &r.registers {
-            match self.registers.iter_mut().find(|x| x.key == g.key) {
-                Some(x) => *x = g.clone(),
-                None => self.registers.push(g.clone()),
-            }
+    /// Carries a record out.
+    pub fn apply(&mut self, record: &Record) {
+        if record.reset {
+            self.registers.clear();
         }
+        self.voting = record.voting;
+        put_all(&mut self.registers, &record.registers);
     }
 }
--- a/crates/control-plane/src/disk/writer.rs
+++ b/crates/control-plane/src/disk/writer.rs
@@ -129,21 +129,20 @@
         Ok(())
     }
 
-    fn append_many(&mut self, jobs: &[Job]) -> Result<(), DiskError> {
-        let mut all = Record { registers: Vec::new(), voting: self.state.voting };
-        for j in jobs {
-            all.voting |= j.record.voting;
-            for r in &j.record.registers {
-                match all.registers.iter_mut().find(|x| x.key == r.key) {
-                    Some(x) => *x = r.clone(),
-                    None => all.registers.push(r.clone()),
-                }
-            }
+    /// Writes several records as one; the flags are those of the newest.
+    fn append_many<'a>(
+        &mut self,
+        records: impl Iterator<Item = &'a Record>,
+    ) -> Result<(), DiskError> {
+        let mut joined = Record { voting: self.state.voting, ..Default::default() };
+        for record in records {
+            joined.merge(record);
         }
-        if all.registers.is_empty() && all.voting == self.state.voting {
+        let changed = joined.reset || joined.voting != self.state.voting;
+        if joined.registers.is_empty() && !changed {
             return Ok(());
         }
-        self.append(&all)
+        self.append(&joined)
     }
 }
 
@@ -170,7 +169,7 @@
                 let mut jobs: Vec<Job> = first.into_iter().collect();
                 jobs.extend(rx.try_iter().take(64));
                 let was = bad;
-                let mut out = files.append_many(&jobs);
+                let mut out = files.append_many(jobs.iter().map(|job| &job.record));
                 if was && out.is_ok() || out.is_err() {
                     out = files.roll();
                 }
--- a/crates/control-plane/src/disk/writer_tests.rs
+++ b/crates/control-plane/src/disk/writer_tests.rs
@@ -19,6 +19,7 @@
             accepted: b,
             value: vec![n as u8; size].into(),
         }],
+        reset: false,
     }
 }
 
@@ -86,6 +87,27 @@
     assert!(s.registers.is_empty() && !s.voting);
 }
 
+/// The flag and the reset of records that are written together, or one by one.
+#[test]
+fn flag_and_reset_follow_the_newest_record() {
+    let records = [
+        reg("a", 1, 10),
+        Record { voting: false, reset: true, ..reg("b", 2, 10) },
+        Record { voting: false, ..reg("c", 3, 10) },
+    ];
+    for together in [1, 2, 3] {
+        let d = dir(&format!("newest{together}"));
+        let (mut f, _) = Files::open(&d).unwrap();
+        for batch in records.chunks(together) {
+            f.append_many(batch.iter()).unwrap();
+        }
+        drop(f);
+        let (_, s) = Files::open(&d).unwrap();
+        assert!(!s.voting, "{together} at a time");
+        assert_eq!((found(&s, "a"), found(&s, "b"), found(&s, "c")), (None, Some(2), Some(3)));
+    }
+}
+
 proptest::proptest! {
     #[test]
     fn log_cut_anywhere_gives_a_prefix(cut in 0usize..400, n in 1u64..8) {
--- a/crates/control-plane/src/members/membership.rs
+++ b/crates/control-plane/src/members/membership.rs
@@ -29,6 +29,7 @@
         ip: s.node.ip.to_string(),
         zone: s.node.zone.clone(),
         control: s.settings().control.map(|a| a.to_string()).unwrap_or_default(),
+        joined_epoch: 0,
     }
 }
 
@@ -237,7 +238,7 @@
 fn grown(membership: &Membership, joiner: &Member) -> Membership {
     let mut next = membership.clone();
     next.epoch += 1;
-    next.members.push(joiner.clone());
+    next.members.push(Member { joined_epoch: next.epoch, ..joiner.clone() });
     next.members.sort_by(|a, b| a.ip.cmp(&b.ip));
     next
 }
--- a/crates/fleet-core/src/wire/members.rs
+++ b/crates/fleet-core/src/wire/members.rs
@@ -14,6 +14,10 @@
     pub zone: String,
     #[prost(string, tag = "4")]
     pub control: String,
+    /// epoch of the membership that took this member in: one that knows only earlier ones was
+    /// removed meanwhile, or was never a member, and holds nothing to vote with
+    #[prost(uint64, tag = "5")]
+    pub joined_epoch: u64,
 }
 
 impl Member {
