Duty leases count grants of one membership, and a new voter grants none for a lease

Cause: a lease named no membership, so a member that had missed a move could hold one by the grants of an old majority, and a newcomer, which knew of no grant, gave another to a second holder.

Change: who asks names the membership's epoch, voters of another refuse; a member that has just got its vote grants no duty that gives orders for one lease.

Measured: the test of old memberships and the one of the newcomer fail without the two checks and pass with them.

--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -72,6 +72,11 @@
         self.voting && self.is_member()
     }
 
+    /// A lease counts only with grants of one membership, like a vote.
+    pub fn may_grant(&self, membership: u64) -> bool {
+        self.votes() && membership == self.membership.epoch
+    }
+
     pub fn recovery_epoch(&self) -> u64 {
         self.recovery_epoch
     }
--- a/crates/control-plane/src/control/moves_tests.rs
+++ b/crates/control-plane/src/control/moves_tests.rs
@@ -377,6 +377,8 @@
     w.all(&[a, b], |w, at| w.change(a, at));
     w.all(&[a, b], |w, at| w.change(b, at));
     assert_eq!(w.chosen.len(), before);
+    let grants = |i: usize, epoch| w.machines[i].acceptor.may_grant(epoch);
+    assert!(grants(a, 1) && !grants(b, 1), "nor lease a duty to one of them");
     w.check().unwrap();
 }
 
--- a/crates/control-plane/src/duties/mod.rs
+++ b/crates/control-plane/src/duties/mod.rs
@@ -49,6 +49,11 @@
         true
     }
 
+    /// Grants nothing that gives orders before then: what others granted may still run.
+    fn close_until(&mut self, end: Instant) {
+        self.closed_until = self.closed_until.max(Some(end));
+    }
+
     /// Nobody else is known to hold it.
     fn free(&self, duty: &str, node: &str, now: Instant) -> bool {
         self.table.get(duty).is_none_or(|g| g.node == node || now >= g.until)
@@ -94,6 +99,11 @@
         }
     }
 
+    /// A member that has just got its vote doesn't know what the former members granted.
+    pub fn close_for(&self, lease: Duration) {
+        self.grants.lock().close_until(Instant::now() + lease);
+    }
+
     pub fn fence(&self, duty: &str) -> Option<u64> {
         self.held.lock().get(duty).and_then(|h| h.fence(Instant::now()))
     }
@@ -108,21 +118,23 @@
 #[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub fn grant(s: &Controller, l: &Lease) -> Leased {
     let lease = lease_of(s, &l.duty);
-    let votes = s.acceptor.lock().votes();
-    Leased { ok: votes && s.duties.grants.lock().grant(l, Instant::now(), lease) }
+    let may_grant = s.acceptor.lock().may_grant(l.membership);
+    Leased { ok: may_grant && s.duties.grants.lock().grant(l, Instant::now(), lease) }
 }
 
 /// Asks all members; true with a majority.
 async fn ask(s: &Arc<Controller>, duty: &str, leave: bool) -> bool {
     let lease = lease_of(s, duty);
+    let membership = s.acceptor.lock().membership().clone();
+    let members = membership.members;
     let l = Lease {
         duty: duty.to_owned(),
         incarnation: s.node.incarnation,
         ms: lease.as_millis() as u64,
         leave,
         node: s.node.name.clone(),
+        membership: membership.epoch,
     };
-    let members = s.acceptor.lock().membership().members.clone();
     let quorum = members.len() / 2 + 1;
     let mut have = usize::from(grant(s, &l).ok);
     let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
--- a/crates/control-plane/src/duties/tests.rs
+++ b/crates/control-plane/src/duties/tests.rs
@@ -9,6 +9,7 @@
         ms: 3000,
         leave: false,
         node: format!("n{incarnation}"),
+        membership: 1,
     }
 }
 
@@ -32,6 +33,18 @@
     assert!(!g.grant(&lease(2), t + L * 5 / 2, L));
 }
 
+/// {A,B,C} moves to {B,C,D} while A holds: neither C with D nor B with D may grant it to another.
+#[test]
+fn a_newcomer_grants_nothing_while_a_lease_of_former_members_may_run() {
+    let t = Instant::now();
+    let mut grants = Duties::new(true, L).grants.into_inner();
+    assert!(grants.grant(&Lease { duty: INDEX_KEEPER.into(), ..lease(2) }, t, L));
+    grants.close_until(t + L);
+    grants.close_until(t + L / 2);
+    assert!(!grants.grant(&lease(2), t + L * 3 / 4, L));
+    assert!(grants.grant(&lease(2), t + L, L));
+}
+
 #[test]
 fn a_pause_ends_the_holding_before_any_order() {
     let t = Instant::now();
--- a/crates/control-plane/src/members/membership.rs
+++ b/crates/control-plane/src/members/membership.rs
@@ -99,6 +99,7 @@
     if s.acceptor.lock().membership().epoch != membership {
         return;
     }
+    s.duties.close_for(s.settings().bounds.lease);
     if s.persist(|a| a.recover(recovery_epoch, &got)).await {
         fleet_core::log_event!(s.log, Event::Voting, "recovery_epoch" => recovery_epoch);
         s.members.relink(s);
--- a/crates/fleet-core/src/wire/leases.rs
+++ b/crates/fleet-core/src/wire/leases.rs
@@ -18,6 +18,9 @@
     /// a new incarnation of the same node may stand in for the one before it at once
     #[prost(string, tag = "5")]
     pub node: String,
+    /// epoch of the membership whose majority is asked
+    #[prost(uint64, tag = "6")]
+    pub membership: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
