--- a/crates/control-plane/src/control/mod.rs
+++ b/crates/control-plane/src/control/mod.rs
@@ -11,3 +11,7 @@
 #[cfg(test)]
 #[path = "schedules_tests.rs"]
 mod schedules;
+
+#[cfg(test)]
+#[path = "moves_tests.rs"]
+mod moves;
--- a/crates/fleet-core/src/wire/leases.rs
+++ b/crates/fleet-core/src/wire/leases.rs
@@ -22,6 +22,9 @@
     /// at once.
     #[prost(string, tag = "5")]
     pub node: String,
+    /// epoch of the membership whose majority is asked
+    #[prost(uint64, tag = "6")]
+    pub membership: u64,
 }
 
 /// Answer to [`Lease`].
