--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -12,6 +12,7 @@
 /// recovery_epoch counts together with one of a later.
 const RECOVERY_EPOCH: &str = "\u{1}recovery_epoch";
 
+#[derive(Debug, Clone)]
 pub struct Acceptor {
     registers: std::collections::BTreeMap<String, Register>,
     membership: Membership,
--- a/crates/control-plane/src/control/proposer.rs
+++ b/crates/control-plane/src/control/proposer.rs
@@ -57,6 +57,7 @@
     OwnerActive,
 }
 
+#[derive(Debug, Clone)]
 enum Phase {
     Preparing(Round),
     Accepting(Round),
@@ -65,6 +66,7 @@
 }
 
 /// One node's attempt to own one key, and its ownership from then on.
+#[derive(Debug, Clone)]
 pub struct Proposer {
     own: u64,
     key: String,
@@ -74,7 +76,7 @@
     /// ballot under which `value` is already held by some voters, while it is accepted anew
     source: Option<Ballot>,
     /// what each voter is known to have accepted last
-    held: hashbrown::HashMap<u64, Ballot>,
+    held: std::collections::BTreeMap<u64, Ballot>,
     phase: Phase,
     step: u64,
     /// accepted ballot of the own acceptor: other voters leave out values that are not newer
@@ -92,7 +94,7 @@
             ballot,
             value: bytes::Bytes::new(),
             source: None,
-            held: hashbrown::HashMap::new(),
+            held: std::collections::BTreeMap::new(),
             phase: Phase::Preparing(Round::new(scope.voters)),
             step: 1,
             known: Ballot::default(),
--- a/crates/control-plane/src/control/round.rs
+++ b/crates/control-plane/src/control/round.rs
@@ -14,10 +14,11 @@
 }
 
 /// The votes of one prepare or accept round.
+#[derive(Debug, Clone)]
 pub struct Round {
     voters: usize,
-    yes: hashbrown::HashMap<u64, Ballot>,
-    no: hashbrown::HashSet<u64>,
+    yes: std::collections::BTreeMap<u64, Ballot>,
+    no: std::collections::BTreeSet<u64>,
     best: Option<Register>,
     highest: Ballot,
     recovery_epoch: u64,
@@ -28,8 +29,8 @@
     pub fn new(voters: usize) -> Self {
         Round {
             voters,
-            yes: hashbrown::HashMap::new(),
-            no: hashbrown::HashSet::new(),
+            yes: std::collections::BTreeMap::new(),
+            no: std::collections::BTreeSet::new(),
             best: None,
             highest: Ballot::default(),
             recovery_epoch: 0,
@@ -89,7 +90,7 @@
     }
 
     /// Last accepted ballot of each voter that said yes to a prepare.
-    pub fn accepted(&self) -> hashbrown::HashMap<u64, Ballot> {
+    pub fn accepted(&self) -> std::collections::BTreeMap<u64, Ballot> {
         self.yes.clone()
     }
 
