Real controllers in one process over a network and disks of memory, the same run from a seed

Cause: nothing showed that the seams carry a whole controller, nor that a seed decides its run.

Change: tests/cluster.rs founds three controllers, puts a configuration in force, reads it at each, crashes one, puts the next in force, restarts the crashed one from its disk's image and reads there. A node without its majority answers neither reads nor changes. Five nodes with heartbeats of engines are run three times: two runs of one seed give the same trace (events, records written, bytes sent, with their times), another seed another one. The clock is tokio's paused one.

--- /dev/null
+++ b/crates/control-plane/tests/cluster.rs
@@ -0,0 +1,105 @@
+//! Three real controllers in one process: what an operator puts in force is read at each of them,
+//! also over a crash and a restart, and a seed gives the same run again.
+
+mod stand;
+
+use bytes::Bytes;
+use control_plane::service::{configuration, instances};
+use stand::Cluster;
+
+/// Enough for tables of them to have more than one order.
+const ENGINES: usize = 9;
+
+fn sheet(version: u64) -> Bytes {
+    serde_json::json!({
+        "revision": version,
+        "routes": [{"name": "a", "host": "h", "pathPrefix": "/", "kind": "safe",
+            "timeoutMs": 1000, "service": "s"}],
+        "services": [{"name": "s", "maxConns": 5}],
+        "tenants": [],
+    })
+    .to_string()
+    .into()
+}
+
+async fn replace(cluster: &Cluster, node: usize, base: u64, version: u64) {
+    let base = base.to_string();
+    let call = |controller| {
+        let base = base.clone();
+        async move { configuration::replace(&controller, Some(&base), sheet(version)).await }
+    };
+    assert_eq!(cluster.ask(node, call).await.version, version);
+}
+
+/// One read of each node, as soon as it answers, gives this version.
+async fn read_everywhere(cluster: &Cluster, nodes: &[usize], version: u64) {
+    for node in nodes {
+        let call = |controller| async move { configuration::fetch(&controller).await };
+        assert_eq!(cluster.ask(*node, call).await, sheet(version), "n{node}");
+    }
+}
+
+/// Engines of one service tell a node that they are there.
+async fn heartbeats(cluster: &Cluster, node: usize) {
+    for engine in 1..=ENGINES {
+        let beat = serde_json::json!({"service": "s", "address": format!("10.0.1.{engine}:80"),
+            "state": "ready", "callSeq": 1});
+        let controller = cluster.controller(node);
+        let told = instances::heartbeat(controller, format!("e{engine}"), beat.to_string().into());
+        told.await.unwrap();
+    }
+}
+
+async fn replace_over_a_crash(size: usize, seed: u64) -> Vec<String> {
+    let mut cluster = Cluster::found(size, seed).await;
+    let all: Vec<usize> = (1..=size).collect();
+    replace(&cluster, 1, 0, 7).await;
+    read_everywhere(&cluster, &all, 7).await;
+    heartbeats(&cluster, 2).await;
+    cluster.crash(1);
+    replace(&cluster, 2, 7, 8).await;
+    read_everywhere(&cluster, &all[1..], 8).await;
+    cluster.start(1).await;
+    read_everywhere(&cluster, &all, 8).await;
+    cluster.settle().await;
+    let known = |node: &usize| cluster.controller(*node).look(|known| known.engines.len());
+    assert!(all.iter().all(|node| known(node) == ENGINES));
+    cluster.trace.lines()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restarted_controller_reads_what_was_put_in_force_without_it() {
+    let trace = replace_over_a_crash(3, 1).await;
+    assert!(trace.iter().any(|line| line.ends_with("n1 crashed")));
+    assert!(trace.iter().any(|line| line.contains("n3 wrote")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_controller_that_lost_its_majority_answers_neither_reads_nor_changes() {
+    let mut cluster = Cluster::found(3, 2).await;
+    replace(&cluster, 1, 0, 7).await;
+    cluster.crash(2);
+    cluster.crash(3);
+    let alone = cluster.controller(1);
+    let read = configuration::fetch(alone).await.unwrap_err();
+    let changed = configuration::replace(alone, Some("7"), sheet(8)).await.unwrap_err();
+    assert_eq!((read.status.as_u16(), changed.status.as_u16()), (503, 503));
+}
+
+#[test]
+fn a_seed_gives_the_same_run_again_and_another_seed_another() {
+    let run = |seed| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(replace_over_a_crash(5, seed))
+    };
+    let first = run(1);
+    for (i, (a, b)) in first.iter().zip(run(1)).enumerate() {
+        assert_eq!(*a, b, "line {i}");
+    }
+    assert_eq!(first.len(), run(1).len());
+    assert_ne!(first, run(2));
+}
--- /dev/null
+++ b/crates/control-plane/tests/stand/disk.rs
@@ -0,0 +1,75 @@
+//! A disk of memory: it takes a moment for each record, and keeps what it took.
+
+use super::Trace;
+use control_plane::disk::format::{Record, State};
+use control_plane::disk::{DiskError, RecordQueue};
+use fleet_core::transport::BoxFuture;
+use parking_lot::Mutex;
+use prost::Message;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Time that a record takes to be durable.
+const WRITE: Duration = Duration::from_millis(2);
+
+struct Job {
+    record: Record,
+    done: oneshot::Sender<()>,
+}
+
+pub struct MemoryDisk {
+    jobs: mpsc::UnboundedSender<Job>,
+    image: Arc<Mutex<State>>,
+    task: tokio::task::AbortHandle,
+}
+
+impl MemoryDisk {
+    pub fn start(node: usize, state: State, trace: Trace) -> MemoryDisk {
+        let (jobs, queue) = mpsc::unbounded_channel();
+        let image = Arc::new(Mutex::new(state));
+        let task = tokio::spawn(write(node, queue, image.clone(), trace)).abort_handle();
+        MemoryDisk { jobs, image, task }
+    }
+
+    /// Takes no more; gives what is on it.
+    pub fn end(&self) -> State {
+        self.task.abort();
+        self.image.lock().clone()
+    }
+}
+
+async fn write(
+    node: usize,
+    mut queue: mpsc::UnboundedReceiver<Job>,
+    image: Arc<Mutex<State>>,
+    trace: Trace,
+) {
+    while let Some(Job { record, done }) = queue.recv().await {
+        tokio::time::sleep(WRITE).await;
+        image.lock().apply(&record);
+        let hash = fleet_core::node::stable_hash(&[&record.encode_to_vec()]);
+        trace.add(node, &format!("wrote {hash:016x}"));
+        // who asked may have given up
+        let _ = done.send(());
+    }
+}
+
+impl RecordQueue for MemoryDisk {
+    fn keep(&self, record: Record) -> BoxFuture<'static, Result<(), DiskError>> {
+        let (done, written) = oneshot::channel();
+        let queued = self.jobs.send(Job { record, done });
+        Box::pin(async move {
+            queued.map_err(|_| DiskError::Ended)?;
+            written.await.map_err(|_| DiskError::Ended)
+        })
+    }
+
+    fn is_broken(&self) -> bool {
+        false
+    }
+
+    fn is_absent(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/control-plane/tests/stand/mod.rs
@@ -0,0 +1,156 @@
+//! Real controllers in one process: a network of memory, disks of memory, and a clock that tokio
+//! moves when all wait.
+
+mod disk;
+mod network;
+
+use control_plane::disk::format::State;
+use control_plane::{Controller, Environment, Running};
+use disk::MemoryDisk;
+use network::{Machine, Network};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest time of the clock that anything here may take.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Time after which all nodes know what one was told, and duties have their holders.
+const SETTLED: Duration = Duration::from_secs(10);
+
+/// What happened, in its order: events, records written and bytes sent, each with time and node.
+#[derive(Clone)]
+pub struct Trace {
+    start: Instant,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Trace {
+    fn new() -> Trace {
+        Trace { start: Instant::now(), lines: Arc::default() }
+    }
+
+    fn add(&self, node: usize, what: &str) {
+        let line = format!("{:?} n{node} {what}", self.start.elapsed());
+        self.lines.lock().unwrap().push(line);
+    }
+
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().unwrap().clone()
+    }
+}
+
+/// Puts the log's events into the trace.
+struct Events {
+    node: usize,
+    trace: Trace,
+}
+
+impl slog::Drain for Events {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        self.trace.add(self.node, &record.msg().to_string());
+        Ok(())
+    }
+}
+
+struct Started {
+    running: Running,
+    machine: Machine,
+    disk: Arc<MemoryDisk>,
+}
+
+pub struct Cluster {
+    size: usize,
+    network: Arc<Network>,
+    started: BTreeMap<usize, Started>,
+    images: BTreeMap<usize, State>,
+    seeds_used: u64,
+    pub trace: Trace,
+}
+
+fn settings(node: usize, size: usize) -> fleet_core::settings::Settings {
+    let seeds: Vec<String> = (1..=size).map(|n| format!("10.0.0.{n}:7000")).collect();
+    let text = format!(
+        "nodeName=n{node}\nip=10.0.0.{node}\nzone=z{node}\nportRange=7100,7110\nseeds={}\n\
+         bootstrap=true\nbindAddrs.control=10.0.0.{node}:7000\n",
+        seeds.join(",")
+    );
+    fleet_core::settings::Settings::parse(&text).unwrap()
+}
+
+impl Cluster {
+    /// Machines 1 to `size`; the seed is all that runs differ by.
+    pub async fn found(size: usize, seed: u64) -> Cluster {
+        let mut cluster = Cluster {
+            size,
+            network: Arc::default(),
+            started: BTreeMap::new(),
+            images: BTreeMap::new(),
+            seeds_used: seed * 1000,
+            trace: Trace::new(),
+        };
+        for node in 1..=size {
+            cluster.start(node).await;
+        }
+        cluster
+    }
+
+    /// Starts a node with what its disk holds; with none, it is the first start of all.
+    pub async fn start(&mut self, node: usize) {
+        let image = self.images.get(&node).cloned();
+        let first_start = image.is_none();
+        let state = image.unwrap_or_default();
+        let disk = Arc::new(MemoryDisk::start(node, state.clone(), self.trace.clone()));
+        let machine = Machine::new(node, self.network.clone(), self.trace.clone());
+        self.seeds_used += 1;
+        let environment = Environment {
+            transport: Arc::new(machine.clone()),
+            disk: disk.clone(),
+            state,
+            first_start,
+            seed: self.seeds_used,
+        };
+        let log = slog::Logger::root(Events { node, trace: self.trace.clone() }, slog::o!());
+        let started = Controller::start(settings(node, self.size), log, environment).await;
+        let running = started.unwrap();
+        self.started.insert(node, Started { running, machine, disk });
+    }
+
+    /// Ends a node at once; its disk keeps what was written.
+    pub fn crash(&mut self, node: usize) {
+        let dead = self.started.remove(&node).unwrap();
+        dead.machine.end();
+        dead.running.abort();
+        self.images.insert(node, dead.disk.end());
+        self.trace.add(node, "crashed");
+    }
+
+    pub fn controller(&self, node: usize) -> &Arc<Controller> {
+        &self.started[&node].running.controller
+    }
+
+    /// Lets all that goes on in turns go on for a while.
+    pub async fn settle(&self) {
+        tokio::time::sleep(SETTLED).await;
+    }
+
+    /// Asks again until the answer is a good one, as an operator does.
+    pub async fn ask<T, E: std::fmt::Debug, F: Future<Output = Result<T, E>>>(
+        &self,
+        node: usize,
+        call: impl Fn(Arc<Controller>) -> F,
+    ) -> T {
+        let end = Instant::now() + LIMIT;
+        loop {
+            let answer = call(self.controller(node).clone()).await;
+            match answer {
+                Ok(good) => return good,
+                Err(error) => assert!(Instant::now() < end, "n{node}: {error:?}"),
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
