Tellers of loads and holders of the index are gone through in order

Cause: who is told, and in what order a digest lists holders, followed from hash tables' random seeds, so that a seed didn't decide all that is sent.

Change: ordered tables for both. Parts within one holder's digest stay in a hash table: sorting them costs with their number.

--- a/crates/control-plane/src/duties/keeper.rs
+++ b/crates/control-plane/src/duties/keeper.rs
@@ -15,6 +15,7 @@
 use invalidation::cache::Cache;
 use invalidation::draft::{Draft, Local};
 use invalidation::ring::{Read, Ring};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 type Parts = hashbrown::HashMap<u64, u64, ahash::RandomState>;
@@ -25,7 +26,7 @@
 /// requests share. Parts of single requests wait apart, bounded, until a router names them.
 #[derive(Default)]
 pub struct Index {
-    holders: hashbrown::HashMap<Arc<str>, hashbrown::HashMap<Arc<str>, Parts>>,
+    holders: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Parts>>,
     shared: hashbrown::HashSet<u64, ahash::RandomState>,
     unshared: [Unshared; 2],
     fresh: std::collections::VecDeque<(Arc<str>, Arc<str>, u64, u64)>,
@@ -347,7 +348,7 @@
 async fn keep(s: &Arc<Controller>, keeper: &Arc<Keeper>) {
     // ends with this task, also where that is aborted
     let mut tail_tasks = tokio::task::JoinSet::new();
-    let mut tails = std::collections::BTreeMap::<String, tokio::task::AbortHandle>::new();
+    let mut tails = BTreeMap::<String, tokio::task::AbortHandle>::new();
     let mut seen_weights = hashbrown::HashMap::<String, u64>::new();
     let mut seen_isolation = 0;
     let mut told = (0, 0);
@@ -357,7 +358,7 @@
                 .values()
                 .filter(|e| e.standing() != Standing::Gone && !e.silent)
                 .map(|e| (e.id.clone(), e.address.clone()))
-                .collect::<std::collections::BTreeMap<_, _>>()
+                .collect::<BTreeMap<_, _>>()
         });
         want.extend(stores(s));
         let mut purges = Vec::new();
--- a/crates/fleet-core/src/load.rs
+++ b/crates/fleet-core/src/load.rs
@@ -70,7 +70,7 @@
 /// What each sender told last, for as long as it keeps telling.
 #[derive(Default)]
 pub struct Book {
-    told: hashbrown::HashMap<u64, (tokio::time::Instant, Loads)>,
+    told: std::collections::BTreeMap<u64, (tokio::time::Instant, Loads)>,
 }
 
 impl Book {
