--- a/crates/prompt-index/src/alive.rs
+++ b/crates/prompt-index/src/alive.rs
@@ -1,10 +1,9 @@
-//! Who of a cell's holders is there: apart from the shards, so that one of them goes at once.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! Which of a cell's holders are there. Apart from the shards, so that a holder goes at once.
 
 use crate::bitmap::{HolderBitmap, WORDS};
 use crate::sync::{AtomicU64, Ordering};
 
+/// The live holders of one cell, changed bit by bit without a lock.
 pub struct Alive([AtomicU64; WORDS]);
 
 impl Default for Alive {
@@ -14,21 +13,23 @@
 }
 
 impl Alive {
+    /// All live holders; words are read one after the other.
     pub fn load(&self) -> HolderBitmap {
         HolderBitmap(std::array::from_fn(|i| self.0[i].load(Ordering::Acquire)))
     }
 
-    pub fn raise(&self, n: u8) -> bool {
-        self.swap(n, true)
+    /// Sets a holder alive; true for the one caller who did.
+    pub fn raise(&self, holder: u8) -> bool {
+        self.swap(holder, true)
     }
 
-    /// By compare-and-swap; true for the one caller who cleared it.
-    pub fn clear(&self, n: u8) -> bool {
-        self.swap(n, false)
+    /// Clears a holder by compare-and-swap; true for the one caller who did.
+    pub fn clear(&self, holder: u8) -> bool {
+        self.swap(holder, false)
     }
 
-    fn swap(&self, n: u8, to: bool) -> bool {
-        let (word, bit) = (&self.0[usize::from(n) / 64], 1u64 << (n % 64));
+    fn swap(&self, holder: u8, to: bool) -> bool {
+        let (word, bit) = (&self.0[usize::from(holder) / 64], 1u64 << (holder % 64));
         let mut now = word.load(Ordering::Acquire);
         loop {
             if (now & bit != 0) == to {
--- a/crates/prompt-index/src/bitmap.rs
+++ b/crates/prompt-index/src/bitmap.rs
@@ -1,66 +1,79 @@
 //! A set of holders of one cell: a flat array of words, no heap.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
+/// Words of a bitmap.
 pub const WORDS: usize = 4;
+/// Holders of one cell.
 pub const HOLDERS: usize = WORDS * 64;
 
+/// A set of holders of one cell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 #[repr(transparent)]
 pub struct HolderBitmap(pub [u64; WORDS]);
 
 impl HolderBitmap {
+    /// No holder.
     pub const EMPTY: HolderBitmap = HolderBitmap([0; WORDS]);
+    /// All holders.
     pub const ALL: HolderBitmap = HolderBitmap([u64::MAX; WORDS]);
 
-    pub fn one(n: u8) -> Self {
-        let mut b = Self::EMPTY;
-        b.set(n);
-        b
+    /// This holder alone.
+    pub fn one(holder: u8) -> Self {
+        let mut bitmap = Self::EMPTY;
+        bitmap.set(holder);
+        bitmap
     }
 
-    pub fn set(&mut self, n: u8) {
-        self.0[usize::from(n) / 64] |= 1 << (n % 64);
+    /// Adds a holder.
+    pub fn set(&mut self, holder: u8) {
+        self.0[usize::from(holder) / 64] |= 1 << (holder % 64);
     }
 
-    pub fn clear(&mut self, n: u8) {
-        self.0[usize::from(n) / 64] &= !(1 << (n % 64));
+    /// Takes a holder out.
+    pub fn clear(&mut self, holder: u8) {
+        self.0[usize::from(holder) / 64] &= !(1 << (holder % 64));
     }
 
-    pub fn has(&self, n: u8) -> bool {
-        self.0[usize::from(n) / 64] >> (n % 64) & 1 == 1
+    /// Whether a holder is in it.
+    pub fn has(&self, holder: u8) -> bool {
+        self.0[usize::from(holder) / 64] >> (holder % 64) & 1 == 1
     }
 
-    pub fn and(&self, o: &Self) -> Self {
-        Self(std::array::from_fn(|i| self.0[i] & o.0[i]))
+    /// Holders in both.
+    pub fn and(&self, other: &Self) -> Self {
+        Self(std::array::from_fn(|i| self.0[i] & other.0[i]))
     }
 
-    pub fn minus(&self, o: &Self) -> Self {
-        Self(std::array::from_fn(|i| self.0[i] & !o.0[i]))
+    /// Holders in this one only.
+    pub fn minus(&self, other: &Self) -> Self {
+        Self(std::array::from_fn(|i| self.0[i] & !other.0[i]))
     }
 
-    pub fn or(&self, o: &Self) -> Self {
-        Self(std::array::from_fn(|i| self.0[i] | o.0[i]))
+    /// Holders in either.
+    pub fn or(&self, other: &Self) -> Self {
+        Self(std::array::from_fn(|i| self.0[i] | other.0[i]))
     }
 
+    /// Whether no holder is in it.
     pub fn is_empty(&self) -> bool {
         self.0 == [0; WORDS]
     }
 
+    /// Holders in it.
     pub fn count(&self) -> u32 {
-        self.0.iter().map(|w| w.count_ones()).sum()
+        self.0.iter().map(|word| word.count_ones()).sum()
     }
 
+    /// Its holders, lowest first.
     pub fn iter(&self) -> impl Iterator<Item = u8> + '_ {
-        self.0.iter().enumerate().flat_map(|(i, w)| {
-            let mut w = *w;
+        self.0.iter().enumerate().flat_map(|(index, word)| {
+            let mut left = *word;
             std::iter::from_fn(move || {
-                if w == 0 {
+                if left == 0 {
                     return None;
                 }
-                let n = w.trailing_zeros();
-                w &= w - 1;
-                Some(i as u8 * 64 + n as u8)
+                let bit = left.trailing_zeros();
+                left &= left - 1;
+                Some(index as u8 * 64 + bit as u8)
             })
         })
     }
--- a/crates/prompt-index/src/index.rs
+++ b/crates/prompt-index/src/index.rs
@@ -1,6 +1,4 @@
-//! All cells of a router: who has which number where, and what the ring of purges does to them.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! All cells of a router: who has which number where, and what the ring of invalidations does to them.
 
 use crate::cell::{Cell, HolderNo};
 use crate::chain::{self, Chain};
@@ -8,37 +6,43 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
-/// Cell and number of a holder.
+/// Where a holder stands in the index.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct At {
+    /// Number of its cell.
     pub cell: usize,
+    /// Its number within the cell.
     pub no: HolderNo,
 }
 
 type Names = hashbrown::HashMap<String, At, ahash::RandomState>;
 type Seeds = hashbrown::HashMap<String, u64, ahash::RandomState>;
 
-/// Lock order: names, then cells, then seeds.
+/// All cells of a router. Lock order: names, then cells, then seeds.
 pub struct Index {
     names: RwLock<Names>,
     cells: RwLock<Vec<Arc<Cell>>>,
     seeds: RwLock<Seeds>,
     most: usize,
     moves: AtomicU64,
+    /// Events taken in that a holder keeps a part.
     pub registered: AtomicU64,
+    /// Events taken in that a holder keeps a part no more.
     pub evicted: AtomicU64,
+    /// Events dropped because their holder had gone.
     pub dropped: AtomicU64,
 }
 
-fn read<T>(l: &RwLock<T>) -> RwLockReadGuard<'_, T> {
-    l.read().unwrap_or_else(PoisonError::into_inner)
+fn read<T>(lock: &RwLock<T>) -> RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn write<T>(l: &RwLock<T>) -> RwLockWriteGuard<'_, T> {
-    l.write().unwrap_or_else(PoisonError::into_inner)
+fn write<T>(lock: &RwLock<T>) -> RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Index {
+    /// An empty index, each cell bounded to `most` entries.
     pub fn new(most: usize) -> Index {
         Index {
             names: RwLock::default(),
@@ -57,14 +61,17 @@
         self.moves.load(Ordering::Acquire)
     }
 
+    /// Where a holder stands, if it is known.
     pub fn at(&self, holder: &str) -> Option<At> {
         read(&self.names).get(holder).copied()
     }
 
-    pub fn cell(&self, n: usize) -> Option<Arc<Cell>> {
-        read(&self.cells).get(n).cloned()
+    /// A cell by its number.
+    pub fn cell(&self, number: usize) -> Option<Arc<Cell>> {
+        read(&self.cells).get(number).cloned()
     }
 
+    /// All cells.
     pub fn cells(&self) -> Vec<Arc<Cell>> {
         read(&self.cells).clone()
     }
@@ -79,38 +86,39 @@
             return *at;
         }
         let mut cells = write(&self.cells);
-        let rank = |n: usize| fleet_core::node::stable_hash(&[holder.as_bytes(), &n.to_be_bytes()]);
-        let mut order: Vec<usize> = (0..cells.len()).filter(|n| cells[*n].room() > 0).collect();
-        order.sort_by_key(|n| rank(*n));
-        let found = order.into_iter().find_map(|n| Some(At { cell: n, no: cells[n].admit()? }));
-        let at = match found {
-            Some(at) => at,
-            None => {
-                let c = Arc::new(Cell::new(self.most));
-                let no = c.admit();
-                cells.push(c);
-                match no {
-                    Some(no) => At { cell: cells.len() - 1, no },
-                    None => unreachable!("an empty cell has room"),
-                }
+        let at = Self::admit_to_one_of(&cells, holder).unwrap_or_else(|| {
+            cells.push(Arc::new(Cell::new(self.most)));
+            let cell = cells.len() - 1;
+            match cells[cell].admit() {
+                Some(no) => At { cell, no },
+                None => unreachable!("an empty cell has room"),
             }
-        };
+        });
         names.insert(holder.to_owned(), at);
         self.moves.fetch_add(1, Ordering::Release);
         at
     }
 
+    /// By rendezvous among the cells with room.
+    fn admit_to_one_of(cells: &[Arc<Cell>], holder: &str) -> Option<At> {
+        let rank =
+            |cell: usize| fleet_core::node::stable_hash(&[holder.as_bytes(), &cell.to_be_bytes()]);
+        let mut order: Vec<usize> = (0..cells.len()).filter(|n| cells[*n].room() > 0).collect();
+        order.sort_by_key(|cell| rank(*cell));
+        order.into_iter().find_map(|cell| Some(At { cell, no: cells[cell].admit()? }))
+    }
+
     fn seed(&self, salt: &str) -> u64 {
-        if let Some(s) = read(&self.seeds).get(salt) {
-            return *s;
+        if let Some(seed) = read(&self.seeds).get(salt) {
+            return *seed;
         }
-        let s = chain::seed(salt);
+        let seed = chain::seed(salt);
         let mut seeds = write(&self.seeds);
         if seeds.len() >= constants::SALTS_KNOWN {
             seeds.clear();
         }
-        seeds.insert(salt.to_owned(), s);
-        s
+        seeds.insert(salt.to_owned(), seed);
+        seed
     }
 
     /// Parts of a prompt as a chain under a salt.
@@ -122,18 +130,19 @@
     pub fn learn(&self, salt: &str, chain: &Chain) {
         let Some(last) = chain.0.last() else { return };
         let seed = self.seed(salt);
-        for c in read(&self.cells).iter() {
-            if !c.knows(last.hash) {
-                c.learn(seed, chain);
+        for cell in read(&self.cells).iter() {
+            if !cell.knows(last.hash) {
+                cell.learn(seed, chain);
             }
         }
     }
 
+    /// Takes in that a holder keeps `kept` tokens of a part, or all of it where none are told.
     pub fn registered(&self, holder: &str, salt: &str, part: u64, kept: Option<u64>) {
         let at = self.admit(holder);
         let seed = self.seed(salt);
-        let Some(c) = self.cell(at.cell) else { return };
-        let counter = if c.registered(at.no, seed, chain::raw(seed, part), kept) {
+        let Some(cell) = self.cell(at.cell) else { return };
+        let counter = if cell.registered(at.no, seed, chain::raw(seed, part), kept) {
             &self.registered
         } else {
             &self.dropped
@@ -141,11 +150,12 @@
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Takes in that a holder keeps at most `kept` tokens of a part.
     pub fn evicted(&self, holder: &str, salt: &str, part: u64, kept: u64) {
         let Some(at) = self.at(holder) else { return };
         let seed = self.seed(salt);
-        let Some(c) = self.cell(at.cell) else { return };
-        let counter = if c.evicted(at.no, chain::raw(seed, part), kept) {
+        let Some(cell) = self.cell(at.cell) else { return };
+        let counter = if cell.evicted(at.no, chain::raw(seed, part), kept) {
             &self.evicted
         } else {
             &self.dropped
@@ -157,18 +167,18 @@
     pub fn gone(&self, holder: &str) -> bool {
         let Some(at) = write(&self.names).remove(holder) else { return false };
         self.moves.fetch_add(1, Ordering::Release);
-        self.cell(at.cell).is_some_and(|c| c.gone(at.no))
+        self.cell(at.cell).is_some_and(|cell| cell.gone(at.no))
     }
 
     /// All kept under the salts that `dead` names.
     pub fn void(&self, dead: impl Fn(&str) -> bool) {
         let gone: Vec<u64> = {
             let mut seeds = write(&self.seeds);
-            seeds.extract_if(|salt, _| dead(salt)).map(|(_, s)| s).collect()
+            seeds.extract_if(|salt, _| dead(salt)).map(|(_, seed)| seed).collect()
         };
-        for c in read(&self.cells).iter() {
-            for s in &gone {
-                c.void(*s);
+        for cell in read(&self.cells).iter() {
+            for seed in &gone {
+                cell.void(*seed);
             }
         }
     }
@@ -178,18 +188,19 @@
         let all: Vec<(String, At)> = write(&self.names).drain().collect();
         self.moves.fetch_add(1, Ordering::Release);
         for (_, at) in all {
-            if let Some(c) = self.cell(at.cell) {
-                c.gone(at.no);
+            if let Some(cell) = self.cell(at.cell) {
+                cell.gone(at.no);
             }
         }
     }
 
     /// One bounded turn of each cell's scrub; true when nothing is left.
     pub fn scrub(&self, most: usize) -> bool {
-        self.cells().iter().filter(|c| !c.scrub(most)).count() == 0
+        self.cells().iter().filter(|cell| !cell.scrub(most)).count() == 0
     }
 
+    /// Entries of all cells.
     pub fn entries(&self) -> usize {
-        self.cells().iter().map(|c| c.entries() + c.blocks()).sum()
+        self.cells().iter().map(|cell| cell.entries() + cell.blocks()).sum()
     }
 }
--- a/crates/prompt-index/src/query.rs
+++ b/crates/prompt-index/src/query.rs
@@ -1,20 +1,22 @@
 //! How deep each holder keeps a chain: a binary search of the points where holders drop off.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::bitmap::HolderBitmap;
 use smallvec::SmallVec;
 
-/// Holders of equal depth together, deepest first; those that keep nothing are not named.
+/// How deep holders keep a chain: those of equal depth together, deepest first. Those that keep nothing
+/// are not named.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Depths {
+    /// Depth in blocks, and the holders that keep the chain so far and no further.
     pub groups: SmallVec<[(usize, HolderBitmap); 8]>,
+    /// Look-ups that the query took.
     pub lookups: u32,
 }
 
 impl Depths {
+    /// Depth of one holder; 0 if it keeps nothing.
     pub fn of(&self, holder: u8) -> usize {
-        self.groups.iter().find(|(_, b)| b.has(holder)).map_or(0, |(d, _)| *d)
+        self.groups.iter().find(|(_, who)| who.has(holder)).map_or(0, |(depth, _)| *depth)
     }
 }
 
--- a/crates/prompt-index/src/sync.rs
+++ b/crates/prompt-index/src/sync.rs
@@ -11,7 +11,7 @@
     atomic::{AtomicU32, AtomicU64, Ordering},
 };
 
-/// Locks `m`, also after a panic under the lock: shards hold no broken invariants.
-pub fn held<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
+/// Locks, also after a panic under the lock: shards hold no broken invariants.
+pub fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
--- a/crates/prompt-index/src/tier.rs
+++ b/crates/prompt-index/src/tier.rs
@@ -1,43 +1,47 @@
-//! Where on its holder a block lies: asked for the winner and its sources only.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! Blocks that are kept in part: asked for the winner and its sources only.
 
 use crate::shard::Map;
 use crate::sync::{Mutex, held};
 use fleet_core::constants;
 
-/// Tokens of blocks that a holder keeps in part only; these set no bit.
+/// Tokens of blocks that a holder keeps in part only; these set no bit. At most `TIER_ENTRIES` a
+/// holder.
 #[derive(Default)]
 pub struct Tiers(Mutex<hashbrown::HashMap<u8, Map<u32>, ahash::RandomState>>);
 
 impl Tiers {
+    /// Remembers the tokens of a block at a holder; forgets the block where there are none.
     pub fn put(&self, holder: u8, raw: u64, tokens: u32) {
-        let mut t = held(&self.0);
+        let mut holders = held(&self.0);
         if tokens == 0 {
-            if let Some(m) = t.get_mut(&holder) {
-                m.remove(&raw);
+            if let Some(blocks) = holders.get_mut(&holder) {
+                blocks.remove(&raw);
             }
             return;
         }
-        let m = t.entry(holder).or_default();
-        if m.len() >= constants::TIER_ENTRIES {
-            m.clear();
+        let blocks = holders.entry(holder).or_default();
+        if blocks.len() >= constants::TIER_ENTRIES {
+            blocks.clear();
         }
-        m.insert(raw, tokens);
+        blocks.insert(raw, tokens);
     }
 
+    /// Tokens of a block at a holder; 0 if nothing is known.
     pub fn tokens(&self, holder: u8, raw: u64) -> u32 {
-        held(&self.0).get(&holder).and_then(|m| m.get(&raw)).copied().unwrap_or(0)
+        held(&self.0).get(&holder).and_then(|blocks| blocks.get(&raw)).copied().unwrap_or(0)
     }
 
+    /// Forgets a holder.
     pub fn forget(&self, holder: u8) {
         held(&self.0).remove(&holder);
     }
 
+    /// Blocks remembered, of all holders.
     pub fn len(&self) -> usize {
-        held(&self.0).values().map(|m| m.len()).sum()
+        held(&self.0).values().map(|blocks| blocks.len()).sum()
     }
 
+    /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
