--- a/crates/fleetctl/src/findings.rs
+++ b/crates/fleetctl/src/findings.rs
@@ -1,130 +1,160 @@
 //! What is wrong with a configuration, and what is valid but unwise now.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::ask::AsItIs;
 use fleet_core::configuration::{ConfigError, Configuration, Route};
 
+/// How much a finding weighs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Weight {
+    /// The configuration would be refused.
     Error,
+    /// It would be taken, and is unwise for the fleet as it is.
     Warning,
 }
 
+/// Something to tell about a configuration.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
 pub struct Finding {
+    /// How much it weighs.
     pub weight: Weight,
+    /// Stable name, for programs; README.md lists them.
     pub code: &'static str,
+    /// Path in the configuration.
     pub place: String,
+    /// What is wrong, for people.
     pub text: String,
 }
 
-fn warn(code: &'static str, place: String, text: String) -> Finding {
+fn warning(code: &'static str, place: String, text: String) -> Finding {
     Finding { weight: Weight::Warning, code, place, text }
 }
 
-fn error(p: &ConfigError) -> Finding {
-    let text = p.to_string();
+fn error(error: &ConfigError) -> Finding {
+    let text = error.to_string();
     let place = text.split(':').next().unwrap_or_default().to_owned();
-    Finding { weight: Weight::Error, code: p.code(), place, text }
+    Finding { weight: Weight::Error, code: error.code(), place, text }
 }
 
 /// Invalid by itself: the controller's own check, and nothing else can be said then.
 pub fn read(body: &[u8]) -> Result<Configuration, Finding> {
-    Configuration::read(body).map_err(|p| error(&p))
+    Configuration::read(body).map_err(|e| error(&e))
 }
 
-pub fn findings(c: &Configuration, now: &AsItIs) -> Vec<Finding> {
-    let mut out = Vec::new();
+/// What is to be said of a configuration that is valid by itself.
+pub fn findings(new: &Configuration, now: &AsItIs) -> Vec<Finding> {
+    let mut found = Vec::new();
     if let Some(old) = &now.in_force {
-        if c.revision <= old.revision {
-            let p = ConfigError::VersionNotAbove { version: c.revision, current: old.revision };
-            out.push(error(&p));
-        }
-        removed(c, old, &mut out);
-        isolated(c, old, &mut out);
-    }
-    engines(c, now, &mut out);
-    for (i, r) in c.routes.iter().enumerate() {
-        if r.timeout_ms < r.target_ms {
-            let text =
-                format!("time-out {} ms is below the aim of {} ms", r.timeout_ms, r.target_ms);
-            out.push(warn("timeout_below_aim", format!("routes[{i}].timeoutMs"), text));
+        if new.revision <= old.revision {
+            let (version, current) = (new.revision, old.revision);
+            found.push(error(&ConfigError::VersionNotAbove { version, current }));
         }
+        removed_routes(new, old, &mut found);
+        removed_keys(new, old, &mut found);
+        newly_isolated(new, old, &mut found);
     }
-    for (i, s) in c.services.iter().enumerate() {
-        if s.kv_store.is_none() && s.max_conns < now.fleet.routers {
-            let text =
-                format!("{} connections for {} live routers", s.max_conns, now.fleet.routers);
-            out.push(warn("conns_too_few", format!("services[{i}].maxConns"), text));
-        }
-    }
-    out
+    engines_of_routes(new, now, &mut found);
+    differing_facts(new, now, &mut found);
+    short_timeouts(new, &mut found);
+    few_connections(new, now, &mut found);
+    found
 }
 
 fn same_place(a: &Route, b: &Route) -> bool {
     a.host.eq_ignore_ascii_case(&b.host) && a.path_prefix == b.path_prefix
 }
 
-fn removed(c: &Configuration, old: &Configuration, out: &mut Vec<Finding>) {
-    for r in old.routes.iter().filter(|r| !c.routes.iter().any(|n| same_place(n, r))) {
-        let text = format!("{}{} is no longer served", r.host, r.path_prefix);
-        out.push(warn("removed_route", "routes".to_owned(), text));
+fn removed_routes(new: &Configuration, old: &Configuration, found: &mut Vec<Finding>) {
+    let is_kept = |route: &Route| new.routes.iter().any(|other| same_place(other, route));
+    for route in old.routes.iter().filter(|route| !is_kept(route)) {
+        let text = format!("{}{} is no longer served", route.host, route.path_prefix);
+        found.push(warning("removed_route", "routes".to_owned(), text));
     }
-    let holds = |key: &String| c.tenants.iter().any(|t| t.api_keys.contains(key));
-    for t in &old.tenants {
-        let gone = t.api_keys.iter().filter(|k| !holds(k)).count();
-        if gone > 0 {
-            let at = c.tenants.iter().position(|n| n.name == t.name);
-            let place = at.map_or("tenants".to_owned(), |i| format!("tenants[{i}].apiKeys"));
-            let text = format!("{gone} keys of tenant `{}` are taken away", t.name);
-            out.push(warn("removed_key", place, text));
+}
+
+fn removed_keys(new: &Configuration, old: &Configuration, found: &mut Vec<Finding>) {
+    let is_kept = |key: &String| new.tenants.iter().any(|tenant| tenant.api_keys.contains(key));
+    for tenant in &old.tenants {
+        let gone = tenant.api_keys.iter().filter(|key| !is_kept(key)).count();
+        if gone == 0 {
+            continue;
         }
+        let index = new.tenants.iter().position(|other| other.name == tenant.name);
+        let place = index.map_or("tenants".to_owned(), |i| format!("tenants[{i}].apiKeys"));
+        let text = format!("{gone} keys of tenant `{}` are taken away", tenant.name);
+        found.push(warning("removed_key", place, text));
     }
 }
 
-fn isolated(c: &Configuration, old: &Configuration, out: &mut Vec<Finding>) {
-    for (i, t) in c.tenants.iter().enumerate().filter(|(_, t)| t.isolated) {
-        if !old.tenants.iter().any(|o| o.name == t.name && o.isolated) {
-            let text = format!(
-                "tenant `{}` becomes isolated: the shared parts of all are read again",
-                t.name
-            );
-            out.push(warn("newly_isolated", format!("tenants[{i}].isolated"), text));
+fn newly_isolated(new: &Configuration, old: &Configuration, found: &mut Vec<Finding>) {
+    for (i, tenant) in new.tenants.iter().enumerate().filter(|(_, tenant)| tenant.isolated) {
+        if old.tenants.iter().any(|other| other.name == tenant.name && other.isolated) {
+            continue;
         }
+        let text = format!(
+            "tenant `{}` becomes isolated: the shared parts of all are read again",
+            tenant.name
+        );
+        found.push(warning("newly_isolated", format!("tenants[{i}].isolated"), text));
     }
 }
 
-fn engines(c: &Configuration, now: &AsItIs, out: &mut Vec<Finding>) {
-    let ready = |service: &str| {
-        now.fleet
-            .engines
-            .iter()
-            .filter(|e| e.service == service && e.standing == "ready" && !e.silent)
-            .count()
-    };
-    for (i, r) in c.routes.iter().enumerate() {
-        let shares: Vec<_> = r.shares().into_iter().filter(|(_, w)| *w > 0).collect();
-        for (service, _) in shares.iter().filter(|(s, _)| ready(s) == 0) {
+/// Ready engines of a service, as far as they are heard.
+fn ready_engines(now: &AsItIs, service: &str) -> usize {
+    let engines = now.fleet.engines.iter().filter(|engine| engine.service == service);
+    engines.filter(|engine| engine.standing == "ready" && !engine.silent).count()
+}
+
+/// Whether a route can be answered: some service with weight has a ready engine.
+fn is_served(now: &AsItIs, route: &Route) -> bool {
+    route.shares().iter().any(|(service, weight)| *weight > 0 && ready_engines(now, service) > 0)
+}
+
+fn engines_of_routes(new: &Configuration, now: &AsItIs, found: &mut Vec<Finding>) {
+    for (i, route) in new.routes.iter().enumerate() {
+        let shares = route.shares().into_iter().filter(|(_, weight)| *weight > 0);
+        for (service, _) in shares.filter(|(service, _)| ready_engines(now, service) == 0) {
             let text = format!("service `{service}` has no ready engine");
-            out.push(warn("no_ready_engine", format!("routes[{i}]"), text));
+            found.push(warning("no_ready_engine", format!("routes[{i}]"), text));
         }
-        let before = now.in_force.iter().flat_map(|o| &o.routes).find(|o| same_place(o, r));
-        let had = before.is_some_and(|o| o.shares().iter().any(|(s, w)| *w > 0 && ready(s) > 0));
-        if had && shares.iter().all(|(s, _)| ready(s) == 0) {
-            let text = format!("{}{} loses its only engines", r.host, r.path_prefix);
-            out.push(warn("loses_engines", format!("routes[{i}]"), text));
+        let routes_now = now.in_force.iter().flat_map(|old| &old.routes);
+        let before = routes_now.into_iter().find(|old| same_place(old, route));
+        if before.is_some_and(|old| is_served(now, old)) && !is_served(now, route) {
+            let text = format!("{}{} loses its only engines", route.host, route.path_prefix);
+            found.push(warning("loses_engines", format!("routes[{i}]"), text));
         }
     }
-    for (i, s) in c.services.iter().enumerate() {
-        let Some(facts) = &s.engine else { continue };
-        let odd =
-            now.fleet.engines.iter().filter(|e| e.service == s.name && e.slots != facts.slots);
-        let odd = odd.filter(|e| e.standing != "gone").count();
-        if odd > 0 {
-            let text = format!("{odd} engines report other slots than {}", facts.slots);
-            out.push(warn("facts_differ", format!("services[{i}].engine.slots"), text));
+}
+
+fn differing_facts(new: &Configuration, now: &AsItIs, found: &mut Vec<Finding>) {
+    for (i, service) in new.services.iter().enumerate() {
+        let Some(facts) = &service.engine else { continue };
+        let engines = now.fleet.engines.iter().filter(|engine| engine.service == service.name);
+        let live = engines.filter(|engine| engine.standing != "gone");
+        let differing = live.filter(|engine| engine.slots != facts.slots).count();
+        if differing > 0 {
+            let text = format!("{differing} engines report other slots than {}", facts.slots);
+            found.push(warning("facts_differ", format!("services[{i}].engine.slots"), text));
+        }
+    }
+}
+
+fn short_timeouts(new: &Configuration, found: &mut Vec<Finding>) {
+    for (i, route) in new.routes.iter().enumerate() {
+        let (timeout, aim) = (route.timeout_ms, route.target_ms);
+        if timeout < aim {
+            let text = format!("time-out {timeout} ms is below the aim of {aim} ms");
+            found.push(warning("timeout_below_aim", format!("routes[{i}].timeoutMs"), text));
+        }
+    }
+}
+
+fn few_connections(new: &Configuration, now: &AsItIs, found: &mut Vec<Finding>) {
+    let routers = now.fleet.routers;
+    for (i, service) in new.services.iter().enumerate() {
+        if service.kv_store.is_none() && service.max_conns < routers {
+            let text = format!("{} connections for {routers} live routers", service.max_conns);
+            found.push(warning("conns_too_few", format!("services[{i}].maxConns"), text));
         }
     }
 }
--- a/crates/fleetctl/src/main.rs
+++ b/crates/fleetctl/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 #[derive(Debug, Options)]
-struct Words {
+struct CommandLine {
     /// print this help
     help: bool,
     /// print the version
@@ -63,101 +63,111 @@
     limit_ms: u64,
 }
 
+/// Between two looks at a roll-out that is watched.
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
 const USAGE: &str =
     "usage: fleetctl check FILE --control ADDR[,ADDR...] [--json] [--strict] [--limit-ms MS]
        fleetctl rollout --control ADDR[,ADDR...] [--watch] [--json] [--limit-ms MS]";
 
-fn nodes(control: &str) -> Result<Vec<std::net::SocketAddr>, String> {
-    let read = |a: &str| {
-        a.trim().parse().map_err(|_| format!("--control: `{a}` is not an address with a port"))
-    };
-    control.split(',').map(read).collect()
+/// Why nothing could be checked; printed, and turned into an exit code.
+struct Unchecked(String);
+
+impl<E: std::error::Error> From<E> for Unchecked {
+    fn from(error: E) -> Self {
+        Unchecked(error.to_string())
+    }
 }
 
-fn rollout(c: &Rollout) -> ExitCode {
-    let nodes = match nodes(&c.control) {
-        Ok(n) => n,
-        Err(e) => return unchecked(e),
+fn control_addresses(list: &str) -> Result<Vec<std::net::SocketAddr>, Unchecked> {
+    let read = |address: &str| {
+        address
+            .trim()
+            .parse()
+            .map_err(|_| Unchecked(format!("--control: `{address}` is not an address with a port")))
     };
-    let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(rt) => rt,
-        Err(e) => return unchecked(e),
+    list.split(',').map(read).collect()
+}
+
+fn build_runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
+}
+
+fn check(check: &Check) -> Result<u8, Unchecked> {
+    let nodes = control_addresses(&check.control)?;
+    let body = std::fs::read(&check.file).map_err(|e| Unchecked(format!("{}: {e}", check.file)))?;
+    let runtime = build_runtime()?;
+    let found = match fleetctl::findings::read(&body) {
+        Err(finding) => vec![finding],
+        Ok(configuration) => {
+            let limit = Duration::from_millis(check.limit_ms);
+            let now = runtime.block_on(fleetctl::ask::look(&nodes, limit))?;
+            fleetctl::findings::findings(&configuration, &now)
+        }
     };
+    if check.json {
+        println!("{}", report::json(&found));
+    } else {
+        print!("{}", report::text(&found));
+    }
+    Ok(report::exit(&found, check.strict))
+}
+
+fn rollout(options: &Rollout) -> Result<u8, Unchecked> {
+    let nodes = control_addresses(&options.control)?;
+    let runtime = build_runtime()?;
     loop {
-        let ask = fleetctl::rollout::ask(&nodes, Duration::from_millis(c.limit_ms));
-        let r = match rt.block_on(ask) {
-            Ok(r) => r,
-            Err(e) => return unchecked(e),
-        };
-        if c.json {
-            println!("{}", r.json());
+        let limit = Duration::from_millis(options.limit_ms);
+        let rollout = runtime.block_on(fleetctl::rollout::ask(&nodes, limit))?;
+        if options.json {
+            println!("{}", rollout.json());
         } else {
-            print!("{}", r.text());
+            print!("{}", rollout.text());
         }
-        if !c.watch || r.is_done() || r.exit() != report::CLEAN {
-            return ExitCode::from(r.exit());
+        if !options.watch || rollout.is_done() || rollout.exit() != report::CLEAN {
+            return Ok(rollout.exit());
         }
         std::thread::sleep(WATCH_PAUSE);
     }
 }
 
-fn unchecked(why: impl std::fmt::Display) -> ExitCode {
-    eprintln!("fleetctl: {why}");
-    ExitCode::from(report::UNCHECKED)
+fn print_help() {
+    println!(
+        "{USAGE}\n\n{}\n\ncheck:\n{}\n\nrollout:\n{}\n\nexit codes: 0 clean, 1 findings, 2 could not check",
+        CommandLine::usage(),
+        Check::usage(),
+        Rollout::usage()
+    );
 }
 
-fn main() -> ExitCode {
+fn run() -> Result<u8, Unchecked> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let words = match Words::parse_args_default(&args) {
-        Ok(w) => w,
-        Err(e) => return unchecked(format!("{e}\ntry fleetctl --help")),
-    };
-    if words.version {
+    let command_line = CommandLine::parse_args_default(&args)
+        .map_err(|e| Unchecked(format!("{e}\ntry fleetctl --help")))?;
+    if command_line.version {
         println!("fleetctl {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+        return Ok(report::CLEAN);
+    }
+    if command_line.help_requested() {
+        print_help();
+        return Ok(report::CLEAN);
     }
-    let asked = words.help_requested();
-    let c = match words.verb.filter(|_| !asked) {
-        Some(Verb::Check(c)) => c,
-        Some(Verb::Rollout(r)) => return rollout(&r),
+    match command_line.verb {
+        Some(Verb::Check(options)) => check(&options),
+        Some(Verb::Rollout(options)) => rollout(&options),
         None => {
-            println!(
-                "{USAGE}\n\n{}\n\ncheck:\n{}\n\nrollout:\n{}\n\nexit codes: 0 clean, 1 findings, 2 could not check",
-                Words::usage(),
-                Check::usage(),
-                Rollout::usage()
-            );
-            return if asked { ExitCode::SUCCESS } else { ExitCode::from(report::UNCHECKED) };
+            print_help();
+            Ok(report::UNCHECKED)
         }
-    };
-    let nodes = match nodes(&c.control) {
-        Ok(n) => n,
-        Err(e) => return unchecked(e),
-    };
-    let body = match std::fs::read(&c.file) {
-        Ok(b) => b,
-        Err(e) => return unchecked(format!("{}: {e}", c.file)),
-    };
-    let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(rt) => rt,
-        Err(e) => return unchecked(e),
-    };
-    let found = match fleetctl::findings::read(&body) {
-        Err(f) => vec![f],
-        Ok(sheet) => {
-            let look = fleetctl::ask::look(&nodes, Duration::from_millis(c.limit_ms));
-            match rt.block_on(look) {
-                Ok(now) => fleetctl::findings::findings(&sheet, &now),
-                Err(e) => return unchecked(e),
-            }
+    }
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => ExitCode::from(code),
+        Err(Unchecked(why)) => {
+            eprintln!("fleetctl: {why}");
+            ExitCode::from(report::UNCHECKED)
         }
-    };
-    if c.json {
-        println!("{}", report::json(&found));
-    } else {
-        print!("{}", report::text(&found));
     }
-    ExitCode::from(report::exit(&found, c.strict))
 }
--- a/crates/fleetctl/src/report.rs
+++ b/crates/fleetctl/src/report.rs
@@ -1,33 +1,36 @@
 //! Findings for people and for programs, and the exit code that goes with them.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::findings::{Finding, Weight};
 
+/// Exit code: nothing was found.
 pub const CLEAN: u8 = 0;
+/// Exit code: something was found.
 pub const FOUND: u8 = 1;
+/// Exit code: the check could not be made.
 pub const UNCHECKED: u8 = 2;
 
-/// Warnings count only where the caller is strict.
+/// The exit code for these findings. Warnings count only where the caller is strict.
 pub fn exit(findings: &[Finding], strict: bool) -> u8 {
-    let counts = |f: &Finding| strict || f.weight == Weight::Error;
+    let counts = |finding: &Finding| strict || finding.weight == Weight::Error;
     if findings.iter().any(counts) { FOUND } else { CLEAN }
 }
 
+/// The findings for people, a line each.
 pub fn text(findings: &[Finding]) -> String {
     if findings.is_empty() {
         return "no findings\n".to_owned();
     }
-    let line = |f: &Finding| {
-        let weight = match f.weight {
+    let line = |finding: &Finding| {
+        let weight = match finding.weight {
             Weight::Error => "error",
             Weight::Warning => "warning",
         };
-        format!("{weight}: {} [{}]: {}\n", f.place, f.code, f.text)
+        format!("{weight}: {} [{}]: {}\n", finding.place, finding.code, finding.text)
     };
     findings.iter().map(line).collect()
 }
 
+/// The findings as one JSON object.
 pub fn json(findings: &[Finding]) -> String {
     serde_json::json!({ "findings": findings }).to_string()
 }
--- a/crates/fleetctl/src/rollout.rs
+++ b/crates/fleetctl/src/rollout.rs
@@ -1,100 +1,125 @@
 //! How a roll-out of weights stands, for people and for programs.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::ask::{AskError, answers};
 use crate::report;
 pub use control_plane::duties::rollout::look::State;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// How a roll-out of weights stands (`Rollout.Look`).
 #[derive(Debug, Clone, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Rollout {
-    /// told by the node that carries it out
+    /// Told by the node that carries it out.
     pub holds: bool,
+    /// Engines that may change at once.
     pub width: usize,
+    /// All models with named weights.
     pub models: Vec<Model>,
 }
 
+/// How far the named weights of one model have come.
 #[derive(Debug, Clone, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Model {
+    /// Name of the model.
     pub model: String,
+    /// The named version.
     pub revision: u64,
+    /// Time since it was named, in ms.
     pub age_ms: u64,
+    /// Time left until all requests have to begin on it, in ms; 0 once that has passed.
     pub left_ms: u64,
+    /// Engines of the model.
     pub engines: Vec<Engine>,
 }
 
+/// How far one engine has come.
 #[derive(Debug, Clone, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Engine {
+    /// The instance's id.
     pub id: String,
+    /// Its zone.
     pub zone: String,
+    /// Its state.
     pub state: State,
+    /// The version that it has, if it is known.
     pub revision: Option<u64>,
+    /// Why it does not come on, if it does not.
     pub stuck: Option<String>,
 }
 
 impl Model {
-    fn count(&self, s: State) -> usize {
-        self.engines.iter().filter(|e| e.state == s).count()
+    fn count(&self, state: State) -> usize {
+        self.engines.iter().filter(|engine| engine.state == state).count()
+    }
+
+    /// One line: engines by state.
+    fn counts(&self) -> String {
+        format!(
+            "{} revision {}: {} of {} ready, {} turning, {} fading, {} waiting, {} silent\n",
+            self.model,
+            self.revision,
+            self.count(State::Ready),
+            self.engines.len(),
+            self.count(State::Turning),
+            self.count(State::Fading),
+            self.count(State::Waiting),
+            self.count(State::Silent)
+        )
     }
 
+    /// Whether all engines have the named weights.
     pub fn is_done(&self) -> bool {
         self.count(State::Ready) == self.engines.len()
     }
 
     /// Something is stuck, or the bound has passed.
     fn is_wrong(&self) -> bool {
-        !self.is_done() && (self.left_ms == 0 || self.engines.iter().any(|e| e.stuck.is_some()))
+        !self.is_done()
+            && (self.left_ms == 0 || self.engines.iter().any(|engine| engine.stuck.is_some()))
     }
 }
 
 impl Rollout {
+    /// Whether all engines of all models have the named weights.
     pub fn is_done(&self) -> bool {
         self.models.iter().all(Model::is_done)
     }
 
+    /// The exit code: [`report::FOUND`] if something is stuck, or the time has passed.
     pub fn exit(&self) -> u8 {
         if self.models.iter().any(Model::is_wrong) { report::FOUND } else { report::CLEAN }
     }
 
+    /// The roll-out for people.
     pub fn text(&self) -> String {
         if self.models.is_empty() {
             return "no weights have been named\n".to_owned();
         }
-        let mut out = String::new();
-        for m in &self.models {
-            let n = |s| m.count(s);
-            out += &format!(
-                "{} revision {}: {} of {} ready, {} turning, {} fading, {} waiting, {} silent\n",
-                m.model,
-                m.revision,
-                n(State::Ready),
-                m.engines.len(),
-                n(State::Turning),
-                n(State::Fading),
-                n(State::Waiting),
-                n(State::Silent)
-            );
-            if !m.is_done() {
-                out += &format!("  named {} ms ago, {} ms left of the bound", m.age_ms, m.left_ms);
-                let width = format!("; up to {} turn at once\n", self.width);
-                out += if self.holds {
-                    &width
-                } else {
-                    "; the node that carries it out did not answer\n"
-                };
-            }
-            for e in &m.engines {
-                if let Some(why) = &e.stuck {
-                    out += &format!("  stuck: {} in {}: {why}\n", e.id, e.zone);
-                }
+        self.models.iter().map(|model| self.text_of(model)).collect()
+    }
+
+    fn text_of(&self, model: &Model) -> String {
+        let mut text = model.counts();
+        if !model.is_done() {
+            let progress = if self.holds {
+                format!("up to {} turn at once", self.width)
+            } else {
+                "the node that carries it out did not answer".to_owned()
+            };
+            let (age_ms, left_ms) = (model.age_ms, model.left_ms);
+            text +=
+                &format!("  named {age_ms} ms ago, {left_ms} ms left of the bound; {progress}\n");
+        }
+        for engine in &model.engines {
+            if let Some(why) = &engine.stuck {
+                text += &format!("  stuck: {} in {}: {why}\n", engine.id, engine.zone);
             }
         }
-        out
+        text
     }
 
+    /// The roll-out as one JSON object.
     pub fn json(&self) -> String {
         serde_json::json!({ "rollout": self, "done": self.is_done() }).to_string()
     }
@@ -104,11 +129,12 @@
 pub async fn ask(nodes: &[SocketAddr], limit: Duration) -> Result<Rollout, AskError> {
     let mut best: Option<Rollout> = None;
     let mut why = Vec::new();
-    for (at, got) in answers(nodes, "/anisedyke/Rollout.Look", limit).await {
-        match got.map(|b| serde_json::from_slice::<Rollout>(&b)) {
-            Ok(Ok(r)) if r.holds => return Ok(r),
-            Ok(Ok(r)) => best = best.or(Some(r)),
-            Ok(Err(e)) => why.push(format!("{at}: the answer can't be read: {e}")),
+    for answer in answers(nodes, "/anisedyke/Rollout.Look", limit).await {
+        let node = answer.node;
+        match answer.body.map(|body| serde_json::from_slice::<Rollout>(&body)) {
+            Ok(Ok(rollout)) if rollout.holds => return Ok(rollout),
+            Ok(Ok(rollout)) => best = best.or(Some(rollout)),
+            Ok(Err(e)) => why.push(format!("{node}: the answer can't be read: {e}")),
             Err(e) => why.push(e),
         }
     }
