--- a/crates/data-plane/src/budget.rs
+++ b/crates/data-plane/src/budget.rs
@@ -1,18 +1,22 @@
-//! Second sends, held in common by all routers: each uses its own share.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! The budget of second sends, held in common by all routers: each uses its own share.
 
 use fleet_core::constants;
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// What a budget is reckoned from.
 #[derive(Debug, Clone, Copy)]
 pub struct Terms {
+    /// Second sends allowed for each arrival within the window.
     pub ratio: f64,
+    /// The sliding window.
     pub window: Duration,
+    /// Second sends allowed besides, by all routers together.
     pub slack: f64,
+    /// Live routers.
     pub routers: usize,
+    /// Time since this router started.
     pub up: Duration,
 }
 
@@ -22,11 +26,12 @@
         if self.up < self.window {
             return 0.0;
         }
-        let n = (self.routers + constants::BUDGET_SPARES).max(1) as f64;
-        (self.slack * constants::BUDGET_SHARE / n).floor()
+        let sharers = (self.routers + constants::BUDGET_SPARES).max(1) as f64;
+        (self.slack * constants::BUDGET_SHARE / sharers).floor()
     }
 }
 
+/// This router's share of one service's budget.
 #[derive(Default)]
 pub struct Budget {
     arrivals: VecDeque<Instant>,
@@ -35,22 +40,24 @@
 
 impl Budget {
     fn age(&mut self, now: Instant, window: Duration) {
-        for q in [&mut self.arrivals, &mut self.again] {
-            while q.front().is_some_and(|t| now.duration_since(*t) >= window) {
-                q.pop_front();
+        for queue in [&mut self.arrivals, &mut self.again] {
+            while queue.front().is_some_and(|at| now.duration_since(*at) >= window) {
+                queue.pop_front();
             }
         }
     }
 
-    pub fn arrived(&mut self, now: Instant, t: &Terms) {
-        self.age(now, t.window);
+    /// Counts a request of a client.
+    pub fn arrived(&mut self, now: Instant, terms: &Terms) {
+        self.age(now, terms.window);
         self.arrivals.push_back(now);
     }
 
-    /// Charges one second send, or says that there is no room for it.
-    pub fn charge(&mut self, now: Instant, t: &Terms) -> bool {
-        self.age(now, t.window);
-        let room = self.arrivals.len() as f64 * t.ratio * constants::BUDGET_SHARE + t.slack_share();
+    /// Charges one second send; false, and nothing is charged, if there is no room for it.
+    pub fn charge(&mut self, now: Instant, terms: &Terms) -> bool {
+        self.age(now, terms.window);
+        let earned = self.arrivals.len() as f64 * terms.ratio * constants::BUDGET_SHARE;
+        let room = earned + terms.slack_share();
         if (self.again.len() + 1) as f64 > room {
             return false;
         }
@@ -59,6 +66,7 @@
     }
 }
 
+/// Budgets of all services.
 #[derive(Default)]
 pub struct Budgets {
     table: parking_lot::Mutex<hashbrown::HashMap<String, Budget, ahash::RandomState>>,
@@ -66,25 +74,28 @@
 
 impl crate::Router {
     fn terms(&self) -> Terms {
-        let p = self.settings();
+        let settings = self.settings();
         Terms {
-            ratio: p.bounds.retry_ratio,
-            window: p.bounds.retry_window,
-            slack: p.bounds.retry_slack,
+            ratio: settings.bounds.retry_ratio,
+            window: settings.bounds.retry_window,
+            slack: settings.bounds.retry_slack,
             routers: self.fleet_view.routers(),
             up: self.started.elapsed(),
         }
     }
 
+    /// Counts a request of a client for this service.
     pub fn arrived(&self, service: &str) {
-        let t = self.terms();
-        let mut b = self.budgets.table.lock();
-        b.entry_ref(service).or_default().arrived(Instant::now(), &t);
+        let terms = self.terms();
+        let mut budgets = self.budgets.table.lock();
+        budgets.entry_ref(service).or_default().arrived(Instant::now(), &terms);
     }
 
+    /// Charges one second send to the budget of this service; false if there is no room for it.
     pub fn charge(&self, service: &str) -> bool {
-        let t = self.terms();
-        self.budgets.table.lock().entry_ref(service).or_default().charge(Instant::now(), &t)
+        let terms = self.terms();
+        let mut budgets = self.budgets.table.lock();
+        budgets.entry_ref(service).or_default().charge(Instant::now(), &terms)
     }
 }
 
--- a/crates/data-plane/src/fleet_view/loads.rs
+++ b/crates/data-plane/src/fleet_view/loads.rs
@@ -1,7 +1,5 @@
 //! What all routers have in flight at each engine: told to one controller, heard back as a sum.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use super::FleetView;
 use crate::Router;
 use fleet_core::constants;
@@ -18,23 +16,23 @@
     name: &str,
     is_up: impl Fn(&Member) -> bool,
 ) -> Option<&'a Member> {
-    let rank = |m: &Member| fleet_core::node::stable_hash(&[m.ip.as_bytes(), name.as_bytes()]);
-    members.filter(|m| is_up(m)).max_by_key(|m| (m.zone == zone, rank(m)))
+    let rank =
+        |member: &Member| fleet_core::node::stable_hash(&[member.ip.as_bytes(), name.as_bytes()]);
+    members.filter(|member| is_up(member)).max_by_key(|member| (member.zone == zone, rank(member)))
 }
 
 impl FleetView {
     fn load_link(&self, zone: &str, name: &str) -> Option<Arc<Link>> {
         let membership = self.membership.lock().clone();
         let links = self.links.lock();
-        let link = |m: &Member| links.get(&m.addr()?).cloned();
-        let m =
-            chosen(membership.members.iter(), zone, name, |m| link(m).is_some_and(|l| l.is_up()));
-        link(m?)
+        let link = |member: &Member| links.get(&member.addr()?).cloned();
+        let is_up = |member: &Member| link(member).is_some_and(|link| link.is_up());
+        link(chosen(membership.members.iter(), zone, name, is_up)?)
     }
 
     /// The sum over all routers; the own part is counted as it is now, not as it was told.
-    pub fn hear_loads(&self, l: &Loads) {
-        let all: ByEngine = load::unpack(l).collect();
+    pub fn hear_loads(&self, message: &Loads) {
+        let all: ByEngine = load::unpack(message).collect();
         let now = Instant::now();
         let (mut engines, mut slots) = (0, 0);
         for engine in self.engines.read().values() {
@@ -45,35 +43,37 @@
             }
             drop(news);
             let total = all.get(&engine.key).copied().unwrap_or_default();
-            let mut w = engine.work();
-            w.others = total.less(&w.reported);
-            w.others_at = Some(now);
+            let mut work = engine.work();
+            work.others = total.less(&work.reported);
+            work.others_at = Some(now);
         }
-        let runs = all.values().map(|l| l.interactive).sum();
+        let runs = all.values().map(|load| load.interactive).sum();
         self.rolls.hear_interactive(runs, engines, slots);
     }
 
     fn own_loads(&self) -> ByEngine {
-        let mut out = ByEngine::default();
+        let mut own = ByEngine::default();
         for engine in self.engines.read().values() {
-            let mut w = engine.work();
-            w.reported = w.own();
-            out.entry(engine.key).or_default().add(&w.reported);
+            let mut work = engine.work();
+            work.reported = work.own();
+            own.entry(engine.key).or_default().add(&work.reported);
         }
-        out
+        own
     }
 }
 
-pub async fn telling(d: Arc<Router>) {
+/// Tells one controller the own loads whenever they are due.
+pub async fn telling(router: Arc<Router>) {
     let mut last = Last::default();
     loop {
         tokio::time::sleep(constants::LOAD_PAUSE).await;
-        let own = load::pack(&d.fleet_view.own_loads());
+        let own = load::pack(&router.fleet_view.own_loads());
         if !last.is_due(Instant::now(), &own) {
             continue;
         }
-        if let Some(l) = d.fleet_view.load_link(&d.node.zone, &d.node.name) {
-            let _ = l.tell(Body::Loads(own));
+        let node = &router.node;
+        if let Some(link) = router.fleet_view.load_link(&node.zone, &node.name) {
+            let _ = link.tell(Body::Loads(own));
         }
     }
 }
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -12,34 +12,41 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::Instant;
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// All engines that are known, by instance id; gone ones for a while.
 pub type EngineHandles = hashbrown::HashMap<String, Arc<EngineHandle>, ahash::RandomState>;
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 /// Newest named weights of a model, and since when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Named {
+    /// The named version.
     pub version: u64,
+    /// When it was named, or when the roll-out was last disturbed.
     pub since: Instant,
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// What this router was told of the fleet, and what it saw itself. Nothing in it goes back to an older
+/// state.
 pub struct FleetView {
     table: parking_lot::RwLock<Option<Arc<table::Table>>>,
+    /// All engines that are known.
     pub engines: parking_lot::RwLock<EngineHandles>,
     named: parking_lot::RwLock<hashbrown::HashMap<String, Named, ahash::RandomState>>,
+    /// when a controller was lost last
     disturbed: parking_lot::Mutex<Option<Instant>>,
     membership: parking_lot::Mutex<Membership>,
+    /// Where the ring of invalidations stands.
     pub ring: parking_lot::Mutex<Option<RingHead>>,
+    /// Wakes the reader of the ring.
     pub news: tokio::sync::Notify,
     routers: AtomicUsize,
+    /// What holders keep.
     pub prefix_view: purge::PrefixView,
     rolls: roll::Rolls,
     links: parking_lot::Mutex<hashbrown::HashMap<std::net::Ipv4Addr, Arc<fleet_core::link::Link>>>,
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl FleetView {
+    /// A view that knows nothing.
     pub fn new() -> Self {
         FleetView {
             table: parking_lot::RwLock::new(None),
@@ -56,24 +63,26 @@
         }
     }
 
+    /// The configuration in force, compiled; none before the first.
     pub fn table(&self) -> Option<Arc<table::Table>> {
         self.table.read().clone()
     }
 
-    /// A configuration only ever gives way to a higher one.
-    pub fn set_table(&self, t: table::Table) -> bool {
-        let mut now = self.table.write();
-        if now.as_ref().is_some_and(|n| n.version >= t.version) {
+    /// Puts a configuration in force; false if a newer one, or the same, is.
+    pub fn set_table(&self, newer: table::Table) -> bool {
+        let mut current = self.table.write();
+        if current.as_ref().is_some_and(|table| table.version >= newer.version) {
             return false;
         }
-        *now = Some(Arc::new(t));
+        *current = Some(Arc::new(newer));
         true
     }
 
+    /// The weights named for a model.
     pub fn named(&self, model: &str) -> Option<Named> {
-        let n = self.named.read().get(model).copied()?;
-        let since = self.disturbed.lock().map_or(n.since, |t| t.max(n.since));
-        Some(Named { since, ..n })
+        let named = self.named.read().get(model).copied()?;
+        let since = self.disturbed.lock().map_or(named.since, |at| at.max(named.since));
+        Some(Named { since, ..named })
     }
 
     /// A controller was lost: the roll-out may be held up, and its bound counts anew from here.
@@ -81,10 +90,12 @@
         *self.disturbed.lock() = Some(Instant::now());
     }
 
+    /// Live routers, this one included.
     pub fn routers(&self) -> usize {
         self.routers.load(Ordering::Relaxed).max(1)
     }
 
+    /// The link to a controller, if there is one.
     pub fn link_to(&self, ip: &str) -> Option<Arc<fleet_core::link::Link>> {
         let ip: std::net::Ipv4Addr = ip.parse().ok()?;
         self.links.lock().get(&ip).cloned()
@@ -120,44 +131,53 @@
         }
     }
 
-    fn hear_weights(&self, w: &NamedWeights) {
+    fn hear_weights(&self, news: &NamedWeights) {
         let since = Instant::now()
-            .checked_sub(std::time::Duration::from_millis(w.age_ms))
+            .checked_sub(std::time::Duration::from_millis(news.age_ms))
             .unwrap_or_else(Instant::now);
-        let mut named = self.named.write();
-        let now = named.entry_ref(w.model.as_str()).or_insert(Named { version: 0, since });
-        if w.version > now.version {
-            *now = Named { version: w.version, since };
+        let mut all = self.named.write();
+        let named = all.entry_ref(news.model.as_str()).or_insert(Named { version: 0, since });
+        if news.version > named.version {
+            *named = Named { version: news.version, since };
         }
     }
 
     /// Takes what a controller pushed; true if its configuration is newer than ours.
-    pub fn hear(&self, v: &View) -> bool {
-        for e in &v.engines {
-            self.hear_engine(e);
+    pub fn hear(&self, view: &View) -> bool {
+        for engine in &view.engines {
+            self.hear_engine(engine);
         }
-        for w in &v.weights {
-            self.hear_weights(w);
+        for weights in &view.weights {
+            self.hear_weights(weights);
         }
-        if let Some(r) = &v.membership {
-            let mut now = self.membership.lock();
-            if r.epoch > now.epoch {
-                *now = r.clone();
-            }
+        if let Some(membership) = &view.membership {
+            self.hear_membership(membership);
         }
-        if let Some(h) = &v.ring {
-            let mut now = self.ring.lock();
-            if now.as_ref().is_none_or(|n| (h.fence, h.head) >= (n.fence, n.head)) {
-                *now = Some(h.clone());
-            }
+        if let Some(head) = &view.ring {
+            self.hear_ring(head);
         }
-        if v.routers > 0 {
-            self.routers.store(v.routers as usize, Ordering::Relaxed);
+        if view.routers > 0 {
+            self.routers.store(view.routers as usize, Ordering::Relaxed);
         }
-        if v.ring.is_some() || v.nudge {
+        if view.ring.is_some() || view.nudge {
             self.news.notify_one();
         }
-        v.config > self.table().map_or(0, |t| t.version)
+        view.config > self.table().map_or(0, |table| table.version)
+    }
+
+    fn hear_membership(&self, news: &Membership) {
+        let mut current = self.membership.lock();
+        if news.epoch > current.epoch {
+            *current = news.clone();
+        }
+    }
+
+    fn hear_ring(&self, news: &RingHead) {
+        let mut current = self.ring.lock();
+        let is_older = |known: &RingHead| (news.fence, news.head) < (known.fence, known.head);
+        if !current.as_ref().is_some_and(is_older) {
+            *current = Some(news.clone());
+        }
     }
 }
 
--- a/crates/data-plane/src/fleet_view/purge.rs
+++ b/crates/data-plane/src/fleet_view/purge.rs
@@ -1,9 +1,8 @@
 //! The router's end of the ring: entries are fetched in the background, applied before a placement.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::Router;
 use fleet_core::constants;
+use fleet_core::link::Link;
 use fleet_core::log::Event;
 use fleet_core::wire::{Body, Found, HeldParts, RingAsk, RingEntry, RingGive};
 use invalidation::cache::Cache;
@@ -11,21 +10,25 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// What a fetch brought: on a reset the whole view gives way; findings come before entries.
+/// What one fetch brought.
 pub struct Change {
+    /// The whole view gives way.
     pub reset: bool,
+    /// What holders were found to keep; on a reset, all of it.
     pub digest: Vec<HeldParts>,
+    /// Invalidations, to be applied after the findings.
     pub entries: Vec<RingEntry>,
 }
 
 impl Change {
+    /// Applies all of it to a cache.
     pub fn apply(&self, cache: &mut impl Cache) {
         if self.reset {
             cache.reset();
         }
         invalidation::cache::refill(cache, &self.digest);
-        for e in &self.entries {
-            invalidation::cache::apply(cache, e, |_| true);
+        for entry in &self.entries {
+            invalidation::cache::apply(cache, entry, |_| true);
         }
     }
 }
@@ -70,6 +73,7 @@
 }
 
 impl PrefixView {
+    /// A view that knows nothing.
     pub fn new() -> Self {
         PrefixView {
             index: Index::new(constants::INDEX_ENTRIES),
@@ -80,8 +84,9 @@
         }
     }
 
-    pub fn put(&self, item: Change) {
-        self.inbox.lock().push(item);
+    /// Leaves a change to be applied before the next look.
+    pub fn put(&self, change: Change) {
+        self.inbox.lock().push(change);
         self.pending.store(true, Ordering::Release);
     }
 
@@ -90,8 +95,8 @@
         if self.pending.load(Ordering::Acquire) {
             let mut inbox = self.inbox.lock();
             self.pending.store(false, Ordering::Relaxed);
-            for c in inbox.drain(..) {
-                c.apply(&mut Indexed(&self.index));
+            for change in inbox.drain(..) {
+                change.apply(&mut Indexed(&self.index));
             }
         }
         &self.index
@@ -110,21 +115,28 @@
         for (part, _) in &parts[depth.min(parts.len())..] {
             index.registered(holder, salt, *part, None);
         }
+        if depth < shared.len() {
+            self.remember(holder, salt, &shared[depth..]);
+        }
+    }
+
+    /// Keeps a finding to be told, unless too many wait already.
+    fn remember(&self, holder: &str, salt: &str, news: &[(u64, u64)]) {
         let mut found = self.found.lock();
-        if depth < shared.len() && found.len() < constants::FOUND_KEPT {
-            let news = &shared[depth..];
-            let held = HeldParts {
-                holder: holder.to_owned(),
-                salt: salt.to_owned(),
-                parts: news.iter().map(|p| p.0).collect(),
-                kept: news.iter().map(|p| p.1).collect(),
-            };
-            found.push(held.clone());
-            let mut again = self.again.lock();
-            again.push_back(held);
-            if again.len() > constants::FOUND_AGAIN {
-                again.pop_front();
-            }
+        if found.len() >= constants::FOUND_KEPT {
+            return;
+        }
+        let held = HeldParts {
+            holder: holder.to_owned(),
+            salt: salt.to_owned(),
+            parts: news.iter().map(|(part, _)| *part).collect(),
+            kept: news.iter().map(|(_, tokens)| *tokens).collect(),
+        };
+        found.push(held.clone());
+        let mut again = self.again.lock();
+        again.push_back(held);
+        if again.len() > constants::FOUND_AGAIN {
+            again.pop_front();
         }
     }
 
@@ -133,6 +145,7 @@
         self.again.lock().iter().cloned().collect()
     }
 
+    /// Forgets a holder at once.
     pub fn forget(&self, holder: &str) {
         self.index.gone(holder);
     }
@@ -145,24 +158,24 @@
 }
 
 /// Tells the index-keeper what own sends have left behind.
-pub async fn telling(d: Arc<Router>) {
+pub async fn telling(router: Arc<Router>) {
     loop {
         tokio::time::sleep(constants::FOUND_PAUSE).await;
-        let held = std::mem::take(&mut *d.fleet_view.prefix_view.found.lock());
+        let held = std::mem::take(&mut *router.fleet_view.prefix_view.found.lock());
         if held.is_empty() {
             continue;
         }
-        let keeper = d.fleet_view.ring.lock().as_ref().map(|h| h.keeper.clone());
-        if let Some(link) = keeper.and_then(|k| d.fleet_view.link_to(&k)) {
+        let keeper = router.fleet_view.ring.lock().as_ref().map(|head| head.keeper.clone());
+        if let Some(link) = keeper.and_then(|keeper| router.fleet_view.link_to(&keeper)) {
             let _ = link.tell(Body::Found(Found { held }));
         }
     }
 }
 
 /// Clears what gone holders have left in the index, a little at a time.
-pub async fn scrubbing(d: Arc<Router>) {
+pub async fn scrubbing(router: Arc<Router>) {
     loop {
-        let done = d.fleet_view.prefix_view.index.scrub(constants::SCRUB_ENTRIES);
+        let done = router.fleet_view.prefix_view.index.scrub(constants::SCRUB_ENTRIES);
         tokio::time::sleep(if done { constants::ROUTER_BEAT } else { constants::SCRUB_PAUSE })
             .await;
     }
@@ -178,81 +191,97 @@
 }
 
 impl Place {
+    /// A place in a ring.
     pub fn new(fence: u64, incarnation: u64, cursor: u64, found: u64) -> Place {
         Place { fence, incarnation, cursor, found }
     }
 
+    /// The index-keeper's fencing token.
     pub fn fence(&self) -> u64 {
         self.fence
     }
 
+    /// The incarnation of the ring.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
     }
 
+    /// Position of the first entry that the reader lacks.
     pub fn cursor(&self) -> u64 {
         self.cursor
     }
 }
 
-/// What an answer of the keeper does to the reader.
-pub fn step(at: Place, g: RingGive) -> Option<(Place, Option<Change>)> {
-    let head = g.head?;
+/// What an answer of the keeper does to the reader: its next place, and what to apply. None if the
+/// answer cannot be used: it is of an older keeper, of another ring without a reset, or without a head.
+pub fn step(at: Place, answer: RingGive) -> Option<(Place, Option<Change>)> {
+    let head = answer.head?;
     if head.fence < at.fence {
         return None;
     }
+    if !answer.reset && (head.fence, head.incarnation) != (at.fence, at.incarnation) {
+        return None;
+    }
     let next = Place {
         fence: head.fence,
         incarnation: head.incarnation,
-        cursor: g.cursor,
+        cursor: answer.cursor,
         found: head.found,
     };
-    if !g.reset && (head.fence, head.incarnation) != (at.fence, at.incarnation) {
-        return None;
-    }
-    let any = g.reset || !g.entries.is_empty() || !g.digest.is_empty();
-    Some((next, any.then_some(Change { reset: g.reset, digest: g.digest, entries: g.entries })))
+    let RingGive { reset, digest, entries, .. } = answer;
+    let has_news = reset || !entries.is_empty() || !digest.is_empty();
+    Some((next, has_news.then_some(Change { reset, digest, entries })))
 }
 
 /// Fetches behind the head whenever it has moved or the keeper has nudged.
-pub async fn reading(d: Arc<Router>) {
+pub async fn reading(router: Arc<Router>) {
+    let view = &router.fleet_view;
     let mut at = Place::default();
     let mut told = (0, 0);
     loop {
-        let _ =
-            tokio::time::timeout(constants::READER_LIMIT / 4, d.fleet_view.news.notified()).await;
+        let _ = tokio::time::timeout(constants::READER_LIMIT / 4, view.news.notified()).await;
         tokio::time::sleep(constants::RING_FETCH_PAUSE).await;
-        let Some(head) = d.fleet_view.ring.lock().clone() else { continue };
-        let Some(link) = d.fleet_view.link_to(&head.keeper) else { continue };
+        let Some(head) = view.ring.lock().clone() else { continue };
+        let Some(link) = view.link_to(&head.keeper) else { continue };
         if told != (head.fence, head.incarnation) {
             told = (head.fence, head.incarnation);
-            let held = d.fleet_view.prefix_view.found_before();
+            let held = view.prefix_view.found_before();
             let _ = link.tell(Body::Found(Found { held }));
         }
-        loop {
-            let ask = RingAsk {
-                fence: at.fence,
-                incarnation: at.incarnation,
-                cursor: at.cursor,
-                reader: d.node.incarnation,
-                refill: at == Place::default(),
-                found: at.found,
-            };
-            let limit = if ask.refill { constants::REFILL_LIMIT } else { constants::PHASE_LIMIT };
-            let Ok(Body::RingGive(g)) = link.call(Body::RingAsk(ask), limit).await else {
-                break;
-            };
-            let top = g.head.as_ref().map_or(0, |h| h.head);
-            let Some((next, change)) = step(at, g) else { break };
-            at = next;
-            let Some(c) = change else { break };
-            if c.reset {
-                fleet_core::log_event!(d.log, Event::ReaderReset, "cursor" => at.cursor);
-            }
-            d.fleet_view.prefix_view.put(c);
-            if at.cursor >= top {
-                break;
-            }
-        }
+        while fetch(&router, &link, &mut at).await == Fetch::More {}
+    }
+}
+
+/// What a fetch leaves to be done.
+#[derive(PartialEq, Eq)]
+enum Fetch {
+    /// There are more entries.
+    More,
+    /// Nothing more for now, or no answer that can be used.
+    Done,
+}
+
+/// Fetches once, and leaves what came to be applied.
+async fn fetch(router: &Router, link: &Link, at: &mut Place) -> Fetch {
+    let ask = RingAsk {
+        fence: at.fence,
+        incarnation: at.incarnation,
+        cursor: at.cursor,
+        reader: router.node.incarnation,
+        refill: *at == Place::default(),
+        found: at.found,
+    };
+    let limit = if ask.refill { constants::REFILL_LIMIT } else { constants::PHASE_LIMIT };
+    let Ok(Body::RingGive(answer)) = link.call(Body::RingAsk(ask), limit).await else {
+        return Fetch::Done;
+    };
+    let head = answer.head.as_ref().map_or(0, |head| head.head);
+    let Some((next, change)) = step(*at, answer) else { return Fetch::Done };
+    *at = next;
+    let Some(change) = change else { return Fetch::Done };
+    if change.reset {
+        fleet_core::log_event!(router.log, Event::ReaderReset, "cursor" => at.cursor);
     }
+    router.fleet_view.prefix_view.put(change);
+    if at.cursor < head { Fetch::More } else { Fetch::Done }
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -1,4 +1,4 @@
-//! The traffic plane: what the router program is made of.
+//! The data plane: what the router program is made of.
 
 pub mod budget;
 pub mod fleet_view;
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// Why a router cannot run.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum RouterError {
     /// {0}: not in the settings, which a router needs
@@ -20,50 +20,70 @@
     Listen(std::net::SocketAddr, std::io::ErrorKind),
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-/// Counted in memory, written out now and then.
+/// Counted in memory, written out every `COUNTERS_PAUSE` (event 105); all since the start.
 #[derive(Default)]
 pub struct Counters {
+    /// Requests with a route and a service.
     pub taken: AtomicU64,
+    /// Answers of engines that have begun.
     pub begun: AtomicU64,
+    /// Requests turned away unsent.
     pub refused: AtomicU64,
+    /// Requests that were sent and got no answer of an engine.
     pub failed: AtomicU64,
+    /// Streams that went on at another engine.
     pub resumed: AtomicU64,
+    /// Second sends.
     pub again: AtomicU64,
+    /// New connections to engines.
     pub connections: AtomicU64,
+    /// Tokens of prompts that the chosen engine was known to keep.
     pub parts_held: AtomicU64,
+    /// Tokens of prompts that it was not known to keep.
     pub parts_missing: AtomicU64,
-    /// sends with a source that is known to keep what is missing, with a guessed one, with a sink
+    /// Sends with a source that is known to keep what is missing.
     pub moves: AtomicU64,
+    /// Sends with a source that is only guessed.
     pub guesses: AtomicU64,
+    /// Sends with a sink.
     pub sinks: AtomicU64,
-    /// sends whose prompt a store is known to keep some of
+    /// Sends whose prompt a store is known to keep some of.
     pub stored: AtomicU64,
+    /// Tokens of shared parts that were missing and had no known source.
     pub shared_missing: AtomicU64,
+    /// Answers to requests that are heavy to read.
     pub heavy_answers: AtomicU64,
+    /// Their waits for a first event, added up, in microseconds.
     pub heavy_wait_us: AtomicU64,
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-/// All state of a router. Lock order: table, engines, one engine's work, inbox, index; never two engines.
+/// All state of a router. Lock order: table, engines, one engine's work, inbox, index; never two
+/// engines.
 pub struct Router {
+    /// Who this process is.
     pub node: fleet_core::node::Node,
+    /// The root logger.
     pub log: slog::Logger,
     settings: parking_lot::RwLock<Arc<fleet_core::settings::Settings>>,
+    /// What is known of the fleet.
     pub fleet_view: fleet_view::FleetView,
+    /// Budgets of second sends.
     pub budgets: budget::Budgets,
-    /// how long engines keep idle connections
+    /// How long engines keep idle connections.
     pub idle_lives: pool::idle_life::IdleLives,
+    /// Counters.
     pub counters: Counters,
+    /// When it was assembled.
     pub started: tokio::time::Instant,
+    /// what was said of readiness last
     ready: AtomicBool,
     leaving: AtomicBool,
+    /// Open connections of clients.
     pub open: AtomicUsize,
     closing: tokio::sync::watch::Sender<bool>,
     rng_state: AtomicU64,
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 impl Router {
     /// A router that as yet listens nowhere and sees nothing.
     pub fn assemble(settings: fleet_core::settings::Settings, log: slog::Logger) -> Arc<Router> {
@@ -85,15 +105,18 @@
         })
     }
 
+    /// The settings in force.
     pub fn settings(&self) -> Arc<fleet_core::settings::Settings> {
         self.settings.read().clone()
     }
 
+    /// A random number; not for secrets.
     pub fn rng_state(&self) -> u64 {
-        let x = self.rng_state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
-        fleet_core::node::stable_hash(&[&x.to_le_bytes()])
+        let state = self.rng_state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        fleet_core::node::stable_hash(&[&state.to_le_bytes()])
     }
 
+    /// Whether clients may come: a configuration is in force, and the router is not leaving.
     pub fn is_ready(&self) -> bool {
         let now = !self.leaving.load(Ordering::Relaxed) && self.fleet_view.table().is_some();
         if self.ready.swap(now, Ordering::Relaxed) != now {
@@ -103,15 +126,15 @@
     }
 
     fn count_out(&self) {
-        let c = &self.counters;
-        let get = |a: &AtomicU64| a.load(Ordering::Relaxed);
+        let counters = &self.counters;
+        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         fleet_core::log_event!(self.log, Event::Counters,
-            "taken" => get(&c.taken), "begun" => get(&c.begun), "refused" => get(&c.refused),
-            "failed" => get(&c.failed), "resumed" => get(&c.resumed), "again" => get(&c.again),
-            "connections" => get(&c.connections), "parts_held" => get(&c.parts_held),
-            "parts_missing" => get(&c.parts_missing), "moves" => get(&c.moves),
-            "guesses" => get(&c.guesses), "sinks" => get(&c.sinks), "stored" => get(&c.stored),
-            "shared_missing" => get(&c.shared_missing), "index" => self.fleet_view.prefix_view.look().entries());
+            "taken" => get(&counters.taken), "begun" => get(&counters.begun), "refused" => get(&counters.refused),
+            "failed" => get(&counters.failed), "resumed" => get(&counters.resumed), "again" => get(&counters.again),
+            "connections" => get(&counters.connections), "parts_held" => get(&counters.parts_held),
+            "parts_missing" => get(&counters.parts_missing), "moves" => get(&counters.moves),
+            "guesses" => get(&counters.guesses), "sinks" => get(&counters.sinks), "stored" => get(&counters.stored),
+            "shared_missing" => get(&counters.shared_missing), "index" => self.fleet_view.prefix_view.look().entries());
     }
 }
 
@@ -124,49 +147,50 @@
 ) -> Result<(), RouterError> {
     let front = settings.front.ok_or(RouterError::ParamMissing("bindAddrs.frontHttp"))?;
     let probe = settings.readiness.ok_or(RouterError::ParamMissing("bindAddrs.readiness"))?;
-    let listen = |a| {
-        fleet_core::link::listen(a).map_err(|e: std::io::Error| RouterError::Listen(a, e.kind()))
+    let listen = |address| {
+        fleet_core::link::listen(address)
+            .map_err(|e: std::io::Error| RouterError::Listen(address, e.kind()))
     };
     let (front, probe) = (listen(front)?, listen(probe)?);
-    let d = Router::assemble(settings, log.clone());
+    let router = Router::assemble(settings, log.clone());
     let tasks = [
-        tokio::spawn(serve::probes(d.clone(), probe)),
-        tokio::spawn(fleet_view::links::watching(d.clone())),
-        tokio::spawn(fleet_view::purge::reading(d.clone())),
-        tokio::spawn(fleet_view::purge::telling(d.clone())),
-        tokio::spawn(fleet_view::loads::telling(d.clone())),
-        tokio::spawn(fleet_view::purge::scrubbing(d.clone())),
-        tokio::spawn(pool::sweeping(d.clone())),
+        tokio::spawn(serve::probes(router.clone(), probe)),
+        tokio::spawn(fleet_view::links::watching(router.clone())),
+        tokio::spawn(fleet_view::purge::reading(router.clone())),
+        tokio::spawn(fleet_view::purge::telling(router.clone())),
+        tokio::spawn(fleet_view::loads::telling(router.clone())),
+        tokio::spawn(fleet_view::purge::scrubbing(router.clone())),
+        tokio::spawn(pool::sweeping(router.clone())),
     ];
-    let accepting = tokio::spawn(serve::accepting(d.clone(), front));
-    fleet_core::log_event!(log, Event::Started, "incarnation" => d.node.incarnation);
+    let accepting = tokio::spawn(serve::accepting(router.clone(), front));
+    fleet_core::log_event!(log, Event::Started, "incarnation" => router.node.incarnation);
     let mut counted = tokio::time::interval(constants::COUNTERS_PAUSE);
     counted.tick().await;
     loop {
         tokio::select! {
-            _ = stop.wait_for(|s| *s) => break,
-            Some(p) = reread.recv() => *d.settings.write() = Arc::new(p),
-            _ = counted.tick() => d.count_out(),
+            _ = stop.wait_for(|stopped| *stopped) => break,
+            Some(newer) = reread.recv() => *router.settings.write() = Arc::new(newer),
+            _ = counted.tick() => router.count_out(),
         }
     }
     fleet_core::log_event!(log, Event::Stopping);
-    leave(&d, accepting).await;
-    d.count_out();
-    for t in tasks {
-        t.abort();
+    leave(&router, accepting).await;
+    router.count_out();
+    for task in tasks {
+        task.abort();
     }
     Ok(())
 }
 
 /// Unready at once, serving until the platform has noticed, then only what runs.
-async fn leave(d: &Arc<Router>, accepting: tokio::task::JoinHandle<()>) {
+async fn leave(router: &Arc<Router>, accepting: tokio::task::JoinHandle<()>) {
     let end = tokio::time::Instant::now()
-        + d.settings().bounds.grace.saturating_sub(constants::GRACE_MARGIN);
-    d.leaving.store(true, Ordering::Relaxed);
+        + router.settings().bounds.grace.saturating_sub(constants::GRACE_MARGIN);
+    router.leaving.store(true, Ordering::Relaxed);
     tokio::time::sleep(constants::PROBES_MISSED).await;
     accepting.abort();
-    d.closing.send_replace(true);
-    while d.open.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end {
+    router.closing.send_replace(true);
+    while router.open.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(constants::ROLL_TICK).await;
     }
 }
