--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -91,9 +91,9 @@
 pub const ENGINE_REST: Duration = Duration::from_millis(400);
 /// ms; longest such rest.
 pub const ENGINE_REST_MAX: Duration = Duration::from_millis(3200);
-/// ms; answer to an client goes out this long before its deadline.
+/// ms; answer to a client goes out this long before its deadline.
 pub const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
-/// ms; what an client with no deadline waits.
+/// ms; what a client with no deadline waits.
 pub const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
-/// s; pause told to an client that is refused.
+/// s; pause told to a client that is refused.
 pub const RETRY_AFTER: &str = "0.3";
--- a/crates/fleet-core/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -35,15 +35,15 @@
     SlotDamaged = 204, Warning, "a slot is damaged";
     Voting = 205, Info, "this member votes";
     DiskAbsent = 206, Info, "no disk: serves without a vote";
-    OwnerTaken = 210, Info, "took a key over";
+    OwnerTaken = 210, Info, "took over a key";
     OwnerLost = 211, Info, "gave a key away";
-    ConfigTaken = 220, Info, "configuration taken";
+    ConfigTaken = 220, Info, "configuration committed";
     ConfigRejected = 221, Info, "configuration refused";
     VersionNamed = 222, Info, "weights named";
     MembershipMoved = 230, Info, "membership moved";
     Joining = 231, Info, "asking to join";
-    DutyTaken = 240, Info, "duty taken";
-    DutyLeft = 241, Info, "duty left";
+    DutyTaken = 240, Info, "duty lease acquired";
+    DutyLeft = 241, Info, "duty lease ended";
     RollOrdered = 250, Info, "engine ordered to new weights";
     RollDone = 251, Info, "engine has new weights";
     RollError = 252, Warning, "order not carried out";
@@ -62,7 +62,7 @@
     ConfigInForce = 320, Info, "configuration in force";
     EngineError = 330, Info, "engine broke a connection";
     AnswerSpoilt = 331, Info, "answer not passed on";
-    EngineTakenIn = 333, Info, "engine taken in";
+    EngineTakenIn = 333, Info, "new engine has warmed up";
     PassError = 332, Info, "request not answered by an engine";
 }
 
--- a/crates/fleet-core/tests/sizes.rs
+++ b/crates/fleet-core/tests/sizes.rs
@@ -1,5 +1,5 @@
 //! Bytes on the wire for each item, at three sizes: what docs/CAPACITY.md reckons with.
-//! `cargo test -p fleet_core --test sizes -- --nocapture` prints them.
+//! `cargo test -p fleet-core --test sizes -- --nocapture` prints them.
 
 use fleet_core::load::{ByEngine, Load, pack};
 use fleet_core::wire::{Engine, HeldParts, PartAt, Purge, RingEntry, View, Weights};
