Merging of engine news in two short functions; programs' main files read top to bottom

Cause: merge said twice what never falls, and both mains had their checks inside a literal. Change: keep_what_never_falls and missing_settings; nothing is done otherwise.

--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,17 +1,20 @@
-//! The control plane's program.
+//! The program of the control plane.
+
+use fleet_core::program::{About, start};
+use fleet_core::settings::Settings;
 
 fn main() -> std::process::ExitCode {
-    fleet_core::program::start(
-        fleet_core::program::About {
-            name: "controller",
-            version: env!("CARGO_PKG_VERSION"),
-            what: "keeps anisedyke's control state and knows its engines",
-            needs: |p| {
-                if p.control.is_none() { vec!["bindAddrs.control"] } else { Vec::new() }
-            },
-        },
-        |settings, log, stop, reread| async move {
-            control_plane::run(settings, log, stop, reread).await
-        },
-    )
+    let about = About {
+        name: "controller",
+        version: env!("CARGO_PKG_VERSION"),
+        what: "keeps anisedyke's control state and knows its engines",
+        needs: missing_settings,
+    };
+    start(about, |settings, log, stop, reread| async move {
+        control_plane::run(settings, log, stop, reread).await
+    })
+}
+
+fn missing_settings(settings: &Settings) -> Vec<&'static str> {
+    if settings.control.is_none() { vec!["bindAddrs.control"] } else { Vec::new() }
 }
--- a/crates/fleet-core/src/fleet.rs
+++ b/crates/fleet-core/src/fleet.rs
@@ -8,44 +8,39 @@
 pub fn merge(known: &mut Engine, news: &Engine) -> bool {
     let before = known.clone();
     if news.call > known.call {
-        let (weights, turn, fade) = (std::mem::take(&mut known.weights), known.turn, known.fade);
-        let gone = known.standing() == Standing::Gone;
         *known = news.clone();
-        for w in weights {
-            raise(known, &w.model, w.version);
-        }
-        known.turn = known.turn.max(turn);
-        known.fade = known.fade.max(fade);
-        if gone {
-            known.set_standing(Standing::Gone);
-        }
+        keep_what_never_falls(known, &before);
     } else {
         if news.call == known.call {
             known.silent = news.silent;
         }
-        for w in &news.weights {
-            raise(known, &w.model, w.version);
-        }
-        known.turn = known.turn.max(news.turn);
-        known.fade = known.fade.max(news.fade);
-        if news.standing() == Standing::Gone {
-            known.set_standing(Standing::Gone);
-        }
+        keep_what_never_falls(known, news);
     }
-    let call = known.call;
-    known.call = before.call;
+    let call = std::mem::replace(&mut known.call, before.call);
     let changed = *known != before;
     known.call = call;
     changed
 }
 
+/// Takes from `other` what never falls, whichever of the two is newer.
+fn keep_what_never_falls(engine: &mut Engine, other: &Engine) {
+    for weights in &other.weights {
+        raise(engine, &weights.model, weights.version);
+    }
+    engine.turn = engine.turn.max(other.turn);
+    engine.fade = engine.fade.max(other.fade);
+    if other.standing() == Standing::Gone {
+        engine.set_standing(Standing::Gone);
+    }
+}
+
 /// Raises the version of a model at an instance; false if it was there already. Versions of one
 /// instance only ever rise.
 pub fn raise(engine: &mut Engine, model: &str, version: u64) -> bool {
-    match engine.weights.iter_mut().find(|w| w.model == model) {
-        Some(w) if w.version >= version => false,
-        Some(w) => {
-            w.version = version;
+    match engine.weights.iter_mut().find(|weights| weights.model == model) {
+        Some(weights) if weights.version >= version => false,
+        Some(weights) => {
+            weights.version = version;
             true
         }
         None => {
@@ -57,7 +52,8 @@
 
 /// Version of a model that an engine has; none if it lacks the model.
 pub fn version_of(engine: &Engine, model: &str) -> Option<u64> {
-    engine.weights.iter().find(|w| w.model == model).map(|w| w.version)
+    let weights = engine.weights.iter().find(|weights| weights.model == model)?;
+    Some(weights.version)
 }
 
 /// Whether the engine is to be ordered soon, and is not yet at the named weights.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,22 +1,27 @@
-//! The traffic plane's program.
+//! The program of the data plane.
+
+use fleet_core::program::{About, start};
+use fleet_core::settings::Settings;
 
 fn main() -> std::process::ExitCode {
-    fleet_core::program::start(
-        fleet_core::program::About {
-            name: "router",
-            version: env!("CARGO_PKG_VERSION"),
-            what: "carries requests from clients to engines and answers back",
-            needs: |p| {
-                let mut out = Vec::new();
-                if p.front.is_none() {
-                    out.push("bindAddrs.frontHttp");
-                }
-                if p.readiness.is_none() {
-                    out.push("bindAddrs.readiness");
-                }
-                out
-            },
-        },
-        |settings, log, stop, reread| async move { data_plane::run(settings, log, stop, reread).await },
-    )
+    let about = About {
+        name: "router",
+        version: env!("CARGO_PKG_VERSION"),
+        what: "carries requests from clients to engines and answers back",
+        needs: missing_settings,
+    };
+    start(about, |settings, log, stop, reread| async move {
+        data_plane::run(settings, log, stop, reread).await
+    })
+}
+
+fn missing_settings(settings: &Settings) -> Vec<&'static str> {
+    let mut missing = Vec::new();
+    if settings.front.is_none() {
+        missing.push("bindAddrs.frontHttp");
+    }
+    if settings.readiness.is_none() {
+        missing.push("bindAddrs.readiness");
+    }
+    missing
 }
