Links: an answer fits its call or is an error; a broken connection ends its calls at once

Causes: a call took an answer of any kind; whoever only looked for an answer (a shared drain) counted it. A call whose connection had broken waited for its whole limit, because it held the table of waiting calls itself. A frame over the limit was sent and cost both sides the connection, with all calls on it. A host took a stray answer for a call, and dropped unknown kinds unseen.

Waiting calls are let go with the connection. Messages and answers over FRAME_MAX are not sent. A host drops stray answers and unknown kinds, and reports them as it does bad frames.

--- a/crates/fleet-core/src/link.rs
+++ b/crates/fleet-core/src/link.rs
@@ -24,8 +24,10 @@
     TooLarge(usize),
     /// a frame can't be read
     Undecodable,
-    /// an answer of another kind than the call
+    /// an answer of another kind than the call, or to no call
     Unfitting,
+    /// a message of a kind that this program does not know
+    UnknownKind,
     /// {0}
     Socket(std::io::ErrorKind),
 }
@@ -51,6 +53,15 @@
     f.encode_raw(out);
 }
 
+/// A frame that the other side will take.
+fn sendable(call: u64, answer: bool, body: Body) -> Result<Frame, LinkError> {
+    let frame = Frame { call, answer, body: Some(body) };
+    match frame.encoded_len() {
+        len if len > constants::FRAME_MAX => Err(LinkError::TooLarge(len)),
+        _ => Ok(frame),
+    }
+}
+
 async fn write_loop(mut w: ByteWriter, mut rx: tokio::sync::mpsc::Receiver<Frame>) {
     let mut out = Vec::new();
     while let Some(f) = rx.recv().await {
@@ -88,7 +99,8 @@
 }
 
 /// Ordered, so that a broken link wakes its callers in the order of their calls.
-type Waiting = Arc<parking_lot::Mutex<BTreeMap<u64, tokio::sync::oneshot::Sender<Body>>>>;
+/// An answer of a kind that this program does not know comes as none.
+type Waiting = Arc<parking_lot::Mutex<BTreeMap<u64, tokio::sync::oneshot::Sender<Option<Body>>>>>;
 
 struct Live {
     tx: tokio::sync::mpsc::Sender<Frame>,
@@ -206,12 +218,11 @@
             let Some(l) = weak.upgrade() else { break };
             *l.heard.lock() = Some(tokio::time::Instant::now());
             drop(l);
-            let Some(body) = f.body else { continue };
             if f.answer {
                 if let Some(tx) = waiting.lock().remove(&f.call) {
-                    let _ = tx.send(body);
+                    let _ = tx.send(f.body);
                 }
-            } else if let Some(p) = pushed
+            } else if let (Some(p), Some(body)) = (pushed, f.body)
                 && p.send(body).await.is_err()
             {
                 break;
@@ -222,6 +233,8 @@
             *l.live.lock() = None;
             l.state.send_replace(false);
         }
+        // No call can be added any more: those that wait learn that no answer will come.
+        waiting.lock().clear();
     }
 
     /// Whether the connection stands, as far as this side knows.
@@ -241,30 +254,30 @@
 
     /// Sends without an answer; it is lost where the link breaks.
     pub fn tell(&self, body: Body) -> Result<(), LinkError> {
+        let frame = sendable(0, false, body)?;
         let g = self.live.lock();
         let live = g.as_ref().ok_or(LinkError::Down)?;
-        live.tx
-            .try_send(Frame { call: 0, answer: false, body: Some(body) })
-            .map_err(|_| LinkError::Down)
+        live.tx.try_send(frame).map_err(|_| LinkError::Down)
     }
 
     /// Asks and waits for the answer, not longer than the limit.
     pub async fn call(&self, body: Body, limit: Duration) -> Result<Body, LinkError> {
+        let fits = body.answer_test();
         let no = self.calls.fetch_add(1, Ordering::Relaxed);
+        let frame = sendable(no, false, body)?;
         let (tx, rx) = tokio::sync::oneshot::channel();
         let waiting = {
             let g = self.live.lock();
             let live = g.as_ref().ok_or(LinkError::Down)?;
             live.waiting.lock().insert(no, tx);
-            let f = Frame { call: no, answer: false, body: Some(body) };
-            if live.tx.try_send(f).is_err() {
+            if live.tx.try_send(frame).is_err() {
                 live.waiting.lock().remove(&no);
                 return Err(LinkError::Down);
             }
             live.waiting.clone()
         };
         match tokio::time::timeout(limit, rx).await {
-            Ok(Ok(b)) => Ok(b),
+            Ok(Ok(answer)) => answer.filter(fits).ok_or(LinkError::Unfitting),
             Ok(Err(_)) => Err(LinkError::Down),
             Err(_) => {
                 waiting.lock().remove(&no);
@@ -285,9 +298,7 @@
 impl Peer {
     /// Sends to the other end what it hasn't asked for.
     pub fn push(&self, body: Body) -> Result<(), LinkError> {
-        self.tx
-            .try_send(Frame { call: 0, answer: false, body: Some(body) })
-            .map_err(|_| LinkError::Down)
+        self.tx.try_send(sendable(0, false, body)?).map_err(|_| LinkError::Down)
     }
 
     /// Whether nothing can be pushed any more.
@@ -308,7 +319,7 @@
         peer: &Peer,
         body: Body,
     ) -> impl std::future::Future<Output = Option<Body>> + Send;
-    /// A connection ended for bytes that make no frame.
+    /// A message was dropped, or a connection ended for bytes that make no frame.
     fn spoilt(self: &Arc<Self>, error: &LinkError);
 }
 
@@ -344,15 +355,26 @@
                 break;
             }
         };
-        let Some(body) = f.body else { continue };
+        let Some(body) = f.body.filter(|_| !f.answer) else {
+            host.spoilt(if f.answer { &LinkError::Unfitting } else { &LinkError::UnknownKind });
+            continue;
+        };
         let (host, peer) = (host.clone(), peer.clone());
         tokio::spawn(async move {
             let Some(body) = host.answer(&peer, body).await else { return };
-            if f.call != 0 {
-                let _ = peer.tx.try_send(Frame { call: f.call, answer: true, body: Some(body) });
+            if f.call == 0 {
+                return;
+            }
+            match sendable(f.call, true, body) {
+                Ok(frame) => drop(peer.tx.try_send(frame)),
+                Err(error) => host.spoilt(&error),
             }
         });
     }
     drop(writer);
     host.left(&peer);
 }
+
+#[cfg(test)]
+#[path = "link_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/fleet-core/src/link_tests.rs
@@ -0,0 +1,271 @@
+//! Tests of `link`, over streams in memory: an answer goes to its call or to none.
+
+use super::*;
+use crate::transport::{BoxFuture, TransportError};
+use crate::wire::{Alive, Done, Fetch, Fetched, Hello, Leased};
+use tokio::io::DuplexStream;
+use tokio::sync::mpsc;
+
+/// Each connection of the link comes out at the other end.
+struct Pipes(mpsc::UnboundedSender<DuplexStream>);
+
+impl Transport for Pipes {
+    fn connect(
+        &self,
+        _own: Ipv4Addr,
+        _to: SocketAddr,
+        _limit: Duration,
+    ) -> BoxFuture<'_, Result<BoxedStream, TransportError>> {
+        Box::pin(async move {
+            let (near, far) = tokio::io::duplex(1 << 16);
+            self.0.send(far).map_err(|_| TransportError::Late)?;
+            Ok(Box::new(near) as BoxedStream)
+        })
+    }
+
+    fn listen(&self, _at: SocketAddr) -> std::io::Result<Box<dyn Listener>> {
+        Err(std::io::ErrorKind::Unsupported.into())
+    }
+}
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn node() -> crate::node::Node {
+    let text = "nodeName=n1\nip=127.0.0.1\nzone=z\nportRange=1,9\n";
+    let settings = crate::settings::Settings::parse(text).unwrap();
+    crate::node::Node::seeded(&settings, crate::node::Role::Controller, 1)
+}
+
+fn fetched(known: bool) -> Body {
+    Body::Fetched(Fetched { known, register: None })
+}
+
+fn frame(call: u64, answer: bool, body: Option<Body>) -> Vec<u8> {
+    let mut out = Vec::new();
+    encode(&Frame { call, answer, body }, &mut out);
+    out
+}
+
+/// A link, and the far ends of its connections.
+fn link() -> (Arc<Link>, mpsc::UnboundedReceiver<DuplexStream>) {
+    let (tx, far_ends) = mpsc::unbounded_channel();
+    let link = Link::keep_over(Arc::new(Pipes(tx)), &node(), "10.0.0.2:1".parse().unwrap(), None);
+    (link, far_ends)
+}
+
+async fn far_end(far_ends: &mut mpsc::UnboundedReceiver<DuplexStream>) -> DuplexStream {
+    let mut far = far_ends.recv().await.unwrap();
+    assert!(matches!(read_one(&mut far).await.body, Some(Body::Hello(_))));
+    far
+}
+
+async fn read_one(far: &mut DuplexStream) -> Frame {
+    let len = far.read_u32().await.unwrap() as usize;
+    let mut buffer = vec![0; len];
+    far.read_exact(&mut buffer).await.unwrap();
+    Frame::decode(&buffer[..]).unwrap()
+}
+
+type Call = tokio::task::JoinHandle<Result<Body, LinkError>>;
+
+/// A call under way, and its number.
+async fn call(link: &Arc<Link>, far: &mut DuplexStream) -> (Call, u64) {
+    while !link.is_up() {
+        tokio::task::yield_now().await;
+    }
+    let calling = link.clone();
+    let call =
+        tokio::spawn(async move { calling.call(Body::Fetch(Fetch::default()), LIMIT).await });
+    let asked = read_one(far).await;
+    assert!(!asked.answer && matches!(asked.body, Some(Body::Fetch(_))));
+    (call, asked.call)
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_in_any_order_go_to_their_own_calls() {
+    let (link, mut far_ends) = link();
+    let mut far = far_end(&mut far_ends).await;
+    let (first, first_no) = call(&link, &mut far).await;
+    let (second, second_no) = call(&link, &mut far).await;
+    assert_ne!(first_no, second_no);
+    far.write_all(&frame(second_no, true, Some(fetched(true)))).await.unwrap();
+    far.write_all(&frame(first_no, true, Some(fetched(false)))).await.unwrap();
+    assert_eq!(second.await.unwrap(), Ok(fetched(true)));
+    assert_eq!(first.await.unwrap(), Ok(fetched(false)));
+}
+
+/// The other side answers on the new connection what it was asked on the former one.
+#[tokio::test(start_paused = true)]
+async fn answer_to_a_call_of_a_former_connection_reaches_nobody() {
+    let (link, mut far_ends) = link();
+    let mut far = far_end(&mut far_ends).await;
+    let (lost, lost_no) = call(&link, &mut far).await;
+    drop(far);
+    assert_eq!(lost.await.unwrap(), Err(LinkError::Down));
+    let mut far = far_end(&mut far_ends).await;
+    let (next, next_no) = call(&link, &mut far).await;
+    assert!(next_no > lost_no);
+    far.write_all(&frame(lost_no, true, Some(fetched(false)))).await.unwrap();
+    far.write_all(&frame(next_no, true, Some(fetched(true)))).await.unwrap();
+    assert_eq!(next.await.unwrap(), Ok(fetched(true)));
+}
+
+/// A caller learns at once that its link broke, and need not wait for its limit.
+#[tokio::test(start_paused = true)]
+async fn calls_end_with_their_connection() {
+    let (link, mut far_ends) = link();
+    let mut far = far_end(&mut far_ends).await;
+    let (lost, _) = call(&link, &mut far).await;
+    let before = tokio::time::Instant::now();
+    drop(far);
+    assert_eq!(lost.await.unwrap(), Err(LinkError::Down));
+    assert!(before.elapsed() < LIMIT / 2, "{:?}", before.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_after_the_limit_reaches_nobody() {
+    let (link, mut far_ends) = link();
+    let mut far = far_end(&mut far_ends).await;
+    let (late, late_no) = call(&link, &mut far).await;
+    assert_eq!(late.await.unwrap(), Err(LinkError::Late));
+    let (next, next_no) = call(&link, &mut far).await;
+    far.write_all(&frame(late_no, true, Some(fetched(false)))).await.unwrap();
+    far.write_all(&frame(next_no, true, Some(fetched(true)))).await.unwrap();
+    assert_eq!(next.await.unwrap(), Ok(fetched(true)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_of_another_kind_is_an_error() {
+    for body in [Some(Body::Leased(Leased { ok: true })), Some(Body::Done(Done {})), None] {
+        let (link, mut far_ends) = link();
+        let mut far = far_end(&mut far_ends).await;
+        let (call, no) = call(&link, &mut far).await;
+        far.write_all(&frame(no, true, body)).await.unwrap();
+        assert_eq!(call.await.unwrap(), Err(LinkError::Unfitting));
+        assert!(link.is_up());
+    }
+}
+
+/// What is no frame ends the connection; the next one is as good as new.
+#[tokio::test(start_paused = true)]
+async fn malformed_frames_end_the_connection_and_its_calls() {
+    let oversized = ((constants::FRAME_MAX + 1) as u32).to_be_bytes().to_vec();
+    let undecodable = [&4u32.to_be_bytes()[..], &[0xff; 4]].concat();
+    let whole = frame(1, true, Some(fetched(true)));
+    let truncated = whole[..whole.len() - 1].to_vec();
+    for bytes in [oversized, undecodable, truncated] {
+        let (link, mut far_ends) = link();
+        let mut far = far_end(&mut far_ends).await;
+        let (lost, _) = call(&link, &mut far).await;
+        far.write_all(&bytes).await.unwrap();
+        far.shutdown().await.unwrap();
+        assert_eq!(lost.await.unwrap(), Err(LinkError::Down));
+        let mut far = far_end(&mut far_ends).await;
+        let (next, no) = call(&link, &mut far).await;
+        far.write_all(&frame(no, true, Some(fetched(true)))).await.unwrap();
+        assert_eq!(next.await.unwrap(), Ok(fetched(true)));
+    }
+}
+
+/// A frame that the other side would reject is not sent, and the connection stands.
+#[tokio::test(start_paused = true)]
+async fn oversized_messages_are_not_sent() {
+    let (link, mut far_ends) = link();
+    let mut far = far_end(&mut far_ends).await;
+    let (waiting, no) = call(&link, &mut far).await;
+    let large = Fetch { key: "k".repeat(constants::FRAME_MAX), ..Default::default() };
+    let got = link.call(Body::Fetch(large.clone()), LIMIT).await;
+    assert!(matches!(got, Err(LinkError::TooLarge(_))), "{got:?}");
+    assert!(matches!(link.tell(Body::Fetch(large)), Err(LinkError::TooLarge(_))));
+    far.write_all(&frame(no, true, Some(fetched(true)))).await.unwrap();
+    assert_eq!(waiting.await.unwrap(), Ok(fetched(true)));
+}
+
+/// What a host heard and what spoilt its connections.
+#[derive(Default)]
+struct Heard {
+    bodies: parking_lot::Mutex<Vec<Body>>,
+    errors: parking_lot::Mutex<Vec<LinkError>>,
+}
+
+impl Host for Heard {
+    fn joined(self: &Arc<Self>, _peer: &Peer) {}
+    fn left(self: &Arc<Self>, _peer: &Peer) {}
+    async fn answer(self: &Arc<Self>, _peer: &Peer, body: Body) -> Option<Body> {
+        let large = matches!(body, Body::Fetch(_));
+        self.bodies.lock().push(body);
+        if large {
+            let key = "k".repeat(constants::FRAME_MAX);
+            return Some(Body::Fetch(Fetch { key, ..Default::default() }));
+        }
+        Some(Body::Nothing(Done {}))
+    }
+    fn spoilt(self: &Arc<Self>, error: &LinkError) {
+        self.errors.lock().push(error.clone());
+    }
+}
+
+fn alive() -> Body {
+    Body::Alive(Alive::default())
+}
+
+/// Plays bytes behind a proper introduction and gives what the host made of them.
+async fn play(bytes: &[u8]) -> Arc<Heard> {
+    let heard = Arc::new(Heard::default());
+    let (near, mut far) = tokio::io::duplex(1 << 16);
+    let hosting = tokio::spawn(host_one(Box::new(near), heard.clone()));
+    far.write_all(&frame(0, false, Some(Body::Hello(Hello::default())))).await.unwrap();
+    far.write_all(bytes).await.unwrap();
+    far.shutdown().await.unwrap();
+    hosting.await.unwrap();
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+    }
+    heard
+}
+
+#[tokio::test(start_paused = true)]
+async fn host_drops_what_is_no_call_and_says_why() {
+    let call = frame(1, false, Some(alive()));
+    let undecodable = [&3u32.to_be_bytes()[..], &[0xff; 3]].concat();
+    let oversized = u32::MAX.to_be_bytes().to_vec();
+    let unknown_kind = [&4u32.to_be_bytes()[..], &[0xaa, 0x3f, 0x01, 0x00]].concat();
+    let table: Vec<(&str, Vec<u8>, usize, Vec<LinkError>)> = vec![
+        ("call", call.clone(), 1, vec![]),
+        ("answer to nothing", frame(9, true, Some(alive())), 0, vec![LinkError::Unfitting]),
+        ("unknown kind", unknown_kind, 0, vec![LinkError::UnknownKind]),
+        ("undecodable", undecodable, 0, vec![LinkError::Undecodable]),
+        ("oversized", oversized, 0, vec![LinkError::TooLarge(u32::MAX as usize)]),
+    ];
+    for (what, bytes, calls, errors) in table {
+        let heard = play(&[bytes, call.clone()].concat()).await;
+        let goes_on = !matches!(what, "undecodable" | "oversized");
+        assert_eq!(heard.bodies.lock().len(), calls + usize::from(goes_on), "{what}");
+        assert_eq!(*heard.errors.lock(), errors, "{what}");
+    }
+    let truncated = play(&call[..call.len() - 1]).await;
+    assert!(truncated.bodies.lock().is_empty());
+}
+
+/// An answer that the caller would reject with the whole connection is not sent.
+#[tokio::test(start_paused = true)]
+async fn oversized_answers_are_not_sent() {
+    let heard = play(&frame(1, false, Some(Body::Fetch(Fetch::default())))).await;
+    assert_eq!(heard.bodies.lock().len(), 1);
+    assert!(matches!(heard.errors.lock()[..], [LinkError::TooLarge(_)]));
+}
+
+proptest::proptest! {
+    /// Whatever comes, a host neither panics nor hears anything that was not sent as a call.
+    #[test]
+    fn random_bytes_become_no_more_calls_than_they_hold(bytes in proptest::collection::vec(0u8..4, 0..64)) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        let heard = runtime.block_on(play(&bytes));
+        let heard = heard.bodies.lock();
+        proptest::prop_assert!(heard.len() * 4 <= bytes.len());
+    }
+}
--- a/crates/fleet-core/src/wire/mod.rs
+++ b/crates/fleet-core/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! What the system's own processes say to each other.
 
+mod answers;
 mod changes;
 mod engines;
 mod frame;
