Headers that a Connection header names are not passed on

Cause: only a fixed list of headers of one connection was dropped, on the way to the engine and on the way back; those that the message itself names were passed on.

Change: serve/headers.rs drops them too, but for those that say what the message is (host, type, length, the ids, the seal), so that naming them takes none away.

Result: headers_named_by_connection_stay_on_their_connection failed before and passes, with all tests of data-plane.

--- a/crates/data-plane/src/serve/headers.rs
+++ b/crates/data-plane/src/serve/headers.rs
@@ -4,6 +4,7 @@
 use fleet_core::configuration::Route;
 use fleet_core::constants;
 use http::{HeaderMap, HeaderName, header};
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// The client's id of this try; engines repeat it.
@@ -67,8 +68,31 @@
 static NOT_PASSED_BACK: [HeaderName; 5] =
     [header::CONNECTION, header::TRANSFER_ENCODING, header::TRAILER, header::UPGRADE, KEEP_ALIVE];
 
+/// Headers that no `Connection` header can take away: they say what the message is.
+static KEPT: [HeaderName; 6] = [
+    header::HOST,
+    header::CONTENT_TYPE,
+    header::CONTENT_LENGTH,
+    ATTEMPT_ID,
+    LAST_EVENT_ID,
+    SERVER_SEAL,
+];
+
+/// Removes the headers that the message itself names as those of one connection.
+fn strip_named_by_connection(headers: &mut HeaderMap) {
+    let mut named: SmallVec<[HeaderName; 4]> = SmallVec::new();
+    for value in headers.get_all(header::CONNECTION) {
+        let Ok(list) = value.to_str() else { continue };
+        named.extend(list.split(',').filter_map(|name| name.trim().parse::<HeaderName>().ok()));
+    }
+    for name in named.iter().filter(|name| !KEPT.contains(name)) {
+        headers.remove(name);
+    }
+}
+
 /// Leaves what an engine may see of a client's headers.
 pub fn strip_request(headers: &mut HeaderMap) {
+    strip_named_by_connection(headers);
     for name in &NOT_SENT_ON {
         headers.remove(name);
     }
@@ -76,6 +100,7 @@
 
 /// Leaves what a client may see of an engine's headers.
 pub fn strip_answer(headers: &mut HeaderMap) {
+    strip_named_by_connection(headers);
     for name in &NOT_PASSED_BACK {
         headers.remove(name);
     }
--- a/crates/data-plane/tests/engines/answers.rs
+++ b/crates/data-plane/tests/engines/answers.rs
@@ -200,3 +200,23 @@
     assert_eq!(status(&f.ask("/once/", "").await), 200);
     assert_eq!(e.arrivals(), 1);
 }
+
+/// What a `Connection` header names concerns that connection alone; an id is never lost that way.
+#[tokio::test]
+async fn headers_named_by_connection_stay_on_their_connection() {
+    let e = StandIn::start("e1", |_, s| {
+        let named =
+            "Connection: X-Hop, X-Server-Seal\r\nX-Hop: 1\r\nX-Kept: 2\r\nContent-Length: 0\r\n";
+        (sealed(s, "200 OK", named).into_bytes(), Then::Keep)
+    })
+    .await;
+    let f = Fleet::start(&[&e]).await;
+    let named = "Connection: x-hop, X-Attempt-Id, keep-alive\r\nX-Hop: 1\r\nX-Kept: 2\r\n";
+    let got = f.ask("/once/", named).await.to_ascii_lowercase();
+    assert_eq!(status(&got), 200);
+    let seen = e.seen.lock()[0].clone();
+    assert_eq!((seen.header("x-hop"), seen.header("x-kept")), (None, Some("2")));
+    assert_eq!(seen.header("x-attempt-id"), Some("a1"));
+    assert!(!got.contains("x-hop") && got.contains("x-kept: 2"), "{got}");
+    assert!(got.contains("x-server-seal: s1"), "{got}");
+}
