News of an engine are read only from an answer that bears the request's id

Cause: load and weights in the head of an answer were taken in before it was known whose answer it is; one too many, or of another engine at the address, was believed of the chosen engine.

Change: only an answer with the id of this try is believed.

Result: news_in_an_answer_of_another_request_is_not_taken_in failed before and passes, with all tests of data-plane.

--- a/crates/data-plane/src/serve/dispatch.rs
+++ b/crates/data-plane/src/serve/dispatch.rs
@@ -144,7 +144,10 @@
         let (head, body) = response.into_parts();
         let request = dispatched.request();
         let (engine, status) = (&self.choice.engine, head.status);
-        observe::read_engine_news(router, engine, request.prompt.model.as_deref(), &head.headers);
+        if head.headers.get(headers::ATTEMPT_ID) == Some(&request.attempt) {
+            let model = request.prompt.model.as_deref();
+            observe::read_engine_news(router, engine, model, &head.headers);
+        }
         let asked = Asked {
             attempt: &request.attempt,
             method: &request.method,
--- a/crates/data-plane/tests/engines/answers.rs
+++ b/crates/data-plane/tests/engines/answers.rs
@@ -220,3 +220,22 @@
     assert!(!got.contains("x-hop") && got.contains("x-kept: 2"), "{got}");
     assert!(got.contains("x-server-seal: s1"), "{got}");
 }
+
+/// What an answer to another request tells of its engine is not believed of ours.
+#[tokio::test]
+async fn news_in_an_answer_of_another_request_is_not_taken_in() {
+    for (id, believed) in [("a1", Some(77)), ("b7", None)] {
+        let news = "X-Instance-Load: 77,0,8\r\nContent-Length: 0\r\n";
+        let e = StandIn::start("e1", move |_, s| {
+            let answer = sealed(s, "200 OK", news)
+                .replace("X-Attempt-Id: a1", &format!("X-Attempt-Id: {id}"));
+            (answer.into_bytes(), Then::Keep)
+        })
+        .await;
+        let f = Fleet::start(&[&e]).await;
+        f.ask("/once/", "").await;
+        let engine = f.d.fleet_view.engines.read()["e1"].clone();
+        let running = engine.work().told.map(|told| told.running);
+        assert_eq!(running, believed, "{id}");
+    }
+}
