A connection that does not come up takes no longer than its request has

Cause: coming up was bounded by 0.4 s alone, so that a request was held past its deadline or its route's timeout, and was then sent to an engine with none left.

Change: finding an engine ends where no answer could reach the client in time; nothing was sent, so the request is refused.

--- a/crates/data-plane/src/serve/dispatch.rs
+++ b/crates/data-plane/src/serve/dispatch.rs
@@ -42,7 +42,7 @@
     router: &Router,
     mut accepted: Accepted,
 ) -> Result<(Placed, Accepted), Accepted> {
-    while Instant::now() + constants::DEADLINE_MARGIN < accepted.request().deadline {
+    while Instant::now() < latest_send(accepted.request()) {
         let request = accepted.request();
         let Ok(choice) = place::place(
             router,
@@ -59,19 +59,26 @@
             share: connection_share(router, request),
             repeatable: request.repeat != Repeat::Never,
         };
-        match connection::lease(router, &choice.engine, wanted).await {
-            Ok(connection) => return Ok((Placed { choice, connection }, accepted)),
-            Err(error) => {
+        let leasing = connection::lease(router, &choice.engine, wanted);
+        match tokio::time::timeout_at(latest_send(request), leasing).await {
+            Ok(Ok(connection)) => return Ok((Placed { choice, connection }, accepted)),
+            Ok(Err(error)) => {
                 if error != ConnectionError::Full {
                     note_break(router, &choice, &error.to_string());
                 }
                 accepted.avoid(&choice.engine.id);
             }
+            Err(_) => return Err(accepted),
         }
     }
     Err(accepted)
 }
 
+/// Behind this no answer could reach the client in time.
+fn latest_send(request: &ClientRequest) -> Instant {
+    request.deadline - constants::DEADLINE_MARGIN
+}
+
 /// This router's part of the connections that an engine takes from all callers.
 fn connection_share(router: &Router, request: &ClientRequest) -> u32 {
     let most = request.table.service(&request.service).map_or(0, |s| s.max_conns) as usize;
@@ -97,7 +104,7 @@
     let load = SendLoad::start(&choice, request.prompt.load(), interactive);
     let dispatched = accepted.dispatch(&choice.engine.id);
     let send = Send { choice, load, at: Instant::now(), first: connection.is_new() };
-    let until = dispatched.request().deadline - constants::DEADLINE_MARGIN;
+    let until = latest_send(dispatched.request());
     match tokio::time::timeout_at(until, connection.send(outgoing)).await {
         Ok(Ok((connection, response))) => send.answered(router, dispatched, connection, response),
         Ok(Err(error)) => send.failed(router, dispatched, error),
--- a/crates/data-plane/tests/engines/silence.rs
+++ b/crates/data-plane/tests/engines/silence.rs
@@ -103,3 +103,41 @@
     assert_eq!(seen.len(), 2);
     assert_ne!(seen[0].connection, seen[1].connection);
 }
+
+/// An address where no connection comes up, as behind a cut: its queue is full.
+fn black_hole() -> (std::net::SocketAddr, Vec<socket2::Socket>) {
+    let socket = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let listener = socket().unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut held = vec![listener];
+    for _ in 0..8 {
+        let filler = socket().unwrap();
+        filler.set_nonblocking(true).unwrap();
+        let _ = filler.connect(&address);
+        held.push(filler);
+    }
+    (address.as_socket().unwrap(), held)
+}
+
+/// A connection that does not come up takes no longer than the request has, and nothing is sent.
+#[tokio::test]
+async fn connection_that_does_not_come_up_holds_nobody_past_the_deadline() {
+    let (address, _held) = black_hole();
+    let e = StandIn { id: "e1".into(), address, seen: Default::default() };
+    let f = Arc::new(Fleet::start(&[&e]).await);
+    let bytes = request("/once/", "").replace("X-Deadline-Ms: 15000", "X-Deadline-Ms: 200");
+    let asked = f.clone();
+    let asking = tokio::spawn(async move { asked.raw(bytes.as_bytes()).await });
+    for _ in 0..500 {
+        tokio::task::yield_now().await;
+    }
+    assert!(!asking.is_finished(), "the connection came up or was refused");
+    pass(Duration::from_millis(200)).await;
+    for _ in 0..500 {
+        tokio::task::yield_now().await;
+    }
+    assert!(asking.is_finished(), "held past its deadline");
+    assert_eq!(status(&asking.await.unwrap()), 503);
+}
