Duty leases as pure state; a raise of a fence counts once, late messages take nothing

Cause: a raise decided twice (passed to an owner that answers late, then decided here; or tried again after a lost answer) named its own node as the former holder, so the wait for the true former holder's lease was skipped. A late `leave` of a former try took back a later grant, also of another incarnation. A member that had just begun to vote granted orders at once. A holder that gave its lease back let the next one order three quarters of a lease later.

Change: a raise bears an id and is idempotent; the key keeps who may have acted last, recorded when the former holder's lease has passed and not before. Lease messages bear a rising number and the epoch of the membership. Grantor and holder are pure types with the time passed in, used by program and tests.

--- a/crates/control-plane/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -62,10 +62,26 @@
     }
 }
 
+/// A new fence for a new raise, the same one for the same raise. The answer names the node that may have
+/// acted last, which is not who raised last: a raise alone gives nobody the right to act.
 fn raise(r: &RaiseFence, now: &[u8]) -> Decision {
     let now = DutyValue::decode(now).unwrap_or_default();
-    let v = DutyValue { fence: now.fence + 1, holder: r.holder.clone() };
-    let changed = Changed { holder: now.holder, ..answer(Outcome::Done, v.fence) };
+    let done = |number, acting: &str| Changed {
+        holder: acting.to_owned(),
+        ..answer(Outcome::Done, number)
+    };
+    let decided = now.raise == Some(r.id);
+    if r.acts && !decided {
+        return Decision::Answer(answer(Outcome::Stale, now.fence));
+    }
+    if decided && (!r.acts || now.acting == r.holder) {
+        return Decision::Answer(done(now.fence, &now.acting));
+    }
+    let first = now.fence == 0;
+    let acting = if r.acts || first { r.holder.clone() } else { now.acting };
+    let changed = done(now.fence + u64::from(!decided), &acting);
+    let v =
+        DutyValue { fence: changed.number, holder: r.holder.clone(), acting, raise: Some(r.id) };
     Decision::Write(v.encode_to_vec().into(), changed)
 }
 
--- a/crates/control-plane/src/control/values_tests.rs
+++ b/crates/control-plane/src/control/values_tests.rs
@@ -56,15 +56,42 @@
     assert_eq!(isolation(&now), 3);
 }
 
+fn raise(holder: &str, attempt: u64, acts: bool) -> ChangeKind {
+    let id = fleet_core::wire::RaiseId { incarnation: u64::from(holder.as_bytes()[0]), attempt };
+    ChangeKind::Raise(RaiseFence { duty: "d".into(), holder: holder.into(), id, acts })
+}
+
 #[test]
 fn fences_rise_and_name_the_former_holder() {
     let mut now = bytes::Bytes::new();
-    let raise = |h: &str| ChangeKind::Raise(RaiseFence { duty: "d".into(), holder: h.into() });
-    assert_eq!(step(&mut now, &raise("x")), (Outcome::Done, 1));
-    let Decision::Write(_, a) = decide(&raise("y"), &now) else { panic!("writes") };
+    assert_eq!(step(&mut now, &raise("x", 1, false)), (Outcome::Done, 1));
+    let Decision::Write(_, a) = decide(&raise("y", 1, false), &now) else { panic!("writes") };
     assert_eq!((a.number, a.holder.as_str()), (2, "x"));
 }
 
+#[test]
+fn a_raise_decided_twice_still_names_who_acted() {
+    let mut now = bytes::Bytes::new();
+    step(&mut now, &raise("x", 1, false));
+    step(&mut now, &raise("y", 1, false));
+    let Decision::Answer(a) = decide(&raise("y", 1, false), &now) else { panic!("same raise") };
+    assert_eq!((a.number, a.holder.as_str()), (2, "x"), "the same fence");
+    let Decision::Write(_, a) = decide(&raise("y", 2, false), &now) else { panic!("writes") };
+    assert_eq!((a.number, a.holder.as_str()), (3, "x"), "a new raise, or a new incarnation");
+}
+
+#[test]
+fn only_the_newest_raise_may_begin_to_act() {
+    let mut now = bytes::Bytes::new();
+    step(&mut now, &raise("x", 1, false));
+    step(&mut now, &raise("y", 1, false));
+    assert_eq!(step(&mut now, &raise("x", 1, true)), (Outcome::Stale, 2));
+    assert_eq!(step(&mut now, &raise("y", 1, true)), (Outcome::Done, 2));
+    assert_eq!(step(&mut now, &raise("y", 1, true)), (Outcome::Done, 2), "told twice");
+    let Decision::Write(_, a) = decide(&raise("x", 2, false), &now) else { panic!("writes") };
+    assert_eq!((a.number, a.holder.as_str()), (3, "y"));
+}
+
 #[test]
 fn named_weights_never_fall() {
     let mut now = bytes::Bytes::new();
--- /dev/null
+++ b/crates/control-plane/src/duties/holding.rs
@@ -0,0 +1,150 @@
+//! Asks for leases, keeps them and gives them back, as [`super::lease`] says.
+
+use super::lease::{Step, Terms};
+use super::{INDEX_KEEPER, ROLL_OUT, terms};
+use crate::Controller;
+use crate::control::owner;
+use fleet_core::constants;
+use fleet_core::log::Event;
+use fleet_core::wire::{Body, ChangeKind, Changed, Lease, Leased, Outcome, RaiseFence, RaiseId};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Answers a node that asks for a lease, or gives it back. Only a voter grants, and only where asker and
+/// voter know the same membership: a majority of an older one doesn't exclude a majority of this one.
+pub fn grant(s: &Controller, l: &Lease) -> Leased {
+    let terms = terms(s.settings().bounds.lease, &l.duty);
+    let (votes, epoch) = {
+        let acceptor = s.acceptor.lock();
+        (acceptor.votes(), acceptor.membership().epoch)
+    };
+    let now = Instant::now();
+    let mut grantor = s.duties.grantor.lock();
+    grantor.observe(votes, now, s.settings().bounds.lease);
+    let may = votes && (l.leave || l.membership == epoch);
+    Leased { ok: may && grantor.answer(l, now, terms) }
+}
+
+/// Asks all members; true with a majority.
+async fn ask(s: &Arc<Controller>, duty: &str, leave: bool) -> bool {
+    let (members, membership) = {
+        let acceptor = s.acceptor.lock();
+        (acceptor.membership().members.clone(), acceptor.membership().epoch)
+    };
+    let l = Lease {
+        duty: duty.to_owned(),
+        incarnation: s.node.incarnation,
+        ms: terms(s.settings().bounds.lease, duty).lease.as_millis() as u64,
+        leave,
+        node: s.node.name.clone(),
+        number: s.duties.next_message(),
+        membership,
+    };
+    let quorum = members.len() / 2 + 1;
+    let mut have = usize::from(grant(s, &l).ok);
+    let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
+    for (_, link) in s.peers(&members) {
+        let (tx, l) = (tx.clone(), l.clone());
+        tokio::spawn(async move {
+            if let Ok(Body::Leased(Leased { ok: true })) =
+                link.call(Body::Lease(l), constants::PHASE_LIMIT).await
+            {
+                let _ = tx.send(()).await;
+            }
+        });
+    }
+    drop(tx);
+    while have < quorum && rx.recv().await.is_some() {
+        have += 1;
+    }
+    have >= quorum
+}
+
+/// Gives all duties back: nothing is done under them from here on.
+pub async fn leave_all(s: &Arc<Controller>) {
+    for duty in [ROLL_OUT, INDEX_KEEPER] {
+        if s.duties.with(duty, |h| h.drop_lease()) {
+            ask(s, duty, true).await;
+        }
+    }
+}
+
+/// Takes and keeps a duty whenever it is free. A task of its own, which waits for nothing but the
+/// answers of members, so that no work done under the duty is in the way of its renewal.
+pub async fn holding(s: Arc<Controller>, duty: &'static str) {
+    let mut pause = constants::DUTY_TICK;
+    while !*s.leaving().borrow() {
+        tokio::time::sleep(pause).await;
+        pause = constants::DUTY_TICK;
+        let terms = terms(s.settings().bounds.lease, duty);
+        let now = Instant::now();
+        let votes = s.acceptor.lock().votes();
+        s.duties.grantor.lock().observe(votes, now, s.settings().bounds.lease);
+        match s.duties.with(duty, |h| h.step(now, terms)) {
+            Step::Ask => try_to_take(&s, duty, terms, votes).await,
+            Step::Renew => {
+                pause = constants::RENEW_TICK;
+                if ask(&s, duty, false).await {
+                    s.duties.with(duty, |h| h.renewed(now, Instant::now(), terms));
+                }
+            }
+            Step::Record(id) => record(&s, duty, id).await,
+            Step::Lapsed => lapse(&s, duty),
+            Step::Rest(until) => {
+                pause = until.map_or(pause, |t| pause.min(t.saturating_duration_since(now)));
+            }
+        }
+    }
+}
+
+fn lapse(s: &Controller, duty: &'static str) {
+    s.duties.with(duty, |h| h.drop_lease());
+    fleet_core::log_event!(s.log, Event::DutyLeft, "duty" => duty);
+}
+
+async fn try_to_take(s: &Arc<Controller>, duty: &'static str, terms: Terms, votes: bool) {
+    let free = || s.duties.grantor.lock().is_free(duty, &s.node.name, Instant::now());
+    if !free() || !votes || s.disk_broken() {
+        return;
+    }
+    // those that find it free at the same time don't all ask at once
+    tokio::time::sleep(Duration::from_millis(50 + s.chance(400))).await;
+    if !free() || *s.leaving().borrow() {
+        return;
+    }
+    take(s, duty, terms).await;
+}
+
+async fn take(s: &Arc<Controller>, duty: &'static str, terms: Terms) {
+    let asked = Instant::now();
+    if !ask(s, duty, false).await {
+        ask(s, duty, true).await;
+        return;
+    }
+    let granted = Instant::now();
+    let id = s.duties.with(duty, |h| h.raise());
+    let c = raise(s, duty, id, false).await;
+    if c.outcome() != Outcome::Done {
+        ask(s, duty, true).await;
+        return;
+    }
+    let alone = c.holder == s.node.name;
+    s.duties.with(duty, |h| h.acquired(asked, granted, c.number, alone, terms));
+    fleet_core::log_event!(s.log, Event::DutyTaken, "duty" => duty, "fence" => c.number);
+}
+
+/// Puts on record that this node acts from now on; without that nobody lets its lease pass. A raise that
+/// is not the newest any more can't be recorded: the lease is asked for anew.
+async fn record(s: &Arc<Controller>, duty: &'static str, id: RaiseId) {
+    match raise(s, duty, id, true).await.outcome() {
+        Outcome::Done => s.duties.with(duty, |h| h.recorded(id)),
+        Outcome::Stale => lapse(s, duty),
+        Outcome::Unknown | Outcome::Invalid => {}
+    }
+}
+
+async fn raise(s: &Arc<Controller>, duty: &str, id: RaiseId, acts: bool) -> Changed {
+    let raise = RaiseFence { duty: duty.to_owned(), holder: s.node.name.clone(), id, acts };
+    owner::submit(s, ChangeKind::Raise(raise)).await
+}
--- /dev/null
+++ b/crates/control-plane/src/duties/lease.rs
@@ -0,0 +1,209 @@
+//! Duty leases as pure state: what a member grants and what a node holds. No clock, task or message is in
+//! here; whoever drives it passes the time in.
+
+use fleet_core::constants;
+use fleet_core::wire::{Lease, RaiseId};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How a duty is leased.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// length of the lease
+    pub lease: Duration,
+    /// its holder gives orders to engines, which must never come from two nodes within one lease
+    pub orders: bool,
+}
+
+impl Terms {
+    /// What the holder leaves unused at the end.
+    pub fn margin(&self) -> Duration {
+        self.lease.mul_f64(constants::LEASE_MARGIN)
+    }
+
+    /// What the holder uses, counted from before it asked.
+    pub fn usable(&self) -> Duration {
+        self.lease - self.margin()
+    }
+}
+
+/// A lease that one incarnation was granted.
+struct Grant {
+    node: String,
+    incarnation: u64,
+    /// of the newest message that was heard
+    number: u64,
+    until: Instant,
+}
+
+/// What a member granted. After a restart, and after it became a voter, it grants no duty that gives
+/// orders for a whole lease: it may have granted one that it no longer knows, or its predecessor may.
+#[derive(Default)]
+pub struct Grantor {
+    table: hashbrown::HashMap<String, Vec<Grant>>,
+    closed_until: Option<Instant>,
+    voted: bool,
+}
+
+impl Grantor {
+    /// Of a member whose former grants, if there were any, end with `closed_until`.
+    pub fn new(first_start: bool) -> Self {
+        Grantor { voted: first_start, ..Grantor::default() }
+    }
+
+    /// Told of whether this node votes, often; a lease is how long a voter that is new grants no orders.
+    pub fn observe(&mut self, votes: bool, now: Instant, lease: Duration) {
+        if votes && !self.voted {
+            self.closed_until = Some(now + lease);
+        }
+        self.voted = votes;
+    }
+
+    /// Grants or takes back. A message that is older than another of its sender changes nothing.
+    pub fn answer(&mut self, l: &Lease, now: Instant, terms: Terms) -> bool {
+        let grants = self.table.entry_ref(l.duty.as_str()).or_default();
+        grants.retain(|g| now < g.until + terms.lease);
+        let own = grants.iter().position(|g| g.incarnation == l.incarnation);
+        if own.is_some_and(|i| grants[i].number >= l.number) {
+            return false;
+        }
+        let closed = terms.orders && self.closed_until.is_some_and(|t| now < t);
+        let taken = grants.iter().any(|g| g.node != l.node && now < g.until);
+        if !l.leave && (closed || taken) {
+            return false;
+        }
+        // orders that were on their way when it was given back have ended by then
+        let rest = if terms.orders { terms.margin() } else { Duration::ZERO };
+        let before = own.map_or(now, |i| grants.swap_remove(i).until);
+        let until = if l.leave { before.min(now + rest) } else { now + terms.lease };
+        let (node, incarnation, number) = (l.node.clone(), l.incarnation, l.number);
+        grants.push(Grant { node, incarnation, number, until });
+        true
+    }
+
+    /// Nobody of another node is known to hold it.
+    pub fn is_free(&self, duty: &str, node: &str, now: Instant) -> bool {
+        let grants = self.table.get(duty);
+        grants.is_none_or(|g| g.iter().all(|g| g.node == node || now >= g.until))
+    }
+}
+
+/// A lease that this node holds, and the fence that it raised under it.
+#[derive(Debug, Clone, Copy)]
+struct Holding {
+    until: Instant,
+    /// former holders' leases have ended by then
+    from: Instant,
+    fence: u64,
+    raise: RaiseId,
+    /// it is on record that this node may act
+    acts: bool,
+}
+
+/// What is to be done for a duty now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// ask for a lease, if it looks free
+    Ask,
+    /// ask again, well before the end
+    Renew,
+    /// put on record that this node acts from now on
+    Record(RaiseId),
+    /// the lease ran out
+    Lapsed,
+    /// nothing before this
+    Rest(Option<Instant>),
+}
+
+/// One duty, as a node holds it or doesn't.
+#[derive(Debug)]
+pub struct Holder {
+    incarnation: u64,
+    attempt: u64,
+    held: Option<Holding>,
+}
+
+impl Holder {
+    /// Of one incarnation of a node; it holds nothing.
+    pub fn new(incarnation: u64) -> Self {
+        Holder { incarnation, attempt: 1, held: None }
+    }
+
+    /// What to do at this time.
+    pub fn step(&self, now: Instant, terms: Terms) -> Step {
+        let Some(h) = &self.held else { return Step::Ask };
+        if now >= h.until {
+            return Step::Lapsed;
+        }
+        if h.until - now <= terms.usable().mul_f64(1.0 - constants::LEASE_RENEW) {
+            return Step::Renew;
+        }
+        if !h.acts && now >= h.from {
+            return Step::Record(h.raise);
+        }
+        Step::Rest((!h.acts).then_some(h.from))
+    }
+
+    /// Names the raise to make: the last one again while it got no answer.
+    pub fn raise(&self) -> RaiseId {
+        RaiseId { incarnation: self.incarnation, attempt: self.attempt }
+    }
+
+    /// A majority granted what was asked for at `asked`, all of it by `granted`, and the raise gave this
+    /// fence; `alone`: nobody but this node can have acted within a lease.
+    pub fn acquired(
+        &mut self,
+        asked: Instant,
+        granted: Instant,
+        fence: u64,
+        alone: bool,
+        terms: Terms,
+    ) {
+        let raise = self.raise();
+        self.attempt += 1;
+        let acts = alone || !terms.orders;
+        let from = if acts { granted } else { granted + terms.usable() };
+        self.held = Some(Holding { until: asked + terms.usable(), from, fence, raise, acts });
+    }
+
+    /// A majority granted it again. An answer that comes after the end is none: others may have held it.
+    pub fn renewed(&mut self, asked: Instant, now: Instant, terms: Terms) {
+        if let Some(h) = &mut self.held
+            && now < h.until
+        {
+            h.until = h.until.max(asked + terms.usable());
+        }
+    }
+
+    /// It is on record that this node acts under this raise.
+    pub fn recorded(&mut self, raise: RaiseId) {
+        if let Some(h) = self.held.as_mut().filter(|h| h.raise == raise) {
+            h.acts = true;
+        }
+    }
+
+    /// Holds it no longer; whether it did.
+    pub fn drop_lease(&mut self) -> bool {
+        self.held.take().is_some()
+    }
+
+    /// The fence to act under and until when, if the lease surely stands and a former holder's has
+    /// surely ended.
+    pub fn mandate(&self, now: Instant) -> Option<Mandate> {
+        let h = self.held.filter(|h| h.acts && h.fence > 0 && now >= h.from && now < h.until)?;
+        Some(Mandate { fence: h.fence, until: h.until })
+    }
+}
+
+/// The right to act, until its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mandate {
+    /// to be told with each order
+    pub fence: u64,
+    /// nothing may reach an engine from here on
+    pub until: Instant,
+}
+
+#[cfg(test)]
+#[path = "lease_tests.rs"]
+mod tests;
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -163,7 +163,7 @@
     let s = Arc::new(Controller {
         engines: engines::registry::Registry::default(),
         members: members::Members::default(),
-        duties: duties::Duties::new(first, settings.bounds.lease),
+        duties: duties::Duties::new(first, node.incarnation),
         started: tokio::time::Instant::now(),
         rng_state: AtomicU64::new(node.incarnation),
         head: tokio::sync::watch::channel(0).0,
--- a/crates/fleet-core/src/constants/duties.rs
+++ b/crates/fleet-core/src/constants/duties.rs
@@ -12,3 +12,5 @@
 pub const KEEPER_WARM: Duration = Duration::from_millis(800);
 /// ms; pause of the loop that holds duties.
 pub const DUTY_TICK: Duration = Duration::from_millis(250);
+/// ms; pause between two tries to renew a lease: three fit into what is left of the shortest one.
+pub const RENEW_TICK: Duration = Duration::from_millis(100);
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -30,12 +30,32 @@
     pub version: u64,
 }
 
+/// Names one raise of a fence, so that deciding it twice is the same as deciding it once.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct RaiseId {
+    /// of the node that raises
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// rises with each raise of that incarnation
+    #[prost(uint64, tag = "2")]
+    pub attempt: u64,
+}
+
+/// What the key of a duty holds.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct DutyValue {
+    /// the highest fencing token given out
     #[prost(uint64, tag = "1")]
     pub fence: u64,
+    /// node that the fence was given to
     #[prost(string, tag = "2")]
     pub holder: String,
+    /// node that may have acted last: a new holder of another node waits for its lease to pass
+    #[prost(string, tag = "3")]
+    pub acting: String,
+    /// the raise that gave the fence
+    #[prost(message, optional, tag = "4")]
+    pub raise: Option<RaiseId>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -72,12 +92,21 @@
     pub version: u64,
 }
 
+/// Asks for a new fence of a duty, or records that its holder begins to act under it.
 #[derive(Clone, PartialEq, Message)]
 pub struct RaiseFence {
+    /// name of the duty
     #[prost(string, tag = "1")]
     pub duty: String,
+    /// node that raises
     #[prost(string, tag = "2")]
     pub holder: String,
+    /// which raise this is; the same one gets the same fence again
+    #[prost(message, required, tag = "3")]
+    pub id: RaiseId,
+    /// the former holder's lease has passed: from now on this node may act
+    #[prost(bool, tag = "4")]
+    pub acts: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug, prost::Enumeration)]
