Calls to engines that are given up reset their connection; a send opens none

Cause: a call that timed out dropped its answer but not its bytes: hyper's connection task went on sending, and after a cut the engine got the order late. A call also connected by itself, so what was checked before it (the fence) could be old when its bytes went out.

Change: a connection ends with a reset when it is dropped (no linger, its task aborted), also when the process is killed. `open` connects, `send` goes over just that connection.

--- a/crates/control-plane/src/engines/outside.rs
+++ b/crates/control-plane/src/engines/outside.rs
@@ -1,12 +1,12 @@
 //! Calls to engines and the store: one kept connection each.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use fleet_core::constants;
 use http_body_util::BodyExt;
+use hyper::client::conn::http1::SendRequest;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+/// Why a call got no answer.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum OutsideError {
     /// cannot connect: {0}
@@ -21,44 +21,73 @@
 
 type Body = http_body_util::Full<bytes::Bytes>;
 
+/// Ends with a reset when dropped: bytes that have not got through by then never do, be it that the call
+/// was given up behind a cut or that the process was killed.
+struct Connection {
+    sender: SendRequest<Body>,
+    task: tokio::task::AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    async fn open(own: Ipv4Addr, to: SocketAddr) -> Result<Connection, OutsideError> {
+        let io = fleet_core::link::connect(own, to, constants::CONNECT_LIMIT)
+            .await
+            .map_err(OutsideError::Connect)?;
+        io.set_zero_linger().map_err(|_| OutsideError::Broken)?;
+        let (sender, conn) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(64 << 10)
+            .handshake(hyper_util::rt::TokioIo::new(io))
+            .await
+            .map_err(|_| OutsideError::Broken)?;
+        let task = tokio::spawn(async move {
+            let _ = conn.await;
+        });
+        Ok(Connection { sender, task: task.abort_handle() })
+    }
+}
+
+/// A way to one engine or store, or to a controller; one call at a time.
 pub struct Line {
     own: Ipv4Addr,
     to: SocketAddr,
-    sender: Option<hyper::client::conn::http1::SendRequest<Body>>,
+    connection: Option<Connection>,
 }
 
+/// A whole answer.
 pub struct Answer {
+    /// its status
     pub status: http::StatusCode,
+    /// its body
     pub body: bytes::Bytes,
     /// where a node that doesn't answer itself points to
     pub location: Option<String>,
 }
 
 impl Line {
+    /// To this address, from the machine's own; connects with the first call.
     pub fn new(own: Ipv4Addr, to: SocketAddr) -> Self {
-        Line { own, to, sender: None }
+        Line { own, to, connection: None }
     }
 
-    async fn sender(
-        &mut self,
-    ) -> Result<hyper::client::conn::http1::SendRequest<Body>, OutsideError> {
-        if let Some(mut s) = self.sender.take()
-            && s.ready().await.is_ok()
+    /// Has a connection ready for [`Line::send`].
+    pub async fn open(&mut self) -> Result<(), OutsideError> {
+        if let Some(mut c) = self.connection.take()
+            && c.sender.ready().await.is_ok()
         {
-            return Ok(s);
+            self.connection = Some(c);
+            return Ok(());
         }
-        let io = fleet_core::link::connect(self.own, self.to, constants::CONNECT_LIMIT)
-            .await
-            .map_err(OutsideError::Connect)?;
-        let (s, conn) = hyper::client::conn::http1::Builder::new()
-            .max_buf_size(64 << 10)
-            .handshake(hyper_util::rt::TokioIo::new(io))
-            .await
-            .map_err(|_| OutsideError::Broken)?;
-        tokio::spawn(conn);
-        Ok(s)
+        self.connection = Some(Connection::open(self.own, self.to).await?);
+        Ok(())
     }
 
+    /// Calls over a connection that stands, or over a new one.
     pub async fn call(
         &mut self,
         method: http::Method,
@@ -66,6 +95,23 @@
         headers: &[(&str, &str)],
         body: Vec<u8>,
         limit: Duration,
+    ) -> Result<Answer, OutsideError> {
+        let done = async {
+            self.open().await?;
+            self.exchange(method, path, headers, body).await
+        };
+        tokio::time::timeout(limit, done).await.map_err(|_| OutsideError::Late)?
+    }
+
+    /// Calls over the connection that was opened, and never over another: what was found to hold before
+    /// the call can't grow old while one comes up. Past the limit nothing of the call is sent any more.
+    pub async fn send(
+        &mut self,
+        method: http::Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+        limit: Duration,
     ) -> Result<Answer, OutsideError> {
         tokio::time::timeout(limit, self.exchange(method, path, headers, body))
             .await
@@ -79,24 +125,29 @@
         headers: &[(&str, &str)],
         body: Vec<u8>,
     ) -> Result<Answer, OutsideError> {
-        let mut sender = self.sender().await?;
-        let mut req = http::Request::builder()
+        let mut connection = self.connection.take().ok_or(OutsideError::Broken)?;
+        let mut request = http::Request::builder()
             .method(method)
             .uri(path)
             .header(http::header::HOST, self.to.to_string());
-        for (n, v) in headers {
-            req = req.header(*n, *v);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
         }
         if !body.is_empty() {
-            req = req.header(http::header::CONTENT_TYPE, "application/json");
+            request = request.header(http::header::CONTENT_TYPE, "application/json");
         }
-        let req = req.body(Body::new(body.into())).map_err(|_| OutsideError::Unreadable)?;
-        let res = sender.send_request(req).await.map_err(|_| OutsideError::Broken)?;
-        let status = res.status();
-        let location = res.headers().get(http::header::LOCATION);
+        let request = request.body(Body::new(body.into())).map_err(|_| OutsideError::Unreadable)?;
+        let answer =
+            connection.sender.send_request(request).await.map_err(|_| OutsideError::Broken)?;
+        let status = answer.status();
+        let location = answer.headers().get(http::header::LOCATION);
         let location = location.and_then(|v| v.to_str().ok()).map(str::to_owned);
-        let body = res.into_body().collect().await.map_err(|_| OutsideError::Broken)?.to_bytes();
-        self.sender = Some(sender);
-        Ok(Answer { status, body, location })
+        let body = answer.into_body().collect().await.map_err(|_| OutsideError::Broken)?;
+        self.connection = Some(connection);
+        Ok(Answer { status, body: body.to_bytes(), location })
     }
 }
+
+#[cfg(test)]
+#[path = "outside_tests.rs"]
+mod tests;
