Orders to engines end with the lease, and only the engine itself is believed

Cause: the fence was checked before a call that could connect and hang for 0.8 s, while a holder leaves a quarter of its lease unused. Reports were taken from whoever had the engine's address, and with any status.

Change: an order is sent over a connection that stands, after the lease was looked at once more, and is given up with a reset before the lease ends or when the node leaves. The driver's part is in rollout/order.rs, the reading of reports a pure type.

--- a/crates/control-plane/src/duties/rollout/mod.rs
+++ b/crates/control-plane/src/duties/rollout/mod.rs
@@ -1,6 +1,7 @@
 //! Bringing engines to named weights, a few at a time, under the fence of the duty.
 
 pub mod look;
+mod order;
 pub mod plan;
 
 use super::ROLL_OUT;
@@ -10,42 +11,12 @@
 use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Engine, Standing};
+use order::OrderError;
 use plan::{Action, Old, Plan};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-#[derive(Debug, serde::Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Report {
-    #[serde(default)]
-    models: Vec<Loaded>,
-    #[serde(default)]
-    busy: bool,
-    #[serde(default)]
-    call_seq: u64,
-    #[serde(default)]
-    active: u32,
-}
-
-#[derive(Debug, serde::Deserialize)]
-struct Loaded {
-    name: String,
-    revision: u64,
-}
-
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-enum RollError {
-    /// the duty is no longer held
-    NoDuty,
-    /// a higher fence was seen
-    Fenced,
-    /// no end of the order in time
-    Late,
-    /// the engine is no longer known
-    Unknown,
-}
-
 /// An engine that is neither gone nor silent and serves the model.
 fn serves(e: &Engine, model: &str) -> bool {
     e.standing() == Standing::Ready
@@ -93,7 +64,7 @@
     out
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// Brings engines to the named weights while this node holds the duty; rests while all have them.
 pub async fn rolling(s: Arc<Controller>) {
     let mut news = s.news();
     loop {
@@ -142,13 +113,13 @@
     id: &str,
     model: &str,
     version: u64,
-) -> Result<Duration, RollError> {
-    let e = &s.look(|n| n.engines.get(id).cloned()).ok_or(RollError::Unknown)?;
-    let to = e.address.parse().map_err(|_| RollError::Unknown)?;
+) -> Result<Duration, OrderError> {
+    let e = &s.look(|n| n.engines.get(id).cloned()).ok_or(OrderError::Unknown)?;
+    let to = e.address.parse().map_err(|_| OrderError::Unknown)?;
     let mut line = Line::new(s.node.ip, to);
     tell(s, &e.id, |x| x.turn += 1 + x.turn % 2).await;
     tokio::time::sleep(constants::ROLL_NOTICE).await;
-    let done = order(s, &mut line, e, model, version).await;
+    let done = order::order(s, &mut line, e, model, version).await;
     match &done {
         Ok(took) => {
             fleet_core::log_event!(s.log, Event::RollDone, "ms" => took.as_millis() as u64, "id" => &e.id, "version" => version)
@@ -174,66 +145,3 @@
     s.append(Fact::Engine(e.clone()));
     registry::share_now(s, e).await;
 }
-
-async fn order(
-    s: &Arc<Controller>,
-    line: &mut Line,
-    e: &Engine,
-    model: &str,
-    version: u64,
-) -> Result<Duration, RollError> {
-    let until = Instant::now() + constants::ORDER_LIMIT;
-    let mut ordered = false;
-    // since it has been ordered and runs nothing any more
-    let mut alone: Option<Instant> = None;
-    let took = |alone: Option<Instant>| alone.map_or(Duration::ZERO, |t| t.elapsed());
-    while Instant::now() < until {
-        if let Some(r) = report(line).await {
-            if r.models.iter().any(|m| m.name == model && m.revision >= version) {
-                return Ok(took(alone));
-            }
-            if ordered && r.active > 0 {
-                alone = None;
-            }
-            if ordered && r.active == 0 {
-                alone = alone.or_else(|| Some(Instant::now()));
-            }
-            if !r.busy && !ordered {
-                let fence = s.duties.fence(ROLL_OUT).ok_or(RollError::NoDuty)?;
-                let body = serde_json::json!({
-                    "operation": "revision", "model": model, "revision": version, "method": "defer",
-                    "holder": s.node.name, "fence": fence, "expected": r.call_seq,
-                });
-                let answer = line
-                    .call(
-                        http::Method::POST,
-                        "/anisedyke/order",
-                        &[("X-Target-Instance", e.id.as_str())],
-                        body.to_string().into_bytes(),
-                        constants::ENGINE_CALL_LIMIT,
-                    )
-                    .await;
-                match answer.map(|a| a.status.as_u16()) {
-                    Ok(202) => {
-                        fleet_core::log_event!(s.log, Event::RollOrdered, "id" => &e.id, "version" => version);
-                        ordered = true;
-                        alone = (r.active == 0).then(Instant::now);
-                    }
-                    Ok(200) => return Ok(Duration::ZERO),
-                    Ok(412) => return Err(RollError::Fenced),
-                    Ok(_) | Err(_) => {}
-                }
-            }
-        }
-        tokio::time::sleep(constants::REPORT_PAUSE).await;
-    }
-    Err(RollError::Late)
-}
-
-async fn report(line: &mut Line) -> Option<Report> {
-    let a = line
-        .call(http::Method::GET, "/anisedyke/report", &[], Vec::new(), constants::ENGINE_CALL_LIMIT)
-        .await
-        .ok()?;
-    serde_json::from_slice(&a.body).ok()
-}
--- a/crates/fleet-core/src/constants/engines.rs
+++ b/crates/fleet-core/src/constants/engines.rs
@@ -18,3 +18,7 @@
 pub const ORDER_LIMIT: Duration = Duration::from_secs(6);
 /// ms; answers to orders and reports come within a round trip and a step.
 pub const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(800);
+/// ms; an order has reached its engine this long after it was sent, on a link that is not in trouble.
+pub const ORDER_TRAVEL: Duration = Duration::from_millis(100);
+/// ms; with less of the lease than this left, an order waits for the renewal: it would only be given up.
+pub const ORDER_LEAST: Duration = Duration::from_millis(100);
