A controller out of contact with a majority sends every caller on to another node

Cause: routine heartbeats were acknowledged by a node that was cut off, so engines stayed with it; orders and reads there ran into their time limits before they were refused.

Change: a majority-contact lease for each controller (contact.rs, pure state): in contact until 1.5 s, or half of contactMs, after the beginning of calls that a majority of the voters in force answered. The learner's rounds keep it up without further messages; only where they are late the voters are asked for it. Without contact, heartbeats, drains, orders of the operator and reads get 503 at once; what is heard of engines is still taken for routers that reach only this node.

--- a/crates/control-plane/src/api/config.rs
+++ b/crates/control-plane/src/api/config.rs
@@ -1,6 +1,6 @@
 //! The operator's configurations.
 
-use super::{Context, json, rejected, whole};
+use super::{Context, contact, json, rejected, whole};
 use crate::control::{owner, values};
 use fleet_core::log::Event;
 use fleet_core::wire::{ChangeKind, ConfigValue, Outcome, ReplaceConfig};
@@ -22,6 +22,7 @@
         ));
     };
     let body = whole(body, fleet_core::constants::CONFIG_BYTES).await?;
+    contact(s)?;
     let c = fleet_core::configuration::Configuration::read(&body).map_err(|p| {
         fleet_core::log_event!(s.log, Event::ConfigRejected, "why" => p.to_string());
         rejected(StatusCode::BAD_REQUEST, p.code(), p.to_string())
@@ -53,6 +54,7 @@
     rq: dropshot::RequestContext<Context>,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
+    contact(s)?;
     let got =
         match tokio::time::timeout(fleet_core::constants::CHANGE_LIMIT, s.read(values::CONFIG))
             .await
--- a/crates/control-plane/src/api/instances.rs
+++ b/crates/control-plane/src/api/instances.rs
@@ -1,6 +1,6 @@
 //! Engines tell that they live, and that they leave.
 
-use super::{Context, json, rejected, whole};
+use super::{Context, contact, json, rejected, whole};
 use crate::engines::registry;
 use fleet_core::wire::{Engine, Standing, Weights};
 use http::StatusCode;
@@ -80,7 +80,9 @@
         State::Ready => Standing::Ready,
         State::Draining => Standing::Draining,
     });
+    // also out of contact: routers that reach only this node need to hear of it
     registry::hear(s, e, true);
+    contact(s)?;
     if beat.state == State::Draining {
         told(s, &id).await?;
     }
@@ -120,6 +122,7 @@
     e.call = call.max(leave.call_seq.unwrap_or(call + 1));
     e.set_standing(Standing::Gone);
     registry::hear(s, e, true);
+    contact(s)?;
     told(s, &id).await?;
     json(StatusCode::OK, "{}")
 }
--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -26,6 +26,16 @@
     }
 }
 
+/// Out of contact with a majority of the voters nothing is acknowledged, refused or handed out: the caller
+/// goes on to another node at once.
+pub fn contact(s: &Context) -> Result<(), dropshot::HttpError> {
+    if s.in_contact() {
+        return Ok(());
+    }
+    let message = "out of contact with a majority of the controllers".to_owned();
+    Err(rejected(http::StatusCode::SERVICE_UNAVAILABLE, "no_contact", message))
+}
+
 #[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 pub fn json(
     status: http::StatusCode,
--- a/crates/control-plane/src/api/weights.rs
+++ b/crates/control-plane/src/api/weights.rs
@@ -1,6 +1,6 @@
 //! New weights are named.
 
-use super::{Context, json, rejected, whole};
+use super::{Context, contact, json, rejected, whole};
 use crate::control::owner;
 use fleet_core::wire::{ChangeKind, NameVersion, Outcome};
 use http::StatusCode;
@@ -18,6 +18,7 @@
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let s = rq.context();
     let body = whole(body, fleet_core::constants::BEAT_BYTES).await?;
+    contact(s)?;
     let p: Put = serde_json::from_slice(&body)
         .map_err(|e| rejected(StatusCode::BAD_REQUEST, "malformed", e.to_string()))?;
     let change = ChangeKind::Name(NameVersion { model: p.model, version: p.revision });
--- /dev/null
+++ b/crates/control-plane/src/contact.rs
@@ -0,0 +1,84 @@
+//! Contact with a majority of the voters, which a controller needs in order to answer for all of them.
+
+use crate::Controller;
+use fleet_core::constants;
+use fleet_core::log::Event;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// When each voter was last known to answer: pure state, with the time passed in. Counted from before the
+/// call began, since what a voter did after its answer left is not known.
+#[derive(Debug, Default)]
+pub struct Contact {
+    answered: hashbrown::HashMap<u64, Instant>,
+}
+
+impl Contact {
+    /// A voter of the membership in force answered a call that began at this time.
+    pub fn answered(&mut self, voter: u64, begun: Instant) {
+        let at = self.answered.entry(voter).or_insert(begun);
+        *at = begun.max(*at);
+    }
+
+    /// Until when this node counts as in contact with a majority of these voters.
+    pub fn until(&self, voters: &[u64], span: Duration) -> Option<Instant> {
+        let mut begun: Vec<Instant> =
+            voters.iter().filter_map(|v| self.answered.get(v).copied()).collect();
+        begun.sort_unstable_by(|a, b| b.cmp(a));
+        let majority = voters.len() / 2 + 1;
+        begun.get(majority - 1).map(|oldest| *oldest + span)
+    }
+
+    /// Those that vote no longer are forgotten.
+    pub fn retain(&mut self, voters: &[u64]) {
+        self.answered.retain(|v, _| voters.contains(v));
+    }
+}
+
+impl Controller {
+    fn contact_span(&self) -> Duration {
+        let bound = self.settings().bounds.contact.mul_f64(constants::CONTACT_SHARE);
+        bound.min(constants::CONTACT_SPAN)
+    }
+
+    fn contact_until(&self) -> Option<Instant> {
+        let voters: Vec<u64> = {
+            let acceptor = self.acceptor.lock();
+            let members = &acceptor.membership().members;
+            members.iter().filter_map(|m| m.addr()).map(|a| u64::from(u32::from(a))).collect()
+        };
+        let mut contact = self.contact.lock();
+        contact.retain(&voters);
+        contact.until(&voters, self.contact_span())
+    }
+
+    /// Whether this node may acknowledge, refuse or hand out anything: it heard a majority of the voters in
+    /// force a short time ago. Without it, callers have to go on to another node.
+    pub fn in_contact(&self) -> bool {
+        self.contact_until().is_some_and(|t| Instant::now() < t)
+    }
+}
+
+/// Looks whether contact stands. The learner's rounds keep it up; only where these are late does this
+/// task ask the voters itself.
+pub async fn keeping(s: Arc<Controller>) {
+    let mut was = false;
+    loop {
+        tokio::time::sleep(constants::CONTACT_TICK).await;
+        let left = s.contact_until().map(|t| t.saturating_duration_since(Instant::now()));
+        if left.is_some_and(|l| l < s.contact_span().mul_f64(constants::CONTACT_RENEW)) {
+            s.hear_majority().await;
+        }
+        let is = s.in_contact();
+        if is != was {
+            let event = if is { Event::ContactGained } else { Event::ContactLost };
+            fleet_core::log_event!(s.log, event);
+        }
+        was = is;
+    }
+}
+
+#[cfg(test)]
+#[path = "contact_tests.rs"]
+mod tests;
--- a/crates/control-plane/src/learner.rs
+++ b/crates/control-plane/src/learner.rs
@@ -39,6 +39,7 @@
             let a = self.acceptor.lock();
             (a.membership().members.clone(), a.membership().epoch)
         };
+        let begun = tokio::time::Instant::now();
         let mut held = Held::new();
         let (tx, mut rx) = tokio::sync::mpsc::channel(members.len().max(1));
         for (id, link) in self.peers(&members) {
@@ -52,6 +53,7 @@
                     s.adopt(r).await;
                 }
                 if p.membership.as_ref().is_none_or(|r| r.epoch == epoch) {
+                    s.heard_voter(id, &p, begun);
                     let _ = tx.send((id, p)).await;
                 }
             });
@@ -59,6 +61,7 @@
         drop(tx);
         let own = tokio::time::timeout(constants::PHASE_LIMIT, self.vote(|a| a.peek(false))).await;
         if let Ok(Some(p)) = own {
+            self.heard_voter(self.node.id(), &p, begun);
             add(&mut held, self.node.id(), &p);
         }
         while !enough(&held) {
@@ -68,6 +71,17 @@
         held
     }
 
+    fn heard_voter(&self, id: u64, p: &Peeked, begun: tokio::time::Instant) {
+        if p.votes {
+            self.contact.lock().answered(id, begun);
+        }
+    }
+
+    /// Asks the voters for no other reason than to hear of a majority of them.
+    pub async fn hear_majority(self: &Arc<Self>) {
+        self.peek(|_| false).await;
+    }
+
     fn quorum(&self) -> usize {
         self.acceptor.lock().membership().members.len() / 2 + 1
     }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane: what the controller program is made of.
 
 pub mod api;
+pub mod contact;
 pub mod control;
 pub mod disk;
 pub mod duties;
@@ -42,6 +43,7 @@
     pub engines: engines::registry::Registry,
     pub members: members::Members,
     pub duties: duties::Duties,
+    contact: parking_lot::Mutex<contact::Contact>,
     pub started: tokio::time::Instant,
     leaving: tokio::sync::watch::Sender<bool>,
     rng_state: AtomicU64,
@@ -164,6 +166,7 @@
         engines: engines::registry::Registry::default(),
         members: members::Members::default(),
         duties: duties::Duties::new(first, node.incarnation),
+        contact: parking_lot::Mutex::default(),
         started: tokio::time::Instant::now(),
         rng_state: AtomicU64::new(node.incarnation),
         head: tokio::sync::watch::channel(0).0,
@@ -195,6 +198,7 @@
         tokio::spawn(members::joining(s.clone())),
         tokio::spawn(members::exchanging(s.clone())),
         tokio::spawn(learner::learning(s.clone())),
+        tokio::spawn(contact::keeping(s.clone())),
         tokio::spawn(members::loads::sharing(s.clone())),
         tokio::spawn(engines::registry::sharing(s.clone())),
         tokio::spawn(engines::registry::watching(s.clone())),
--- /dev/null
+++ b/crates/control-plane/tests/contact.rs
@@ -0,0 +1,107 @@
+//! What a controller answers engines and operators in and out of contact with a majority.
+
+use control_plane::engines::outside::Line;
+use fleet_core::settings::Settings;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+const BEAT: &str = r#"{"service":"s","address":"10.0.0.9:80","state":"ready","callSeq":1}"#;
+const CONFIGURATION: &str = r#"{"revision":1,"routes":[],"services":[],"limits":{}}"#;
+/// Says that it was answered by what this node knows, without asking the others first.
+const NO_CONTACT: &str = "no_contact";
+/// For a busy machine; nothing is measured by it.
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn free_port(ip: Ipv4Addr) -> u16 {
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
+}
+
+/// A controller on this machine with so many seeds, of which only itself runs.
+struct Running {
+    control: SocketAddr,
+    dir: std::path::PathBuf,
+    task: tokio::task::JoinHandle<()>,
+    _ends: (tokio::sync::watch::Sender<bool>, tokio::sync::mpsc::Sender<Settings>),
+}
+
+impl Running {
+    /// Each test has a network of its own, so that no port is given to two.
+    fn start(net: u8, seeds: u8) -> Running {
+        let ip = Ipv4Addr::new(127, 0, net, 1);
+        let (control, peers) = (free_port(ip), free_port(ip));
+        let dir = std::env::temp_dir().join(format!("contact-{net}-{}", std::process::id()));
+        let seeds: Vec<String> =
+            (1..=seeds).map(|n| format!("127.0.{net}.{n}:{control}")).collect();
+        let text = format!(
+            "nodeName=a\nip={ip}\nzone=z\nportRange={peers},{}\nbindAddrs.control={ip}:{control}\n\
+             seeds={}\nbootstrap=true\ndataDir={}\n",
+            peers.saturating_add(9),
+            seeds.join(","),
+            dir.display()
+        );
+        let settings = Settings::parse(&text).unwrap();
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let (reread, rereads) = tokio::sync::mpsc::channel(1);
+        let log = fleet_core::log::root(slog::Level::Error, "a", "controller");
+        let task = tokio::spawn(async move {
+            control_plane::run(settings, log, stopped, rereads).await.unwrap();
+        });
+        let control = SocketAddr::new(ip.into(), control);
+        Running { control, dir, task, _ends: (stop, reread) }
+    }
+
+    async fn answers(&self, method: http::Method, path: &str, body: &str) -> (u16, String) {
+        loop {
+            let mut line = Line::new(Ipv4Addr::LOCALHOST, self.control);
+            if line.open().await.is_err() {
+                assert!(!self.task.is_finished(), "the controller ended");
+                tokio::task::yield_now().await;
+                continue;
+            }
+            let headers = [("X-Base-Revision", "0")];
+            let body = body.as_bytes().to_vec();
+            let a = line.send(method, path, &headers, body, LIMIT).await.unwrap();
+            return (a.status.as_u16(), String::from_utf8_lossy(&a.body).into_owned());
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+#[tokio::test]
+async fn out_of_contact_every_call_is_sent_on_to_another_node_and_heard_all_the_same() {
+    let s = Running::start(1, 3);
+    let post = http::Method::POST;
+    let beat = s.answers(post.clone(), "/anisedyke/Instances.Heartbeat/i-1", BEAT).await;
+    assert!(beat.0 == 503 && beat.1.contains(NO_CONTACT), "{beat:?}");
+    let put = s.answers(post.clone(), "/anisedyke/version-put", r#"{"model":"m","revision":2}"#);
+    let put = put.await;
+    assert!(put.0 == 503 && put.1.contains(NO_CONTACT), "{put:?}");
+    let replaced = s.answers(post.clone(), "/anisedyke/Config.Replace", CONFIGURATION).await;
+    assert!(replaced.0 == 503 && replaced.1.contains(NO_CONTACT), "{replaced:?}");
+    let fetched = s.answers(http::Method::GET, "/anisedyke/Config.Fetch", "").await;
+    assert!(fetched.0 == 503 && fetched.1.contains(NO_CONTACT), "{fetched:?}");
+    let look = s.answers(http::Method::GET, "/anisedyke/Fleet.Look", "").await;
+    assert!(look.0 == 200 && look.1.contains("i-1"), "{look:?}");
+    let left = s.answers(post, "/anisedyke/Instances.Deregister/i-1", "").await;
+    assert!(left.0 == 503 && left.1.contains(NO_CONTACT), "{left:?}");
+    let look = s.answers(http::Method::GET, "/anisedyke/Fleet.Look", "").await;
+    assert!(look.1.contains("gone"), "{look:?}");
+}
+
+#[tokio::test]
+async fn in_contact_heartbeats_and_changes_are_acknowledged() {
+    let s = Running::start(2, 1);
+    let post = http::Method::POST;
+    let beat = "/anisedyke/Instances.Heartbeat/i-1";
+    while s.answers(post.clone(), beat, BEAT).await.0 != 200 {}
+    let replaced = s.answers(post, "/anisedyke/Config.Replace", CONFIGURATION).await;
+    assert_eq!(replaced.0, 200, "{}", replaced.1);
+    let fetched = s.answers(http::Method::GET, "/anisedyke/Config.Fetch", "").await;
+    assert_eq!(fetched, (200, CONFIGURATION.to_owned()));
+}
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -22,3 +22,12 @@
 pub const TAKEN_KEPT: usize = 64;
 /// bytes; largest configuration read, above any limit an operator sets on bodies.
 pub const CONFIG_BYTES: usize = 6 << 20;
+/// ms; a controller counts as in contact this long after it asked a majority of the voters: two rounds of
+/// the learner with one member silent, and some more.
+pub const CONTACT_SPAN: Duration = Duration::from_millis(1500);
+/// share of the platform's own bound of contact that ours may take at the most.
+pub const CONTACT_SHARE: f64 = 0.5;
+/// ms; pause between two looks whether contact stands.
+pub const CONTACT_TICK: Duration = Duration::from_millis(200);
+/// share of the span: with less of it left, the voters are asked without waiting for the learner.
+pub const CONTACT_RENEW: f64 = 0.34;
--- a/crates/fleet-core/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -38,6 +38,8 @@
     VersionNamed = 222, Info, "weights named";
     MembershipMoved = 230, Info, "membership moved";
     Joining = 231, Info, "asking to join";
+    ContactGained = 232, Info, "in contact with a majority";
+    ContactLost = 233, Warning, "out of contact with a majority";
     DutyTaken = 240, Info, "duty taken";
     DutyLeft = 241, Info, "duty left";
     RollOrdered = 250, Info, "engine ordered to new weights";
