--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -7,10 +7,11 @@
 mod weights;
 
 use crate::Controller;
+use crate::service::Rejection;
 use futures_util::StreamExt;
 use std::sync::Arc;
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// What each handler is given: the controller that it answers for.
 pub type Context = Arc<Controller>;
 
 /// Typed answer to what can't be taken.
@@ -26,17 +27,13 @@
     }
 }
 
-/// Out of contact with a majority of the voters nothing is acknowledged, refused or handed out: the caller
-/// goes on to another node at once.
-pub fn contact(s: &Context) -> Result<(), dropshot::HttpError> {
-    if s.in_contact() {
-        return Ok(());
+impl From<Rejection> for dropshot::HttpError {
+    fn from(rejection: Rejection) -> Self {
+        rejected(rejection.status, rejection.code, rejection.message)
     }
-    let message = "out of contact with a majority of the controllers".to_owned();
-    Err(rejected(http::StatusCode::SERVICE_UNAVAILABLE, "no_contact", message))
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// An answer of JSON.
 pub fn json(
     status: http::StatusCode,
     body: impl Into<dropshot::Body>,
@@ -65,7 +62,7 @@
     Ok(out.freeze())
 }
 
-#[expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+/// Starts the server of all handlers.
 pub fn serve(
     s: &Context,
     at: std::net::SocketAddr,
--- a/crates/control-plane/src/disk/writer.rs
+++ b/crates/control-plane/src/disk/writer.rs
@@ -3,8 +3,9 @@
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
 use super::format::{self, Record, Slot, State};
-use super::{DiskError, refused};
+use super::{DiskError, RecordQueue, refused};
 use fleet_core::constants;
+use fleet_core::transport::BoxFuture;
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
@@ -129,21 +130,20 @@
         Ok(())
     }
 
-    fn append_many(&mut self, jobs: &[Job]) -> Result<(), DiskError> {
-        let mut all = Record { registers: Vec::new(), voting: self.state.voting };
-        for j in jobs {
-            all.voting |= j.record.voting;
-            for r in &j.record.registers {
-                match all.registers.iter_mut().find(|x| x.key == r.key) {
-                    Some(x) => *x = r.clone(),
-                    None => all.registers.push(r.clone()),
-                }
-            }
+    /// Writes several records as one; the flags are those of the newest.
+    fn append_many<'a>(
+        &mut self,
+        records: impl Iterator<Item = &'a Record>,
+    ) -> Result<(), DiskError> {
+        let mut joined = Record { voting: self.state.voting, ..Default::default() };
+        for record in records {
+            joined.merge(record);
         }
-        if all.registers.is_empty() && all.voting == self.state.voting {
+        let changed = joined.reset || joined.voting != self.state.voting;
+        if joined.registers.is_empty() && !changed {
             return Ok(());
         }
-        self.append(&all)
+        self.append(&joined)
     }
 }
 
@@ -170,7 +170,7 @@
                 let mut jobs: Vec<Job> = first.into_iter().collect();
                 jobs.extend(rx.try_iter().take(64));
                 let was = bad;
-                let mut out = files.append_many(&jobs);
+                let mut out = files.append_many(jobs.iter().map(|job| &job.record));
                 if was && out.is_ok() || out.is_err() {
                     out = files.roll();
                 }
@@ -197,25 +197,26 @@
     pub fn absent() -> Disk {
         Disk { tx: None, broken: std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true)) }
     }
+}
 
-    pub fn is_absent(&self) -> bool {
-        self.tx.is_none()
-    }
-
-    /// Queued in the order of the calls; true once it is on the disk.
-    pub fn keep(&self, record: Record) -> impl Future<Output = Result<(), DiskError>> + use<> {
+impl RecordQueue for Disk {
+    fn keep(&self, record: Record) -> BoxFuture<'static, Result<(), DiskError>> {
         let (done, rx) = tokio::sync::oneshot::channel();
         let sent = match &self.tx {
             Some(tx) => tx.send(Job { record, done }).map_err(|_| DiskError::Ended),
             None => Err(DiskError::Absent),
         };
-        async move {
+        Box::pin(async move {
             sent?;
             rx.await.map_err(|_| DiskError::Ended)?
-        }
+        })
+    }
+
+    fn is_absent(&self) -> bool {
+        self.tx.is_none()
     }
 
-    pub fn is_broken(&self) -> bool {
+    fn is_broken(&self) -> bool {
         self.broken.load(std::sync::atomic::Ordering::Relaxed)
     }
 }
--- a/crates/control-plane/src/duties/holding.rs
+++ b/crates/control-plane/src/duties/holding.rs
@@ -3,7 +3,7 @@
 use super::lease::{Step, Terms};
 use super::{INDEX_KEEPER, ROLL_OUT, terms};
 use crate::Controller;
-use crate::control::owner;
+use crate::control::submit;
 use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Body, ChangeKind, Changed, Lease, Leased, Outcome, RaiseFence, RaiseId};
@@ -15,15 +15,8 @@
 /// voter know the same membership: a majority of an older one doesn't exclude a majority of this one.
 pub fn grant(s: &Controller, l: &Lease) -> Leased {
     let terms = terms(s.settings().bounds.lease, &l.duty);
-    let (votes, epoch) = {
-        let acceptor = s.acceptor.lock();
-        (acceptor.votes(), acceptor.membership().epoch)
-    };
-    let now = Instant::now();
-    let mut grantor = s.duties.grantor.lock();
-    grantor.observe(votes, now, s.settings().bounds.lease);
-    let may = votes && (l.leave || l.membership == epoch);
-    Leased { ok: may && grantor.answer(l, now, terms) }
+    let may_grant = s.acceptor.lock().may_grant(l.membership);
+    Leased { ok: may_grant && s.duties.grantor.lock().answer(l, Instant::now(), terms) }
 }
 
 /// Asks all members; true with a majority.
@@ -79,10 +72,8 @@
         pause = constants::DUTY_TICK;
         let terms = terms(s.settings().bounds.lease, duty);
         let now = Instant::now();
-        let votes = s.acceptor.lock().votes();
-        s.duties.grantor.lock().observe(votes, now, s.settings().bounds.lease);
         match s.duties.with(duty, |h| h.step(now, terms)) {
-            Step::Ask => try_to_take(&s, duty, terms, votes).await,
+            Step::Ask => try_to_take(&s, duty, terms).await,
             Step::Renew => {
                 pause = constants::RENEW_TICK;
                 if ask(&s, duty, false).await {
@@ -103,9 +94,9 @@
     fleet_core::log_event!(s.log, Event::DutyLeft, "duty" => duty);
 }
 
-async fn try_to_take(s: &Arc<Controller>, duty: &'static str, terms: Terms, votes: bool) {
+async fn try_to_take(s: &Arc<Controller>, duty: &'static str, terms: Terms) {
     let free = || s.duties.grantor.lock().is_free(duty, &s.node.name, Instant::now());
-    if !free() || !votes || s.disk_broken() {
+    if !free() || !s.acceptor.lock().votes() || s.disk_broken() {
         return;
     }
     // those that find it free at the same time don't all ask at once
@@ -146,5 +137,5 @@
 
 async fn raise(s: &Arc<Controller>, duty: &str, id: RaiseId, acts: bool) -> Changed {
     let raise = RaiseFence { duty: duty.to_owned(), holder: s.node.name.clone(), id, acts };
-    owner::submit(s, ChangeKind::Raise(raise)).await
+    submit::submit(s, ChangeKind::Raise(raise)).await
 }
--- a/crates/control-plane/src/duties/lease.rs
+++ b/crates/control-plane/src/duties/lease.rs
@@ -42,21 +42,17 @@
 pub struct Grantor {
     table: hashbrown::HashMap<String, Vec<Grant>>,
     closed_until: Option<Instant>,
-    voted: bool,
 }
 
 impl Grantor {
-    /// Of a member whose former grants, if there were any, end with `closed_until`.
-    pub fn new(first_start: bool) -> Self {
-        Grantor { voted: first_start, ..Grantor::default() }
+    /// Of a member whose former grants, if there were any, have ended by then.
+    pub fn new(closed_until: Option<Instant>) -> Self {
+        Grantor { closed_until, ..Grantor::default() }
     }
 
-    /// Told of whether this node votes, often; a lease is how long a voter that is new grants no orders.
-    pub fn observe(&mut self, votes: bool, now: Instant, lease: Duration) {
-        if votes && !self.voted {
-            self.closed_until = Some(now + lease);
-        }
-        self.voted = votes;
+    /// Grants nothing that gives orders before then: what others granted may still run.
+    pub fn close_until(&mut self, end: Instant) {
+        self.closed_until = self.closed_until.max(Some(end));
     }
 
     /// Grants or takes back. A message that is older than another of its sender changes nothing.
--- a/crates/control-plane/src/duties/lease_tests.rs
+++ b/crates/control-plane/src/duties/lease_tests.rs
@@ -20,8 +20,7 @@
 #[test]
 fn one_incarnation_at_a_time_and_none_after_a_restart() {
     let t = Instant::now();
-    let mut g = Grantor::new(false);
-    g.observe(true, t, L);
+    let mut g = Grantor::new(Some(t + L));
     assert!(!g.answer(&lease(1, 1), t, ORDERS));
     let other_duty = Lease { duty: "e".into(), ..lease(1, 1) };
     assert!(g.answer(&other_duty, t, OTHER), "no orders are given under it");
@@ -42,7 +41,7 @@
 #[test]
 fn a_late_leave_takes_no_later_grant() {
     let t = Instant::now();
-    let mut g = Grantor::new(true);
+    let mut g = Grantor::new(None);
     assert!(g.answer(&lease(1, 1), t, OTHER));
     assert!(g.answer(&lease(1, 3), t, OTHER), "the second try overtakes the leave of the first");
     assert!(!g.answer(&leave(1, 2), t, OTHER));
@@ -52,7 +51,7 @@
 #[test]
 fn a_former_incarnation_takes_nothing_from_the_next_one() {
     let t = Instant::now();
-    let mut g = Grantor::new(true);
+    let mut g = Grantor::new(None);
     let second = |l| Lease { node: "n1".into(), ..l };
     assert!(g.answer(&second(lease(2, 1)), t, OTHER));
     assert!(g.answer(&lease(1, 7), t, OTHER), "late, of the same node");
@@ -60,14 +59,17 @@
     assert!(!g.answer(&lease(3, 1), t, OTHER));
 }
 
+/// {A,B,C} moves to {B,C,D} while A holds: neither C with D nor B with D may grant it to another.
 #[test]
-fn a_member_that_begins_to_vote_grants_no_orders_for_a_lease() {
+fn a_newcomer_grants_nothing_while_a_lease_of_former_members_may_run() {
     let t = Instant::now();
-    let mut g = Grantor::new(false);
-    g.observe(false, t, L);
-    g.observe(true, t + L * 5, L);
-    assert!(!g.answer(&lease(1, 1), t + L * 5, ORDERS));
-    assert!(g.answer(&lease(1, 2), t + L * 6, ORDERS));
+    let mut g = Grantor::new(None);
+    let keeper = Lease { duty: "e".into(), ..lease(2, 1) };
+    assert!(g.answer(&keeper, t, OTHER));
+    g.close_until(t + L);
+    g.close_until(t + L / 2);
+    assert!(!g.answer(&lease(2, 2), t + L * 3 / 4, ORDERS));
+    assert!(g.answer(&lease(2, 3), t + L, ORDERS));
 }
 
 #[test]
@@ -160,7 +162,7 @@
 impl World {
     fn new() -> World {
         let node = |i: u64| SimNode {
-            grantor: Grantor::new(true),
+            grantor: Grantor::new(None),
             holder: Holder::new(i + 1),
             incarnation: i + 1,
             number: 0,
@@ -200,7 +202,6 @@
 
     fn tick(&mut self, who: usize) {
         let now = self.now;
-        self.nodes[who].grantor.observe(true, now, L);
         if let Some(p) = self.nodes[who].pending.clone() {
             if now - p.asked > Duration::from_millis(1300) {
                 self.nodes[who].pending = None;
@@ -233,7 +234,6 @@
         match m {
             Message::Ask(to, l) => {
                 let g = &mut self.nodes[to].grantor;
-                g.observe(true, self.now, L);
                 if g.answer(&l, self.now, ORDERS) && !l.leave {
                     let who = l.node[1..].parse().unwrap();
                     self.wire.push(Message::Granted(who, l.incarnation, l.number));
@@ -300,7 +300,7 @@
         self.restarts += 1;
         let incarnation = self.restarts;
         self.nodes[who] = SimNode {
-            grantor: Grantor::new(false),
+            grantor: Grantor::new(Some(self.now + L)),
             holder: Holder::new(incarnation),
             incarnation,
             number: 0,
--- a/crates/control-plane/src/duties/mod.rs
+++ b/crates/control-plane/src/duties/mod.rs
@@ -31,11 +31,11 @@
 }
 
 impl Duties {
-    /// Of a node that starts; `first_start` if it is the first start of all.
-    pub fn new(first_start: bool, incarnation: u64) -> Self {
+    /// Of a node that starts; its former incarnation may have granted what has not ended for so long.
+    pub fn new(closed: Option<Duration>, incarnation: u64) -> Self {
         let holders = [ROLL_OUT, INDEX_KEEPER].map(|duty| (duty, Holder::new(incarnation)));
         Duties {
-            grantor: parking_lot::Mutex::new(Grantor::new(first_start)),
+            grantor: parking_lot::Mutex::new(Grantor::new(closed.map(|c| Instant::now() + c))),
             holders: parking_lot::Mutex::new(holders.into_iter().collect()),
             messages: AtomicU64::new(1),
             keeper: parking_lot::Mutex::default(),
@@ -43,6 +43,11 @@
         }
     }
 
+    /// A member that has just got its vote doesn't know what the former members granted.
+    pub fn close_for(&self, lease: Duration) {
+        self.grantor.lock().close_until(Instant::now() + lease);
+    }
+
     /// The right to act for a duty now.
     pub fn mandate(&self, duty: &str) -> Option<Mandate> {
         self.holders.lock().get(duty).and_then(|h| h.mandate(Instant::now()))
--- a/crates/control-plane/src/duties/rollout/mod.rs
+++ b/crates/control-plane/src/duties/rollout/mod.rs
@@ -116,7 +116,7 @@
 ) -> Result<Duration, OrderError> {
     let e = &s.look(|n| n.engines.get(id).cloned()).ok_or(OrderError::Unknown)?;
     let to = e.address.parse().map_err(|_| OrderError::Unknown)?;
-    let mut line = Line::new(s.node.ip, to);
+    let mut line = Line::over(s.transport.clone(), s.node.ip, to);
     tell(s, &e.id, |x| x.turn += 1 + x.turn % 2).await;
     tokio::time::sleep(constants::ROLL_NOTICE).await;
     let done = order::order(s, &mut line, e, model, version).await;
--- a/crates/control-plane/src/engines/outside.rs
+++ b/crates/control-plane/src/engines/outside.rs
@@ -1,16 +1,18 @@
 //! Calls to engines and the store: one kept connection each.
 
 use fleet_core::constants;
+use fleet_core::transport::{Tcp, Transport, TransportError};
 use http_body_util::BodyExt;
 use hyper::client::conn::http1::SendRequest;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Why a call got no answer.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub enum OutsideError {
     /// cannot connect: {0}
-    Connect(fleet_core::link::LinkError),
+    Connect(TransportError),
     /// the call broke off
     Broken,
     /// no answer in time
@@ -35,11 +37,16 @@
 }
 
 impl Connection {
-    async fn open(own: Ipv4Addr, to: SocketAddr) -> Result<Connection, OutsideError> {
-        let io = fleet_core::link::connect(own, to, constants::CONNECT_LIMIT)
+    async fn open(
+        transport: &dyn Transport,
+        own: Ipv4Addr,
+        to: SocketAddr,
+    ) -> Result<Connection, OutsideError> {
+        let io = transport
+            .connect(own, to, constants::CONNECT_LIMIT)
             .await
             .map_err(OutsideError::Connect)?;
-        io.set_zero_linger().map_err(|_| OutsideError::Broken)?;
+        io.reset_on_close().map_err(|_| OutsideError::Broken)?;
         let (sender, conn) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(64 << 10)
             .handshake(hyper_util::rt::TokioIo::new(io))
@@ -54,6 +61,7 @@
 
 /// A way to one engine or store, or to a controller; one call at a time.
 pub struct Line {
+    transport: Arc<dyn Transport>,
     own: Ipv4Addr,
     to: SocketAddr,
     connection: Option<Connection>,
@@ -70,9 +78,14 @@
 }
 
 impl Line {
-    /// To this address, from the machine's own; connects with the first call.
+    /// To this address over TCP, from the machine's own; connects with the first call.
     pub fn new(own: Ipv4Addr, to: SocketAddr) -> Self {
-        Line { own, to, connection: None }
+        Self::over(Tcp::shared(), own, to)
+    }
+
+    /// As `new`, over any transport.
+    pub fn over(transport: Arc<dyn Transport>, own: Ipv4Addr, to: SocketAddr) -> Self {
+        Line { transport, own, to, connection: None }
     }
 
     /// Has a connection ready for [`Line::send`].
@@ -83,7 +96,7 @@
             self.connection = Some(c);
             return Ok(());
         }
-        self.connection = Some(Connection::open(self.own, self.to).await?);
+        self.connection = Some(Connection::open(&*self.transport, self.own, self.to).await?);
         Ok(())
     }
 
--- a/crates/control-plane/src/members/membership.rs
+++ b/crates/control-plane/src/members/membership.rs
@@ -29,6 +29,7 @@
         ip: s.node.ip.to_string(),
         zone: s.node.zone.clone(),
         control: s.settings().control.map(|a| a.to_string()).unwrap_or_default(),
+        joined_epoch: 0,
     }
 }
 
@@ -98,6 +99,7 @@
     if s.acceptor.lock().membership().epoch != membership {
         return;
     }
+    s.duties.close_for(s.settings().bounds.lease);
     if s.persist(|a| a.recover(recovery_epoch, &got)).await {
         fleet_core::log_event!(s.log, Event::Voting, "recovery_epoch" => recovery_epoch);
         s.members.relink(s);
@@ -237,7 +239,7 @@
 fn grown(membership: &Membership, joiner: &Member) -> Membership {
     let mut next = membership.clone();
     next.epoch += 1;
-    next.members.push(joiner.clone());
+    next.members.push(Member { joined_epoch: next.epoch, ..joiner.clone() });
     next.members.sort_by(|a, b| a.ip.cmp(&b.ip));
     next
 }
--- a/crates/fleet-core/src/wire/leases.rs
+++ b/crates/fleet-core/src/wire/leases.rs
@@ -2,36 +2,39 @@
 
 use prost::Message;
 
-/// Asks a member for a lease, or gives it back.
+/// Asks a member for its grant of a duty lease, or gives the lease back. The asker counts the lease
+/// from before it asked, and holds the duty with the grants of a majority only.
 #[derive(Clone, PartialEq, Message)]
 pub struct Lease {
-    /// name of the duty
+    /// Name of the duty.
     #[prost(string, tag = "1")]
     pub duty: String,
-    /// incarnation of the node that asks
+    /// Incarnation of the asking process.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
-    /// length of the lease
+    /// Length of the lease in ms. Granters go by their own settings.
     #[prost(uint64, tag = "3")]
     pub ms: u64,
-    /// gives it back
+    /// Gives the lease back.
     #[prost(bool, tag = "4")]
     pub leave: bool,
-    /// a new incarnation of the same node may stand in for the one before it at once
+    /// Name of the asking node. A new incarnation of the same node may stand in for the one before it
+    /// at once.
     #[prost(string, tag = "5")]
     pub node: String,
-    /// rises with each message of the incarnation, so that a late one is known
+    /// Epoch of the membership whose majority is asked.
     #[prost(uint64, tag = "6")]
-    pub number: u64,
-    /// epoch of the membership whose majority is asked
-    #[prost(uint64, tag = "7")]
     pub membership: u64,
+    /// Rises with each message of the incarnation, so that a late one is known.
+    #[prost(uint64, tag = "7")]
+    pub number: u64,
 }
 
-/// Answer to `Lease`.
+/// Answer to [`Lease`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Leased {
-    /// granted, from when it was asked
+    /// Granted: the granter grants this duty to no other node until the lease has passed, counted from
+    /// its answer.
     #[prost(bool, tag = "1")]
     pub ok: bool,
 }
