The index-keeper in small modules; what a new one takes in and gives out is bounded in bytes

Cause: a new keeper read the gathered events of all holders at once, in answers of any size, and gave eight digests of any size each 100 ms; three control machines of 162 MB died of memory right after they took the duty. Its answers came from whoever had an engine's address.

Change: keeper.rs becomes index, pace, give and tail with doc comments. Digests are paced by their bytes, reckoned without making one; first reads are eight at a time and answers bounded (Line::with_most). Calls for events name the engine, and an address that two live engines claim is not followed. Tests of calls to engines no longer pause the clock over real sockets: one of them ran into a time-out that way.

Measured: unit tests of the pace (78 routers at once, small, large and huge digests), of the reckoned size against the encoded one, of bounded answers and of claimed addresses pass. The test of a call given up fails without the reset on closing (a clean end after 3,919,403 bytes).

--- a/crates/control-plane/src/duties/keeper_tests.rs
+++ b/crates/control-plane/src/duties/keeper/index_tests.rs
@@ -1,6 +1,9 @@
-//! Tests of `keeper`.
+//! Tests of `index`.
 
 use super::*;
+use fleet_core::wire::Weights;
+use invalidation::draft::Draft;
+use invalidation::ring::Ring;
 
 fn events(list: &str) -> Events {
     serde_json::from_str(&format!(r#"{{"epoch":1,"nextToken":3,"lost":false,"events":[{list}]}}"#))
@@ -18,7 +21,7 @@
     );
     let mut index = Index::default();
     index.hear(&[held("other", vec![0xff, 0xfe])]);
-    let purges = Keeper::take_events(&mut index, "h", &e);
+    let purges = index.take_events("h", &e);
     let part = PartAt { holder: "h".into(), salt: "m|1|#1".into(), part: 0xff, kept: 0 };
     assert_eq!(purges, vec![Purge::Part(part)]);
     let ring = Ring::new(8, 4, 4);
@@ -44,7 +47,7 @@
 #[test]
 fn parts_of_single_requests_are_told_only_once_a_router_names_them() {
     let mut index = Index::default();
-    let purges = Keeper::take_events(&mut index, "a", &events(r#"[1,"+","m|1|#1","aa",8,"m"]"#));
+    let purges = index.take_events("a", &events(r#"[1,"+","m|1|#1","aa",8,"m"]"#));
     assert!(purges.is_empty() && index.digest().iter().all(|h| h.parts.is_empty()));
     index.hear(&[held("b", vec![0xaa])]);
     let mut who: Vec<String> =
@@ -52,7 +55,7 @@
     who.sort();
     assert_eq!(who, ["a", "b"], "also where it was seen before");
     let gone = events(r#"[2,"-","m|1|#1","ab",0,"m"]"#);
-    assert!(Keeper::take_events(&mut index, "a", &gone).is_empty(), "never told, never purged");
+    assert!(index.take_events("a", &gone).is_empty(), "never told, never purged");
 }
 
 #[test]
@@ -66,3 +69,17 @@
     index.drop_holder("a");
     assert!(index.unshared.iter().all(|u| u.is_empty()));
 }
+
+#[test]
+fn a_digest_is_no_larger_than_was_reckoned() {
+    let mut index = Index::default();
+    for holder in 0..20 {
+        let mut held = held(&format!("i-{holder:08x}"), (0..500).map(|i| i << 40).collect());
+        held.kept = vec![4096; 500];
+        index.hear(&[held]);
+    }
+    let give = fleet_core::wire::RingGive { digest: index.digest(), ..Default::default() };
+    let bytes = prost::Message::encoded_len(&give);
+    let reckoned = index.digest_bytes();
+    assert!(bytes <= reckoned && reckoned < bytes * 2, "{bytes} bytes, {reckoned} reckoned");
+}
--- a/crates/control-plane/src/engines/outside.rs
+++ b/crates/control-plane/src/engines/outside.rs
@@ -65,6 +65,7 @@
     own: Ipv4Addr,
     to: SocketAddr,
     connection: Option<Connection>,
+    most: usize,
 }
 
 /// A whole answer.
@@ -85,7 +86,12 @@
 
     /// As `new`, over any transport.
     pub fn over(transport: Arc<dyn Transport>, own: Ipv4Addr, to: SocketAddr) -> Self {
-        Line { transport, own, to, connection: None }
+        Line { transport, own, to, connection: None, most: constants::FRAME_MAX }
+    }
+
+    /// Reads no answer of more bytes than this.
+    pub fn with_most(self, most: usize) -> Self {
+        Line { most, ..self }
     }
 
     /// Has a connection ready for [`Line::send`].
@@ -155,7 +161,11 @@
         let status = answer.status();
         let location = answer.headers().get(http::header::LOCATION);
         let location = location.and_then(|v| v.to_str().ok()).map(str::to_owned);
-        let body = answer.into_body().collect().await.map_err(|_| OutsideError::Broken)?;
+        let body = http_body_util::Limited::new(answer.into_body(), self.most);
+        let body = body.collect().await.map_err(|error| {
+            let too_long = error.is::<http_body_util::LengthLimitError>();
+            if too_long { OutsideError::Unreadable } else { OutsideError::Broken }
+        })?;
         self.connection = Some(connection);
         Ok(Answer { status, body: body.to_bytes(), location })
     }
--- a/crates/fleet-core/src/constants/invalidations.rs
+++ b/crates/fleet-core/src/constants/invalidations.rs
@@ -18,10 +18,20 @@
 pub const FINDINGS_KEPT: usize = 4096;
 /// parts that no router has named as shared yet, of each of two generations; a minute of traffic.
 pub const UNSHARED_KEPT: usize = 16_384;
-/// digests given within a `REFILL_SPAN`; all routers at once would fill the keeper's line for seconds.
-pub const REFILLS_AT_ONCE: usize = 8;
-/// ms; see `REFILLS_AT_ONCE`.
-pub const REFILL_SPAN: Duration = Duration::from_millis(100);
+/// bytes of digests that may be on their way at once; each is held three times until it has gone out.
+pub const REFILL_UNDERWAY: usize = 4 << 20;
+/// bytes a ms at which digests go out: a third of the keeper's line of 100 Mbit/s.
+pub const REFILL_BYTES_PER_MS: usize = 4_000;
+/// bytes of a holder's and a salt's names in a digest, about.
+pub const DIGEST_NAME_BYTES: usize = 64;
+/// bytes of a part and its kept tokens in a digest, at the most.
+pub const DIGEST_PART_BYTES: usize = 14;
+/// holders whose gathered events a new keeper reads at the same time; each may send `EVENTS_BYTES`.
+pub const FIRST_READS: usize = 8;
+/// bytes; largest answer to a call for events that is read: some 30,000 events.
+pub const EVENTS_BYTES: usize = 2 << 20;
+/// ms; how long the first call for events is held, the least that is not priced as a probe.
+pub const EVENTS_FIRST_WAIT_MS: u64 = 200;
 /// s; a digest may take this long on a busy line before it is asked for again.
 pub const REFILL_LIMIT: Duration = Duration::from_secs(2);
 /// ms; routers tell what their sends leave behind this often.
