A slow reader's frames no longer pile up at the controller

Cause: the writer of a connection took all frames that waited, up to 256 of any size, into one buffer and so made room for as many more; views, sums of loads and entries of the ring were queued to routers however far behind these were. A router whose queue was full once got no view again on that link.

Change: frames are written 64 KiB at a time; a peer's backlog is seen, and with eight frames waiting a router gets no view, sum or ring answer until it has read them: views and sums are told in their newest form then, and it asks the ring again.

Measured: the new test (100 large frames to a reader that doesn't read) failed before the change, with no frame left in the queue and all in the buffer, and passes now.

--- a/crates/control-plane/src/members/loads.rs
+++ b/crates/control-plane/src/members/loads.rs
@@ -81,7 +81,9 @@
         }
         let router_links = s.members.router_links.lock();
         for incarnation in peer_service.routers.lock().tellers() {
-            if let Some(o) = router_links.get(&incarnation) {
+            // a slow reader gets the newest sum later
+            let link = router_links.get(&incarnation);
+            if let Some(o) = link.filter(|o| o.backlog() < constants::SLOW_READER) {
                 let _ = o.push(Body::Loads(all.clone()));
             }
         }
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -117,6 +117,8 @@
                 s.members.loads.hear(peer, l);
                 None
             }
+            // who hasn't read the last answers asks again
+            Body::RingAsk(_) if peer.backlog() >= constants::SLOW_READER => None,
             Body::RingAsk(a) => duties::keeper::give(s, &a).map(Body::RingGive),
             _ => None,
         }
@@ -157,19 +159,29 @@
     }
 }
 
-/// Pushes what is new to one router, as it comes.
+/// Pushes what is new to one router, as it comes; to one that reads slowly, all of it in one view once it has
+/// read what waits.
 async fn tell_router(s: Arc<Controller>, peer: Peer) {
     let mut news = s.news();
     let mut seen = None;
     loop {
         news.borrow_and_update();
+        while peer.backlog() >= constants::SLOW_READER {
+            tokio::time::sleep(constants::SLOW_READER_PAUSE).await;
+            if peer.is_closed() {
+                return;
+            }
+        }
         let (head, view) = s.view_since(seen);
-        seen = Some(head);
         if let Some(v) = view
             && peer.push(Body::View(v)).is_err()
         {
-            return;
+            if peer.is_closed() {
+                return;
+            }
+            continue;
         }
+        seen = Some(head);
         tokio::select! {
             biased;
             changed = news.changed() => if changed.is_err() { return },
--- a/crates/fleet-core/src/constants/link.rs
+++ b/crates/fleet-core/src/constants/link.rs
@@ -20,3 +20,9 @@
 pub const LINK_BACKLOG: usize = 256;
 /// ms; pause before a broken link is tried again.
 pub const RELINK_PAUSE: Duration = Duration::from_millis(250);
+/// bytes; frames that wait are written together up to this, so that a connection holds little beside its queue.
+pub const WRITE_BATCH: usize = 64 << 10;
+/// frames; a reader with so many waiting gets nothing that can be told later in a newer form.
+pub const SLOW_READER: usize = 8;
+/// ms; pause before a slow reader's queue is looked at again.
+pub const SLOW_READER_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/fleet-core/src/link.rs
+++ b/crates/fleet-core/src/link.rs
@@ -56,7 +56,9 @@
     while let Some(f) = rx.recv().await {
         out.clear();
         encode(&f, &mut out);
-        while let Ok(f) = rx.try_recv() {
+        while out.len() < constants::WRITE_BATCH
+            && let Ok(f) = rx.try_recv()
+        {
             encode(&f, &mut out);
         }
         if w.write_all(&out).await.is_err() {
@@ -290,6 +292,12 @@
             .map_err(|_| LinkError::Down)
     }
 
+    /// How many frames wait because the other end reads slowly. Who can tell the newest later waits until
+    /// they have gone, so that what a slow reader has not read doesn't pile up here.
+    pub fn backlog(&self) -> usize {
+        self.tx.max_capacity() - self.tx.capacity()
+    }
+
     /// Whether nothing can be pushed any more.
     pub fn is_closed(&self) -> bool {
         self.tx.is_closed()
@@ -356,3 +364,7 @@
     drop(writer);
     host.left(&peer);
 }
+
+#[cfg(test)]
+#[path = "link_tests.rs"]
+mod tests;
