--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane: what the controller program is made of.
 
 pub mod api;
+pub mod contact;
 pub mod control;
 pub mod disk;
 pub mod duties;
@@ -55,6 +56,7 @@
     pub members: members::Members,
     /// leases granted and held
     pub duties: duties::Duties,
+    contact: parking_lot::Mutex<contact::Contact>,
     /// when it started
     pub started: tokio::time::Instant,
     leaving: tokio::sync::watch::Sender<bool>,
--- a/crates/control-plane/src/running.rs
+++ b/crates/control-plane/src/running.rs
@@ -3,7 +3,9 @@
 use crate::disk::RecordQueue;
 use crate::disk::format::State;
 use crate::disk::writer::{Disk, Files};
-use crate::{Controller, ControllerError, api, control, duties, engines, facts, learner, members};
+use crate::{
+    Controller, ControllerError, api, contact, control, duties, engines, facts, learner, members,
+};
 use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::node::{Node, Role};
@@ -67,12 +69,14 @@
     fn new(settings: Settings, log: slog::Logger, environment: Environment) -> Arc<Controller> {
         let node = Node::seeded(&settings, Role::Controller, environment.seed);
         let rng_state = node.incarnation;
+        let closed = (!environment.first_start).then_some(settings.bounds.lease);
         let known = fleet_core::journal::Journal::new(facts::Known::default(), 512);
         let acceptor = control::acceptor::Acceptor::new(node.ip, environment.state);
         Arc::new(Controller {
             engines: engines::registry::Registry::default(),
             members: members::Members::default(),
-            duties: duties::Duties::new(environment.first_start, settings.bounds.lease),
+            duties: duties::Duties::new(closed, node.incarnation),
+            contact: parking_lot::Mutex::default(),
             started: tokio::time::Instant::now(),
             rng_state: AtomicU64::new(rng_state),
             head: tokio::sync::watch::channel(0).0,
@@ -128,6 +132,7 @@
         tasks.spawn(members::joining(self.clone()));
         tasks.spawn(members::exchanging(self.clone()));
         tasks.spawn(learner::learning(self.clone()));
+        tasks.spawn(contact::keeping(self.clone()));
         tasks.spawn(members::loads::sharing(self.clone()));
         tasks.spawn(engines::registry::sharing(self.clone()));
         tasks.spawn(engines::registry::watching(self.clone()));
--- a/crates/control-plane/src/service/configuration.rs
+++ b/crates/control-plane/src/service/configuration.rs
@@ -1,6 +1,6 @@
 //! The operator's configurations: replaced on a base, and read as a majority has it.
 
-use super::Rejection;
+use super::{Rejection, contact};
 use crate::Controller;
 use crate::control::{submit, values};
 use bytes::Bytes;
@@ -32,6 +32,7 @@
     base_header: Option<&str>,
     body: Bytes,
 ) -> Result<Replaced, Rejection> {
+    contact(s)?;
     let base = base_of(base_header)?;
     let configuration = Configuration::read(&body).map_err(|error| refused(s, &error))?;
     let change = ReplaceConfig { base, version: configuration.revision, body };
@@ -61,6 +62,7 @@
 
 /// The configuration in force, confirmed by a majority after the call came.
 pub async fn fetch(s: &Arc<Controller>) -> Result<Bytes, Rejection> {
+    contact(s)?;
     let read = tokio::time::timeout(constants::CHANGE_LIMIT, s.read(values::CONFIG)).await;
     let register = read.ok().flatten();
     let value = register.and_then(|(_, value)| ConfigValue::decode(value).ok());
--- a/crates/control-plane/src/service/instances.rs
+++ b/crates/control-plane/src/service/instances.rs
@@ -1,6 +1,6 @@
 //! Engines tell that they live, and that they leave.
 
-use super::Rejection;
+use super::{Rejection, contact};
 use crate::Controller;
 use crate::engines::registry;
 use bytes::Bytes;
@@ -75,7 +75,9 @@
         return Err(malformed("address: not an address with a port"));
     }
     let draining = beat.state == State::Draining;
+    // also out of contact: routers that reach only this node need to hear of it
     registry::hear(s, beat.into_engine(id.clone()), true);
+    contact(s)?;
     if draining {
         told(s, &id).await?;
     }
@@ -104,5 +106,6 @@
     engine.call = call.max(leave.call_seq.unwrap_or(call + 1));
     engine.set_standing(Standing::Gone);
     registry::hear(s, engine, true);
+    contact(s)?;
     told(s, &id).await
 }
--- a/crates/control-plane/src/service/mod.rs
+++ b/crates/control-plane/src/service/mod.rs
@@ -5,6 +5,17 @@
 pub mod instances;
 pub mod weights;
 
+use crate::Controller;
+
+/// Out of contact with a majority of the voters nothing is acknowledged, refused or handed out: the caller
+/// goes on to another node at once.
+pub fn contact(s: &Controller) -> Result<(), Rejection> {
+    if s.in_contact() {
+        return Ok(());
+    }
+    Err(Rejection::unavailable("no_contact", "out of contact with a majority of the controllers"))
+}
+
 /// Why a call isn't carried out, or may not have been.
 #[derive(Debug, Clone, displaydoc::Display, thiserror::Error, PartialEq, Eq)]
 #[displaydoc("{status} {code}: {message}")]
--- a/crates/control-plane/src/service/weights.rs
+++ b/crates/control-plane/src/service/weights.rs
@@ -1,6 +1,6 @@
 //! New weights are named.
 
-use super::Rejection;
+use super::{Rejection, contact};
 use crate::Controller;
 use crate::control::submit;
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 
 /// Names the version that a model's engines shall have.
 pub async fn put(s: &Arc<Controller>, body: Bytes) -> Result<(), Rejection> {
+    contact(s)?;
     let put: Put = serde_json::from_slice(&body)
         .map_err(|error| Rejection::bad_request("malformed", error))?;
     let change = ChangeKind::Name(NameVersion { model: put.model, version: put.revision });
--- a/crates/fleet-core/src/transport.rs
+++ b/crates/fleet-core/src/transport.rs
@@ -40,6 +40,11 @@
         let (reader, writer) = tokio::io::split(self);
         (Box::new(reader), Box::new(writer))
     }
+
+    /// From now on, closing this end resets the connection: what has not got through by then never does.
+    fn reset_on_close(&self) -> std::io::Result<()> {
+        Ok(())
+    }
 }
 
 impl ByteStream for tokio::net::TcpStream {
@@ -48,6 +53,10 @@
         let (reader, writer) = self.into_split();
         (Box::new(reader), Box::new(writer))
     }
+
+    fn reset_on_close(&self) -> std::io::Result<()> {
+        self.set_zero_linger()
+    }
 }
 
 impl ByteStream for tokio::io::DuplexStream {}
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -48,6 +48,23 @@
     /// Name of the node that raised it last.
     #[prost(string, tag = "2")]
     pub holder: String,
+    /// Name of the node that may have acted last: a new holder of another node waits for its lease to pass.
+    #[prost(string, tag = "3")]
+    pub acting: String,
+    /// The raise that gave the fence.
+    #[prost(message, optional, tag = "4")]
+    pub raise: Option<RaiseId>,
+}
+
+/// Names one raise of a fence, so that deciding it twice is the same as deciding it once.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct RaiseId {
+    /// Incarnation of the node that raises.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// Rises with each raise of that incarnation.
+    #[prost(uint64, tag = "2")]
+    pub attempt: u64,
 }
 
 /// Asks the owner of a key for one change; a controller that does not own the key passes the change on.
@@ -113,6 +130,13 @@
     /// Name of the node that is about to hold it; it already has the lease.
     #[prost(string, tag = "2")]
     pub holder: String,
+    /// Which raise this is; the same one gets the same fence again.
+    #[prost(message, required, tag = "3")]
+    pub id: RaiseId,
+    /// No raise: the former holder's lease has passed, and this node acts from now on. Stale unless the
+    /// raise of this id is still the newest.
+    #[prost(bool, tag = "4")]
+    pub acts: bool,
 }
 
 /// What came of a change.
--- a/crates/fleet-core/src/wire/leases.rs
+++ b/crates/fleet-core/src/wire/leases.rs
@@ -22,9 +22,12 @@
     /// at once.
     #[prost(string, tag = "5")]
     pub node: String,
-    /// epoch of the membership whose majority is asked
+    /// Epoch of the membership whose majority is asked.
     #[prost(uint64, tag = "6")]
     pub membership: u64,
+    /// Rises with each message of the incarnation, so that a late one is known.
+    #[prost(uint64, tag = "7")]
+    pub number: u64,
 }
 
 /// Answer to [`Lease`].
