An order sent again after any number of others is confirmed or unknown, never refused

Cause: the value of a configuration kept the last 64 taken ones with 64-bit digests; an order sent again later was answered 412 although it had been acknowledged. A base that is yet to come was refused too, and a late copy of the same order could still be taken.

--- a/crates/control-plane/src/control/mod.rs
+++ b/crates/control-plane/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod acceptor;
 pub mod election;
+pub mod history;
 pub mod owner;
 pub mod proposer;
 pub mod round;
--- a/crates/control-plane/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -2,10 +2,11 @@
 
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
+use super::history::{Finding, TakenConfig, TakenHistory};
 use fleet_core::configuration::{ConfigError, Configuration};
+use fleet_core::digest::BodyDigest;
 use fleet_core::wire::{
-    ChangeKind, Changed, ConfigValue, DutyValue, Outcome, RaiseFence, ReplaceConfig, Taken,
-    WeightsValue,
+    ChangeKind, Changed, ConfigValue, DutyValue, Outcome, RaiseFence, ReplaceConfig, WeightsValue,
 };
 use prost::Message;
 
@@ -43,10 +44,6 @@
     answer(Outcome::Unknown, 0)
 }
 
-pub fn digest(body: &[u8]) -> u64 {
-    fleet_core::node::stable_hash(&[body, &(body.len() as u64).to_be_bytes()])
-}
-
 /// Decides on the committed value alone.
 pub fn decide(change: &ChangeKind, now: &[u8]) -> Decision {
     match change {
@@ -71,33 +68,39 @@
     Decision::Write(v.encode_to_vec().into(), changed)
 }
 
+/// Decides on a configuration.
+///
+/// A refusal needs proof that this very change is not in the chain and never will be: its number
+/// is covered by the history, and its base has been followed by another one. A base that is still
+/// to come may come, and with it a late copy of this order: that is no ground for a refusal.
 fn replace(r: &ReplaceConfig, now: &[u8]) -> Decision {
     let now = ConfigValue::decode(now).unwrap_or_default();
-    let own = Taken { version: r.version, digest: digest(&r.body) };
-    if now.taken.contains(&own) {
+    let own = TakenConfig { version: r.version, digest: BodyDigest::of(&r.body) };
+    let mut history = TakenHistory::decode(&now.history, now.version);
+    let finding = history.find(&own);
+    if finding == Finding::Taken {
         return Decision::Answer(answer(Outcome::Done, r.version));
     }
-    if r.base != now.version {
-        return Decision::Answer(answer(Outcome::Stale, now.version));
+    if r.version <= r.base {
+        return Decision::Answer(answer(Outcome::Invalid, r.base));
     }
-    if r.version <= now.version {
-        return Decision::Answer(answer(Outcome::Invalid, now.version));
+    if finding == Finding::BeforeHistory || r.base > now.version {
+        return Decision::Answer(answer(Outcome::Unproven, now.version));
+    }
+    if r.base < now.version {
+        return Decision::Answer(answer(Outcome::Stale, now.version));
     }
     let Ok(c) = Configuration::read(&r.body) else {
         return Decision::Answer(answer(Outcome::Invalid, now.version));
     };
     let old = Configuration::read(&now.body).ok();
-    let mut taken = now.taken;
-    taken.push(own);
-    if taken.len() > fleet_core::constants::TAKEN_KEPT {
-        taken.remove(0);
-    }
     let rises = old.as_ref().is_none_or(|old| newly_isolated(old, &c));
+    history.push(own);
     let v = ConfigValue {
         version: r.version,
         body: r.body.clone(),
-        taken,
         isolation: now.isolation + u64::from(rises),
+        history: history.encode(),
     };
     Decision::Write(v.encode_to_vec().into(), answer(Outcome::Done, r.version))
 }
--- a/crates/control-plane/src/service/configuration.rs
+++ b/crates/control-plane/src/service/configuration.rs
@@ -40,6 +40,7 @@
         Outcome::Done => Ok(Replaced { version: change.version }),
         Outcome::Stale => Err(stale(&changed)),
         Outcome::Invalid => Err(refused(s, &values::error_of(&change, &changed))),
+        Outcome::Unproven => Err(unproven(&changed)),
         Outcome::Unknown => {
             Err(Rejection::unavailable("unknown", "no majority in time: it may yet be in force"))
         }
@@ -54,6 +55,15 @@
     }
 }
 
+/// It may have been taken so long ago that nobody knows, or its base is yet to come.
+fn unproven(changed: &Changed) -> Rejection {
+    let message = format!(
+        "version {} is in place; whether this change was taken isn't known",
+        changed.number
+    );
+    Rejection::unavailable("unknown", &message)
+}
+
 fn refused(s: &Controller, error: &fleet_core::configuration::ConfigError) -> Rejection {
     fleet_core::log_event!(s.log, Event::ConfigRejected, "why" => error.to_string());
     Rejection::bad_request(error.code(), error)
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -18,8 +18,9 @@
 pub const SLOT_BYTES: usize = 1 << 20;
 /// bytes; the log between two slots, laid down at first start; small so that recovery is short.
 pub const LOG_BYTES: usize = 2 << 20;
-/// entries; how many taken configurations are remembered to answer a resent one.
-pub const TAKEN_KEPT: usize = 64;
+/// entries; taken configurations that are remembered, so that an order sent again is known: several
+/// days of hundreds of changes. Each costs 17 bytes or a few more in every later value, 35 KB in all.
+pub const TAKEN_KEPT: usize = 2048;
 /// bytes; largest configuration read, above any limit an operator sets on bodies.
 pub const CONFIG_BYTES: usize = 6 << 20;
 /// bytes a ms; rate at which a value reaches all other voters at least. Four copies share the sender's line of
--- a/crates/fleet-core/src/lib.rs
+++ b/crates/fleet-core/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod configuration;
 pub mod constants;
+pub mod digest;
 pub mod fleet;
 pub mod journal;
 pub mod link;
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -2,17 +2,6 @@
 
 use prost::Message;
 
-/// A configuration that was committed earlier; recognises one that is sent again.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct Taken {
-    /// The operator's number of it.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
-    /// Hash of its bytes, the same on every machine.
-    #[prost(uint64, tag = "2")]
-    pub digest: u64,
-}
-
 /// What the key `config` holds. The default stands for "no configuration yet".
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ConfigValue {
@@ -22,13 +11,13 @@
     /// The configuration as the operator sent it, JSON.
     #[prost(bytes = "bytes", tag = "2")]
     pub body: bytes::Bytes,
-    /// Configurations committed lately, oldest first, this one included; at most `TAKEN_KEPT`.
-    #[prost(message, repeated, tag = "3")]
-    pub taken: Vec<Taken>,
     /// Isolation generation of what tenants share: rises by one with each configuration that isolates a
     /// tenant which was not isolated before. Kept prompts of older generations are void.
     #[prost(uint64, tag = "4")]
     pub isolation: u64,
+    /// Numbers and digests of the configurations taken so far, as one block
+    #[prost(bytes = "bytes", tag = "5")]
+    pub history: bytes::Bytes,
 }
 
 /// What the key `weights/MODEL` holds.
@@ -123,10 +112,12 @@
     Unknown = 0,
     /// Committed, now or earlier.
     Done = 1,
-    /// Not committed: another version than the given base is committed.
+    /// Not committed, and never to be: another version follows the given base.
     Stale = 2,
     /// Not committed: the value breaks a rule.
     Invalid = 3,
+    /// A majority was asked, and what it holds doesn't tell whether the change was ever taken
+    Unproven = 4,
 }
 
 /// Answer to [`Change`].
