Operators' bad input tested against controllers in one process; bases hold digits only

Cause: a base of '+5' was taken for 5. A controller that gave a configuration whole didn't keep it, so that one without a vote could give no delta against it soon after. Change: X-Base-Revision is digits alone; whatever is given is kept. Tests run three voters and a controller without a vote over streams and disks in memory, in paused time: bad orders at each of them, an order sent again after 100 others, whole and delta from each, and the time to the answer beside routers that hang. Over HTTP: malformed bases, bodies that end early, with a length and chunked.

--- a/crates/control-plane/src/distribution/mod.rs
+++ b/crates/control-plane/src/distribution/mod.rs
@@ -38,6 +38,7 @@
 
     /// The answer to a router that tells which body it has.
     pub fn give(&self, ask: &ConfigAsk, value: &ConfigValue) -> ConfigGive {
+        self.remember(value);
         let form = if ask.digest == value.digest { None } else { Some(self.form(ask, value)) };
         ConfigGive {
             version: value.version,
@@ -55,9 +56,7 @@
         else {
             return whole;
         };
-        let mut bodies = self.bodies.lock();
-        bodies.remember(new, value.packed.clone());
-        match bodies.delta(former, new) {
+        match self.bodies.lock().delta(former, new) {
             Some(delta) if delta.len() < value.packed.len() => ConfigForm::Delta(delta),
             _ => whole,
         }
--- a/crates/control-plane/src/service/configuration.rs
+++ b/crates/control-plane/src/service/configuration.rs
@@ -22,7 +22,9 @@
 /// The version that a change builds on, from the text of its header.
 pub fn base_of(header: Option<&str>) -> Result<u64, Rejection> {
     header
-        .and_then(|text| text.trim().parse().ok())
+        .map(str::trim)
+        .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))
+        .and_then(|text| text.parse().ok())
         .ok_or_else(|| Rejection::bad_request("no_base", "X-Base-Revision: not a version"))
 }
 
--- /dev/null
+++ b/crates/control-plane/tests/operator.rs
@@ -0,0 +1,231 @@
+//! What an operator is answered by controllers that run as in the program, but for disks and lines.
+
+mod memory;
+
+use control_plane::service::{Rejection, configuration};
+use fleet_core::delta;
+use fleet_core::digest::BodyDigest;
+use fleet_core::link::Link;
+use fleet_core::node::{Node, Role};
+use fleet_core::packing;
+use fleet_core::wire::{Body, ConfigAsk, ConfigDelta, ConfigForm, ConfigGive};
+use memory::{Fleet, VOTERS, WITHOUT_VOTE};
+use prost::Message;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+const ROUTES: u64 = 60;
+/// Last number of a router's address.
+const ROUTER: u8 = 20;
+
+fn route(number: u64, timeout: u64) -> serde_json::Value {
+    serde_json::json!({"name": format!("r-{}", number * 7919), "host": "h.example", "kind": "safe",
+        "pathPrefix": format!("/{number}/"), "timeoutMs": timeout, "service": "s"})
+}
+
+fn sheet(revision: u64, timeout: u64) -> serde_json::Value {
+    serde_json::json!({
+        "revision": revision,
+        "routes": (0..ROUTES).map(|n| route(n, if n == 7 { timeout } else { 50 })).collect::<Vec<_>>(),
+        "services": [{"name": "s"}],
+        "tenants": [{"name": "t", "apiKeys": ["k1"]}, {"name": "u", "apiKeys": ["k2"]}],
+    })
+}
+
+async fn replace(fleet: &Fleet, at: u8, base: &str, body: impl ToString) -> Result<u64, Rejection> {
+    let body = body.to_string().into();
+    let replaced = configuration::replace(fleet.controller(at), Some(base), body).await?;
+    Ok(replaced.version)
+}
+
+/// Sends an order until it is taken, as operators do after 503.
+async fn taken(fleet: &Fleet, at: u8, base: u64, body: &serde_json::Value) -> u64 {
+    for _ in 0..20 {
+        match replace(fleet, at, &base.to_string(), body).await {
+            Ok(version) => return version,
+            Err(rejection) => assert_eq!(rejection.status, 503, "{}", rejection.message),
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    panic!("not taken in 20 tries");
+}
+
+/// An order that may not be taken while version 5 is in force.
+struct BadOrder {
+    what: &'static str,
+    base: &'static str,
+    body: String,
+    status: u16,
+    code: &'static str,
+}
+
+/// A change of 5 with another value at one place of its body.
+fn patched(
+    what: &'static str,
+    place: &str,
+    value: serde_json::Value,
+    code: &'static str,
+) -> BadOrder {
+    let mut body = sheet(9, 10);
+    *body.pointer_mut(place).expect("a place of the sheet") = value;
+    BadOrder { what, base: "5", body: body.to_string(), status: 400, code }
+}
+
+fn invalid_bodies() -> Vec<BadOrder> {
+    let no_weight = serde_json::json!([{"service": "s", "weight": 0}]);
+    let mut split = sheet(9, 10);
+    split["routes"][3]["split"] = no_weight;
+    let whole = sheet(9, 10).to_string();
+    let unreadable =
+        |what, body| BadOrder { what, base: "5", body, status: 400, code: "unreadable" };
+    vec![
+        unreadable("cut short", whole[..whole.len() - 1].to_owned()),
+        unreadable("empty", String::new()),
+        unreadable("more behind it", format!("{whole}x")),
+        patched("no number", "/revision", serde_json::Value::Null, "unreadable"),
+        patched("negative number", "/revision", (-9).into(), "unreadable"),
+        patched("broken number", "/revision", 9.5.into(), "unreadable"),
+        patched("unknown service", "/routes/3/service", "x".into(), "unknown_service"),
+        patched("same place", "/routes/3/pathPrefix", "/4/".into(), "same_place"),
+        patched("no time", "/routes/3/timeoutMs", 0.into(), "out_of_bounds"),
+        patched("shared key", "/tenants/1/apiKeys/0", "k1".into(), "shared_key"),
+        BadOrder {
+            what: "no weight",
+            base: "5",
+            body: split.to_string(),
+            status: 400,
+            code: "no_weight",
+        },
+    ]
+}
+
+fn wrong_numbers() -> Vec<BadOrder> {
+    let order = |what, base, body: serde_json::Value, status, code| BadOrder {
+        what,
+        base,
+        body: body.to_string(),
+        status,
+        code,
+    };
+    vec![
+        order("other body under the number", "5", sheet(5, 11), 400, "version_not_above"),
+        order("number below", "5", sheet(4, 10), 400, "version_not_above"),
+        order("followed base", "0", sheet(9, 10), 412, "stale_base"),
+        order("followed base, number in use", "0", sheet(5, 11), 412, "stale_base"),
+        order("base ahead of all", "7", sheet(9, 10), 503, "unknown"),
+    ]
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_orders_are_never_acknowledged_and_change_nothing() {
+    let fleet = Fleet::start().await;
+    assert_eq!(taken(&fleet, 1, 0, &sheet(5, 10)).await, 5);
+    for order in invalid_bodies().into_iter().chain(wrong_numbers()) {
+        for at in [1, 2, WITHOUT_VOTE] {
+            let what = format!("{} at {at}", order.what);
+            let rejection = replace(&fleet, at, order.base, &order.body).await.expect_err(&what);
+            let got = (rejection.status.as_u16(), rejection.code);
+            assert_eq!(got, (order.status, order.code), "{what}");
+        }
+    }
+    let body = configuration::fetch(fleet.controller(2)).await.unwrap_or_default();
+    assert_eq!(body, sheet(5, 10).to_string());
+}
+
+#[test]
+fn a_base_is_a_whole_number_without_a_sign() {
+    let bad = [
+        None,
+        Some(""),
+        Some("x"),
+        Some("-1"),
+        Some("+5"),
+        Some("5.0"),
+        Some("5 6"),
+        Some("0x5"),
+        Some("99999999999999999999"),
+    ];
+    for text in bad {
+        let rejection = configuration::base_of(text).expect_err("no version");
+        assert_eq!((rejection.status.as_u16(), rejection.code), (400, "no_base"), "{text:?}");
+    }
+    assert_eq!(configuration::base_of(Some(" 5 ")).ok(), Some(5));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_order_sent_again_anywhere_after_100_others_is_acknowledged() {
+    let fleet = Fleet::start().await;
+    for version in 1..=101 {
+        taken(&fleet, VOTERS[version as usize % 3], version - 1, &sheet(version, version)).await;
+    }
+    for at in [1, 2, 3, WITHOUT_VOTE] {
+        assert_eq!(taken(&fleet, at, 0, &sheet(1, 1)).await, 1);
+        let other = replace(&fleet, at, "0", sheet(1, 2)).await.expect_err("another body");
+        assert_eq!(other.status, 412);
+    }
+}
+
+/// A router's link; what is pushed to it goes to `pushed`.
+fn link(fleet: &Fleet, to: u8, pushed: Option<mpsc::Sender<Body>>) -> Arc<Link> {
+    let node = Node::seeded(&memory::settings(ROUTER), Role::Router, u64::from(ROUTER));
+    Link::keep_over(fleet.network.clone(), &node, memory::peer_address(to), pushed)
+}
+
+async fn ask(link: &Link, digest: &bytes::Bytes) -> ConfigGive {
+    link.watch().wait_for(|up| *up).await.unwrap();
+    let ask = Body::ConfigAsk(ConfigAsk { digest: digest.clone() });
+    match link.call(ask, Duration::from_secs(2)).await.unwrap() {
+        Body::ConfigGive(given) => given,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn any_controller_gives_a_router_the_confirmed_configuration_and_then_a_delta() {
+    let fleet = Fleet::start().await;
+    taken(&fleet, 1, 0, &sheet(5, 10)).await;
+    let mut links = Vec::new();
+    for to in VOTERS.into_iter().chain([WITHOUT_VOTE]) {
+        let link = link(&fleet, to, None);
+        let given = ask(&link, &bytes::Bytes::new()).await;
+        let Some(ConfigForm::Whole(packed)) = given.form else { panic!("it has none as yet") };
+        let body = packing::unpack(&packed, 1 << 20).unwrap();
+        assert_eq!((given.version, body), (5, sheet(5, 10).to_string().into()));
+        links.push((to, link, given.digest));
+    }
+    taken(&fleet, 2, 5, &sheet(6, 11)).await;
+    let (former, new) = (sheet(5, 10).to_string(), sheet(6, 11).to_string());
+    for (to, link, digest) in links {
+        let given = ask(&link, &digest).await;
+        let Some(ConfigForm::Delta(packed)) = given.form else { panic!("{to} gave {given:?}") };
+        let plain = packing::unpack(&packed, 1 << 20).unwrap();
+        let delta = ConfigDelta::decode(plain).unwrap();
+        assert_eq!(delta::apply(&delta, former.as_bytes(), 1 << 20).unwrap(), new);
+        assert_eq!(given.digest, BodyDigest::of(new.as_bytes()).as_bytes());
+    }
+}
+
+/// Time stands still here unless all wait for it: what sleeps before the answer would show.
+#[tokio::test(start_paused = true)]
+async fn an_operator_is_answered_when_the_change_is_chosen_also_beside_a_router_that_hangs() {
+    let fleet = Fleet::start().await;
+    taken(&fleet, 1, 0, &sheet(5, 10)).await;
+    // nobody receives from these, so the links stop reading with the second push
+    let (pushed, _never_received) = mpsc::channel(1);
+    let hung = VOTERS.map(|to| link(&fleet, to, Some(pushed.clone())));
+    for link in &hung {
+        link.watch().wait_for(|up| *up).await.unwrap();
+    }
+    for at in VOTERS {
+        let base = 4 + u64::from(at);
+        let begun = Instant::now();
+        assert_eq!(
+            replace(&fleet, at, &base.to_string(), sheet(base + 1, 10)).await.ok(),
+            Some(base + 1)
+        );
+        assert_eq!(begun.elapsed(), Duration::ZERO, "at {at}");
+    }
+    assert!(hung.iter().all(|link| link.is_up()), "they hang and aren't gone");
+}
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -110,6 +110,16 @@
     Some((status, text))
 }
 
+/// Sends bytes, ends its own direction, and gives the status of the answer if there is one.
+async fn call_and_end(to: SocketAddr, rq: &str) -> Option<u16> {
+    let mut s = TcpStream::connect(to).await.ok()?;
+    s.write_all(rq.as_bytes()).await.ok()?;
+    s.shutdown().await.ok()?;
+    let mut out = Vec::new();
+    let _ = s.read_to_end(&mut out).await;
+    String::from_utf8_lossy(&out).split(' ').nth(1)?.parse().ok()
+}
+
 fn post(path: &str, more: &str, body: &str) -> String {
     format!(
         "POST /anisedyke/{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{more}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
@@ -130,10 +140,18 @@
     .to_string()
 }
 
-fn replace(base: u64, body: &str) -> String {
+fn replace(base: impl std::fmt::Display, body: &str) -> String {
     post("Config.Replace", &format!("X-Base-Revision: {base}\r\n"), body)
 }
 
+/// A change as one chunk; without its last bytes the body has no end.
+fn chunked(base: u64, body: &str) -> String {
+    format!(
+        "POST /anisedyke/Config.Replace HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Base-Revision: {base}\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+        body.len()
+    )
+}
+
 #[tokio::test]
 async fn configurations_are_taken_refused_and_kept_over_a_restart() {
     let p = Place::new("config");
@@ -148,6 +166,11 @@
         ("no time", replace(5, &sheet(9, 0)), 400, "out_of_bounds"),
         ("cut short", replace(5, &cut[..cut.len() / 2]), 400, "unreadable"),
         ("no base", post("Config.Replace", "", &sheet(9, 100)), 400, "no_base"),
+        ("negative base", replace("-5", &sheet(9, 100)), 400, "no_base"),
+        ("base with a sign", replace("+5", &sheet(9, 100)), 400, "no_base"),
+        ("no number as base", replace("five", &sheet(9, 100)), 400, "no_base"),
+        ("empty base", replace("", &sheet(9, 100)), 400, "no_base"),
+        ("base ahead of all", replace(8, &sheet(9, 100)), 503, "unknown"),
         ("beat too large", post("Instances.Heartbeat/i", "", &" ".repeat(5000)), 413, "too_large"),
         ("malformed beat", post("Instances.Heartbeat/i", "", "{}"), 400, "malformed"),
         ("malformed weights", post("version-put", "", "{\"model\":3}"), 400, "malformed"),
@@ -160,6 +183,10 @@
         assert_eq!(status, want, "{what}: {text}");
         assert!(text.contains(code), "{what}: {text}");
     }
+    for breaks_off in [replace(5, &sheet(9, 100)), chunked(5, &sheet(9, 100))] {
+        let cut = &breaks_off[..breaks_off.len() - 5];
+        assert_ne!(call_and_end(p.control, cut).await, Some(200), "a body that ends early");
+    }
     let (_, before) = call(p.control, &get("Config.Fetch")).await.unwrap();
     assert!(before.ends_with(&sheet(5, 100)), "what was refused changed nothing: {before}");
     running.end().await;
