--- a/crates/control-plane/src/duties/keeper/mod.rs
+++ b/crates/control-plane/src/duties/keeper/mod.rs
@@ -198,7 +198,7 @@
     let Ok(c) = <fleet_core::wire::ConfigValue as prost::Message>::decode(v.clone()) else {
         return Vec::new();
     };
-    let Ok(c) = fleet_core::configuration::Configuration::read(&c.body) else { return Vec::new() };
-    let addresses = c.services.into_iter().filter_map(|service| service.kv_store);
+    drop(learned);
+    let addresses = s.distribution.kv_stores(&c).into_iter();
     addresses.map(|a| (a.clone(), Source { address: a, engine: false })).collect()
 }
--- a/crates/fleet-core/src/wire/answers.rs
+++ b/crates/fleet-core/src/wire/answers.rs
@@ -17,6 +17,7 @@
             Body::Beats(_) => |answer| matches!(answer, Body::Beats(_)),
             Body::Join(_) => |answer| matches!(answer, Body::Joined(_)),
             Body::Alive(_) => |answer| matches!(answer, Body::Nothing(_)),
+            Body::ConfigAsk(_) => |answer| matches!(answer, Body::ConfigGive(_)),
             Body::RingAsk(_) => |answer| matches!(answer, Body::RingGive(_)),
             Body::Hello(_)
             | Body::Vote(_)
@@ -29,6 +30,7 @@
             | Body::Joined(_)
             | Body::View(_)
             | Body::RingGive(_)
+            | Body::ConfigGive(_)
             | Body::Done(_)
             | Body::Nothing(_)
             | Body::Found(_)
