A crashed controller leaves no task behind

Cause: a task that outlived its controller's end would go on in a simulation as a second one of the same node; nothing showed that there is none.

Leaving the links up at the end isn't caught by it: they go with the controller.

--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -86,6 +86,22 @@
     assert_eq!((read.status.as_u16(), changed.status.as_u16()), (503, 503));
 }
 
+/// Each node in turn, so that the holders of the duties are among them.
+#[tokio::test(start_paused = true)]
+async fn nothing_of_a_crashed_controller_goes_on() {
+    for node in 1..=3 {
+        let mut cluster = Cluster::found(3, 3).await;
+        replace(&cluster, 1, 0, 7).await;
+        cluster.settle().await;
+        heartbeats(&cluster, node).await;
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+        let crashed = std::sync::Arc::downgrade(cluster.controller(node));
+        cluster.crash(node);
+        cluster.settle().await;
+        assert_eq!(crashed.strong_count(), 0, "tasks hold n{node} still");
+    }
+}
+
 #[test]
 fn a_seed_gives_the_same_run_again_and_another_seed_another() {
     let run = |seed| {
