Bodies prove their digest when unpacked; history and large changes tested further

A value whose body doesn't have its digest gives none, so that Config.Fetch answers 503 and never with other bytes. A property test sets the bounded history against the whole chain, and the whole system is taken through five changes of 300 routes, of which the router gets deltas.

--- a/crates/control-plane/src/control/history.rs
+++ b/crates/control-plane/src/control/history.rs
@@ -79,8 +79,12 @@
 
     /// Appends the configuration that comes into force; the oldest gives way beyond the bound.
     pub fn push(&mut self, taken: TakenConfig) {
+        self.push_within(taken, constants::TAKEN_KEPT);
+    }
+
+    fn push_within(&mut self, taken: TakenConfig, most: usize) {
         self.entries.push_back(taken);
-        if self.entries.len() <= constants::TAKEN_KEPT {
+        if self.entries.len() <= most {
             return;
         }
         if let Some(oldest) = self.entries.pop_front() {
--- a/crates/control-plane/src/control/history_tests.rs
+++ b/crates/control-plane/src/control/history_tests.rs
@@ -49,3 +49,35 @@
     let later = TakenHistory::decode(&block, newest + 4);
     assert_eq!(later.find(&taken(newest + 4)), Finding::BeforeHistory);
 }
+
+proptest::proptest! {
+    /// What the history says of any change is true of the whole chain, however little it keeps, and
+    /// of a change that is kept or newer it says something.
+    #[test]
+    fn no_finding_contradicts_the_whole_chain(
+        steps in proptest::collection::vec(1u64..4, 0..30),
+        most in 1usize..8,
+    ) {
+        let mut history = TakenHistory::decode(&[], 0);
+        let mut chain = Vec::new();
+        for step in steps {
+            let version = chain.last().map_or(0, |last: &TakenConfig| last.version) + step;
+            history.push_within(taken(version), most);
+            chain.push(taken(version));
+            history = TakenHistory::decode(&history.encode(), version);
+        }
+        let newest = chain.last().map_or(0, |last| last.version);
+        let forgotten = chain.len().checked_sub(most + 1).map_or(0, |at| chain[at].version);
+        for version in 1..newest + 3 {
+            let other = TakenConfig { digest: BodyDigest::of(b"other"), ..taken(version) };
+            for change in [taken(version), other] {
+                let expected = match chain.contains(&change) {
+                    _ if version <= forgotten => Finding::BeforeHistory,
+                    true => Finding::Taken,
+                    false => Finding::NotTaken,
+                };
+                proptest::prop_assert_eq!(history.find(&change), expected);
+            }
+        }
+    }
+}
--- a/crates/control-plane/src/control/values_tests.rs
+++ b/crates/control-plane/src/control/values_tests.rs
@@ -43,6 +43,17 @@
     assert_eq!(now.digest, BodyDigest::of(&body(7, &["a"])).as_bytes());
 }
 
+#[test]
+fn a_value_gives_no_body_with_another_digest() {
+    let mut now = bytes::Bytes::new();
+    step(&mut now, &put(0, 1, &[]));
+    let value = ConfigValue::decode(now).unwrap();
+    let swapped = ConfigValue { packed: fleet_core::packing::pack(b"{}"), ..value.clone() };
+    assert_eq!(swapped.body(), Err(fleet_core::wire::BodyError::OtherDigest));
+    let empty = ConfigValue { packed: bytes::Bytes::new(), ..value };
+    assert!(empty.body().is_err());
+}
+
 #[test]
 fn shared_isolation_rises_only_when_a_tenant_becomes_isolated() {
     let mut now = bytes::Bytes::new();
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -26,10 +26,24 @@
     pub isolated: Vec<String>,
 }
 
+/// Why a value gives no body.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum BodyError {
+    /// {0}
+    Unpack(#[from] crate::packing::UnpackError),
+    /// the body doesn't have its digest
+    OtherDigest,
+}
+
 impl ConfigValue {
-    /// The operator's bytes again.
-    pub fn body(&self) -> Result<bytes::Bytes, crate::packing::UnpackError> {
-        crate::packing::unpack(&self.packed, crate::constants::CONFIG_BYTES)
+    /// The operator's bytes again, with the digest that they had.
+    pub fn body(&self) -> Result<bytes::Bytes, BodyError> {
+        let body = crate::packing::unpack(&self.packed, crate::constants::CONFIG_BYTES)?;
+        let digest = crate::digest::BodyDigest::of(&body);
+        if digest.as_bytes() != &self.digest[..] {
+            return Err(BodyError::OtherDigest);
+        }
+        Ok(body)
     }
 }
 
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -198,6 +198,40 @@
     running.end().await;
 }
 
+/// A configuration of many routes; the host of the last one follows from its revision.
+fn large_sheet(revision: u64) -> String {
+    let route = |host: String, number: u64| {
+        serde_json::json!({"host": host, "pathPrefix": format!("/{number}/"), "kind": "safe",
+            "timeoutMs": 100, "service": "s"})
+    };
+    let mut routes: Vec<_> = (0..300).map(|n| route(format!("h{n}.example"), n * 7919)).collect();
+    routes.push(route(format!("new{revision}.example"), 1));
+    serde_json::json!({"revision": revision, "routes": routes, "services": [{"name": "s"}]})
+        .to_string()
+}
+
+#[tokio::test]
+async fn every_change_of_a_large_configuration_reaches_the_router() {
+    let p = Place::new("large");
+    let controller = p.controller(true);
+    let router = p.router();
+    assert_eq!(until(p.control, &replace(0, &large_sheet(1)), 200).await.0, 200);
+    assert_eq!(until(p.probe, &get("readyz"), 200).await.0, 200);
+    for revision in 1..6 {
+        let ask = |host: u64| {
+            format!(
+                "POST /1/x HTTP/1.1\r\nHost: new{host}.example\r\nX-Attempt-Id: a1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+            )
+        };
+        assert_eq!(until(p.front, &ask(revision), 503).await.0, 503, "a route without an engine");
+        assert_eq!(call(p.front, &ask(revision + 1)).await.unwrap().0, 404, "a route to come");
+        let next = replace(revision, &large_sheet(revision + 1));
+        assert_eq!(call(p.control, &next).await.unwrap().0, 200);
+    }
+    router.task.abort();
+    controller.end().await;
+}
+
 async fn stand_in() -> SocketAddr {
     let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = l.local_addr().unwrap();
