Routers hear at once from a controller that no majority confirms; first fetches wait longer

Cause: a controller that couldn't confirm gave no answer, and the router waited out its limit. At a first configuration of 1,600 routes all routers fetch 31 KB at once; over few lines of 10 Mbit/s that takes most of 0.5 s. Change: it answers with version 0 and the router goes on; a fetch of a whole body may take 1 s.

--- a/crates/control-plane/src/distribution/mod.rs
+++ b/crates/control-plane/src/distribution/mod.rs
@@ -89,10 +89,11 @@
     s.distribution.confirmed.get(read).await
 }
 
-/// Answers a router that asks for the configuration in force.
-pub async fn answer(s: &Arc<Controller>, ask: &ConfigAsk) -> Option<ConfigGive> {
-    let value = confirmed(s).await?;
-    Some(s.distribution.give(ask, &value))
+/// Answers a router that asks for the configuration in force; version 0 where no majority confirms
+/// one, so that the router goes on to another controller.
+pub async fn answer(s: &Arc<Controller>, ask: &ConfigAsk) -> ConfigGive {
+    let value = confirmed(s).await;
+    value.map_or_else(ConfigGive::default, |value| s.distribution.give(ask, &value))
 }
 
 #[cfg(test)]
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -60,7 +60,7 @@
                 s.vote(|a| a.hand_over(r.recovery_epoch)).await.map(Body::Peeked)
             }
             Body::Fetch(f) => Some(Body::Fetched(super::register_reads::fetched(s, f))),
-            Body::ConfigAsk(a) => distribution::answer(s, &a).await.map(Body::ConfigGive),
+            Body::ConfigAsk(a) => Some(Body::ConfigGive(distribution::answer(s, &a).await)),
             Body::Committed(c) => {
                 s.heard_committed(&c).await;
                 None
--- a/crates/control-plane/tests/memory/mod.rs
+++ b/crates/control-plane/tests/memory/mod.rs
@@ -130,6 +130,11 @@
         Fleet { network, running }
     }
 
+    /// A controller crashes.
+    pub fn crash(&mut self, last: u8) {
+        self.running.remove(&last).expect("it runs").abort();
+    }
+
     /// The controller at an address.
     pub fn controller(&self, last: u8) -> &Arc<Controller> {
         &self.running[&last].controller
--- a/crates/control-plane/tests/operator.rs
+++ b/crates/control-plane/tests/operator.rs
@@ -229,3 +229,22 @@
     }
     assert!(hung.iter().all(|link| link.is_up()), "they hang and aren't gone");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_controller_without_a_majority_hands_out_and_takes_nothing() {
+    let mut fleet = Fleet::start().await;
+    taken(&fleet, 1, 0, &sheet(5, 10)).await;
+    let link = link(&fleet, 1, None);
+    assert_eq!(ask(&link, &bytes::Bytes::new()).await.version, 5);
+    fleet.crash(2);
+    fleet.crash(3);
+    assert_eq!(ask(&link, &bytes::Bytes::new()).await, ConfigGive::default());
+    assert_eq!(
+        configuration::fetch(fleet.controller(1)).await.map_err(|r| r.status.as_u16()),
+        Err(503)
+    );
+    for body in [sheet(6, 10), sheet(5, 10)] {
+        let rejection = replace(&fleet, 1, "5", body).await.expect_err("no majority");
+        assert_eq!(rejection.status, 503);
+    }
+}
--- a/crates/data-plane/src/fleet_view/config_fetch.rs
+++ b/crates/data-plane/src/fleet_view/config_fetch.rs
@@ -81,8 +81,11 @@
     /// How long a controller may take: short while another may do better, then longer after each
     /// failure, for slow lines.
     fn limit(&self) -> Duration {
+        let comes_whole = self.held.is_none() || self.whole_next;
+        let first =
+            if comes_whole { constants::CONFIG_WHOLE_LIMIT } else { constants::CONFIG_ASK_LIMIT };
         let doublings = self.failures.saturating_sub(2).min(8);
-        let doubled = constants::CONFIG_ASK_LIMIT * 2u32.pow(doublings);
+        let doubled = first * 2u32.pow(doublings);
         doubled.min(constants::CONFIG_ASK_LIMIT_MAX)
     }
 
--- a/crates/data-plane/src/fleet_view/config_fetch_tests.rs
+++ b/crates/data-plane/src/fleet_view/config_fetch_tests.rs
@@ -55,7 +55,8 @@
 
 #[test]
 fn waits_and_pauses_grow_with_failures_and_stay_bounded() {
-    let mut fetcher = Fetcher::default();
+    assert_eq!(Fetcher::default().limit(), constants::CONFIG_WHOLE_LIMIT);
+    let mut fetcher = Fetcher { held: Some(held("{}")), ..Default::default() };
     let mut waits = Vec::new();
     for failures in 0..40 {
         fetcher.failures = failures;
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -73,6 +73,8 @@
 /// ms; a router asks another controller for a configuration after this; a confirming round takes
 /// tens of ms, and three tries have to fit well inside the time in which a change is to be in force.
 pub const CONFIG_ASK_LIMIT: Duration = Duration::from_millis(500);
+/// ms; the same for a configuration that has to come whole: all routers may share a few lines then.
+pub const CONFIG_WHOLE_LIMIT: Duration = Duration::from_millis(1000);
 /// ms; longest such wait: a large configuration over a slow line.
 pub const CONFIG_ASK_LIMIT_MAX: Duration = Duration::from_millis(4000);
 /// ms; pause before a failed fetch of a configuration is tried again, at random up to this; doubles.
--- a/crates/fleet-core/src/wire/configurations.rs
+++ b/crates/fleet-core/src/wire/configurations.rs
@@ -10,7 +10,7 @@
     pub digest: bytes::Bytes,
 }
 
-/// The configuration that a majority confirmed after the call came.
+/// The configuration that a majority confirmed after the call came; the default where none did.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ConfigGive {
     /// its number
--- a/crates/fleet-core/src/wire/frame.rs
+++ b/crates/fleet-core/src/wire/frame.rs
@@ -114,7 +114,7 @@
     /// Answers `PreVote`.
     #[prost(message, tag = "41")]
     PreVoted(PreVoted),
-    /// Router to controller; answered with `ConfigGive`, or not at all where no majority confirms.
+    /// Router to controller; answered with `ConfigGive`.
     #[prost(message, tag = "32")]
     ConfigAsk(ConfigAsk),
     /// Answer to `ConfigAsk`.
