--- a/crates/fleet-core/src/link_tests.rs
+++ b/crates/fleet-core/src/link_tests.rs
@@ -173,7 +173,7 @@
     let (link, mut far_ends) = link();
     let mut far = far_end(&mut far_ends).await;
     let (waiting, no) = call(&link, &mut far).await;
-    let large = Fetch { key: "k".repeat(constants::FRAME_MAX), ..Default::default() };
+    let large = Fetch { key: "k".repeat(constants::FRAME_MAX) };
     let got = link.call(Body::Fetch(large.clone()), LIMIT).await;
     assert!(matches!(got, Err(LinkError::TooLarge(_))), "{got:?}");
     assert!(matches!(link.tell(Body::Fetch(large)), Err(LinkError::TooLarge(_))));
@@ -196,7 +196,7 @@
         self.bodies.lock().push(body);
         if large {
             let key = "k".repeat(constants::FRAME_MAX);
-            return Some(Body::Fetch(Fetch { key, ..Default::default() }));
+            return Some(Body::Fetch(Fetch { key }));
         }
         Some(Body::Nothing(Done {}))
     }
