--- a/crates/control-plane/src/duties/keeper/index.rs
+++ b/crates/control-plane/src/duties/keeper/index.rs
@@ -4,6 +4,7 @@
 use fleet_core::wire::{HeldParts, PartAt, Purge, RingEntry};
 use invalidation::cache::Cache;
 use invalidation::draft::Local;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 type Parts = hashbrown::HashMap<u64, u64, ahash::RandomState>;
@@ -29,7 +30,7 @@
 /// requests share. Parts of single requests wait apart, bounded, until a router names them.
 #[derive(Default)]
 pub struct Index {
-    holders: hashbrown::HashMap<Arc<str>, hashbrown::HashMap<Arc<str>, Parts>>,
+    holders: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Parts>>,
     shared: hashbrown::HashSet<u64, ahash::RandomState>,
     unshared: [Unshared; 2],
     fresh: std::collections::VecDeque<(Arc<str>, Arc<str>, u64, u64)>,
