Leases over real controllers: tests of take-over, restart, giving back and contact

The roll-out's duty goes to another node no sooner than a lease after its holder crashed or gave it back, and to the holder's own node at once after a restart, each time under a higher fence; contact ends 1.6 s after the majority did, the heartbeat is heard all the same, and nobody is asked first. docs/rollout.md says how orders end and who is believed.

--- /dev/null
+++ b/crates/control-plane/tests/cluster/leases.rs
@@ -0,0 +1,100 @@
+//! Leases over real controllers: duties that change hands, and contact with a majority.
+
+use super::stand::Cluster;
+use super::{heartbeats, replace};
+use control_plane::duties::ROLL_OUT;
+use control_plane::service::{configuration, instances};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const TICK: Duration = Duration::from_millis(20);
+/// As the settings have it where they name none.
+const LEASE: Duration = Duration::from_secs(3);
+
+/// Who may give orders now, and under which fence.
+fn holder(cluster: &Cluster, nodes: &[usize]) -> Option<(usize, u64)> {
+    let fence = |node: &usize| cluster.controller(*node).duties.fence(ROLL_OUT);
+    let mut all = nodes.iter().filter_map(|node| Some((*node, fence(node)?)));
+    let one = all.next();
+    assert_eq!(all.next(), None, "beside {one:?}");
+    one
+}
+
+/// Waits for somebody who may give orders.
+async fn next_holder(cluster: &Cluster, nodes: &[usize]) -> (usize, u64) {
+    let end = Instant::now() + LEASE * 5;
+    loop {
+        if let Some(held) = holder(cluster, nodes) {
+            return held;
+        }
+        assert!(Instant::now() < end, "nobody holds it");
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+fn others(size: usize, node: usize) -> Vec<usize> {
+    (1..=size).filter(|n| *n != node).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_duty_goes_to_another_node_a_lease_after_its_holder_died() {
+    for (size, seed) in [(3, 11), (3, 12), (5, 13)] {
+        let mut cluster = Cluster::found(size, seed).await;
+        let all: Vec<usize> = (1..=size).collect();
+        let (first, fence) = next_holder(&cluster, &all).await;
+        cluster.settle().await;
+        assert_eq!(holder(&cluster, &all), Some((first, fence)), "it is kept");
+        cluster.crash(first);
+        let died = Instant::now();
+        let (second, higher) = next_holder(&cluster, &others(size, first)).await;
+        assert!(second != first && higher > fence, "{first}: {fence}, {second}: {higher}");
+        assert!(died.elapsed() >= LEASE, "after {:?}", died.elapsed());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restarted_holder_has_its_duty_again_before_others_could() {
+    let mut cluster = Cluster::found(3, 21).await;
+    let (first, fence) = next_holder(&cluster, &[1, 2, 3]).await;
+    cluster.crash(first);
+    cluster.start(first).await;
+    let restarted = Instant::now();
+    let (again, higher) = next_holder(&cluster, &[1, 2, 3]).await;
+    assert!(again == first && higher > fence, "{first}: {fence}, {again}: {higher}");
+    assert!(restarted.elapsed() < LEASE, "after {:?}", restarted.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_duty_given_back_is_held_by_another_no_sooner_than_a_lease_later() {
+    let cluster = Cluster::found(3, 31).await;
+    let (first, fence) = next_holder(&cluster, &[1, 2, 3]).await;
+    cluster.leave(first).await;
+    let left = Instant::now();
+    let (second, higher) = next_holder(&cluster, &others(3, first)).await;
+    assert!(higher > fence && second != first);
+    assert!(left.elapsed() >= LEASE, "after {:?}", left.elapsed());
+    assert_eq!(cluster.controller(first).duties.fence(ROLL_OUT), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn contact_ends_with_the_majority_and_comes_back_with_it() {
+    let mut cluster = Cluster::found(3, 41).await;
+    replace(&cluster, 1, 0, 7).await;
+    heartbeats(&cluster, 1).await;
+    cluster.crash(2);
+    tokio::time::sleep(LEASE).await;
+    heartbeats(&cluster, 1).await;
+    cluster.crash(3);
+    tokio::time::sleep(Duration::from_millis(1600)).await;
+    let beat = r#"{"service":"s","address":"10.0.1.99:80","state":"ready","callSeq":1}"#;
+    let alone = cluster.controller(1);
+    let asked = Instant::now();
+    let told = instances::heartbeat(alone, "late".into(), beat.into()).await.unwrap_err();
+    let read = configuration::fetch(alone).await.unwrap_err();
+    assert_eq!((told.code, read.code), ("no_contact", "no_contact"));
+    assert_eq!(asked.elapsed(), Duration::ZERO, "nobody was asked first");
+    assert!(alone.look(|known| known.engines.contains_key("late")), "heard all the same");
+    cluster.start(2).await;
+    cluster.ask(1, |s| async move { configuration::fetch(&s).await }).await;
+    heartbeats(&cluster, 1).await;
+}
--- a/crates/control-plane/tests/stand/mod.rs
+++ b/crates/control-plane/tests/stand/mod.rs
@@ -128,6 +128,11 @@
         self.trace.add(node, "crashed");
     }
 
+    /// Ends a node in good order, up to where the program would stop its tasks.
+    pub async fn leave(&self, node: usize) {
+        self.started[&node].running.leave().await;
+    }
+
     pub fn controller(&self, node: usize) -> &Arc<Controller> {
         &self.started[&node].running.controller
     }
