--- a/crates/control-plane/src/duties/holding.rs
+++ b/crates/control-plane/src/duties/holding.rs
@@ -129,7 +129,7 @@
     match raise(s, duty, id, true).await.outcome() {
         Outcome::Done => s.duties.with(duty, |h| h.recorded(id)),
         Outcome::Stale => lapse(s, duty),
-        Outcome::Unknown | Outcome::Invalid => {}
+        Outcome::Unknown | Outcome::Unproven | Outcome::Invalid => {}
     }
 }
 
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod contact;
 pub mod control;
 pub mod disk;
+pub mod distribution;
 pub mod duties;
 pub mod engines;
 pub mod facts;
@@ -57,6 +58,8 @@
     /// leases granted and held
     pub duties: duties::Duties,
     contact: parking_lot::Mutex<contact::Contact>,
+    /// what routers are given of the configuration
+    pub distribution: distribution::Distribution,
     /// when it started
     pub started: tokio::time::Instant,
     leaving: tokio::sync::watch::Sender<bool>,
--- a/crates/control-plane/src/running.rs
+++ b/crates/control-plane/src/running.rs
@@ -77,6 +77,7 @@
             members: members::Members::default(),
             duties: duties::Duties::new(closed, node.incarnation),
             contact: parking_lot::Mutex::default(),
+            distribution: crate::distribution::Distribution::default(),
             started: tokio::time::Instant::now(),
             rng_state: AtomicU64::new(rng_state),
             head: tokio::sync::watch::channel(0).0,
--- a/crates/control-plane/src/service/configuration.rs
+++ b/crates/control-plane/src/service/configuration.rs
@@ -22,7 +22,9 @@
 /// The version that a change builds on, from the text of its header.
 pub fn base_of(header: Option<&str>) -> Result<u64, Rejection> {
     header
-        .and_then(|text| text.trim().parse().ok())
+        .map(str::trim)
+        .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))
+        .and_then(|text| text.parse().ok())
         .ok_or_else(|| Rejection::bad_request("no_base", "X-Base-Revision: not a version"))
 }
 
@@ -35,12 +37,14 @@
     contact(s)?;
     let base = base_of(base_header)?;
     let configuration = Configuration::read(&body).map_err(|error| refused(s, &error))?;
-    let change = ReplaceConfig { base, version: configuration.revision, body };
+    let packed = fleet_core::packing::pack(&body);
+    let change = ReplaceConfig { base, version: configuration.revision, packed };
     let changed = submit::submit(s, ChangeKind::Replace(change.clone())).await;
     match changed.outcome() {
         Outcome::Done => Ok(Replaced { version: change.version }),
         Outcome::Stale => Err(stale(&changed)),
         Outcome::Invalid => Err(refused(s, &values::error_of(&change, &changed))),
+        Outcome::Unproven => Err(unproven(&changed)),
         Outcome::Unknown => {
             Err(Rejection::unavailable("unknown", "no majority in time: it may yet be in force"))
         }
@@ -55,6 +59,15 @@
     }
 }
 
+/// It may have been taken so long ago that nobody knows, or its base is yet to come.
+fn unproven(changed: &Changed) -> Rejection {
+    let message = format!(
+        "version {} is in place; whether this change was taken isn't known",
+        changed.number
+    );
+    Rejection::unavailable("unknown", &message)
+}
+
 fn refused(s: &Controller, error: &fleet_core::configuration::ConfigError) -> Rejection {
     fleet_core::log_event!(s.log, Event::ConfigRejected, "why" => error.to_string());
     Rejection::bad_request(error.code(), error)
@@ -66,8 +79,8 @@
     let read = tokio::time::timeout(constants::CHANGE_LIMIT, s.read(values::CONFIG)).await;
     let register = read.ok().flatten();
     let value = register.and_then(|(_, value)| ConfigValue::decode(value).ok());
-    match value {
-        Some(value) if value.version > 0 => Ok(value.body),
-        _ => Err(Rejection::unavailable("unknown", "no configuration confirmed by a majority")),
-    }
+    let body = value.filter(|value| value.version > 0).and_then(|value| value.body().ok());
+    body.ok_or_else(|| {
+        Rejection::unavailable("unknown", "no configuration confirmed by a majority")
+    })
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -156,6 +156,7 @@
     let tasks = [
         tokio::spawn(serve::probes(router.clone(), probe)),
         tokio::spawn(fleet_view::links::watching(router.clone())),
+        tokio::spawn(fleet_view::config_fetch::fetching(router.clone())),
         tokio::spawn(fleet_view::purge::reading(router.clone())),
         tokio::spawn(fleet_view::purge::telling(router.clone())),
         tokio::spawn(fleet_view::loads::telling(router.clone())),
--- a/crates/fleet-core/src/link_backlog_tests.rs
+++ b/crates/fleet-core/src/link_backlog_tests.rs
@@ -1,4 +1,4 @@
-//! Tests of what waits at a `link` for a slow reader.
+//! Tests of the bounds on what `link` keeps for a slow reader.
 
 use super::*;
 use crate::wire::{Hello, Loads, View};
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -2,33 +2,35 @@
 
 use prost::Message;
 
-/// A configuration that was committed earlier; recognises one that is sent again.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct Taken {
-    /// The operator's number of it.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
-    /// Hash of its bytes, the same on every machine.
-    #[prost(uint64, tag = "2")]
-    pub digest: u64,
-}
-
 /// What the key `config` holds. The default stands for "no configuration yet".
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ConfigValue {
     /// The operator's number (`revision` in the body); 0 for none.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The configuration as the operator sent it, JSON.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub body: bytes::Bytes,
-    /// Configurations committed lately, oldest first, this one included; at most `TAKEN_KEPT`.
-    #[prost(message, repeated, tag = "3")]
-    pub taken: Vec<Taken>,
     /// Isolation generation of what tenants share: rises by one with each configuration that isolates a
     /// tenant which was not isolated before. Kept prompts of older generations are void.
     #[prost(uint64, tag = "4")]
     pub isolation: u64,
+    /// Numbers and digests of the configurations taken so far, as one block.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub history: bytes::Bytes,
+    /// The configuration as the operator sent it (JSON), deflated.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub packed: bytes::Bytes,
+    /// Digest of the operator's bytes.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub digest: bytes::Bytes,
+    /// Names of the tenants that have an isolation of their own.
+    #[prost(string, repeated, tag = "8")]
+    pub isolated: Vec<String>,
+}
+
+impl ConfigValue {
+    /// The operator's bytes again.
+    pub fn body(&self) -> Result<bytes::Bytes, crate::packing::UnpackError> {
+        crate::packing::unpack(&self.packed, crate::constants::CONFIG_BYTES)
+    }
 }
 
 /// What the key `weights/MODEL` holds.
@@ -105,9 +107,9 @@
     /// The new configuration's number; has to be above the one in force.
     #[prost(uint64, tag = "2")]
     pub version: u64,
-    /// The new configuration, JSON. The sender has checked that it can be read.
-    #[prost(bytes = "bytes", tag = "3")]
-    pub body: bytes::Bytes,
+    /// The configuration as the operator sent it (JSON), deflated.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub packed: bytes::Bytes,
 }
 
 /// Names the version to which the engines of a model are to be brought.
@@ -147,10 +149,12 @@
     Unknown = 0,
     /// Committed, now or earlier.
     Done = 1,
-    /// Not committed: another version than the given base is committed.
+    /// Not committed, and never to be: another version follows the given base.
     Stale = 2,
     /// Not committed: the value breaks a rule.
     Invalid = 3,
+    /// A majority was asked, and what it holds doesn't tell whether the change was ever taken
+    Unproven = 4,
 }
 
 /// Answer to [`Change`].
--- a/crates/fleet-core/src/wire/mod.rs
+++ b/crates/fleet-core/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod changes;
+mod configurations;
 mod engines;
 mod frame;
 mod invalidations;
@@ -11,6 +12,7 @@
 mod views;
 
 pub use changes::*;
+pub use configurations::*;
 pub use engines::*;
 pub use frame::*;
 pub use invalidations::*;
