The index-keeper forgets shared parts that no holder keeps any more

Cause: each part that a router once named as shared was remembered for as long as the keeper held its duty.

Change: with 131,072 of them, those that no holder keeps are forgotten; the bound doubles where more are kept.

Measured: the new test (393,217 parts, all but one evicted) failed with all of them remembered, and passes now.

--- a/crates/control-plane/src/duties/keeper/index.rs
+++ b/crates/control-plane/src/duties/keeper/index.rs
@@ -32,6 +32,8 @@
 pub struct Index {
     holders: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Parts>>,
     shared: hashbrown::HashSet<u64, ahash::RandomState>,
+    /// so many shared parts were kept by some holder when that was last looked at
+    kept: usize,
     unshared: [Unshared; 2],
     fresh: std::collections::VecDeque<(Arc<str>, Arc<str>, u64, u64)>,
     found: u64,
@@ -136,8 +138,20 @@
         v.push(held);
     }
 
+    /// Parts that no holder keeps are shared no longer; a router that sends them again says so again.
+    fn forget_unkept(&mut self) {
+        if self.shared.len() < constants::SHARED_KEPT.max(self.kept * 2) {
+            return;
+        }
+        let parts = self.holders.values().flat_map(|salts| salts.values()).flat_map(Parts::keys);
+        let kept: hashbrown::HashSet<u64, ahash::RandomState> = parts.copied().collect();
+        self.shared.retain(|part| kept.contains(part));
+        self.kept = self.shared.len();
+    }
+
     /// What a router's own sends leave: it also names these parts as shared.
     pub fn hear(&mut self, found: &[HeldParts]) {
+        self.forget_unkept();
         for part in found.iter().flat_map(|h| &h.parts) {
             if !self.shared.insert(*part) {
                 continue;
--- a/crates/control-plane/src/duties/keeper/index_tests.rs
+++ b/crates/control-plane/src/duties/keeper/index_tests.rs
@@ -83,3 +83,16 @@
     let reckoned = index.digest_bytes();
     assert!(bytes <= reckoned && reckoned < bytes * 2, "{bytes} bytes, {reckoned} reckoned");
 }
+
+/// A day may be long, and its prompts new: what no holder keeps any more leaves nothing behind for good.
+#[test]
+fn shared_parts_that_nobody_keeps_are_forgotten() {
+    let mut index = Index::default();
+    index.hear(&[held("stays", vec![u64::MAX])]);
+    for part in 0..constants::SHARED_KEPT as u64 * 3 {
+        index.hear(&[held("h", vec![part])]);
+        index.evict("h", "m|1|#1", part, 0);
+    }
+    assert!(index.shared.len() <= constants::SHARED_KEPT, "{}", index.shared.len());
+    assert!(index.shared.contains(&u64::MAX), "what is kept stays shared");
+}
--- a/crates/fleet-core/src/constants/invalidations.rs
+++ b/crates/fleet-core/src/constants/invalidations.rs
@@ -18,6 +18,8 @@
 pub const FINDINGS_KEPT: usize = 4096;
 /// parts that no router has named as shared yet, of each of two generations; a minute of traffic.
 pub const UNSHARED_KEPT: usize = 16_384;
+/// shared parts that are remembered before those are forgotten that no holder keeps; 2 MB.
+pub const SHARED_KEPT: usize = 131_072;
 /// bytes of digests that may be on their way at once; each is held three times until it has gone out.
 pub const REFILL_UNDERWAY: usize = 4 << 20;
 /// bytes a ms at which digests go out: a third of the keeper's line of 100 Mbit/s.
