A member reads its state back in pieces, ballots apart from values

Cause: a recovering member asked all members for all values in one frame of 8 MiB at most, with 0.8 s for all, so with a configuration of MiBs it never voted again, and each try made all owners prepare anew.

Change: values are read once, from one holder each, in pieces of 128 KiB, before the recovery epoch rises; ballots come alone; what changed meanwhile is read again. A holder keeps a value that is replaced midway for its reader. A broken-off read goes on at another holder.

--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -238,10 +238,11 @@
         Step { record: self.barrier(), answer }
     }
 
-    /// All that is held here, for a member that lost its disk; from now on in its recovery_epoch.
+    /// All ballots that are held here, for a member that reads its state back; from now on in its
+    /// recovery epoch. The values follow by key.
     pub fn hand_over(&mut self, recovery_epoch: u64) -> Step<Peeked> {
         let record = self.advance(recovery_epoch).unwrap_or_else(|| self.barrier());
-        Step { record, answer: self.peek(true).answer }
+        Step { record, answer: self.peek(false).answer }
     }
 
     /// A membership that was decided: one member at a time is exchanged. Who was not a member all the
--- a/crates/control-plane/src/control/moves_tests.rs
+++ b/crates/control-plane/src/control/moves_tests.rs
@@ -3,6 +3,7 @@
 
 use super::acceptor::Acceptor;
 use super::round::{Round, Verdict};
+use super::schedules::with_values;
 use super::values::{CONFIG, MEMBERSHIP};
 use crate::disk::format::State;
 use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare};
@@ -241,7 +242,7 @@
         for o in from {
             let step = self.machines[o].acceptor.hand_over(recovery_epoch);
             self.machines[o].state.apply(&step.record);
-            got.push(step.answer);
+            got.push(with_values(step.answer, &self.machines[o].acceptor));
         }
         if let Some(record) = self.machines[i].acceptor.recover(recovery_epoch, &got) {
             self.machines[i].state.apply(&record);
--- a/crates/control-plane/src/control/schedules_tests.rs
+++ b/crates/control-plane/src/control/schedules_tests.rs
@@ -82,6 +82,14 @@
     }
 }
 
+/// What a member that reads back fetches by key after the ballots.
+pub fn with_values(mut answer: Peeked, holder: &Acceptor) -> Peeked {
+    for register in &mut answer.registers {
+        register.value = holder.register(&register.key).unwrap().value.clone();
+    }
+    answer
+}
+
 fn pack(v: &[u64]) -> bytes::Bytes {
     v.iter().flat_map(|x| x.to_be_bytes()).collect::<Vec<u8>>().into()
 }
@@ -224,7 +232,7 @@
             if n.acceptor.votes() && got.len() < most && Some(o) != skipped {
                 let step = n.acceptor.hand_over(recovery_epoch);
                 n.disk.keep(&step.record);
-                got.push(step.answer);
+                got.push(with_values(step.answer, &n.acceptor));
             }
         }
         if let Some(r) = self.nodes[i].acceptor.recover(recovery_epoch, &got) {
--- a/crates/control-plane/src/members/membership.rs
+++ b/crates/control-plane/src/members/membership.rs
@@ -2,11 +2,12 @@
 
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
+use super::recovery;
 use crate::Controller;
 use crate::control::{owner, values};
 use fleet_core::constants;
 use fleet_core::log::Event;
-use fleet_core::wire::{Body, Join, Member, Membership, Peek, Peeked, Recover};
+use fleet_core::wire::{Body, Join, Member, Membership, Peek};
 use prost::Message;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -47,6 +48,7 @@
 /// Until it votes, a controller asks to join, or reads all from the others if its disk is empty.
 pub async fn joining(s: Arc<Controller>) {
     let mut told = u64::MAX;
+    let mut catch_up = recovery::CatchUp::default();
     loop {
         let (votes, member, epoch) = {
             let a = s.acceptor.lock();
@@ -57,7 +59,7 @@
             continue;
         }
         if member {
-            recover(&s, epoch).await;
+            recovery::recover(&s, epoch, &mut catch_up).await;
         } else {
             if told != epoch {
                 told = epoch;
@@ -83,48 +85,6 @@
     }
 }
 
-/// Learns the latest recovery_epoch of a majority, then reads all from a majority that has gone to a later one.
-async fn recover(s: &Arc<Controller>, membership: u64) {
-    let before = peek_all(s, Body::Peek(Peek { membership, values: false })).await;
-    let in_force = |p: &&Peeked| p.membership.as_ref().is_some_and(|r| r.epoch == membership);
-    let most = s.acceptor.lock().membership().members.len() / 2 + 1;
-    if before.iter().filter(in_force).filter(|p| p.votes).count() < most {
-        return;
-    }
-    let recovery_epoch = before.iter().map(|p| p.recovery_epoch).max().unwrap_or(0) + 1;
-    let ask =
-        Body::Recover(Recover { membership, incarnation: s.node.incarnation, recovery_epoch });
-    let mut got = peek_all(s, ask).await;
-    got.retain(|p| in_force(&p));
-    if s.acceptor.lock().membership().epoch != membership {
-        return;
-    }
-    s.duties.close_for(s.settings().bounds.lease);
-    if s.persist(|a| a.recover(recovery_epoch, &got)).await {
-        fleet_core::log_event!(s.log, Event::Voting, "recovery_epoch" => recovery_epoch);
-        s.members.relink(s);
-    }
-}
-
-/// Asks all other members at once; a later membership among the answers is taken up.
-async fn peek_all(s: &Arc<Controller>, ask: Body) -> Vec<Peeked> {
-    let members = s.acceptor.lock().membership().members.clone();
-    let calls = s.peers(&members).into_iter().map(|(_, l)| {
-        let ask = ask.clone();
-        async move { l.call(ask, constants::PHASE_LIMIT * 2).await }
-    });
-    let mut out = Vec::new();
-    for got in futures_util::future::join_all(calls).await {
-        if let Ok(Body::Peeked(p)) = got {
-            if let Some(r) = &p.membership {
-                s.adopt(r).await;
-            }
-            out.push(p);
-        }
-    }
-    out
-}
-
 /// Whom a joiner may stand in for: a silent member, soonest one of its own zone.
 pub fn lost_member<'a>(
     members: &'a [(Member, std::time::Duration)],
@@ -192,7 +152,7 @@
             continue;
         }
         let ask = Body::Peek(Peek { membership: membership.epoch, values: false });
-        let voters = 1 + peek_all(&s, ask).await.iter().filter(|p| p.votes).count();
+        let voters = 1 + recovery::ask_all(&s, ask).await.iter().filter(|(_, p)| p.votes).count();
         let Some(next) = next_membership(&membership, &silent, &joiners, voters, losses) else {
             continue;
         };
--- a/crates/control-plane/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -1,8 +1,10 @@
 //! The other controllers: links, joining, exchange of a lost member; and the peer_service that answers.
 
+pub mod handover;
 pub mod loads;
 mod membership;
 mod peer_service;
+mod recovery;
 mod register_reads;
 
 pub use membership::{exchanging, founding, is_first_alive, joining};
@@ -33,6 +35,8 @@
     joiners: parking_lot::Mutex<BTreeMap<String, (fleet_core::wire::Member, tokio::time::Instant)>>,
     /// loads of engines, as routers and controllers tell them
     pub loads: loads::PeerService,
+    /// values that other members read back from here
+    pub handovers: handover::Handovers,
     /// routers that are linked, by incarnation
     pub router_links: parking_lot::Mutex<BTreeMap<u64, fleet_core::link::Peer>>,
     /// routers that were heard lately, by name
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -59,6 +59,11 @@
                 s.members.bury(&peer.hello.ip, r.incarnation);
                 s.vote(|a| a.hand_over(r.recovery_epoch)).await.map(Body::Peeked)
             }
+            Body::FetchPiece(ask) => {
+                let current = s.acceptor.lock().register(&ask.key).cloned();
+                let piece = s.members.handovers.piece(&peer.hello.ip, &ask, current.as_ref());
+                Some(Body::Piece(piece))
+            }
             Body::Fetch(f) => Some(Body::Fetched(super::register_reads::fetched(s, f))),
             Body::ConfigAsk(a) => distribution::answer(s, &a).await.map(Body::ConfigGive),
             Body::Committed(c) => {
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -79,3 +79,9 @@
 pub const CONFIG_ASK_PAUSE_MS: u64 = 50;
 /// ms; a controller answers a router's heartbeat each second: one silent for longer is asked last.
 pub const CONTROLLER_FRESH: Duration = Duration::from_millis(1500);
+/// bytes; part of a value that a member reads back at once: a tenth of a second of a 10 Mbit/s line.
+pub const PIECE_BYTES: usize = 128 << 10;
+/// ms; one part of a value over a busy line; the next holder is asked after that.
+pub const PIECE_LIMIT: Duration = Duration::from_millis(1500);
+/// s; a holder keeps a value that has been replaced for a reader that asks on, this long after it asked.
+pub const HANDOVER_KEPT: Duration = Duration::from_secs(10);
--- a/crates/fleet-core/src/wire/answers.rs
+++ b/crates/fleet-core/src/wire/answers.rs
@@ -11,6 +11,7 @@
             Body::Prepare(_) | Body::Accept(_) => |answer| matches!(answer, Body::Vote(_)),
             Body::PreVote(_) => |answer| matches!(answer, Body::PreVoted(_)),
             Body::Peek(_) | Body::Recover(_) => |answer| matches!(answer, Body::Peeked(_)),
+            Body::FetchPiece(_) => |answer| matches!(answer, Body::Piece(_)),
             Body::Fetch(_) => |answer| matches!(answer, Body::Fetched(_)),
             Body::Change(_) => |answer| matches!(answer, Body::Changed(_)),
             Body::Lease(_) => |answer| matches!(answer, Body::Leased(_)),
@@ -24,6 +25,7 @@
             | Body::PreVoted(_)
             | Body::Peeked(_)
             | Body::Fetched(_)
+            | Body::Piece(_)
             | Body::Committed(_)
             | Body::Changed(_)
             | Body::Leased(_)
--- a/crates/fleet-core/src/wire/frame.rs
+++ b/crates/fleet-core/src/wire/frame.rs
@@ -1,9 +1,9 @@
 //! The frame that every message travels in.
 
 use super::{
-    Accept, Alive, Beats, Change, Changed, Committed, ConfigAsk, ConfigGive, Fetch, Fetched, Found,
-    Hello, Join, Joined, Lease, Leased, Loads, Peek, Peeked, PreVote, PreVoted, Prepare, Recover,
-    RingAsk, RingGive, View, Vote,
+    Accept, Alive, Beats, Change, Changed, Committed, ConfigAsk, ConfigGive, Fetch, FetchPiece,
+    Fetched, Found, Hello, Join, Joined, Lease, Leased, Loads, Peek, Peeked, Piece, PreVote,
+    PreVoted, Prepare, Recover, RingAsk, RingGive, View, Vote,
 };
 use prost::Message;
 
@@ -25,7 +25,7 @@
     /// The message itself; none where the receiver does not know its kind.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 32, 33, 40, 41"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 32, 33, 40, 41"
     )]
     pub body: Option<Body>,
 }
@@ -108,6 +108,12 @@
     /// Both ways between routers and controllers, and between controllers; not answered.
     #[prost(message, tag = "27")]
     Loads(Loads),
+    /// Controller that reads its state back, to one that holds a value; answered with `Piece`.
+    #[prost(message, tag = "28")]
+    FetchPiece(FetchPiece),
+    /// Answer to `FetchPiece`.
+    #[prost(message, tag = "29")]
+    Piece(Piece),
     /// Asks whether a key's owner is silent.
     #[prost(message, tag = "40")]
     PreVote(PreVote),
--- a/crates/fleet-core/src/wire/registers.rs
+++ b/crates/fleet-core/src/wire/registers.rs
@@ -153,7 +153,7 @@
     pub recovery_epoch: u64,
 }
 
-/// An empty disk asks for everything, and ends what its former incarnation had on the way: whoever
+/// An empty disk asks for all ballots, and ends what its former incarnation had on the way: whoever
 /// answers is in the new recovery epoch, and votes in no earlier one.
 #[derive(Clone, PartialEq, Message)]
 pub struct Recover {
@@ -187,6 +187,37 @@
     pub register: Option<Register>,
 }
 
+/// Asks a holder for the part of an accepted value that begins at `offset`.
+#[derive(Clone, PartialEq, Message)]
+pub struct FetchPiece {
+    /// Key of the register.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// The accepted ballot whose value is read; a holder that is past it gives its later one.
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+    /// Bytes that the asker has.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+}
+
+/// Part of an accepted value.
+#[derive(Clone, PartialEq, Message)]
+pub struct Piece {
+    /// The ballot that the value was accepted at; blank where the holder has nothing.
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    /// Where this part begins.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Bytes of the whole value.
+    #[prost(uint64, tag = "3")]
+    pub total: u64,
+    /// The part.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub bytes: bytes::Bytes,
+}
+
 /// Tells that the value at this ballot is committed. A hint: who has accepted it may count it as
 /// committed, others find out by themselves.
 #[derive(Clone, PartialEq, Message)]
