Disk files behind a narrow trait, on a disk that loses power; slots grow with the state

Cause: a file that could not be read counted as an empty disk; a data folder that was made here was not synced into its parent; power lost between the first slot and the founding left a machine that was never a first start again; a state of over 1 MiB no longer fitted the slots laid down.

Change: Files works on a Storage trait (read, write, sync, sync the folder); unreadable is an error; made folders are synced in their parents; a disk that nothing was kept on is empty; a slot is laid down to twice the state once it fills two thirds. The rule on retries moves from the thread to Files.

Measured: 2000 schedules of records, full disks, refused syncs and power loss with torn and missing sectors and entries lost singly pass; each of these fails them: no sync of the log, of the slot, of the folder, no roll after a failure, a failure forgotten, slots that don't grow, empty as before. Not tested: the sync of the parent folder and the read error, which need a real disk.

--- /dev/null
+++ b/crates/control-plane/src/disk/files.rs
@@ -0,0 +1,174 @@
+//! Two slots written in turn, a short log between.
+//!
+//! The newest whole slot and the valid records behind it are the state. A slot is durable before
+//! the log starts anew behind it, so what was kept is always in one of the two.
+
+use super::format::{self, Record, Slot, State};
+use super::storage::{Folder, Storage};
+use super::{DiskError, refused};
+use fleet_core::constants;
+use std::path::Path;
+
+const LOG: &str = "log";
+const SLOTS: [&str; 2] = ["slot0", "slot1"];
+
+/// Bytes that the files are laid down with.
+#[derive(Clone, Copy)]
+pub struct Layout {
+    /// Of each slot; it grows with the state.
+    pub slot: usize,
+    /// Of the log.
+    pub log: usize,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Layout { slot: constants::SLOT_BYTES, log: constants::LOG_BYTES }
+    }
+}
+
+/// The state and its files.
+pub struct Files<S = Folder> {
+    storage: S,
+    layout: Layout,
+    seq: u64,
+    log_at: usize,
+    state: State,
+    /// The last write failed: the state has more than the files.
+    behind: bool,
+    /// A slot was torn or spoilt.
+    pub damaged: bool,
+    /// Nothing was ever kept here.
+    pub empty: bool,
+}
+
+impl Files {
+    /// Opens the files of a folder, which is made where there is none.
+    pub fn open(dir: &Path) -> Result<(Files, State), DiskError> {
+        let folder = Folder::open(dir).map_err(refused("create folder"))?;
+        Files::open_in(folder, Layout::default())
+    }
+}
+
+impl<S: Storage> Files<S> {
+    /// Newest whole slot and the valid log behind it; with neither, an empty disk.
+    pub fn open_in(mut storage: S, layout: Layout) -> Result<(Files<S>, State), DiskError> {
+        let mut best: Option<(u64, State)> = None;
+        let mut damaged = false;
+        for name in SLOTS {
+            match format::read_slot(&storage.read(name).map_err(refused("read slot"))?) {
+                Slot::Blank => {}
+                Slot::Damaged => damaged = true,
+                Slot::Whole(seq, state) => {
+                    if best.as_ref().is_none_or(|(newest, _)| seq > *newest) {
+                        best = Some((seq, state));
+                    }
+                }
+            }
+        }
+        let blank = best.is_none();
+        let (seq, mut state) = best.unwrap_or_default();
+        let log = storage.read(LOG).map_err(refused("read log"))?;
+        let (records, log_at) = if blank { (Vec::new(), 0) } else { format::read_log(&log, seq) };
+        records.iter().for_each(|record| state.apply(record));
+        lay_down_all(&mut storage, layout)?;
+        let empty = state == State::default();
+        let behind = false;
+        let mut files =
+            Files { storage, layout, seq, log_at, state: state.clone(), behind, damaged, empty };
+        if blank {
+            files.roll()?;
+        }
+        Ok((files, state))
+    }
+
+    /// The whole state into the slot whose turn it is; the log starts anew behind it.
+    fn roll(&mut self) -> Result<(), DiskError> {
+        let seq = self.seq + 1;
+        let name = SLOTS[(seq % 2) as usize];
+        let bytes = format::slot_bytes(seq, &self.state);
+        self.make_room(name, bytes.len());
+        self.storage.write(name, 0, &bytes).map_err(refused("write slot"))?;
+        self.storage.sync(name).map_err(refused("sync slot"))?;
+        self.seq = seq;
+        self.log_at = 0;
+        Ok(())
+    }
+
+    /// Lays the slot down larger while there is room on the disk, before the state needs it. A
+    /// failure means nothing as yet: the state may fit all the same.
+    fn make_room(&mut self, name: &str, size: usize) {
+        let short = |length: u64| length < (size + size / 2) as u64;
+        if self.storage.length(name).is_ok_and(short) {
+            let _ = lay_down(&mut self.storage, name, size * 2);
+        }
+    }
+
+    fn append(&mut self, record: &Record) -> Result<(), DiskError> {
+        self.state.apply(record);
+        let bytes = format::record_bytes(self.seq, record);
+        if self.log_at + bytes.len() > self.layout.log {
+            return self.roll();
+        }
+        self.storage.write(LOG, self.log_at as u64, &bytes).map_err(refused("write log"))?;
+        self.storage.sync(LOG).map_err(refused("sync log"))?;
+        self.log_at += bytes.len();
+        Ok(())
+    }
+
+    /// Keeps several records; whatever failed before is on the disk too once this succeeds.
+    pub fn keep<'a>(&mut self, records: impl Iterator<Item = &'a Record>) -> Result<(), DiskError> {
+        let appended = self.append_many(records);
+        let outcome = if self.behind || appended.is_err() { self.roll() } else { appended };
+        self.behind = outcome.is_err();
+        outcome
+    }
+
+    /// Writes several records as one; the flags are those of the newest.
+    fn append_many<'a>(
+        &mut self,
+        records: impl Iterator<Item = &'a Record>,
+    ) -> Result<(), DiskError> {
+        let mut joined = Record { voting: self.state.voting, ..Default::default() };
+        for record in records {
+            joined.merge(record);
+        }
+        let changed = joined.reset || joined.voting != self.state.voting;
+        if joined.registers.is_empty() && !changed {
+            return Ok(());
+        }
+        self.append(&joined)
+    }
+}
+
+/// All files, in full, and the folder: nothing that comes later depends on an entry that could be lost.
+fn lay_down_all<S: Storage>(storage: &mut S, layout: Layout) -> Result<(), DiskError> {
+    for name in SLOTS {
+        lay_down(storage, name, layout.slot).map_err(refused("lay slot"))?;
+    }
+    lay_down(storage, LOG, layout.log).map_err(refused("lay log"))?;
+    storage.sync_folder().map_err(refused("sync folder"))
+}
+
+/// Fills a file up with zeros to at least this size.
+fn lay_down<S: Storage>(storage: &mut S, name: &str, size: usize) -> std::io::Result<()> {
+    let mut length = storage.length(name)? as usize;
+    if length >= size {
+        return Ok(());
+    }
+    let blank = vec![0u8; constants::LAY_BYTES];
+    while length < size {
+        let part = blank.len().min(size - length);
+        storage.write(name, length as u64, &blank[..part])?;
+        length += part;
+    }
+    storage.sync(name)
+}
+
+#[cfg(test)]
+#[path = "power_loss_tests.rs"]
+mod power_loss;
+
+#[cfg(test)]
+#[path = "files_tests.rs"]
+mod tests;
--- a/crates/control-plane/src/disk/writer_tests.rs
+++ b/crates/control-plane/src/disk/files_tests.rs
@@ -1,7 +1,8 @@
-//! Tests of `writer`.
+//! Tests of `files`.
 
 use super::*;
 use fleet_core::wire::{Ballot, Register};
+use std::path::PathBuf;
 
 fn dir(name: &str) -> PathBuf {
     let d = std::env::temp_dir().join(format!("control_plane-{}-{name}", std::process::id()));
--- a/crates/control-plane/src/disk/mod.rs
+++ b/crates/control-plane/src/disk/mod.rs
@@ -3,7 +3,9 @@
 //! The controller knows the disk as a [`RecordQueue`] only, so that tests and simulations put a
 //! disk of their own behind it.
 
+pub mod files;
 pub mod format;
+pub mod storage;
 pub mod writer;
 
 use fleet_core::transport::BoxFuture;
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -14,8 +14,11 @@
 pub const LEARN_PAUSE: Duration = Duration::from_millis(500);
 /// ms; how often a refused disk is tried again.
 pub const DISK_RETRY: Duration = Duration::from_millis(300);
-/// bytes; a slot is laid down in full at first start so that a full disk stops nothing.
+/// bytes; a slot is laid down in full at first start so that a full disk stops nothing; it is laid
+/// down to twice the state once the state fills two thirds of it.
 pub const SLOT_BYTES: usize = 1 << 20;
+/// bytes; zeros written at once while a file is laid down.
+pub const LAY_BYTES: usize = 64 << 10;
 /// bytes; the log between two slots, laid down at first start; small so that recovery is short.
 pub const LOG_BYTES: usize = 2 << 20;
 /// entries; taken configurations that are remembered, so that an order sent again is known: several
