A lost member is replaced at any size, members are spread, and any voter may move them

Cause: below twice the losses and one the membership only grew, and only while all voted, so a member that was lost for good stayed and the next loss took the quorum; one member that was linked but did not vote kept all others from moving it; tolerance.zones and tolerance.regions were unused.

Change: the next membership is a pure function of who is silent, who votes, who waits and what may be lost: replace, then grow, then spread, with a quorum of it that votes already. Whoever votes may propose, after a pause for each voter of a lower address. A machine whose disk is broken does not ask to be taken in.

The driver (pauses by rank, looking at who votes) was not run against a cut cluster.

--- /dev/null
+++ b/crates/control-plane/src/members/exchange_tests.rs
@@ -0,0 +1,158 @@
+//! Tests of `exchange` and `spread`.
+
+use super::*;
+
+fn at(n: u8, zone: &str) -> Member {
+    Member { ip: format!("10.0.0.{n}"), zone: zone.into(), ..Default::default() }
+}
+
+fn membership(members: &[Member]) -> Membership {
+    Membership { epoch: 1, members: members.to_vec() }
+}
+
+fn voting(member: &Member) -> Seen {
+    let (silent, mute) = (Duration::ZERO, Duration::ZERO);
+    Seen { member: member.clone(), silent, votes: true, mute }
+}
+
+/// Silent and without a vote for this long.
+fn gone(member: &Member, ms: u64) -> Seen {
+    let silent = Duration::from_millis(ms);
+    Seen { silent, votes: false, mute: silent, ..voting(member) }
+}
+
+/// Linked, but without a vote for this long.
+fn mute(member: &Member, ms: u64) -> Seen {
+    Seen { votes: false, mute: Duration::from_millis(ms), ..voting(member) }
+}
+
+fn bears(machines: usize, zones: usize) -> Tolerance {
+    Tolerance { machines, zones, ..Default::default() }
+}
+
+fn next(members: &[Seen], joiners: &[Member], tolerance: &Tolerance) -> Option<Vec<u8>> {
+    let all: Vec<Member> = members.iter().map(|seen| seen.member.clone()).collect();
+    let membership = membership(&all);
+    let next = Situation { membership: &membership, members, joiners, tolerance }.next()?;
+    assert_eq!(next.epoch, 2);
+    let joined: Vec<&Member> = next.members.iter().filter(|m| m.joined_epoch == 2).collect();
+    assert_eq!(joined.len(), 1, "one at a time, with the epoch that took it in");
+    Some(next.members.iter().map(|m| m.ip.rsplit('.').next().unwrap().parse().unwrap()).collect())
+}
+
+#[test]
+fn joiner_stands_in_for_the_silent_one_of_its_zone_first() {
+    let j = [at(9, "b")];
+    let all = |a, b| {
+        [
+            gone(&at(1, "a"), a),
+            gone(&at(2, "b"), b),
+            voting(&at(3, "c")),
+            voting(&at(4, "d")),
+            voting(&at(5, "e")),
+        ]
+    };
+    let two = bears(2, 0);
+    assert_eq!(next(&all(0, 0), &j, &two), None);
+    assert_eq!(next(&all(3500, 500), &j, &two), None);
+    assert_eq!(next(&all(9000, 3500), &j, &two), Some(vec![1, 3, 4, 5, 9]));
+    assert_eq!(next(&all(9000, 500), &j, &two), Some(vec![2, 3, 4, 5, 9]));
+}
+
+#[test]
+fn a_membership_grows_one_at_a_time_into_the_emptiest_zone_then_stands() {
+    let founders = [voting(&at(1, "a")), voting(&at(2, "b")), voting(&at(3, "c"))];
+    let joiners = [at(4, "a"), at(5, "d"), at(6, "b")];
+    assert_eq!(next(&founders, &joiners, &bears(1, 0)), None, "whole for one loss");
+    assert_eq!(next(&founders, &joiners, &bears(2, 0)), Some(vec![1, 2, 3, 5]));
+    let [a, b, c] = founders;
+    let two = bears(2, 0);
+    let newcomer = mute(&at(5, "d"), 400);
+    let four = [a.clone(), b.clone(), c.clone(), newcomer];
+    assert_eq!(next(&four, &joiners, &two), None, "the newcomer reads first");
+    let four = [a.clone(), b.clone(), c.clone(), voting(&at(5, "d"))];
+    assert_eq!(next(&four, &joiners, &two), Some(vec![1, 2, 3, 4, 5]));
+    let five = [a, b, c, voting(&at(4, "a")), voting(&at(5, "d"))];
+    assert_eq!(next(&five, &joiners, &two), None, "whole");
+}
+
+/// Formerly a membership that was not whole only grew, and only while all of it voted.
+#[test]
+fn a_lost_member_is_replaced_at_any_size() {
+    let [a, b, c] = [voting(&at(1, "a")), voting(&at(2, "b")), voting(&at(3, "c"))];
+    let joiners = [at(7, "d"), at(8, "e")];
+    let two = bears(2, 0);
+    let three = [gone(&at(1, "a"), 7000), b.clone(), c.clone()];
+    assert_eq!(next(&three, &joiners, &two), Some(vec![2, 3, 7]));
+    let four = [a.clone(), b.clone(), c.clone(), gone(&at(4, "f"), 7000)];
+    assert_eq!(next(&four, &joiners, &two), Some(vec![1, 2, 3, 7]));
+    let stuck = [a, b, c, mute(&at(4, "f"), 7000)];
+    assert_eq!(next(&stuck, &joiners, &two), Some(vec![1, 2, 3, 4, 7]), "grows past it");
+}
+
+#[test]
+fn no_membership_follows_that_lacks_a_quorum_with_the_state() {
+    let [a, b, c] = [voting(&at(1, "a")), voting(&at(2, "b")), voting(&at(3, "c"))];
+    let joiners = [at(7, "d"), at(8, "e")];
+    let reading = mute(&at(3, "c"), 100);
+    let two_vote = [gone(&at(1, "a"), 1000), b.clone(), c.clone()];
+    assert_eq!(next(&two_vote, &joiners, &bears(2, 0)), None, "two of four hold it");
+    let stuck = [mute(&at(1, "a"), 8000), b.clone(), c.clone()];
+    assert_eq!(next(&stuck, &joiners, &bears(2, 0)), None, "two of four hold it");
+    let one_votes = [gone(&at(1, "a"), 9000), b.clone(), reading];
+    assert_eq!(next(&one_votes, &joiners, &bears(1, 0)), None);
+    let five = [a, b, gone(&at(3, "c"), 9000), gone(&at(4, "d"), 9000), mute(&at(5, "e"), 10)];
+    assert_eq!(next(&five, &joiners, &bears(2, 0)), None, "two vote of five");
+}
+
+#[test]
+fn a_member_that_is_linked_but_never_votes_is_replaced_late() {
+    let full_disk = |ms| [mute(&at(1, "a"), ms), voting(&at(2, "b")), voting(&at(3, "c"))];
+    let joiners = [at(7, "a")];
+    let one = bears(1, 0);
+    assert_eq!(next(&full_disk(9000), &joiners, &one), None, "it may be reading back");
+    let late = constants::MEMBER_MUTE.as_millis() as u64;
+    assert_eq!(next(&full_disk(late), &joiners, &one), Some(vec![2, 3, 7]));
+}
+
+#[test]
+fn a_lost_zone_or_region_leaves_a_quorum_where_the_machines_allow_it() {
+    let crowded = [voting(&at(1, "a")), voting(&at(2, "a")), voting(&at(3, "b"))];
+    let joiners = [at(6, "b"), at(7, "c"), at(8, "a")];
+    assert_eq!(next(&crowded, &joiners, &bears(1, 0)), None, "zones need not be borne");
+    assert_eq!(next(&crowded, &joiners, &bears(1, 1)), Some(vec![2, 3, 7]));
+    assert_eq!(next(&crowded, &joiners[2..], &bears(1, 1)), None, "nothing is gained");
+    let lost = [voting(&at(1, "a")), voting(&at(2, "b")), gone(&at(3, "c"), 8000)];
+    assert_eq!(next(&lost, &joiners, &bears(1, 1)), Some(vec![1, 2, 7]), "keeps the spread");
+    let regions_of_zones =
+        [("a", "n"), ("b", "n"), ("c", "s"), ("d", "w")].map(|(z, r)| (z.into(), r.into())).into();
+    let regions = Tolerance { regions: 1, regions_of_zones, ..bears(1, 0) };
+    let spread = [voting(&at(1, "a")), voting(&at(2, "b")), voting(&at(3, "c"))];
+    assert_eq!(next(&spread, &[at(6, "b"), at(9, "d")], &regions), Some(vec![2, 3, 9]));
+}
+
+proptest::proptest! {
+    /// Whatever is gone, mute or waiting: a quorum of the next membership votes already.
+    #[test]
+    fn every_next_membership_has_a_quorum_that_votes(
+        seen in proptest::collection::vec((0u64..25_000, 0u8..4, 0usize..3), 3..6),
+        joining in proptest::collection::vec(0usize..4, 0..4),
+        zones in 0usize..2,
+    ) {
+        let names = ["a", "b", "c", "d"];
+        let members: Vec<Seen> = seen.iter().zip(1..).map(|((ms, votes, zone), n)| {
+            let member = at(n, names[*zone]);
+            match votes {
+                0 => gone(&member, *ms),
+                1 => mute(&member, *ms),
+                _ => voting(&member),
+            }
+        }).collect();
+        let joiners: Vec<Member> = joining.iter().zip(10..).map(|(z, n)| at(n, names[*z])).collect();
+        if let Some(next) = next(&members, &joiners, &bears(2, zones)) {
+            let votes = |n: &&u8| usize::from(**n) <= seen.len() && seen[usize::from(**n) - 1].1 > 1;
+            proptest::prop_assert!(next.iter().filter(votes).count() > next.len() / 2);
+            proptest::prop_assert!(next.len() <= 5 && next.len() >= members.len());
+        }
+    }
+}
--- a/crates/control-plane/src/members/membership.rs
+++ b/crates/control-plane/src/members/membership.rs
@@ -1,16 +1,18 @@
-//! Who the controllers are, and how a lost one is exchanged: one at a time, by the membership's own key.
-
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
+//! Joining the controllers, and moving their membership: one at a time, by the membership's own key.
 
+use super::exchange::{Seen, Situation, Tolerance};
 use super::recovery;
 use crate::Controller;
 use crate::control::{owner, values};
 use fleet_core::constants;
 use fleet_core::log::Event;
-use fleet_core::wire::{Body, Join, Member, Membership, Peek};
+use fleet_core::wire::{Body, Join, Member, Membership, Peek, Peeked};
 use prost::Message;
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// The membership of the first start: the seeds.
 pub fn founding(p: &fleet_core::settings::Settings) -> Membership {
@@ -34,17 +36,6 @@
     }
 }
 
-/// The voting member of the lowest address among those up does what one alone should do.
-pub fn is_first_alive(s: &Controller) -> bool {
-    let a = s.acceptor.lock();
-    if !a.votes() {
-        return false;
-    }
-    let members = a.membership().members.clone();
-    drop(a);
-    s.peers(&members).iter().all(|(id, l)| *id > s.node.id() || !l.is_up())
-}
-
 /// Until it votes, a controller asks to join, or reads all from the others if its disk is empty.
 pub async fn joining(s: Arc<Controller>) {
     let mut told = u64::MAX;
@@ -65,18 +56,7 @@
                 told = epoch;
                 fleet_core::log_event!(s.log, Event::Joining, "epoch" => epoch);
             }
-            for (_, l) in s.members.links() {
-                if let Ok(Body::Joined(j)) = l
-                    .call(
-                        Body::Join(Join { member: own(&s), observes: s.disk_absent() }),
-                        constants::PHASE_LIMIT,
-                    )
-                    .await
-                    && let Some(r) = j.membership
-                {
-                    s.adopt(&r).await;
-                }
-            }
+            ask_to_join(&s).await;
         }
         let known = s.disk_absent() && epoch > 0;
         tokio::time::sleep(if known { constants::OBSERVE_PAUSE } else { constants::JOIN_PAUSE })
@@ -85,131 +65,149 @@
     }
 }
 
-/// Whom a joiner may stand in for: a silent member, soonest one of its own zone.
-pub fn lost_member<'a>(
-    members: &'a [(Member, std::time::Duration)],
-    joiner: &Member,
-) -> Option<&'a Member> {
-    let zone = members
-        .iter()
-        .find(|(m, silent)| m.zone == joiner.zone && *silent >= constants::MEMBER_SILENT_ZONE);
-    let any =
-        members.iter().filter(|(_, s)| *s >= constants::MEMBER_SILENT).max_by_key(|(_, s)| *s);
-    zone.or(any).map(|(m, _)| m)
+/// A machine whose disk takes no writes could not vote: it only learns the membership.
+async fn ask_to_join(s: &Arc<Controller>) {
+    let observes = s.disk_absent() || s.disk_broken();
+    for (_, link) in s.members.links() {
+        let ask = Body::Join(Join { member: own(s), observes });
+        if let Ok(Body::Joined(joined)) = link.call(ask, constants::PHASE_LIMIT).await
+            && let Some(membership) = joined.membership
+        {
+            s.adopt(&membership).await;
+        }
+    }
 }
 
-/// Members that the membership has when it is whole: a majority outlives the losses that are to be borne.
-pub fn whole(losses: usize) -> usize {
-    2 * losses.max(1) + 1
+/// How long members have not been seen to vote, as far as this member has looked.
+#[derive(Default)]
+struct Mutes {
+    votes_seen: BTreeMap<String, Instant>,
 }
 
-/// The next membership: one more member while it is not whole, else a joiner in place of a lost one.
-/// Not while too few of the members vote to carry the change and one more loss of a voter.
-pub fn next_membership(
-    membership: &Membership,
-    silent: &[(Member, std::time::Duration)],
-    joiners: &[Member],
-    voters: usize,
-    losses: usize,
-) -> Option<Membership> {
-    let outside = |m: &&Member| membership.members.iter().all(|x| x.ip != m.ip);
-    let in_zone = |m: &Member| silent.iter().filter(|(x, _)| x.zone == m.zone).count();
-    if membership.members.len() < whole(losses) {
-        if voters < membership.members.len() {
-            return None;
+impl Mutes {
+    fn look(&mut self, membership: &Membership, voters: &[u64]) {
+        self.votes_seen.retain(|ip, _| membership.members.iter().any(|m| m.ip == *ip));
+        for member in &membership.members {
+            let votes = member_id(member).is_some_and(|id| voters.contains(&id));
+            let seen = self.votes_seen.entry(member.ip.clone()).or_insert_with(Instant::now);
+            if votes {
+                *seen = Instant::now();
+            }
         }
-        let joiner = joiners.iter().filter(outside).min_by_key(|m| (in_zone(m), m.ip.clone()))?;
-        return Some(grown(membership, joiner));
     }
-    if voters < membership.members.len() / 2 + 1 {
-        return None;
+
+    fn of(&self, member: &Member) -> Duration {
+        self.votes_seen.get(&member.ip).map_or(Duration::ZERO, |seen| seen.elapsed())
     }
-    joiners
-        .iter()
-        .filter(outside)
-        .find_map(|j| Some(exchanged(membership, lost_member(silent, j)?, j)))
 }
 
+fn member_id(member: &Member) -> Option<u64> {
+    member.addr().map(|ip| u64::from(u32::from(ip)))
+}
+
+/// Moves the membership on when it should. Any member that votes may do it; ballots decide between
+/// several, and each waits longer the more voters of lower addresses there are.
 pub async fn exchanging(s: Arc<Controller>) {
+    let mut mutes = Mutes::default();
+    let mut looked = Instant::now();
     loop {
         tokio::time::sleep(constants::LEARN_PAUSE).await;
-        let joiners: Vec<Member> = {
-            let mut j = s.members.joiners.lock();
-            j.retain(|_, (_, at)| at.elapsed() < constants::JOIN_PAUSE * 6);
-            let mut all: Vec<Member> = j.values().map(|(m, _)| m.clone()).collect();
-            all.sort_by(|a, b| a.ip.cmp(&b.ip));
-            all
-        };
-        if joiners.is_empty() || !is_first_alive(&s) {
+        let membership = s.acceptor.lock().membership().clone();
+        let joiners = s.members.waiting(&membership);
+        if joiners.is_empty() || !s.acceptor.lock().votes() {
+            mutes = Mutes::default();
             continue;
         }
-        let membership = s.acceptor.lock().membership().clone();
-        let silent = silences(&s, &membership);
-        let losses = s.settings().losses;
-        if next_membership(&membership, &silent, &joiners, membership.members.len(), losses)
-            .is_none()
-        {
+        let linked = linked(&s, &membership);
+        let due = next_of(&s, &membership, &joiners, &linked, &mutes).is_some();
+        if !due && looked.elapsed() < constants::MUTE_PAUSE {
             continue;
         }
-        let ask = Body::Peek(Peek { membership: membership.epoch, values: false });
-        let voters = 1 + recovery::ask_all(&s, ask).await.iter().filter(|(_, p)| p.votes).count();
-        let Some(next) = next_membership(&membership, &silent, &joiners, voters, losses) else {
+        looked = Instant::now();
+        let voters = voters(&s, membership.epoch).await;
+        mutes.look(&membership, &voters);
+        if next_of(&s, &membership, &joiners, &voters, &mutes).is_none() {
+            continue;
+        }
+        let rank = voters.iter().filter(|id| **id < s.node.id()).count();
+        tokio::time::sleep(constants::MOVE_RANK_PAUSE * rank as u32).await;
+        if s.acceptor.lock().membership().epoch != membership.epoch {
             continue;
-        };
-        let bytes: bytes::Bytes = next.encode_to_vec().into();
-        let decide = |now: &[u8]| match Membership::decode(now) {
-            Ok(r) if r.epoch > membership.epoch => values::Decision::Answer(values::unknown()),
-            _ => values::Decision::Write(bytes.clone(), values::unknown()),
-        };
-        let _ = tokio::time::timeout(
-            constants::CHANGE_LIMIT * 2,
-            owner::settle(&s, values::MEMBERSHIP, decide),
-        )
-        .await;
-    }
-}
-
-fn silences(s: &Controller, membership: &Membership) -> Vec<(Member, std::time::Duration)> {
-    let up = s.started.elapsed();
-    let zones = s.members.zones.lock().clone();
-    let mut out = Vec::new();
-    for m in &membership.members {
-        let Some(ip) = m.addr() else { continue };
-        let link = s.members.links.lock().get(&ip).cloned();
-        let silent = link.and_then(|l| l.silent_for()).unwrap_or(up);
-        let silent = if ip == s.node.ip { std::time::Duration::ZERO } else { silent };
-        let mut m = m.clone();
-        if ip == s.node.ip {
-            m.zone = s.node.zone.clone();
         }
-        if let Some(z) = zones.get(&ip) {
-            m.zone = z.clone();
+        if let Some(next) = next_of(&s, &membership, &joiners, &voters, &mutes) {
+            propose(&s, &membership, &next).await;
         }
-        out.push((m, silent));
     }
-    out
 }
 
-fn exchanged(membership: &Membership, lost: &Member, joiner: &Member) -> Membership {
-    let mut next = grown(membership, joiner);
-    next.members.retain(|m| m.ip != lost.ip);
-    next
+/// Members that were heard of lately, which most likely vote.
+fn linked(s: &Controller, membership: &Membership) -> Vec<u64> {
+    let silent = |ip| s.members.link(ip).and_then(|link| link.silent_for());
+    let recent = |ip| silent(ip).is_some_and(|ago| ago < constants::MEMBER_SILENT_ZONE);
+    let addresses = membership.members.iter().filter_map(Member::addr);
+    let heard = addresses.filter(|ip| *ip == s.node.ip || recent(*ip));
+    heard.map(|ip| u64::from(u32::from(ip))).collect()
+}
+
+/// Members that vote now under this membership, this one too.
+async fn voters(s: &Arc<Controller>, membership: u64) -> Vec<u64> {
+    let ask = Body::Peek(Peek { membership, values: false });
+    let answers = recovery::ask_all(s, ask).await;
+    let in_force = |p: &Peeked| p.membership.as_ref().is_some_and(|m| m.epoch == membership);
+    let others = answers.iter().filter(|(_, p)| p.votes && in_force(p)).map(|(id, _)| *id);
+    others.chain(s.acceptor.lock().votes().then(|| s.node.id())).collect()
 }
 
-fn grown(membership: &Membership, joiner: &Member) -> Membership {
-    let mut next = membership.clone();
-    next.epoch += 1;
-    next.members.push(Member { joined_epoch: next.epoch, ..joiner.clone() });
-    next.members.sort_by(|a, b| a.ip.cmp(&b.ip));
-    next
+fn next_of(
+    s: &Controller,
+    membership: &Membership,
+    joiners: &[Member],
+    voters: &[u64],
+    mutes: &Mutes,
+) -> Option<Membership> {
+    let settings = s.settings();
+    let tolerance = Tolerance {
+        machines: settings.losses,
+        zones: settings.lost_zones,
+        regions: settings.lost_regions,
+        regions_of_zones: settings.zones.clone(),
+    };
+    let members: Vec<Seen> =
+        membership.members.iter().map(|member| seen(s, member, voters, mutes)).collect();
+    Situation { membership, members: &members, joiners, tolerance: &tolerance }.next()
+}
+
+fn seen(s: &Controller, member: &Member, voters: &[u64], mutes: &Mutes) -> Seen {
+    let mut member = member.clone();
+    let own = member_id(&member) == Some(s.node.id());
+    if own {
+        member.zone.clone_from(&s.node.zone);
+    } else if let Some(zone) = member.addr().and_then(|ip| s.members.zone_of(ip)) {
+        member.zone = zone;
+    }
+    let link = member.addr().and_then(|ip| s.members.link(ip));
+    let heard = link.and_then(|link| link.silent_for()).unwrap_or_else(|| s.started.elapsed());
+    Seen {
+        silent: if own { Duration::ZERO } else { heard },
+        votes: member_id(&member).is_some_and(|id| voters.contains(&id)),
+        mute: mutes.of(&member),
+        member,
+    }
 }
 
+async fn propose(s: &Arc<Controller>, membership: &Membership, next: &Membership) {
+    let bytes: bytes::Bytes = next.encode_to_vec().into();
+    let decide = |now: &[u8]| match Membership::decode(now) {
+        Ok(known) if known.epoch > membership.epoch => values::Decision::Answer(values::unknown()),
+        _ => values::Decision::Write(bytes.clone(), values::unknown()),
+    };
+    let settled = owner::settle(s, values::MEMBERSHIP, decide);
+    let _ = tokio::time::timeout(constants::CHANGE_LIMIT * 2, settled).await;
+}
+
+/// A controller that waits to be taken in.
 pub fn heard_join(s: &Controller, m: Member) {
     if m.ip.parse::<IpAddr>().is_ok() {
-        s.members.joiners.lock().insert(m.ip.clone(), (m, tokio::time::Instant::now()));
+        s.members.joiners.lock().insert(m.ip.clone(), (m, Instant::now()));
     }
 }
-
-#[cfg(test)]
-#[path = "membership_tests.rs"]
-mod tests;
--- a/crates/control-plane/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -1,13 +1,15 @@
 //! The other controllers: links, joining, exchange of a lost member; and the peer_service that answers.
 
+mod exchange;
 pub mod handover;
 pub mod loads;
 mod membership;
 mod peer_service;
 mod recovery;
 mod register_reads;
+mod spread;
 
-pub use membership::{exchanging, founding, is_first_alive, joining};
+pub use membership::{exchanging, founding, joining};
 pub use peer_service::PeerService;
 
 use fleet_core::link::Link;
@@ -87,6 +89,24 @@
         self.links.lock().iter().map(|(ip, l)| (*ip, l.clone())).collect()
     }
 
+    /// The link to an address.
+    fn link(&self, ip: Ipv4Addr) -> Option<Arc<Link>> {
+        self.links.lock().get(&ip).cloned()
+    }
+
+    /// The zone that a process at this address told.
+    fn zone_of(&self, ip: Ipv4Addr) -> Option<String> {
+        self.zones.lock().get(&ip).cloned()
+    }
+
+    /// Controllers outside this membership that asked to be taken in and still do.
+    fn waiting(&self, membership: &fleet_core::wire::Membership) -> Vec<fleet_core::wire::Member> {
+        let mut joiners = self.joiners.lock();
+        joiners.retain(|_, (_, asked)| asked.elapsed() < fleet_core::constants::JOIN_PAUSE * 6);
+        let outside = |ip: &str| membership.members.iter().all(|m| m.ip != ip);
+        joiners.values().map(|(joiner, _)| joiner).filter(|j| outside(&j.ip)).cloned().collect()
+    }
+
     /// A router of the same machine has an incarnation of its own, which no disk ends.
     pub fn enter(&self, hello: &fleet_core::wire::Hello) {
         if hello.role == fleet_core::node::Role::Controller as u32 {
--- a/crates/fleet-core/src/constants/members.rs
+++ b/crates/fleet-core/src/constants/members.rs
@@ -10,3 +10,11 @@
 pub const JOIN_PAUSE: Duration = Duration::from_millis(400);
 /// s; a controller without a disk looks for a newer membership this often.
 pub const OBSERVE_PAUSE: Duration = Duration::from_secs(2);
+/// s; a member that is linked but hasn't voted for this long may be replaced: reading back some MiB over a
+/// slow line takes a third of it.
+pub const MEMBER_MUTE: Duration = Duration::from_secs(20);
+/// ms; a voter waits this long for each voter of a lower address before it moves the membership: a round
+/// and its notice take less.
+pub const MOVE_RANK_PAUSE: Duration = Duration::from_millis(400);
+/// s; who votes is asked this often while a joiner waits and nobody is silent.
+pub const MUTE_PAUSE: Duration = Duration::from_secs(2);
--- a/crates/fleet-core/src/settings.rs
+++ b/crates/fleet-core/src/settings.rs
@@ -104,6 +104,10 @@
     pub max_fds: usize,
     /// Counted machines that may be lost together while every rule holds (`tolerance.machines`).
     pub losses: usize,
+    /// Zones that may be lost together (`tolerance.zones`).
+    pub lost_zones: usize,
+    /// Regions that may be lost together (`tolerance.regions`).
+    pub lost_regions: usize,
     /// Times and ratios.
     pub bounds: Bounds,
 }
@@ -266,6 +270,8 @@
             cores: lines.optional("limits.cores", "a whole number")?.unwrap_or(1usize).max(1),
             max_fds: lines.optional("limits.maxFds", "a whole number")?.unwrap_or(1024),
             losses: lines.optional("tolerance.machines", "a whole number")?.unwrap_or(1),
+            lost_zones: lines.optional("tolerance.zones", "a whole number")?.unwrap_or(0),
+            lost_regions: lines.optional("tolerance.regions", "a whole number")?.unwrap_or(0),
             bounds: Bounds::parse(&lines)?,
         })
     }
