--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -102,6 +102,66 @@
     }
 }
 
+/// Who moves the membership first is the lowest address that votes, not the lowest that is linked.
+#[tokio::test(start_paused = true)]
+async fn a_member_that_does_not_vote_keeps_no_lost_one_in_the_membership() {
+    let mut cluster = Cluster::found(5, 3).await;
+    replace(&cluster, 2, 0, 7).await;
+    cluster.stop_disk(1);
+    cluster.crash(5);
+    cluster.start_empty(6).await;
+    cluster.settle().await;
+    cluster.settle().await;
+    assert_eq!(cluster.members(2), [1, 2, 3, 4, 6]);
+    assert!(cluster.controller(6).acceptor.lock().votes());
+    cluster.crash(4);
+    replace(&cluster, 6, 7, 8).await;
+    read_everywhere(&cluster, &[2, 3, 6], 8).await;
+}
+
+/// A former member comes back with the disk it had, while others have its place.
+#[tokio::test(start_paused = true)]
+async fn a_replaced_member_comes_back_as_a_stranger() {
+    let mut cluster = Cluster::found(3, 4).await;
+    replace(&cluster, 1, 0, 7).await;
+    cluster.crash(1);
+    cluster.start_empty(4).await;
+    cluster.settle().await;
+    assert_eq!(cluster.members(2), [2, 3, 4]);
+    replace(&cluster, 3, 7, 8).await;
+    cluster.start(1).await;
+    cluster.settle().await;
+    assert_eq!(cluster.members(1), [2, 3, 4]);
+    assert!(!cluster.controller(1).acceptor.lock().votes());
+    cluster.crash(2);
+    cluster.settle().await;
+    assert_eq!(cluster.members(3), [1, 3, 4]);
+    cluster.crash(4);
+    read_everywhere(&cluster, &[1, 3], 8).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_disk_is_read_back_with_a_configuration_of_megabytes() {
+    let mut cluster = Cluster::found(3, 5).await;
+    let mut large: serde_json::Value = serde_json::from_slice(&sheet(7)).unwrap();
+    large["routes"][0]["pathPrefix"] = format!("/{}", "x".repeat(3_000_000)).into();
+    let large = Bytes::from(large.to_string());
+    let put = |controller| {
+        let large = large.clone();
+        async move { configuration::replace(&controller, Some("0"), large).await }
+    };
+    assert_eq!(cluster.ask(1, put).await.version, 7);
+    cluster.crash(3);
+    cluster.start_empty(3).await;
+    cluster.settle().await;
+    cluster.crash(1);
+    let call = |controller| async move { configuration::fetch(&controller).await };
+    assert!(
+        cluster.ask(3, call).await == large,
+        "read by the one that lost its disk and one other"
+    );
+}
+
 #[test]
 fn a_seed_gives_the_same_run_again_and_another_seed_another() {
     let run = |seed| {
--- a/crates/control-plane/tests/stand/mod.rs
+++ b/crates/control-plane/tests/stand/mod.rs
@@ -128,6 +128,25 @@
         self.trace.add(node, "crashed");
     }
 
+    /// The node comes back, or comes at all, with an empty disk and no right to found anything.
+    pub async fn start_empty(&mut self, node: usize) {
+        self.images.insert(node, State::default());
+        self.start(node).await;
+    }
+
+    /// The node runs and is linked, but nothing more is kept, so that it answers no vote.
+    pub fn stop_disk(&self, node: usize) {
+        self.started[&node].disk.end();
+        self.trace.add(node, "disk stopped");
+    }
+
+    /// Nodes in the membership as this one knows it.
+    pub fn members(&self, node: usize) -> Vec<usize> {
+        let acceptor = self.controller(node).acceptor.lock();
+        let last = |ip: &str| ip.rsplit('.').next().and_then(|n| n.parse().ok());
+        acceptor.membership().members.iter().filter_map(|m| last(&m.ip)).collect()
+    }
+
     pub fn controller(&self, node: usize) -> &Arc<Controller> {
         &self.started[&node].running.controller
     }
