--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -52,17 +52,9 @@
             }
             Body::PreVote(p) => Some(Body::PreVoted(owner::pre_vote(s, &p))),
             Body::Peek(p) => s.vote(|a| a.peek(p.values)).await.map(Body::Peeked),
-            Body::Recover(r) => {
-                if r.membership != s.acceptor.lock().membership().epoch {
-                    return s.vote(|a| a.peek(false)).await.map(Body::Peeked);
-                }
-                s.members.bury(&peer.hello.ip, r.incarnation);
-                s.vote(|a| a.hand_over(r.recovery_epoch)).await.map(Body::Peeked)
-            }
+            Body::Recover(r) => read_back(s, peer, &r).await.map(Body::Peeked),
             Body::FetchPiece(ask) => {
-                let current = s.acceptor.lock().register(&ask.key).cloned();
-                let piece = s.members.handovers.piece(&peer.hello.ip, &ask, current.as_ref());
-                Some(Body::Piece(piece))
+                Some(Body::Piece(super::register_reads::piece(s, &peer.hello.ip, &ask)))
             }
             Body::Fetch(f) => Some(Body::Fetched(super::register_reads::fetched(s, f))),
             Body::ConfigAsk(a) => distribution::answer(s, &a).await.map(Body::ConfigGive),
@@ -105,6 +97,19 @@
     }
 }
 
+/// A member that reads its state back: what its former incarnation sent is dropped from now on.
+async fn read_back(
+    s: &Arc<Controller>,
+    peer: &Peer,
+    ask: &fleet_core::wire::Recover,
+) -> Option<fleet_core::wire::Peeked> {
+    if ask.membership != s.acceptor.lock().membership().epoch {
+        return s.vote(|a| a.peek(false)).await;
+    }
+    s.members.bury(&peer.hello.ip, ask.incarnation);
+    s.vote(|a| a.hand_over(ask.recovery_epoch)).await
+}
+
 /// A voter that has just voted for an owner takes part in no election for a while.
 fn note_progress(s: &Arc<Controller>, key: &str, vote: Option<&fleet_core::wire::Vote>) {
     if vote.is_some_and(|v| v.ok) {
--- a/crates/control-plane/src/members/register_reads.rs
+++ b/crates/control-plane/src/members/register_reads.rs
@@ -1,7 +1,7 @@
 //! Answers other controllers that ask for a value by its key.
 
 use crate::Controller;
-use fleet_core::wire::{Fetch, Fetched, Register};
+use fleet_core::wire::{Fetch, FetchPiece, Fetched, Piece, Register};
 use std::sync::Arc;
 
 /// The newest value that is known here: accepted by this member, or learned as committed.
@@ -19,3 +19,9 @@
     };
     Fetched { known: register.is_some(), register }
 }
+
+/// Part of an accepted value, for the member at `peer` that reads its state back.
+pub fn piece(s: &Arc<Controller>, peer: &str, ask: &FetchPiece) -> Piece {
+    let current = s.acceptor.lock().register(&ask.key).cloned();
+    s.members.handovers.piece(peer, ask, current.as_ref())
+}
