A controller that is told to stop tells the others what only it may know of the engines

Cause: heartbeats are shared in batches, and a drain counts once a majority has it; who ended took the rest along.

--- a/crates/control-plane/src/engines/registry.rs
+++ b/crates/control-plane/src/engines/registry.rs
@@ -109,6 +109,18 @@
     }
 }
 
+/// Before this controller ends: all that it knows goes to the others, since some of it may have been told to
+/// it and one other only. Waits until they have it or the time for it is over.
+pub async fn tell_all(s: &Arc<Controller>) {
+    let engines: Vec<Engine> = s.look(|known| known.engines.values().cloned().collect());
+    let ask = Body::Beats(Beats { engines, ask: false });
+    let calls = s.members.links().into_iter().map(|(_, link)| {
+        let ask = ask.clone();
+        async move { link.call(ask, constants::BEAT_SHARE_LIMIT).await.is_ok() }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
 /// Suspects the silent, and forgets the long gone.
 pub async fn watching(s: Arc<Controller>) {
     loop {
--- a/crates/control-plane/src/running.rs
+++ b/crates/control-plane/src/running.rs
@@ -152,11 +152,13 @@
 }
 
 impl Running {
-    /// Ends in good order, as a program does when it is told to stop: gives its duties back.
+    /// Ends in good order, as a program does when it is told to stop: gives its duties back, and tells
+    /// the others what they may not know of the engines.
     pub async fn leave(&self) {
         fleet_core::log_event!(self.controller.log, Event::Stopping);
         self.controller.leaving.send_replace(true);
-        duties::leave_all(&self.controller).await;
+        let tell = engines::registry::tell_all(&self.controller);
+        tokio::join!(duties::leave_all(&self.controller), tell);
     }
 
     /// Ends at once, as in a crash: its tasks stop where they are, its connections close. Steps
--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -119,6 +119,18 @@
     read_everywhere(&cluster, &[2, 3, 6], 8).await;
 }
 
+/// Heartbeats are shared in batches: who leaves tells on what it took since the last one.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_leaves_tells_on_what_only_it_knows() {
+    let mut cluster = Cluster::found(3, 6).await;
+    replace(&cluster, 1, 0, 7).await;
+    cluster.settle().await;
+    heartbeats(&cluster, 1).await;
+    cluster.leave(1).await;
+    let known = |node| cluster.controller(node).look(|known| known.engines.len());
+    assert_eq!((known(2), known(3)), (ENGINES, ENGINES));
+}
+
 /// A former member comes back with the disk it had, while others have its place.
 #[tokio::test(start_paused = true)]
 async fn a_replaced_member_comes_back_as_a_stranger() {
--- a/crates/control-plane/tests/stand/mod.rs
+++ b/crates/control-plane/tests/stand/mod.rs
@@ -128,6 +128,12 @@
         self.trace.add(node, "crashed");
     }
 
+    /// Ends a node in good order, as SIGTERM does.
+    pub async fn leave(&mut self, node: usize) {
+        self.started[&node].running.leave().await;
+        self.crash(node);
+    }
+
     /// The node comes back, or comes at all, with an empty disk and no right to found anything.
     pub async fn start_empty(&mut self, node: usize) {
         self.images.insert(node, State::default());
