--- a/crates/control-plane/tests/stand/mod.rs
+++ b/crates/control-plane/tests/stand/mod.rs
@@ -128,9 +128,29 @@
         self.trace.add(node, "crashed");
     }
 
-    /// Ends a node in good order, up to where the program would stop its tasks.
-    pub async fn leave(&self, node: usize) {
+    /// Ends a node in good order, as SIGTERM does.
+    pub async fn leave(&mut self, node: usize) {
         self.started[&node].running.leave().await;
+        self.crash(node);
+    }
+
+    /// The node comes back, or comes at all, with an empty disk and no right to found anything.
+    pub async fn start_empty(&mut self, node: usize) {
+        self.images.insert(node, State::default());
+        self.start(node).await;
+    }
+
+    /// The node runs and is linked, but nothing more is kept, so that it answers no vote.
+    pub fn stop_disk(&self, node: usize) {
+        self.started[&node].disk.end();
+        self.trace.add(node, "disk stopped");
+    }
+
+    /// Nodes in the membership as this one knows it.
+    pub fn members(&self, node: usize) -> Vec<usize> {
+        let acceptor = self.controller(node).acceptor.lock();
+        let last = |ip: &str| ip.rsplit('.').next().and_then(|n| n.parse().ok());
+        acceptor.membership().members.iter().filter_map(|m| last(&m.ip)).collect()
     }
 
     pub fn controller(&self, node: usize) -> &Arc<Controller> {
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -14,8 +14,11 @@
 pub const LEARN_PAUSE: Duration = Duration::from_millis(500);
 /// ms; how often a refused disk is tried again.
 pub const DISK_RETRY: Duration = Duration::from_millis(300);
-/// bytes; a slot is laid down in full at first start so that a full disk stops nothing.
+/// bytes; a slot is laid down in full at first start so that a full disk stops nothing; it is laid
+/// down to twice the state once the state fills two thirds of it.
 pub const SLOT_BYTES: usize = 1 << 20;
+/// bytes; zeros written at once while a file is laid down.
+pub const LAY_BYTES: usize = 64 << 10;
 /// bytes; the log between two slots, laid down at first start; small so that recovery is short.
 pub const LOG_BYTES: usize = 2 << 20;
 /// entries; taken configurations that are remembered, so that an order sent again is known: several
@@ -81,3 +84,9 @@
 pub const CONFIG_ASK_PAUSE_MS: u64 = 50;
 /// ms; a controller answers a router's heartbeat each second: one silent for longer is asked last.
 pub const CONTROLLER_FRESH: Duration = Duration::from_millis(1500);
+/// bytes; part of a value that a member reads back at once: a tenth of a second of a 10 Mbit/s line.
+pub const PIECE_BYTES: usize = 128 << 10;
+/// ms; one part of a value over a busy line; the next holder is asked after that.
+pub const PIECE_LIMIT: Duration = Duration::from_millis(1500);
+/// s; a holder keeps a value that has been replaced for a reader that asks on, this long after it asked.
+pub const HANDOVER_KEPT: Duration = Duration::from_secs(10);
