Requests of HTTP/1.0 get 505: their clients could not tell a break from an end

Cause: such a client gets a stream without chunks, whose end is the end of the connection. A stream that its engine broke off looked whole.

Change: admit() takes HTTP/1.1 alone.

Result: clients_that_could_not_tell_a_break_from_an_end_are_not_served failed before (a 200 that ended in order) and passes, with all 47 tests of engines.

--- a/crates/data-plane/src/serve/answer.rs
+++ b/crates/data-plane/src/serve/answer.rs
@@ -72,6 +72,8 @@
     BadRequest,
     /// where the request ends can't be told, or it broke off
     Unreadable,
+    /// an older protocol, whose client could not tell a break from an end
+    OldProtocol,
     /// the body is over the limit
     BodyTooLarge,
     /// the body did not come in time
@@ -87,6 +89,7 @@
             Rejection::Unauthorized => empty(StatusCode::UNAUTHORIZED),
             Rejection::BadRequest => empty(StatusCode::BAD_REQUEST),
             Rejection::Unreadable => closing(StatusCode::BAD_REQUEST),
+            Rejection::OldProtocol => closing(StatusCode::HTTP_VERSION_NOT_SUPPORTED),
             Rejection::BodyTooLarge => closing(StatusCode::PAYLOAD_TOO_LARGE),
             Rejection::BodyLate => closing(StatusCode::REQUEST_TIMEOUT),
         }
--- a/crates/data-plane/src/serve/request.rs
+++ b/crates/data-plane/src/serve/request.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use fleet_core::configuration::Route;
 use http::request::Parts;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response, Version, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -32,7 +32,7 @@
     let arrived = Instant::now();
     let table = router.fleet_view.table().ok_or(Rejection::NotReady)?;
     let (head, body) = request.into_parts();
-    check_framing(&head.headers)?;
+    check_framing(&head)?;
     let route = find_route(&table, &head)?;
     let tenant = find_tenant(&table, &route, &head.headers)?;
     let attempt = head.headers.get(headers::ATTEMPT_ID).cloned().ok_or(Rejection::BadRequest)?;
@@ -63,10 +63,14 @@
     }))
 }
 
-/// With two ways to tell the end, one request may be smuggled inside another.
-fn check_framing(headers: &HeaderMap) -> Result<(), Rejection> {
-    let has_length = headers.contains_key(header::CONTENT_LENGTH);
-    if has_length && headers.contains_key(header::TRANSFER_ENCODING) {
+/// With two ways to tell the end, one request may be smuggled inside another; without chunks, a
+/// stream that breaks off would look whole.
+fn check_framing(head: &Parts) -> Result<(), Rejection> {
+    if head.version != Version::HTTP_11 {
+        return Err(Rejection::OldProtocol);
+    }
+    let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
+    if has_length && head.headers.contains_key(header::TRANSFER_ENCODING) {
         return Err(Rejection::Unreadable);
     }
     Ok(())
--- a/crates/data-plane/tests/engines/answers.rs
+++ b/crates/data-plane/tests/engines/answers.rs
@@ -55,6 +55,21 @@
     }
 }
 
+/// To a client of an older protocol the end of a stream would look like a break of it.
+#[tokio::test]
+async fn clients_that_could_not_tell_a_break_from_an_end_are_not_served() {
+    let script = |_: usize, s: &Seen| {
+        let half =
+            format!("{}{}", sealed(s, "200 OK", "Transfer-Encoding: chunked\r\n"), chunk("x"));
+        (half.into_bytes(), Then::Close)
+    };
+    let e = StandIn::start("e1", script).await;
+    let f = Fleet::start(&[&e]).await;
+    let old = request("/once/", "").replace("HTTP/1.1", "HTTP/1.0");
+    let got = f.raw_to_end(old.as_bytes()).await;
+    assert_eq!((status(&got), e.arrivals()), (505, 0), "{got}");
+}
+
 /// The engine answers the first request twice, the second time where the next answer is due.
 #[tokio::test]
 async fn late_second_answer_goes_to_nobody() {
