A forgotten connection does not rule its engine out for what may be repeated

Cause: after a reset on a rested connection the engine counted as tried, so a safe request failed with 502 where no other engine was left, and went to one that keeps nothing of its prompt where there was.

Change: such an engine is well and may be asked again on a new connection; the send still counts for maxAttempts and the budget.

Result: what_may_be_repeated_goes_to_the_same_engine_where_there_is_no_other failed before (502) and passes. The test with a second engine now expects the request back at the first, (3, 0) arrivals in place of (2, 1), as exactly as before.

--- a/crates/data-plane/src/serve/dispatch.rs
+++ b/crates/data-plane/src/serve/dispatch.rs
@@ -136,7 +136,7 @@
                 note_break(router, &self.choice, "no answer");
                 Outcome::Uncertain(dispatched)
             }
-            SendError::Forgotten => Outcome::Uncertain(dispatched),
+            SendError::Forgotten => Outcome::Uncertain(dispatched.forgotten()),
         }
     }
 
--- a/crates/data-plane/src/serve/stage.rs
+++ b/crates/data-plane/src/serve/stage.rs
@@ -158,6 +158,12 @@
         Accepted { request: self.request, may_have_run: self.may_have_run }
     }
 
+    /// Its connection had been forgotten: the engine is well, and may be asked again on another.
+    pub fn forgotten(mut self) -> Dispatched {
+        self.request.tried.pop();
+        self
+    }
+
     /// On to another engine after an uncertain end: only what may run twice, within the budget.
     pub fn retry(self, router: &Router) -> Result<Accepted, Dispatched> {
         if self.request.repeat == Repeat::Never || !self.request.charge_retry(router) {
