Counted: frames and answers that a link rejects, sends on forgotten connections

A link's own end dropped malformed frames and answers of another kind unseen; it counts them now, and the router's counters (event 105) name the sum, beside the sends that a reset met on a rested connection.

--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -106,6 +106,11 @@
         self.links.lock().get(&ip).cloned()
     }
 
+    /// Frames and answers of controllers that could not be taken, over the links kept now.
+    pub fn links_rejected(&self) -> u64 {
+        self.links.lock().values().map(|link| link.rejected()).sum()
+    }
+
     fn hear_engine(&self, news: &Engine) {
         let known = self.engines.read().get(&news.id).cloned();
         self.rolls.stale();
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -37,6 +37,8 @@
     pub again: AtomicU64,
     /// New connections to engines.
     pub connections: AtomicU64,
+    /// Sends on a rested connection that was reset: the engine had perhaps forgotten it.
+    pub forgotten: AtomicU64,
     /// Tokens of prompts that the chosen engine was known to keep.
     pub parts_held: AtomicU64,
     /// Tokens of prompts that it was not known to keep.
@@ -131,7 +133,9 @@
         fleet_core::log_event!(self.log, Event::Counters,
             "taken" => get(&counters.taken), "begun" => get(&counters.begun), "refused" => get(&counters.refused),
             "failed" => get(&counters.failed), "resumed" => get(&counters.resumed), "again" => get(&counters.again),
-            "connections" => get(&counters.connections), "parts_held" => get(&counters.parts_held),
+            "connections" => get(&counters.connections), "forgotten" => get(&counters.forgotten),
+            "links_rejected" => self.fleet_view.links_rejected(),
+            "parts_held" => get(&counters.parts_held),
             "parts_missing" => get(&counters.parts_missing), "moves" => get(&counters.moves),
             "guesses" => get(&counters.guesses), "sinks" => get(&counters.sinks), "stored" => get(&counters.stored),
             "shared_missing" => get(&counters.shared_missing), "index" => self.fleet_view.prefix_view.look().entries());
--- a/crates/data-plane/src/serve/dispatch.rs
+++ b/crates/data-plane/src/serve/dispatch.rs
@@ -15,6 +15,7 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 
 /// An engine, and a connection to it.
@@ -136,7 +137,10 @@
                 note_break(router, &self.choice, "no answer");
                 Outcome::Uncertain(dispatched)
             }
-            SendError::Forgotten => Outcome::Uncertain(dispatched.forgotten()),
+            SendError::Forgotten => {
+                router.counters.forgotten.fetch_add(1, Ordering::Relaxed);
+                Outcome::Uncertain(dispatched.forgotten())
+            }
         }
     }
 
--- a/crates/data-plane/tests/engines/idle.rs
+++ b/crates/data-plane/tests/engines/idle.rs
@@ -96,6 +96,7 @@
     pass(ms(400)).await;
     ask_ok(&f, "/twice/").await;
     assert_eq!(connections(&e), [1, 1, 2, 3, 3]);
+    assert_eq!(f.d.counters.forgotten.load(std::sync::atomic::Ordering::Relaxed), 1);
 }
 
 #[tokio::test]
--- a/crates/fleet-core/src/link.rs
+++ b/crates/fleet-core/src/link.rs
@@ -118,6 +118,7 @@
     hello: crate::wire::Hello,
     live: parking_lot::Mutex<Option<Live>>,
     calls: AtomicU64,
+    rejected: AtomicU64,
     heard: parking_lot::Mutex<Option<tokio::time::Instant>>,
     state: tokio::sync::watch::Sender<bool>,
     task: parking_lot::Mutex<Option<tokio::task::AbortHandle>>,
@@ -166,6 +167,7 @@
             hello: hello(node),
             live: parking_lot::Mutex::new(None),
             calls: AtomicU64::new(1),
+            rejected: AtomicU64::new(0),
             heard: parking_lot::Mutex::new(None),
             state: tokio::sync::watch::channel(false).0,
             task: parking_lot::Mutex::new(None),
@@ -216,8 +218,14 @@
                 f = read_frame(&mut r) => f,
                 () = async { while !writer.is_finished() { tokio::time::sleep(constants::TCP_SILENCE).await } } => Err(LinkError::Down),
             };
-            let Ok(f) = f else { break };
             let Some(l) = weak.upgrade() else { break };
+            let f = match f {
+                Ok(f) => f,
+                Err(error) => {
+                    l.count_rejected(&error);
+                    break;
+                }
+            };
             *l.heard.lock() = Some(tokio::time::Instant::now());
             drop(l);
             if f.answer {
@@ -254,6 +262,17 @@
         self.heard.lock().map(|t| t.elapsed())
     }
 
+    /// Frames and answers of the other side that could not be taken.
+    pub fn rejected(&self) -> u64 {
+        self.rejected.load(Ordering::Relaxed)
+    }
+
+    fn count_rejected(&self, error: &LinkError) {
+        let theirs =
+            matches!(error, LinkError::TooLarge(_) | LinkError::Undecodable | LinkError::Unfitting);
+        self.rejected.fetch_add(u64::from(theirs), Ordering::Relaxed);
+    }
+
     /// Sends without an answer; it is lost where the link breaks.
     pub fn tell(&self, body: Body) -> Result<(), LinkError> {
         let frame = sendable(0, false, body)?;
@@ -279,7 +298,10 @@
             live.waiting.clone()
         };
         match tokio::time::timeout(limit, rx).await {
-            Ok(Ok(answer)) => answer.filter(fits).ok_or(LinkError::Unfitting),
+            Ok(Ok(answer)) => answer.filter(fits).ok_or_else(|| {
+                self.count_rejected(&LinkError::Unfitting);
+                LinkError::Unfitting
+            }),
             Ok(Err(_)) => Err(LinkError::Down),
             Err(_) => {
                 waiting.lock().remove(&no);
--- a/crates/fleet-core/src/link_tests.rs
+++ b/crates/fleet-core/src/link_tests.rs
@@ -142,6 +142,7 @@
         let (call, no) = call(&link, &mut far).await;
         far.write_all(&frame(no, true, body)).await.unwrap();
         assert_eq!(call.await.unwrap(), Err(LinkError::Unfitting));
+        assert_eq!(link.rejected(), 1);
         assert!(link.is_up());
     }
 }
@@ -153,13 +154,14 @@
     let undecodable = [&4u32.to_be_bytes()[..], &[0xff; 4]].concat();
     let whole = frame(1, true, Some(fetched(true)));
     let truncated = whole[..whole.len() - 1].to_vec();
-    for bytes in [oversized, undecodable, truncated] {
+    for (bytes, rejected) in [(oversized, 1), (undecodable, 1), (truncated, 0)] {
         let (link, mut far_ends) = link();
         let mut far = far_end(&mut far_ends).await;
         let (lost, _) = call(&link, &mut far).await;
         far.write_all(&bytes).await.unwrap();
         far.shutdown().await.unwrap();
         assert_eq!(lost.await.unwrap(), Err(LinkError::Down));
+        assert_eq!(link.rejected(), rejected);
         let mut far = far_end(&mut far_ends).await;
         let (next, no) = call(&link, &mut far).await;
         far.write_all(&frame(no, true, Some(fetched(true)))).await.unwrap();
