--- /dev/null
+++ b/crates/simulation/src/checker_tests.rs
@@ -0,0 +1,211 @@
+//! Each rule of the checker, on histories written by hand.
+
+use super::*;
+use crate::history::{CaughtUp, DrainSeen, LinkCall, MembershipSeen};
+
+fn version(number: u64) -> Version {
+    Version { number, digest: number }
+}
+
+fn write(base: u64, number: u64, at: (u64, u64), reply: Reply) -> Write {
+    Write {
+        operator: 0,
+        machine: 0,
+        base,
+        version: version(number),
+        valid: true,
+        invoked: at.0,
+        completed: at.1,
+        reply,
+    }
+}
+
+fn read(number: u64, at: (u64, u64)) -> Read {
+    Read { machine: 0, version: version(number), invoked: at.0, completed: at.1 }
+}
+
+fn broken(history: &History) -> Vec<Invariant> {
+    check(history).into_iter().map(|violation| violation.invariant).collect()
+}
+
+fn acknowledged(writes: &[(u64, u64)]) -> History {
+    let writes = writes
+        .iter()
+        .enumerate()
+        .map(|(i, (base, number))| {
+            let begin = 100 * i as u64;
+            write(*base, *number, (begin, begin + 50), Reply::Acknowledged)
+        })
+        .collect();
+    History { writes, ..History::default() }
+}
+
+#[test]
+fn a_chain_with_fresh_reads_is_clean() {
+    let mut history = acknowledged(&[(0, 1), (1, 4), (4, 5)]);
+    history.reads = vec![read(1, (60, 70)), read(4, (120, 130)), read(5, (260, 270))];
+    history.last_reads = vec![read(5, (900, 910))];
+    history.writes.push(write(1, 9, (300, 310), Reply::Refused));
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn two_changes_on_one_base_break_the_chain() {
+    assert_eq!(broken(&acknowledged(&[(0, 1), (1, 2), (1, 3)])), [Invariant::Chain]);
+}
+
+#[test]
+fn one_number_for_two_changes_breaks_the_chain() {
+    let mut history = acknowledged(&[(0, 1)]);
+    let mut second = write(0, 1, (0, 60), Reply::Acknowledged);
+    second.version.digest = 77;
+    history.writes.push(second);
+    assert_eq!(broken(&history), [Invariant::Chain]);
+}
+
+#[test]
+fn a_change_in_force_before_its_base_was_sent_breaks_the_chain() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.writes.push(write(2, 3, (60, 70), Reply::Acknowledged));
+    history.writes.push(write(1, 2, (200, 210), Reply::Acknowledged));
+    assert_eq!(broken(&history), [Invariant::Chain]);
+}
+
+#[test]
+fn an_invalid_change_in_force_breaks_the_chain() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.writes[0].valid = false;
+    assert_eq!(broken(&history), [Invariant::Chain]);
+}
+
+#[test]
+fn what_nobody_sent_breaks_the_chain() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.reads = vec![read(8, (60, 70))];
+    assert_eq!(broken(&history), [Invariant::Chain]);
+}
+
+#[test]
+fn a_resent_order_that_was_taken_must_not_be_refused() {
+    let mut history = acknowledged(&[(0, 1), (1, 2)]);
+    history.writes.push(write(0, 1, (300, 310), Reply::Refused));
+    assert_eq!(broken(&history), [Invariant::Answers]);
+}
+
+#[test]
+fn a_refusal_with_the_base_current_is_stale() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.writes.push(write(1, 2, (60, 70), Reply::Refused));
+    assert_eq!(broken(&history), [Invariant::Fresh]);
+}
+
+#[test]
+fn a_refusal_beside_a_rival_of_unknown_end_is_right() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.writes.push(write(1, 3, (60, 70), Reply::Unknown));
+    history.writes.push(write(1, 2, (65, 75), Reply::Refused));
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn a_read_older_than_what_was_acknowledged_is_stale() {
+    let mut history = acknowledged(&[(0, 1), (1, 2)]);
+    history.reads = vec![read(1, (160, 170))];
+    assert_eq!(broken(&history), [Invariant::Fresh]);
+}
+
+#[test]
+fn a_read_older_than_an_earlier_read_is_stale() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.writes.push(write(1, 2, (60, 500), Reply::Unknown));
+    history.reads = vec![read(2, (70, 80)), read(1, (90, 95))];
+    assert_eq!(broken(&history), [Invariant::Fresh]);
+}
+
+#[test]
+fn an_acknowledged_change_that_is_gone_at_the_end_is_lost() {
+    let mut history = acknowledged(&[(0, 1), (1, 2)]);
+    history.last_reads = vec![read(1, (900, 910))];
+    assert_eq!(broken(&history), [Invariant::Committed]);
+}
+
+#[test]
+fn an_unknown_change_may_be_in_force_at_the_end() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.writes.push(write(1, 2, (60, 70), Reply::Unknown));
+    history.last_reads = vec![read(2, (900, 910))];
+    assert_eq!(broken(&history), []);
+}
+
+fn holder(machine: usize, fence: u64, at: u64) -> Holder {
+    Holder { duty: "roll-out", machine, start: 0, fence, at }
+}
+
+#[test]
+fn duties_have_one_holder_and_rising_fences() {
+    let judged = |holders| broken(&History { holders, ..History::default() });
+    assert_eq!(judged(vec![holder(0, 1, 10), holder(0, 1, 20), holder(1, 2, 30)]), []);
+    assert_eq!(judged(vec![holder(0, 1, 10), holder(1, 2, 10)]), [Invariant::Holder]);
+    assert_eq!(judged(vec![holder(0, 1, 10), holder(1, 1, 20)]), [Invariant::Holder]);
+    assert_eq!(judged(vec![holder(0, 2, 10), holder(1, 1, 20)]), [Invariant::Holder]);
+}
+
+fn membership(epoch: u64, members: &[&str]) -> MembershipSeen {
+    let members = members.iter().map(|ip| (*ip).to_owned()).collect();
+    MembershipSeen { machine: 0, epoch, members, at: 0 }
+}
+
+#[test]
+fn memberships_move_by_one() {
+    let judged = |memberships| broken(&History { memberships, ..History::default() });
+    let founded = membership(1, &["a", "b", "c"]);
+    assert_eq!(judged(vec![founded.clone(), membership(2, &["a", "b", "d"])]), []);
+    assert_eq!(
+        judged(vec![founded.clone(), membership(1, &["a", "b", "d"])]),
+        [Invariant::Members]
+    );
+    assert_eq!(judged(vec![founded, membership(2, &["a", "d", "e"])]), [Invariant::Members]);
+}
+
+#[test]
+fn members_that_were_away_catch_up() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.calm_from = 500;
+    history.caught_up = vec![CaughtUp { machine: 2, votes: true, held: 1 }];
+    assert_eq!(broken(&history), []);
+    history.caught_up = vec![CaughtUp { machine: 2, votes: true, held: 0 }];
+    assert_eq!(broken(&history), [Invariant::CatchUp]);
+}
+
+#[test]
+fn an_acknowledged_drain_stays() {
+    let lost = DrainSeen { engine: "e".to_owned(), machine: 1, ready: true };
+    assert_eq!(
+        broken(&History { drains: vec![lost], ..History::default() }),
+        [Invariant::Committed]
+    );
+}
+
+#[test]
+fn calls_have_their_own_answer_and_are_handled_once() {
+    let call = |answered: Option<&str>, handled| {
+        let answered = answered.map(str::to_owned);
+        let call = LinkCall { asked: "x".to_owned(), answered, handled };
+        broken(&History { calls: vec![call], ..History::default() })
+    };
+    assert_eq!(call(Some("x"), 1), []);
+    assert_eq!(call(None, 0), []);
+    assert_eq!(call(Some("y"), 1), [Invariant::Calls]);
+    assert_eq!(call(Some("x"), 0), [Invariant::Calls]);
+    assert_eq!(call(None, 2), [Invariant::Calls]);
+}
+
+#[test]
+fn after_the_faults_something_is_acknowledged() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.calm_from = 1000;
+    history.finished = true;
+    assert_eq!(broken(&history), [Invariant::Progress]);
+    history.writes.push(write(1, 2, (1100, 1200), Reply::Acknowledged));
+    assert_eq!(broken(&history), []);
+}
--- /dev/null
+++ b/crates/simulation/src/echo.rs
@@ -0,0 +1,102 @@
+//! Calls over the real link to a service that gives each question back, some too late.
+
+use crate::constants;
+use crate::history::LinkCall;
+use crate::machine::address;
+use crate::mutant::Mutant;
+use crate::transport::ProcessTransport;
+use crate::world::World;
+use fleet_core::link::{Host, Link, LinkError, Peer, host};
+use fleet_core::node::{Node, Role};
+use fleet_core::transport::Transport;
+use fleet_core::wire::{Body, Fetch, Fetched, Register};
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Counts each question that it was given.
+struct Echo {
+    rng: Mutex<fastrand::Rng>,
+    handled: Mutex<BTreeMap<String, usize>>,
+}
+
+impl Host for Echo {
+    fn joined(self: &Arc<Self>, _: &Peer) {}
+
+    fn left(self: &Arc<Self>, _: &Peer) {}
+
+    async fn answer(self: &Arc<Self>, _: &Peer, body: Body) -> Option<Body> {
+        let Body::Fetch(Fetch { key, .. }) = body else { return None };
+        *self.handled.lock().entry(key.clone()).or_default() += 1;
+        let takes = self.rng.lock().u64(0..constants::ECHO_LONGEST_MS);
+        tokio::time::sleep(Duration::from_millis(takes)).await;
+        let register = Some(Register { key, ..Register::default() });
+        Some(Body::Fetched(Fetched { known: true, register }))
+    }
+
+    fn spoilt(self: &Arc<Self>, _: &LinkError) {}
+}
+
+/// Calls from one machine to another until the run is over, and records all calls.
+pub async fn call_on(world: Arc<World>) {
+    let (from, to) = (0, 1);
+    let at = SocketAddr::new(address(to).into(), constants::ECHO_PORT);
+    let transport: Arc<dyn Transport> = Arc::new(ProcessTransport::new(world.network.clone()));
+    let echo = Arc::new(Echo { rng: Mutex::new(world.rng("echo", 0)), handled: Mutex::default() });
+    let serving = tokio::spawn(serve(world.clone(), at, transport.clone(), echo.clone()));
+    let link = Link::keep_over(transport, &caller(&world, from), at, None);
+    let mut calls = Vec::new();
+    while !world.is_over() {
+        tokio::time::sleep(Duration::from_millis(constants::ECHO_PAUSE_MS)).await;
+        let asked = format!("call-{}", calls.len());
+        calls.push(tokio::spawn(call(world.clone(), link.clone(), asked)));
+    }
+    for call in calls {
+        let Ok(mut call) = call.await else { continue };
+        call.handled = echo.handled.lock().get(&call.asked).copied().unwrap_or(0);
+        world.history.lock().calls.push(call);
+    }
+    serving.abort();
+}
+
+fn caller(world: &World, machine: usize) -> Node {
+    Node {
+        name: "caller".to_owned(),
+        zone: "zone-0".to_owned(),
+        ip: address(machine),
+        role: Role::Router,
+        incarnation: world.rng("caller", machine).u64(1..),
+    }
+}
+
+/// Listens again whenever the machine's death has taken the port away.
+async fn serve(world: Arc<World>, at: SocketAddr, transport: Arc<dyn Transport>, echo: Arc<Echo>) {
+    let mut serving: Option<tokio::task::JoinHandle<()>> = None;
+    loop {
+        if !world.network.is_listening(at)
+            && let Ok(listener) = transport.listen(at)
+        {
+            if let Some(former) = serving.take() {
+                former.abort();
+            }
+            serving = Some(tokio::spawn(host(listener, echo.clone())));
+        }
+        tokio::time::sleep(constants::CALLER_SILENCE).await;
+    }
+}
+
+async fn call(world: Arc<World>, link: Arc<Link>, asked: String) -> LinkCall {
+    let question = Body::Fetch(Fetch { key: asked.clone(), confirm: false });
+    let mut answer = link.call(question.clone(), constants::ECHO_LIMIT).await;
+    let repeats = world.mutant == Some(Mutant::RepeatedCall);
+    if repeats && answer == Err(LinkError::Late) {
+        answer = link.call(question, constants::ECHO_LIMIT).await;
+    }
+    let answered = match answer {
+        Ok(Body::Fetched(fetched)) => fetched.register.map(|register| register.key),
+        _ => None,
+    };
+    LinkCall { asked, answered, handled: 0 }
+}
--- /dev/null
+++ b/crates/simulation/src/fault.rs
@@ -0,0 +1,340 @@
+//! What goes wrong in a run: drawn from a seed, printed, replayed, and dropped one by one.
+
+use crate::constants;
+use serde::{Deserialize, Serialize};
+
+/// The mixes of faults that `--point` picks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Point {
+    /// Machines cut off, one way and both.
+    CutOff,
+    /// Several operators with the same numbers, answers lost.
+    Race,
+    /// A second loss right after a repair or a replacement.
+    SecondLoss,
+    /// A member away for hundreds of changes.
+    Hundreds,
+    /// Connections reset and held up under calls.
+    Calls,
+    /// All of these.
+    All,
+}
+
+impl Point {
+    /// Every point, in the order of `--help`.
+    pub const EVERY: [Point; 6] =
+        [Point::CutOff, Point::Race, Point::SecondLoss, Point::Hundreds, Point::Calls, Point::All];
+
+    /// The name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Point::CutOff => "cut-off",
+            Point::Race => "race",
+            Point::SecondLoss => "second-loss",
+            Point::Hundreds => "hundreds",
+            Point::Calls => "calls",
+            Point::All => "all",
+        }
+    }
+}
+
+/// `{0}` is none of cut-off, race, second-loss, hundreds, calls, all
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub struct UnknownPoint(String);
+
+impl std::str::FromStr for Point {
+    type Err = UnknownPoint;
+
+    fn from_str(text: &str) -> Result<Point, UnknownPoint> {
+        let named = Point::EVERY.into_iter().find(|point| point.name() == text);
+        named.ok_or_else(|| UnknownPoint(text.to_owned()))
+    }
+}
+
+/// One kind of trouble; machines are numbers from 0.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub enum Trouble {
+    /// The machine hears no other machine and none hears it; callers may still reach it.
+    CutOff {
+        /// which machine
+        machine: usize,
+        /// whether callers are cut off from it as well
+        callers_too: bool,
+    },
+    /// Nothing passes from one machine to another; the way back stands.
+    OneWay {
+        /// who is not heard
+        from: usize,
+        /// who doesn't hear
+        to: usize,
+    },
+    /// The connections between two machines are reset, once.
+    Reset {
+        /// one end
+        one: usize,
+        /// the other end
+        other: usize,
+    },
+    /// The callers outside don't reach a machine, or its answers don't reach them.
+    CallersCut {
+        /// which machine
+        machine: usize,
+        /// whether calls still come through
+        answers_only: bool,
+    },
+    /// The process is killed, and started again at the end.
+    Kill {
+        /// which machine
+        machine: usize,
+    },
+    /// The process is told to leave, and started again at the end.
+    Leave {
+        /// which machine
+        machine: usize,
+    },
+    /// The power goes: unsynced writes are lost and nobody is told.
+    PowerLoss {
+        /// which machine
+        machine: usize,
+    },
+    /// As the loss of power, and the disk comes back empty.
+    LoseDisk {
+        /// which machine
+        machine: usize,
+    },
+    /// Nothing of the machine is sent or synced; its timers go on.
+    Freeze {
+        /// which machine
+        machine: usize,
+    },
+    /// Each sync takes long.
+    SlowDisk {
+        /// which machine
+        machine: usize,
+    },
+    /// Syncs don't end.
+    HungDisk {
+        /// which machine
+        machine: usize,
+    },
+    /// Writes are refused.
+    FullDisk {
+        /// which machine
+        machine: usize,
+    },
+    /// The machine is gone for good; another one comes at a new address with an empty disk.
+    Replace {
+        /// which machine
+        machine: usize,
+    },
+    /// The seeds in the settings of a machine are changed to its own and those of later machines.
+    Reseed {
+        /// which machine
+        machine: usize,
+    },
+}
+
+impl Trouble {
+    /// The machine that can't be counted on meanwhile, if any.
+    pub fn loses(&self) -> Option<usize> {
+        match self {
+            Trouble::Reset { .. } | Trouble::CallersCut { .. } | Trouble::Reseed { .. } => None,
+            Trouble::OneWay { from, .. } => Some(*from),
+            Trouble::CutOff { machine, .. }
+            | Trouble::Kill { machine }
+            | Trouble::Leave { machine }
+            | Trouble::PowerLoss { machine }
+            | Trouble::LoseDisk { machine }
+            | Trouble::Freeze { machine }
+            | Trouble::SlowDisk { machine }
+            | Trouble::HungDisk { machine }
+            | Trouble::FullDisk { machine }
+            | Trouble::Replace { machine } => Some(*machine),
+        }
+    }
+}
+
+/// One trouble with its time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// ms since the run began.
+    pub from_ms: u64,
+    /// ms until it ends.
+    pub for_ms: u64,
+    /// What goes wrong.
+    #[serde(flatten)]
+    pub trouble: Trouble,
+}
+
+impl Fault {
+    /// ms since the run began at which it is over.
+    pub fn until_ms(&self) -> u64 {
+        self.from_ms + self.for_ms
+    }
+}
+
+/// A whole run: printed, kept in a file, and played again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// What all delays and choices are drawn from.
+    pub seed: u64,
+    /// Which mix.
+    pub point: Point,
+    /// Controllers that found the membership.
+    pub members: usize,
+    /// Controllers beside them that wait to stand in.
+    pub standbys: usize,
+    /// Operators that send configurations.
+    pub operators: usize,
+    /// ms; the pause between two orders of one operator.
+    pub order_pause_ms: u64,
+    /// What goes wrong, by time.
+    pub faults: Vec<Fault>,
+}
+
+impl Plan {
+    /// Draws a run from a seed.
+    pub fn draw(seed: u64, point: Point) -> Plan {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let shape = Shape::of(point, &mut rng);
+        let mut plan = Plan {
+            seed,
+            point,
+            members: shape.members,
+            standbys: shape.standbys,
+            operators: shape.operators,
+            order_pause_ms: shape.order_pause_ms,
+            faults: Vec::new(),
+        };
+        for _ in 0..shape.tries {
+            let fault = shape.fault(&plan, &mut rng);
+            if plan.bears(&fault) {
+                plan.faults.push(fault);
+            }
+        }
+        plan.faults.sort_by_key(|fault| (fault.from_ms, fault.for_ms));
+        plan
+    }
+
+    /// Members that may be lost together with all rules kept.
+    pub fn losses(&self) -> usize {
+        (self.members - 1) / 2
+    }
+
+    /// ms since the run began at which the last fault is over.
+    pub fn calm_from_ms(&self) -> u64 {
+        let last = self.faults.iter().map(Fault::until_ms).max().unwrap_or(0);
+        last.max(constants::WARM_UP.as_millis() as u64)
+    }
+
+    /// Never more machines at once than the platform says may be lost: one that is back counts as
+    /// lost for the time of catching up, and a lost disk or machine for longer.
+    fn bears(&self, new: &Fault) -> bool {
+        let Some(machine) = new.trouble.loses() else { return true };
+        let span = |fault: &Fault| (fault.from_ms, fault.until_ms() + constants::CATCH_UP_MS);
+        let (from, until) = span(new);
+        let mut others: Vec<usize> = self
+            .faults
+            .iter()
+            .filter(|fault| {
+                let (other_from, other_until) = span(fault);
+                other_from < until && from < other_until
+            })
+            .filter_map(|fault| fault.trouble.loses())
+            .collect();
+        if others.contains(&machine) {
+            return false;
+        }
+        others.sort_unstable();
+        others.dedup();
+        let gone_for_good = self.faults.iter().any(
+            |fault| matches!(fault.trouble, Trouble::Replace { machine: gone } if gone == machine),
+        );
+        others.len() < self.losses() && !gone_for_good
+    }
+}
+
+/// How a point shapes its runs.
+struct Shape {
+    point: Point,
+    members: usize,
+    standbys: usize,
+    operators: usize,
+    order_pause_ms: u64,
+    tries: usize,
+}
+
+impl Shape {
+    fn of(point: Point, rng: &mut fastrand::Rng) -> Shape {
+        let members = if rng.bool() { 3 } else { 5 };
+        let usual = Shape {
+            point,
+            members,
+            standbys: rng.usize(0..=1),
+            operators: rng.usize(1..=2),
+            order_pause_ms: constants::ORDER_PAUSE_MS,
+            tries: rng.usize(3..=8),
+        };
+        match point {
+            Point::CutOff | Point::Calls | Point::All => usual,
+            Point::Race => Shape { operators: rng.usize(2..=4), order_pause_ms: 80, ..usual },
+            Point::SecondLoss => Shape { standbys: rng.usize(1..=2), ..usual },
+            Point::Hundreds => Shape { operators: 1, order_pause_ms: 30, ..usual },
+        }
+    }
+
+    fn fault(&self, plan: &Plan, rng: &mut fastrand::Rng) -> Fault {
+        let begin = constants::WARM_UP.as_millis() as u64;
+        let span = constants::FAULTS_SPAN.as_millis() as u64;
+        let longest = constants::FAULT_LONGEST.as_millis() as u64;
+        let short = rng.bool();
+        let for_ms = if short { rng.u64(20..1500) } else { rng.u64(1500..longest) };
+        let machine = rng.usize(0..plan.members);
+        let other = (machine + rng.usize(1..plan.members)) % plan.members;
+        let trouble = self.trouble(machine, other, rng);
+        Fault { from_ms: begin + rng.u64(0..span), for_ms, trouble }
+    }
+
+    fn trouble(&self, machine: usize, other: usize, rng: &mut fastrand::Rng) -> Trouble {
+        let cut_off = Trouble::CutOff { machine, callers_too: rng.bool() };
+        let calls_cut = Trouble::CallersCut { machine, answers_only: rng.bool() };
+        let one_way = Trouble::OneWay { from: machine, to: other };
+        let reset = Trouble::Reset { one: machine, other };
+        let copies = [Trouble::LoseDisk { machine }, Trouble::Replace { machine }];
+        let mut from = match self.point {
+            Point::CutOff => vec![cut_off, one_way, Trouble::Freeze { machine }],
+            Point::Race => vec![calls_cut, cut_off, reset, Trouble::Kill { machine }],
+            Point::SecondLoss => copies.to_vec(),
+            Point::Hundreds => vec![Trouble::PowerLoss { machine }, cut_off],
+            Point::Calls => vec![reset.clone(), reset, one_way, cut_off],
+            Point::All => everything(machine, [cut_off, calls_cut, one_way, reset], copies),
+        };
+        if self.point == Point::SecondLoss {
+            from.push(Trouble::Leave { machine });
+            from.push(Trouble::Kill { machine });
+        }
+        from.swap_remove(rng.usize(0..from.len()))
+    }
+}
+
+fn everything(machine: usize, links: [Trouble; 4], copies: [Trouble; 2]) -> Vec<Trouble> {
+    let mut all = vec![
+        Trouble::Freeze { machine },
+        Trouble::Kill { machine },
+        Trouble::Leave { machine },
+        Trouble::PowerLoss { machine },
+        Trouble::SlowDisk { machine },
+        Trouble::HungDisk { machine },
+        Trouble::FullDisk { machine },
+        Trouble::Reseed { machine },
+    ];
+    all.extend(links);
+    all.extend(copies);
+    all
+}
+
+#[cfg(test)]
+#[path = "fault_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/simulation/src/fault_tests.rs
@@ -0,0 +1,42 @@
+//! Plans drawn from seeds.
+
+use super::*;
+
+#[test]
+fn a_seed_draws_the_same_plan_again() {
+    for point in Point::EVERY {
+        assert_eq!(Plan::draw(7, point), Plan::draw(7, point));
+        assert_ne!(Plan::draw(7, point), Plan::draw(8, point));
+    }
+}
+
+#[test]
+fn a_plan_is_read_back_as_it_was_written() {
+    let plan = Plan::draw(11, Point::All);
+    let text = serde_json::to_string(&plan).expect("a plan can be written");
+    assert_eq!(serde_json::from_str::<Plan>(&text).expect("and read"), plan);
+}
+
+#[test]
+fn no_more_machines_are_lost_at_once_than_may_be() {
+    for seed in 0..300 {
+        let plan = Plan::draw(seed, Point::All);
+        for at in (0..60_000).step_by(50) {
+            let lost: std::collections::BTreeSet<usize> = plan
+                .faults
+                .iter()
+                .filter(|f| f.from_ms <= at && at < f.until_ms() + constants::CATCH_UP_MS)
+                .filter_map(|f| f.trouble.loses())
+                .collect();
+            assert!(lost.len() <= plan.losses(), "seed {seed} at {at}: {lost:?}");
+        }
+    }
+}
+
+#[test]
+fn points_are_named_as_on_the_command_line() {
+    for point in Point::EVERY {
+        assert_eq!(point.name().parse::<Point>().ok(), Some(point));
+    }
+    assert!("nonesuch".parse::<Point>().is_err());
+}
--- /dev/null
+++ b/crates/simulation/src/machine.rs
@@ -0,0 +1,238 @@
+//! One simulated machine, and the starts of the controller on it.
+
+use crate::constants;
+use crate::disk::{Platter, Queue};
+use crate::mutant::Mutant;
+use crate::network::Network;
+use crate::transport::ProcessTransport;
+use control_plane::disk::format::Record;
+use control_plane::disk::{DiskError, RecordQueue};
+use control_plane::{Controller, Environment, Running};
+use fleet_core::settings::Settings;
+use fleet_core::transport::BoxFuture;
+use parking_lot::Mutex;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+impl RecordQueue for Queue {
+    fn keep(&self, record: Record) -> BoxFuture<'static, Result<(), DiskError>> {
+        Box::pin(Queue::keep(self, record))
+    }
+
+    fn is_broken(&self) -> bool {
+        self.is_refused()
+    }
+
+    fn is_absent(&self) -> bool {
+        false
+    }
+}
+
+/// What is the same over all starts of a machine's process.
+pub struct Machine {
+    /// Its number in plans and histories.
+    pub number: usize,
+    /// Its address, which nobody else is ever given.
+    pub ip: Ipv4Addr,
+    /// What its disk holds.
+    pub platter: Platter,
+    /// True once another machine stands in for it.
+    pub gone: AtomicBool,
+    network: Network,
+    seeds: Mutex<Vec<Ipv4Addr>>,
+    losses: usize,
+    mutant: Option<Mutant>,
+    seed: u64,
+    starts: AtomicU64,
+    process: Mutex<Option<Process>>,
+}
+
+/// One start of the process.
+struct Process {
+    start: u64,
+    controller: Arc<Controller>,
+    /// taken out by whoever ends it in good order
+    running: Option<Running>,
+    ends: Ends,
+}
+
+/// What a process reaches the world through, to be taken from it at its death.
+#[derive(Clone)]
+struct Ends {
+    transport: ProcessTransport,
+    queue: Queue,
+}
+
+impl Ends {
+    fn cut(&self) {
+        self.transport.end();
+        self.queue.end();
+    }
+}
+
+/// What all machines of a run have alike.
+pub struct Common {
+    /// The network they are on.
+    pub network: Network,
+    /// Addresses of the seeds.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Members that may be lost at once.
+    pub losses: usize,
+    /// The run's seed.
+    pub seed: u64,
+    /// A defect of the world.
+    pub mutant: Option<Mutant>,
+}
+
+/// The address of a machine.
+pub fn address(number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, constants::INSIDE, zone(number), number as u8 + 1)
+}
+
+fn zone(number: usize) -> u8 {
+    number as u8 % constants::ZONES
+}
+
+impl Machine {
+    /// A machine with an empty disk whose process has not been started.
+    pub fn new(number: usize, common: &Common) -> Machine {
+        let seed = fleet_core::node::stable_hash(&[
+            b"machine",
+            &common.seed.to_le_bytes(),
+            &number.to_le_bytes(),
+        ]);
+        Machine {
+            number,
+            ip: address(number),
+            platter: Platter::new(seed, common.mutant == Some(Mutant::LyingDisk)),
+            gone: AtomicBool::new(false),
+            network: common.network.clone(),
+            seeds: Mutex::new(common.seeds.clone()),
+            losses: common.losses,
+            mutant: common.mutant,
+            seed,
+            starts: AtomicU64::new(0),
+            process: Mutex::new(None),
+        }
+    }
+
+    /// The controller that runs, and which start it is.
+    pub fn controller(&self) -> Option<(u64, Arc<Controller>)> {
+        let process = self.process.lock();
+        process.as_ref().map(|process| (process.start, process.controller.clone()))
+    }
+
+    /// Whether a start of the process still runs.
+    pub fn runs(&self, start: u64) -> bool {
+        self.process.lock().as_ref().is_some_and(|process| process.start == start)
+    }
+
+    /// Changes the seeds that the next start reads.
+    pub fn reseed(&self, seeds: Vec<Ipv4Addr>) {
+        *self.seeds.lock() = seeds;
+    }
+
+    /// Starts the process anew; `bootstrap` only when the whole system starts for the first time.
+    pub async fn start(&self, bootstrap: bool) {
+        self.kill();
+        let start = self.starts.load(Ordering::Relaxed);
+        let ends = Ends {
+            transport: ProcessTransport::new(self.network.clone()),
+            queue: self.platter.open(),
+        };
+        let environment = self.environment(&ends, bootstrap, start);
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let begun = Controller::start(self.settings(bootstrap), log, environment).await;
+        let Ok(running) = begun else { return };
+        if self.starts.load(Ordering::Relaxed) != start {
+            ends.cut();
+            return;
+        }
+        let controller = running.controller.clone();
+        *self.process.lock() = Some(Process { start, controller, running: Some(running), ends });
+    }
+
+    fn environment(&self, ends: &Ends, bootstrap: bool, start: u64) -> Environment {
+        let is_seed = self.seeds.lock().contains(&self.ip);
+        let founds_again = self.mutant == Some(Mutant::SecondFounding) && start > 1;
+        Environment {
+            transport: Arc::new(ends.transport.clone()),
+            disk: Arc::new(ends.queue.clone()),
+            state: self.platter.state(),
+            first_start: self.platter.is_empty() && (bootstrap && is_seed || founds_again),
+            seed: self.seed.wrapping_add(start),
+        }
+    }
+
+    fn settings(&self, bootstrap: bool) -> Settings {
+        let founds_alone =
+            self.mutant == Some(Mutant::SecondFounding) && !bootstrap && self.platter.is_empty();
+        let seeds: Vec<String> = if founds_alone {
+            vec![control_at(self.ip).to_string()]
+        } else {
+            self.seeds.lock().iter().map(|ip| control_at(*ip).to_string()).collect()
+        };
+        let counts_longer = self.mutant == Some(Mutant::LongLease) && self.number == 0;
+        let lease = if counts_longer { constants::LONG_LEASE_MS } else { constants::LEASE_MS };
+        let text = format!(
+            "nodeName=machine-{}\nip={}\nzone=zone-{}\nportRange={},{}\nseeds={}\n\
+             bindAddrs.control={}\nbootstrap={bootstrap}\nheartbeatMs={}\n\
+             tolerance.machines={}\nbounds.leaseMs={lease}\n",
+            self.number,
+            self.ip,
+            zone(self.number),
+            constants::PEER_PORT,
+            constants::PEER_PORT + 9,
+            seeds.join(","),
+            control_at(self.ip),
+            constants::HEARTBEAT_MS,
+            self.losses,
+        );
+        Settings::parse(&text).expect("the simulation writes settings that can be read")
+    }
+
+    /// Ends the process at once; what it had queued for the disk is not written.
+    pub fn kill(&self) {
+        self.starts.fetch_add(1, Ordering::Relaxed);
+        let ended = self.process.lock().take();
+        if let Some(process) = ended {
+            process.ends.cut();
+            if let Some(running) = process.running {
+                running.abort();
+            }
+        }
+        self.network.drop_machine(self.ip);
+    }
+
+    /// Ends the process without a word to anybody: its connections hang.
+    pub fn lose_power(&self) {
+        self.network.darken(self.ip);
+        self.starts.fetch_add(1, Ordering::Relaxed);
+        let ended = self.process.lock().take();
+        if let Some(process) = ended {
+            process.ends.cut();
+            if let Some(running) = process.running {
+                running.abort();
+            }
+        }
+    }
+
+    /// Tells the process to end, and ends it once it has done so or its grace is over.
+    pub async fn leave(&self) {
+        let taken = self.process.lock().as_mut().and_then(|process| {
+            let running = process.running.take()?;
+            Some((process.start, running))
+        });
+        let Some((start, running)) = taken else { return };
+        let _ = tokio::time::timeout(constants::GRACE, running.leave()).await;
+        running.abort();
+        if self.runs(start) {
+            self.kill();
+        }
+    }
+}
+
+fn control_at(ip: Ipv4Addr) -> SocketAddr {
+    SocketAddr::new(ip.into(), constants::CONTROL_PORT)
+}
--- /dev/null
+++ b/crates/simulation/src/main.rs
@@ -0,0 +1,159 @@
+//! Command line of the simulation: many runs, or one played again.
+
+use gumdrop::Options;
+use simulation::checker::Violation;
+use simulation::fault::{Plan, Point, UnknownPoint};
+use simulation::history::History;
+use std::hash::{BuildHasher, Hasher};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// Every invariant held in every run.
+const CLEAN: u8 = 0;
+/// An invariant was broken, or a failure's record couldn't be written.
+const BROKEN: u8 = 1;
+/// The command line or the replayed file can't be used.
+const USAGE: u8 = 2;
+/// s; how often a line tells how far the runs have come.
+const PROGRESS: Duration = Duration::from_secs(5);
+/// runs; how many go into making a failing plan smaller.
+const SHRINK_RUNS: usize = 60;
+
+#[derive(Debug, Options)]
+struct Words {
+    /// print this help
+    help: bool,
+    /// how many runs; each takes the seed after the last one's
+    #[options(no_short, meta = "N", default = "100")]
+    runs: u64,
+    /// the first run's seed; drawn if not given
+    #[options(no_short, meta = "S")]
+    seed: Option<u64>,
+    /// cut-off, race, second-loss, hundreds, calls or all
+    #[options(no_short, meta = "POINT", default = "all")]
+    point: String,
+    /// play the plan of this file once more, as it is
+    #[options(no_short, meta = "FILE")]
+    replay: Option<PathBuf>,
+    /// where the record of a failing run goes
+    #[options(no_short, meta = "DIR", default = "target/simulation")]
+    out: PathBuf,
+}
+
+/// Why nothing, or not all, was run.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum CommandError {
+    /// --point: {0}
+    Point(UnknownPoint),
+    /// {0} can't be read: {1}
+    Unreadable(PathBuf, std::io::Error),
+    /// {0} holds no plan: {1}
+    NoPlan(PathBuf, serde_json::Error),
+    /// a run can't be started: {0}
+    Start(std::io::Error),
+}
+
+/// A failing run as it is kept in a file; only the plan is read back.
+#[derive(serde::Serialize)]
+struct Failure<'a> {
+    plan: &'a Plan,
+    smallest: &'a Plan,
+    violations: &'a [Violation],
+    history: &'a History,
+}
+
+#[derive(serde::Deserialize)]
+struct Replayed {
+    plan: Plan,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words = match Words::parse_args_default(&arguments) {
+        Ok(words) => words,
+        Err(error) => return unusable(&error),
+    };
+    if words.help {
+        println!("usage: simulation [options]\n\n{}", Words::usage());
+        println!("\nexit codes: 0 clean, 1 an invariant was broken, 2 usage");
+        return ExitCode::from(CLEAN);
+    }
+    match carry_out(&words) {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => unusable(&error),
+    }
+}
+
+fn unusable(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("simulation: {error}\ntry simulation --help");
+    ExitCode::from(USAGE)
+}
+
+fn carry_out(words: &Words) -> Result<u8, CommandError> {
+    let point: Point = words.point.parse().map_err(CommandError::Point)?;
+    if let Some(file) = &words.replay {
+        return play(&read_plan(file)?, &words.out);
+    }
+    let first = words.seed.unwrap_or_else(drawn_seed);
+    println!("{} runs of {} from seed {first}", words.runs, point.name());
+    let mut told = Instant::now();
+    for run in 0..words.runs {
+        let code = play(&Plan::draw(first.wrapping_add(run), point), &words.out)?;
+        if code != CLEAN {
+            return Ok(code);
+        }
+        if told.elapsed() >= PROGRESS {
+            told = Instant::now();
+            println!("{} of {} runs clean", run + 1, words.runs);
+        }
+    }
+    println!("{} runs clean", words.runs);
+    Ok(CLEAN)
+}
+
+/// Kept to 32 bits, so that it is short to type.
+fn drawn_seed() -> u64 {
+    std::hash::RandomState::new().build_hasher().finish() >> 32
+}
+
+/// Either a plan by itself or the record of a failing run.
+fn read_plan(file: &Path) -> Result<Plan, CommandError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CommandError::Unreadable(file.to_owned(), error))?;
+    if let Ok(replayed) = serde_json::from_str::<Replayed>(&text) {
+        return Ok(replayed.plan);
+    }
+    serde_json::from_str(&text).map_err(|error| CommandError::NoPlan(file.to_owned(), error))
+}
+
+fn play(plan: &Plan, out: &Path) -> Result<u8, CommandError> {
+    let outcome = simulation::run(plan, None).map_err(CommandError::Start)?;
+    let Some(first) = outcome.violations.first() else { return Ok(CLEAN) };
+    println!("seed {}: {} broken", plan.seed, first.invariant.code());
+    for violation in &outcome.violations {
+        println!("  {}: {}", violation.invariant.code(), violation.why);
+    }
+    let smallest =
+        simulation::shrink(plan, first.invariant, SHRINK_RUNS).map_err(CommandError::Start)?;
+    println!("{} of {} faults are enough:", smallest.faults.len(), plan.faults.len());
+    println!("{}", serde_json::to_string(&smallest).unwrap_or_default());
+    let failure = Failure {
+        plan,
+        smallest: &smallest,
+        violations: &outcome.violations,
+        history: &outcome.history,
+    };
+    match keep(&failure, out) {
+        Ok(file) => println!("history: {}", file.display()),
+        Err(error) => eprintln!("simulation: the history can't be kept: {error}"),
+    }
+    Ok(BROKEN)
+}
+
+fn keep(failure: &Failure, out: &Path) -> std::io::Result<PathBuf> {
+    std::fs::create_dir_all(out)?;
+    let file = out.join(format!("seed-{}.json", failure.plan.seed));
+    std::fs::write(&file, serde_json::to_vec_pretty(failure)?)?;
+    Ok(file)
+}
--- /dev/null
+++ b/crates/simulation/src/reader.rs
@@ -0,0 +1,125 @@
+//! Those who read the configuration: callers of `control`, and routers over their links.
+
+use crate::constants;
+use crate::history::{Read, Version};
+use crate::machine::Machine;
+use crate::mutant::Mutant;
+use crate::operator::{digest, number_of};
+use crate::transport::ProcessTransport;
+use crate::world::World;
+use bytes::Bytes;
+use control_plane::Controller;
+use control_plane::control::values;
+use fleet_core::link::Link;
+use fleet_core::node::{Node, Role};
+use fleet_core::wire::{Alive, Body, ConfigValue, Fetch};
+use prost::Message;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Reads at one node after another until the run is over.
+pub async fn read_on(world: Arc<World>, number: usize) {
+    let mut rng = world.rng("reader", number);
+    while !world.is_over() {
+        let pause = rng.u64(constants::READ_PAUSE_MS / 2..constants::READ_PAUSE_MS * 2);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let machines = world.machines();
+        let machine = machines[rng.usize(0..machines.len())].clone();
+        read_once(&world, &machine).await;
+    }
+}
+
+/// One read at one node, recorded if it gave an answer.
+pub async fn read_once(world: &Arc<World>, machine: &Arc<Machine>) -> Option<Version> {
+    let invoked = world.now();
+    let body = fetch(world, machine).await?;
+    record(world, machine.number, &body, invoked)
+}
+
+/// Reads at one node until it answers; for the end of a run.
+pub async fn read_last(world: &Arc<World>, machine: &Arc<Machine>) -> Option<Read> {
+    let reading = async {
+        loop {
+            let invoked = world.now();
+            if let Some(body) = fetch(world, machine).await {
+                return read_of(world, machine.number, &body, invoked);
+            }
+            tokio::time::sleep(Duration::from_millis(constants::READ_PAUSE_MS)).await;
+        }
+    };
+    tokio::time::timeout(constants::LAST_READ_LIMIT, reading).await.ok().flatten()
+}
+
+async fn fetch(world: &World, machine: &Arc<Machine>) -> Option<Bytes> {
+    let is_stale = world.mutant == Some(Mutant::StaleRead);
+    let call = async move |controller: Arc<Controller>| {
+        if is_stale {
+            return held(&controller);
+        }
+        control_plane::service::configuration::fetch(&controller).await.ok()
+    };
+    world.ask(machine, call).await.flatten()
+}
+
+/// What a controller holds itself, whatever the others have.
+fn held(controller: &Controller) -> Option<Bytes> {
+    let register = controller.acceptor.lock().register(values::CONFIG)?.clone();
+    let value = ConfigValue::decode(register.value).ok()?;
+    (value.version > 0).then_some(value.body)
+}
+
+fn read_of(world: &World, machine: usize, body: &[u8], invoked: u64) -> Option<Read> {
+    let version = Version { number: number_of(body)?, digest: digest(body) };
+    Some(Read { machine, version, invoked, completed: world.now() })
+}
+
+fn record(world: &World, machine: usize, body: &[u8], invoked: u64) -> Option<Version> {
+    let read = read_of(world, machine, body, invoked)?;
+    let version = read.version;
+    world.history.lock().reads.push(read);
+    Some(version)
+}
+
+/// A router: keeps a link to one controller, and fetches what a majority confirms.
+pub async fn route(world: Arc<World>, number: usize) {
+    let mut rng = world.rng("router", number);
+    let node = router_node(&world, number);
+    let transport = Arc::new(ProcessTransport::new(world.network.clone()));
+    while !world.is_over() {
+        let machines = world.machines();
+        let machine = machines[rng.usize(0..machines.len())].clone();
+        let at = std::net::SocketAddr::new(machine.ip.into(), constants::PEER_PORT);
+        let link = Link::keep_over(transport.clone(), &node, at, None);
+        let stays = Duration::from_millis(rng.u64(1000..constants::ROUTER_STAYS_MS));
+        let _ = tokio::time::timeout(stays, fetch_on(&world, &machine, &link)).await;
+    }
+}
+
+fn router_node(world: &World, number: usize) -> Node {
+    Node {
+        name: format!("router-{number}"),
+        zone: "zone-0".to_owned(),
+        ip: Ipv4Addr::new(10, constants::OUTSIDE, 1, number as u8 + 1),
+        role: Role::Router,
+        incarnation: world.rng("incarnation", number).u64(1..),
+    }
+}
+
+async fn fetch_on(world: &World, machine: &Machine, link: &Link) {
+    while !world.is_over() {
+        tokio::time::sleep(Duration::from_millis(constants::READ_PAUSE_MS)).await;
+        let alive = Alive::default();
+        if link.call(Body::Alive(alive), constants::CALLER_SILENCE).await.is_err() {
+            continue;
+        }
+        let invoked = world.now();
+        let ask = Body::Fetch(Fetch { key: values::CONFIG.to_owned(), confirm: true });
+        let limit = fleet_core::constants::CHANGE_LIMIT * 2;
+        let Ok(Body::Fetched(fetched)) = link.call(ask, limit).await else { continue };
+        let value = fetched.register.and_then(|r| ConfigValue::decode(r.value).ok());
+        if let Some(value) = value.filter(|value| value.version > 0) {
+            record(world, machine.number, &value.body, invoked);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/sampler.rs
@@ -0,0 +1,82 @@
+//! Looks into the controllers: who holds a duty, and which members are in force.
+
+use crate::constants;
+use crate::history::{CaughtUp, Holder, MembershipSeen};
+use crate::world::World;
+use control_plane::duties::ROLL_OUT;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Looks on until the run is over, and records what has changed.
+pub async fn sample(world: Arc<World>) {
+    let mut held: Vec<(usize, u64, u64)> = Vec::new();
+    let mut epochs: BTreeMap<usize, u64> = BTreeMap::new();
+    while !world.is_over() {
+        tokio::time::sleep(constants::SAMPLE_PAUSE).await;
+        sample_holders(&world, &mut held);
+        sample_memberships(&world, &mut epochs);
+    }
+}
+
+fn sample_holders(world: &World, last: &mut Vec<(usize, u64, u64)>) {
+    let mut now = Vec::new();
+    for machine in world.machines() {
+        let Some((start, controller)) = machine.controller() else { continue };
+        if let Some(fence) = controller.duties.fence(ROLL_OUT) {
+            now.push((machine.number, start, fence));
+        }
+    }
+    if *last == now {
+        return;
+    }
+    let at = world.now();
+    let holders = now.iter().map(|&(machine, start, fence)| Holder {
+        duty: ROLL_OUT,
+        machine,
+        start,
+        fence,
+        at,
+    });
+    world.history.lock().holders.extend(holders);
+    *last = now;
+}
+
+fn sample_memberships(world: &World, last: &mut BTreeMap<usize, u64>) {
+    for machine in world.machines() {
+        let Some((_, controller)) = machine.controller() else { continue };
+        let membership = controller.acceptor.lock().membership().clone();
+        if membership.epoch == 0
+            || last.insert(machine.number, membership.epoch) == Some(membership.epoch)
+        {
+            continue;
+        }
+        let mut members: Vec<String> = membership.members.into_iter().map(|m| m.ip).collect();
+        members.sort();
+        let seen = MembershipSeen {
+            machine: machine.number,
+            epoch: membership.epoch,
+            members,
+            at: world.now(),
+        };
+        world.history.lock().memberships.push(seen);
+    }
+}
+
+/// How each member of the newest membership stands; one that is gone for good counts too.
+pub fn catch_up(world: &World) -> Vec<CaughtUp> {
+    let newest = world.history.lock().memberships.iter().max_by_key(|seen| seen.epoch).cloned();
+    let Some(newest) = newest else { return Vec::new() };
+    let running = world.machines();
+    let mut stand = Vec::new();
+    for member in newest.members {
+        let machine = running.iter().find(|machine| machine.ip.to_string() == member);
+        let controller = machine.and_then(|machine| machine.controller());
+        let number = machine.map_or(usize::MAX, |machine| machine.number);
+        stand.push(CaughtUp {
+            machine: number,
+            votes: controller.as_ref().is_some_and(|(_, c)| c.acceptor.lock().votes()),
+            held: controller.map_or(0, |(_, c)| c.look(|k| k.config.map_or(0, |(v, _)| v))),
+        });
+    }
+    stand
+}
