--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -116,6 +116,10 @@
 pub struct DrainSeen {
     /// The engine that was told to have been drained.
     pub engine: String,
+    /// The machine that acknowledged it.
+    pub acknowledged_by: usize,
+    /// When it was acknowledged.
+    pub acknowledged: Micros,
     /// Where it was looked up.
     pub machine: usize,
     /// True if that controller would still have requests sent to it.
@@ -139,6 +143,8 @@
     pub caught_up: Vec<CaughtUp>,
     /// What acknowledged drains came to.
     pub drains: Vec<DrainSeen>,
+    /// Panics of controllers, each with its place.
+    pub panics: Vec<String>,
     /// When the last fault ended.
     pub calm_from: Micros,
     /// Reads that began after the last acknowledgement, with all faults ended.
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod mutant;
 mod network;
 mod operator;
+mod panics;
 mod reader;
 mod run;
 mod sampler;
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -6,7 +6,7 @@
 use crate::history::History;
 use crate::mutant::Mutant;
 use crate::world::World;
-use crate::{driver, echo, engine, operator, reader, sampler};
+use crate::{driver, echo, engine, operator, panics, reader, sampler};
 use std::sync::Arc;
 
 /// Readers that call `control`.
@@ -33,7 +33,9 @@
 pub fn run(plan: &Plan, mutant: Option<Mutant>) -> std::io::Result<Outcome> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
-    let history = runtime.block_on(play(plan.clone(), mutant));
+    panics::listen();
+    let mut history = runtime.block_on(play(plan.clone(), mutant));
+    history.panics = panics::take();
     let violations = check(&history);
     Ok(Outcome { history, violations })
 }
@@ -58,7 +60,7 @@
     history
 }
 
-type Engines = Vec<tokio::task::JoinHandle<Option<String>>>;
+type Engines = Vec<tokio::task::JoinHandle<Option<engine::Drained>>>;
 
 fn spawn_stand_ins(world: &Arc<World>) -> (Vec<tokio::task::JoinHandle<()>>, Engines) {
     let mut stand_ins = vec![
