--- a/crates/simulation/src/driver.rs
+++ b/crates/simulation/src/driver.rs
@@ -53,7 +53,7 @@
 
 fn begin(world: &Arc<World>, trouble: &Trouble) {
     let network = &world.network;
-    match *trouble {
+    match trouble.clone() {
         Trouble::CutOff { machine, callers_too } => cut_off(world, machine, callers_too),
         Trouble::OneWay { from, to } => network.cut(address(from), address(to)),
         Trouble::Reset { one, other } => network.reset_between(address(one), address(other)),
@@ -89,13 +89,14 @@
         Trouble::FullDisk { machine } => {
             world.machine(machine).platter.behave(|disk| disk.full = true);
         }
+        Trouble::AllDown { power, wiped } => all_down(world, power, &wiped),
         Trouble::Reseed { machine } => reseed(world, machine),
     }
 }
 
 fn end(world: &Arc<World>, trouble: &Trouble) {
     let network = &world.network;
-    match *trouble {
+    match trouble.clone() {
         Trouble::CutOff { machine, callers_too } => {
             network.rejoin(address(machine));
             if callers_too {
@@ -116,6 +117,12 @@
             network.lighten(address(machine));
             restart(world, machine);
         }
+        Trouble::AllDown { .. } => {
+            for machine in world.machines() {
+                network.lighten(machine.ip);
+                restart(world, machine.number);
+            }
+        }
         Trouble::Replace { machine } => replace(world, machine),
         Trouble::Freeze { machine } => {
             network.lighten(address(machine));
@@ -135,6 +142,19 @@
     }
 }
 
+fn all_down(world: &World, power: bool, wiped: &[usize]) {
+    for machine in world.machines() {
+        if power {
+            machine.lose_power();
+        } else {
+            machine.kill();
+        }
+        if wiped.contains(&machine.number) {
+            machine.platter.wipe();
+        }
+    }
+}
+
 /// The platform may name other seeds later; they count from the next start on.
 fn reseed(world: &World, machine: usize) {
     let others = world.machines().into_iter().map(|other| other.ip).rev();
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -129,6 +129,13 @@
         /// which machine
         machine: usize,
     },
+    /// All machines go down at once, and come back together.
+    AllDown {
+        /// whether their power goes, and not only their processes
+        power: bool,
+        /// those whose disks come back empty
+        wiped: Vec<usize>,
+    },
     /// The seeds in the settings of a machine are changed to its own and those of later machines.
     Reseed {
         /// which machine
@@ -140,7 +147,10 @@
     /// The machine that can't be counted on meanwhile, if any.
     pub fn loses(&self) -> Option<usize> {
         match self {
-            Trouble::Reset { .. } | Trouble::CallersCut { .. } | Trouble::Reseed { .. } => None,
+            Trouble::Reset { .. }
+            | Trouble::CallersCut { .. }
+            | Trouble::AllDown { .. }
+            | Trouble::Reseed { .. } => None,
             Trouble::OneWay { from, .. } => Some(*from),
             Trouble::CutOff { machine, .. }
             | Trouble::Kill { machine }
@@ -156,6 +166,12 @@
     }
 }
 
+impl Trouble {
+    fn downs_all(&self) -> bool {
+        matches!(self, Trouble::AllDown { .. })
+    }
+}
+
 /// One trouble with its time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
@@ -169,6 +185,12 @@
 }
 
 impl Fault {
+    /// Whether two faults, each with the time of catching up after it, come upon each other.
+    fn meets(&self, other: &Fault) -> bool {
+        let until = |fault: &Fault| fault.until_ms() + constants::CATCH_UP_MS;
+        other.from_ms < until(self) && self.from_ms < until(other)
+    }
+
     /// ms since the run began at which it is over.
     pub fn until_ms(&self) -> u64 {
         self.from_ms + self.for_ms
@@ -230,29 +252,26 @@
     }
 
     /// Never more machines at once than the platform says may be lost: one that is back counts as
-    /// lost for the time of catching up, and a lost disk or machine for longer.
+    /// lost for the time of catching up, and while all are down nothing else is lost.
     fn bears(&self, new: &Fault) -> bool {
+        let met: Vec<&Fault> = self.faults.iter().filter(|fault| fault.meets(new)).collect();
+        let counts = |fault: &&&Fault| fault.trouble.loses().is_some() || fault.trouble.downs_all();
+        if new.trouble.downs_all() {
+            return !met.iter().any(|fault| counts(&fault));
+        }
         let Some(machine) = new.trouble.loses() else { return true };
-        let span = |fault: &Fault| (fault.from_ms, fault.until_ms() + constants::CATCH_UP_MS);
-        let (from, until) = span(new);
-        let mut others: Vec<usize> = self
-            .faults
-            .iter()
-            .filter(|fault| {
-                let (other_from, other_until) = span(fault);
-                other_from < until && from < other_until
-            })
-            .filter_map(|fault| fault.trouble.loses())
-            .collect();
-        if others.contains(&machine) {
+        if met.iter().any(|fault| fault.trouble.downs_all()) || self.is_replaced(machine) {
             return false;
         }
+        let mut others: Vec<usize> = met.iter().filter_map(|fault| fault.trouble.loses()).collect();
         others.sort_unstable();
         others.dedup();
-        let gone_for_good = self.faults.iter().any(
-            |fault| matches!(fault.trouble, Trouble::Replace { machine: gone } if gone == machine),
-        );
-        others.len() < self.losses() && !gone_for_good
+        !others.contains(&machine) && others.len() < self.losses()
+    }
+
+    fn is_replaced(&self, machine: usize) -> bool {
+        let replaces = |fault: &Fault| fault.trouble == Trouble::Replace { machine };
+        self.faults.iter().any(replaces)
     }
 }
 
@@ -293,11 +312,18 @@
         let for_ms = if short { rng.u64(20..1500) } else { rng.u64(1500..longest) };
         let machine = rng.usize(0..plan.members);
         let other = (machine + rng.usize(1..plan.members)) % plan.members;
-        let trouble = self.trouble(machine, other, rng);
+        let trouble = self.trouble(plan, machine, other, rng);
         Fault { from_ms: begin + rng.u64(0..span), for_ms, trouble }
     }
 
-    fn trouble(&self, machine: usize, other: usize, rng: &mut fastrand::Rng) -> Trouble {
+    fn trouble(
+        &self,
+        plan: &Plan,
+        machine: usize,
+        other: usize,
+        rng: &mut fastrand::Rng,
+    ) -> Trouble {
+        let all_down = all_down(plan, rng);
         let cut_off = Trouble::CutOff { machine, callers_too: rng.bool() };
         let calls_cut = Trouble::CallersCut { machine, answers_only: rng.bool() };
         let one_way = Trouble::OneWay { from: machine, to: other };
@@ -306,10 +332,12 @@
         let mut from = match self.point {
             Point::CutOff => vec![cut_off, one_way, Trouble::Freeze { machine }],
             Point::Race => vec![calls_cut, cut_off, reset, Trouble::Kill { machine }],
-            Point::SecondLoss => copies.to_vec(),
-            Point::Hundreds => vec![Trouble::PowerLoss { machine }, cut_off],
+            Point::SecondLoss => [copies.to_vec(), vec![all_down]].concat(),
+            Point::Hundreds => vec![Trouble::PowerLoss { machine }, cut_off, all_down],
             Point::Calls => vec![reset.clone(), reset, one_way, cut_off],
-            Point::All => everything(machine, [cut_off, calls_cut, one_way, reset], copies),
+            Point::All => {
+                everything(machine, [cut_off, calls_cut, one_way, reset, all_down], copies)
+            }
         };
         if self.point == Point::SecondLoss {
             from.push(Trouble::Leave { machine });
@@ -319,7 +347,15 @@
     }
 }
 
-fn everything(machine: usize, links: [Trouble; 4], copies: [Trouble; 2]) -> Vec<Trouble> {
+fn all_down(plan: &Plan, rng: &mut fastrand::Rng) -> Trouble {
+    let power = rng.bool();
+    let count = if power { rng.usize(0..=plan.losses()) } else { 0 };
+    let mut wiped = rng.choose_multiple(0..plan.members, count);
+    wiped.sort_unstable();
+    Trouble::AllDown { power, wiped }
+}
+
+fn everything(machine: usize, others: [Trouble; 5], copies: [Trouble; 2]) -> Vec<Trouble> {
     let mut all = vec![
         Trouble::Freeze { machine },
         Trouble::Kill { machine },
@@ -330,7 +366,7 @@
         Trouble::FullDisk { machine },
         Trouble::Reseed { machine },
     ];
-    all.extend(links);
+    all.extend(others);
     all.extend(copies);
     all
 }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -24,5 +24,5 @@
 mod transport;
 mod world;
 
-pub use run::{Outcome, run};
+pub use run::{Outcome, run, shows};
 pub use shrink::shrink;
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -4,6 +4,7 @@
 use simulation::checker::Violation;
 use simulation::fault::{Plan, Point, UnknownPoint};
 use simulation::history::History;
+use simulation::mutant::Mutant;
 use std::hash::{BuildHasher, Hasher};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -36,6 +37,12 @@
     /// play the plan of this file once more, as it is
     #[options(no_short, meta = "FILE")]
     replay: Option<PathBuf>,
+    /// go on after a failing run, and count at the end what was broken
+    #[options(no_short)]
+    keep_going: bool,
+    /// in place of other runs: show that each deliberate defect is found, within so many seeds
+    #[options(no_short)]
+    mutants: bool,
     /// where the record of a failing run goes
     #[options(no_short, meta = "DIR", default = "target/simulation")]
     out: PathBuf,
@@ -96,20 +103,55 @@
         return play(&read_plan(file)?, &words.out);
     }
     let first = words.seed.unwrap_or_else(drawn_seed);
+    if words.mutants {
+        return find_mutants(first, words.runs);
+    }
+    run_many(words, point, first)
+}
+
+fn run_many(words: &Words, point: Point, first: u64) -> Result<u8, CommandError> {
     println!("{} runs of {} from seed {first}", words.runs, point.name());
     let mut told = Instant::now();
+    let mut failed = 0;
     for run in 0..words.runs {
         let code = play(&Plan::draw(first.wrapping_add(run), point), &words.out)?;
-        if code != CLEAN {
-            return Ok(code);
+        failed += u64::from(code != CLEAN);
+        if failed > 0 && !words.keep_going {
+            return Ok(BROKEN);
         }
         if told.elapsed() >= PROGRESS {
             told = Instant::now();
-            println!("{} of {} runs clean", run + 1, words.runs);
+            println!("{} of {} runs, {failed} failed", run + 1, words.runs);
+        }
+    }
+    println!("{} runs, {failed} failed", words.runs);
+    Ok(if failed == 0 { CLEAN } else { BROKEN })
+}
+
+/// One line for each defect: how many seeds it took until its invariant was seen broken in a run
+/// that keeps it without the defect.
+fn find_mutants(first: u64, runs: u64) -> Result<u8, CommandError> {
+    let mut code = CLEAN;
+    for mutant in Mutant::EVERY {
+        let mut found = None;
+        for run in 0..runs {
+            let plan = Plan::draw(first.wrapping_add(run), mutant.shown_by());
+            if simulation::shows(&plan, mutant).map_err(CommandError::Start)? {
+                found = Some(run + 1);
+                break;
+            }
+        }
+        let (name, point) = (format!("{mutant:?}"), mutant.shown_by().name());
+        let invariant = mutant.breaks().code();
+        match found {
+            Some(seeds) => println!("{name}: {invariant} broken after {seeds} seeds of {point}"),
+            None => {
+                println!("{name}: not found within {runs} seeds of {point}");
+                code = BROKEN;
+            }
         }
     }
-    println!("{} runs clean", words.runs);
-    Ok(CLEAN)
+    Ok(code)
 }
 
 /// Kept to 32 bits, so that it is short to type.
--- a/crates/simulation/src/mutant.rs
+++ b/crates/simulation/src/mutant.rs
@@ -1,6 +1,7 @@
 //! Deliberate defects of the simulated world, one for each invariant, that the checker must find.
 
 use crate::checker::Invariant;
+use crate::fault::Point;
 
 /// One defect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -37,6 +38,17 @@
         Mutant::RepeatedCall,
     ];
 
+    /// The mix of faults that shows it best.
+    pub fn shown_by(self) -> Point {
+        match self {
+            Mutant::LyingDisk | Mutant::StuckMember => Point::Hundreds,
+            Mutant::EarlyAcknowledgement | Mutant::HastyRefusal => Point::Race,
+            Mutant::StaleRead | Mutant::LongLease => Point::CutOff,
+            Mutant::SecondFounding => Point::SecondLoss,
+            Mutant::RepeatedCall => Point::Calls,
+        }
+    }
+
     /// The invariant that this defect breaks.
     pub fn breaks(self) -> Invariant {
         match self {
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 /// Whether an address is that of a caller and not of a machine.
 fn is_outside(address: Ipv4Addr) -> bool {
@@ -21,8 +21,8 @@
 #[derive(Clone)]
 pub struct Network {
     state: Arc<Mutex<State>>,
-    /// told of each change of the links
-    changed: watch::Sender<u64>,
+    /// told of each change of the links; wakes those who wait in the order in which they came
+    changed: Arc<Notify>,
 }
 
 struct State {
@@ -35,7 +35,9 @@
     listeners: BTreeMap<SocketAddr, mpsc::Sender<DuplexStream>>,
     streams: BTreeMap<u64, Stream>,
     next_stream: u64,
-    rng: fastrand::Rng,
+    seed: u64,
+    /// one for each direction, so that what passes on one link moves no other's delays
+    delays: BTreeMap<(Ipv4Addr, Ipv4Addr), fastrand::Rng>,
 }
 
 struct Stream {
@@ -66,9 +68,10 @@
             listeners: BTreeMap::new(),
             streams: BTreeMap::new(),
             next_stream: 0,
-            rng: fastrand::Rng::with_seed(seed),
+            seed,
+            delays: BTreeMap::new(),
         };
-        Network { state: Arc::new(Mutex::new(state)), changed: watch::channel(0).0 }
+        Network { state: Arc::new(Mutex::new(state)), changed: Arc::default() }
     }
 
     /// Cuts one direction; cuts add up.
@@ -139,7 +142,7 @@
     }
 
     fn touch(&self) {
-        self.changed.send_modify(|count| *count += 1);
+        self.changed.notify_waiters();
     }
 
     /// Whether bytes pass in this direction now.
@@ -153,17 +156,24 @@
 
     /// Waits until bytes pass in this direction.
     pub async fn opened(&self, from: Ipv4Addr, to: Ipv4Addr) {
-        let mut changed = self.changed.subscribe();
-        while !self.is_open(from, to) {
-            if changed.changed().await.is_err() {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_open(from, to) {
                 return;
             }
+            changed.await;
         }
     }
 
-    /// The time that the next chunk takes.
-    pub fn delay(&self) -> Duration {
-        let spread = self.state.lock().rng.u64(0..=constants::DELAY_SPREAD_US);
+    /// The time that the next chunk takes in this direction.
+    fn delay(&self, from: Ipv4Addr, to: Ipv4Addr) -> Duration {
+        let mut state = self.state.lock();
+        let seed = state.seed.to_le_bytes();
+        let rng = state.delays.entry((from, to)).or_insert_with(|| {
+            let parts = [&seed[..], &from.octets(), &to.octets()];
+            fastrand::Rng::with_seed(fleet_core::node::stable_hash(&parts))
+        });
+        let spread = rng.u64(0..=constants::DELAY_SPREAD_US);
         Duration::from_micros(constants::DELAY_LEAST_US + spread)
     }
 
@@ -197,7 +207,7 @@
 
     /// One way of a message, with its delay.
     pub async fn pass(&self, from: Ipv4Addr, to: Ipv4Addr) {
-        tokio::time::sleep(self.delay()).await;
+        tokio::time::sleep(self.delay(from, to)).await;
         self.opened(from, to).await;
     }
 
@@ -252,13 +262,11 @@
 
     /// Ends once one direction was shut for as long as the kernel bears it.
     async fn held_up(&self, ends: [Ipv4Addr; 2]) {
-        let mut changed = self.changed.subscribe();
         loop {
+            let changed = self.changed.notified();
             let is_open = self.is_open(ends[0], ends[1]) && self.is_open(ends[1], ends[0]);
             if is_open {
-                if changed.changed().await.is_err() {
-                    return;
-                }
+                changed.await;
                 continue;
             }
             let healed = async {
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -40,6 +40,18 @@
     Ok(Outcome { history, violations })
 }
 
+/// Whether a plan breaks a defect's invariant with the defect, and keeps it without.
+///
+/// # Errors
+///
+/// When a runtime can't be made.
+pub fn shows(plan: &Plan, mutant: Mutant) -> std::io::Result<bool> {
+    let breaks = |outcome: &Outcome| {
+        outcome.violations.iter().any(|violation| violation.invariant == mutant.breaks())
+    };
+    Ok(breaks(&run(plan, Some(mutant))?) && !breaks(&run(plan, None)?))
+}
+
 async fn play(plan: Plan, mutant: Option<Mutant>) -> History {
     let world = Arc::new(World::new(plan, mutant));
     driver::start_all(&world).await;
