--- a/crates/simulation/src/checker.rs
+++ b/crates/simulation/src/checker.rs
@@ -255,6 +255,9 @@
     let acknowledged =
         changes.all.values().filter(|c| c.first_acknowledged.is_some()).map(|c| c.version).max();
     let Some(newest) = acknowledged else { return };
+    if history.finished && history.last_reads.is_empty() {
+        found.add(Invariant::Committed, format!("nobody gives {newest:?}, or anything, back"));
+    }
     for read in &history.last_reads {
         if read.version.number < newest.number {
             let why = format!("{newest:?} was acknowledged and is lost: {read:?}");
--- a/crates/simulation/src/checker_tests.rs
+++ b/crates/simulation/src/checker_tests.rs
@@ -129,6 +129,13 @@
     assert_eq!(broken(&history), [Invariant::Committed]);
 }
 
+#[test]
+fn an_acknowledged_change_that_nobody_gives_back_is_lost() {
+    let mut history = acknowledged(&[(0, 1)]);
+    history.finished = true;
+    assert_eq!(broken(&history), [Invariant::Committed]);
+}
+
 #[test]
 fn an_unknown_change_may_be_in_force_at_the_end() {
     let mut history = acknowledged(&[(0, 1)]);
@@ -207,8 +214,10 @@
     let mut history = acknowledged(&[(0, 1)]);
     history.calm_from = 1000;
     history.finished = true;
+    history.last_reads = vec![read(1, (20_000, 20_010))];
     assert_eq!(broken(&history), [Invariant::Progress]);
     history.writes.push(write(1, 2, (1100, 1200), Reply::Acknowledged));
+    history.last_reads = vec![read(2, (20_000, 20_010))];
     assert_eq!(broken(&history), []);
 }
 
--- a/crates/simulation/src/driver.rs
+++ b/crates/simulation/src/driver.rs
@@ -172,7 +172,7 @@
 fn replace(world: &Arc<World>, number: usize) {
     let lost = world.machine(number);
     lost.gone.store(true, Ordering::Relaxed);
-    let machine = world.add_machine();
+    let machine = world.add_machine(lost.zone);
     tokio::spawn(async move { machine.start(false).await });
 }
 
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -37,6 +37,8 @@
     pub ip: Ipv4Addr,
     /// What its disk holds.
     pub platter: Platter,
+    /// Its zone; a machine that stands in for another has that one's.
+    pub zone: u8,
     /// True once another machine stands in for it.
     pub gone: AtomicBool,
     network: Network,
@@ -85,18 +87,23 @@
     pub mutant: Option<Mutant>,
 }
 
-/// The address of a machine.
+/// The address of a machine that was there from the beginning.
 pub fn address(number: usize) -> Ipv4Addr {
-    Ipv4Addr::new(10, constants::INSIDE, zone(number), number as u8 + 1)
+    address_in(zone_of(number), number)
 }
 
-fn zone(number: usize) -> u8 {
+fn address_in(zone: u8, number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, constants::INSIDE, zone, number as u8 + 1)
+}
+
+/// The zone of a machine that was there from the beginning.
+pub fn zone_of(number: usize) -> u8 {
     number as u8 % constants::ZONES
 }
 
 impl Machine {
     /// A machine with an empty disk whose process has not been started.
-    pub fn new(number: usize, common: &Common) -> Machine {
+    pub fn new(number: usize, zone: u8, common: &Common) -> Machine {
         let seed = fleet_core::node::stable_hash(&[
             b"machine",
             &common.seed.to_le_bytes(),
@@ -104,7 +111,8 @@
         ]);
         Machine {
             number,
-            ip: address(number),
+            ip: address_in(zone, number),
+            zone,
             platter: Platter::new(seed, common.mutant == Some(Mutant::LyingDisk)),
             gone: AtomicBool::new(false),
             network: common.network.clone(),
@@ -181,7 +189,7 @@
              tolerance.machines={}\nbounds.leaseMs={lease}\n",
             self.number,
             self.ip,
-            zone(self.number),
+            self.zone,
             constants::PEER_PORT,
             constants::PEER_PORT + 9,
             seeds.join(","),
--- a/crates/simulation/src/mutant.rs
+++ b/crates/simulation/src/mutant.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Mutant {
-    /// Disks say that they kept what they didn't.
+    /// Disks say that they kept what they didn't, half of the time.
     LyingDisk,
     /// A node acknowledges a change that it couldn't carry out.
     EarlyAcknowledgement,
