--- a/crates/simulation/src/echo.rs
+++ b/crates/simulation/src/echo.rs
@@ -88,7 +88,7 @@
 }
 
 async fn call(world: Arc<World>, link: Arc<Link>, asked: String) -> LinkCall {
-    let question = Body::Fetch(Fetch { key: asked.clone(), confirm: false });
+    let question = Body::Fetch(Fetch { key: asked.clone() });
     let mut answer = link.call(question.clone(), constants::ECHO_LIMIT).await;
     let repeats = world.mutant == Some(Mutant::RepeatedCall);
     if repeats && answer == Err(LinkError::Late) {
