--- a/crates/simulation/src/fault_tests.rs
+++ b/crates/simulation/src/fault_tests.rs
@@ -33,6 +33,20 @@
     }
 }
 
+#[test]
+fn a_machine_that_is_gone_has_no_later_fault() {
+    for seed in 0..300 {
+        let plan = Plan::draw(seed, Point::SecondLoss);
+        for gone in &plan.faults {
+            let Trouble::Replace { machine } = gone.trouble else { continue };
+            let later = |fault: &&Fault| {
+                fault.trouble.loses() == Some(machine) && fault.from_ms > gone.from_ms
+            };
+            assert_eq!(plan.faults.iter().find(later), None, "seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn points_are_named_as_on_the_command_line() {
     for point in Point::EVERY {
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -103,8 +103,8 @@
 /// How a member stood when the time for catching up was over.
 #[derive(Debug, Clone, Serialize)]
 pub struct CaughtUp {
-    /// The machine.
-    pub machine: usize,
+    /// The machine; none for a member that is gone for good.
+    pub machine: Option<usize>,
     /// Whether it votes.
     pub votes: bool,
     /// The newest configuration that it holds itself.
--- a/crates/simulation/src/sampler.rs
+++ b/crates/simulation/src/sampler.rs
@@ -71,7 +71,7 @@
     for member in newest.members {
         let machine = running.iter().find(|machine| machine.ip.to_string() == member);
         let controller = machine.and_then(|machine| machine.controller());
-        let number = machine.map_or(usize::MAX, |machine| machine.number);
+        let number = machine.map(|machine| machine.number);
         stand.push(CaughtUp {
             machine: number,
             votes: controller.as_ref().is_some_and(|(_, c)| c.acceptor.lock().votes()),
