--- a/crates/simulation/src/constants.rs
+++ b/crates/simulation/src/constants.rs
@@ -6,6 +6,8 @@
 pub const DELAY_LEAST_US: u64 = 200;
 /// us; what a chunk of bytes may take beyond that, so that messages of several links cross.
 pub const DELAY_SPREAD_US: u64 = 1800;
+/// us; what a chunk may take on a slow link, long enough for calls to be given up before.
+pub const SLOW_SPREAD_US: u64 = 400_000;
 /// bytes; a stream holds so much on its way before its writer waits.
 pub const STREAM_BYTES: usize = 64 << 10;
 /// connections; what a listener holds before it accepts them.
--- a/crates/simulation/src/driver.rs
+++ b/crates/simulation/src/driver.rs
@@ -80,6 +80,7 @@
             network.darken(address(machine));
             world.machine(machine).platter.behave(|disk| disk.hung = true);
         }
+        Trouble::SlowLinks { machine } => network.slow_down(address(machine), true),
         Trouble::SlowDisk { machine } => {
             world.machine(machine).platter.behave(|disk| disk.slow = true);
         }
@@ -128,6 +129,7 @@
             network.lighten(address(machine));
             mend_disk(world, machine);
         }
+        Trouble::SlowLinks { machine } => network.slow_down(address(machine), false),
         Trouble::SlowDisk { machine }
         | Trouble::HungDisk { machine }
         | Trouble::FullDisk { machine } => mend_disk(world, machine),
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -109,6 +109,11 @@
         /// which machine
         machine: usize,
     },
+    /// Whatever the machine sends or is sent comes late, at times after its caller gave up.
+    SlowLinks {
+        /// which machine
+        machine: usize,
+    },
     /// Each sync takes long.
     SlowDisk {
         /// which machine
@@ -158,6 +163,7 @@
             | Trouble::PowerLoss { machine }
             | Trouble::LoseDisk { machine }
             | Trouble::Freeze { machine }
+            | Trouble::SlowLinks { machine }
             | Trouble::SlowDisk { machine }
             | Trouble::HungDisk { machine }
             | Trouble::FullDisk { machine }
@@ -333,15 +339,16 @@
         let all_down = all_down(plan, rng);
         let cut_off = Trouble::CutOff { machine, callers_too: rng.bool() };
         let calls_cut = Trouble::CallersCut { machine, answers_only: rng.bool() };
+        let slow_links = Trouble::SlowLinks { machine };
         let one_way = Trouble::OneWay { from: machine, to: other };
         let reset = Trouble::Reset { one: machine, other };
         let copies = [Trouble::LoseDisk { machine }, Trouble::Replace { machine }];
         let mut from = match self.point {
-            Point::CutOff => vec![cut_off, one_way, Trouble::Freeze { machine }],
+            Point::CutOff => vec![cut_off, one_way, slow_links, Trouble::Freeze { machine }],
             Point::Race => vec![calls_cut, cut_off, reset, Trouble::Kill { machine }],
             Point::SecondLoss => [copies.to_vec(), vec![all_down]].concat(),
             Point::Hundreds => vec![Trouble::PowerLoss { machine }, cut_off, all_down],
-            Point::Calls => vec![reset.clone(), reset, one_way, cut_off],
+            Point::Calls => vec![reset.clone(), reset, one_way, slow_links, cut_off],
             Point::All => {
                 everything(machine, [cut_off, calls_cut, one_way, reset, all_down], copies)
             }
@@ -368,6 +375,7 @@
         Trouble::Kill { machine },
         Trouble::Leave { machine },
         Trouble::PowerLoss { machine },
+        Trouble::SlowLinks { machine },
         Trouble::SlowDisk { machine },
         Trouble::HungDisk { machine },
         Trouble::FullDisk { machine },
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -32,6 +32,8 @@
     dark: BTreeSet<Ipv4Addr>,
     /// machines that are cut off from the other machines, but not from those outside
     isolated: BTreeSet<Ipv4Addr>,
+    /// machines to and from which all bytes come late
+    slow: BTreeSet<Ipv4Addr>,
     listeners: BTreeMap<SocketAddr, mpsc::Sender<DuplexStream>>,
     streams: BTreeMap<u64, Stream>,
     next_stream: u64,
@@ -65,6 +67,7 @@
             cuts: BTreeMap::new(),
             dark: BTreeSet::new(),
             isolated: BTreeSet::new(),
+            slow: BTreeSet::new(),
             listeners: BTreeMap::new(),
             streams: BTreeMap::new(),
             next_stream: 0,
@@ -114,6 +117,16 @@
         self.touch();
     }
 
+    /// Makes all bytes to and from a machine late, or no longer.
+    pub fn slow_down(&self, machine: Ipv4Addr, slow: bool) {
+        let mut state = self.state.lock();
+        if slow {
+            state.slow.insert(machine);
+        } else {
+            state.slow.remove(&machine);
+        }
+    }
+
     /// Whether somebody accepts connections there.
     pub fn is_listening(&self, at: SocketAddr) -> bool {
         self.state.lock().listeners.get(&at).is_some_and(|known| !known.is_closed())
@@ -169,11 +182,13 @@
     fn delay(&self, from: Ipv4Addr, to: Ipv4Addr) -> Duration {
         let mut state = self.state.lock();
         let seed = state.seed.to_le_bytes();
+        let slow = state.slow.contains(&from) || state.slow.contains(&to);
+        let most = if slow { constants::SLOW_SPREAD_US } else { constants::DELAY_SPREAD_US };
         let rng = state.delays.entry((from, to)).or_insert_with(|| {
             let parts = [&seed[..], &from.octets(), &to.octets()];
             fastrand::Rng::with_seed(fleet_core::node::stable_hash(&parts))
         });
-        let spread = rng.u64(0..=constants::DELAY_SPREAD_US);
+        let spread = rng.u64(0..=most);
         Duration::from_micros(constants::DELAY_LEAST_US + spread)
     }
 
--- a/crates/simulation/src/network_tests.rs
+++ b/crates/simulation/src/network_tests.rs
@@ -78,3 +78,18 @@
     let hanging = network.connect(ONE, at(TWO));
     assert!(tokio::time::timeout(Duration::from_secs(60), hanging).await.is_err());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_machine_is_heard_late_and_in_order() {
+    let network = Network::new(1);
+    let (mut near, mut far) = connected(&network).await;
+    network.slow_down(TWO, true);
+    let mut longest = Duration::ZERO;
+    for _ in 0..20 {
+        let sent = tokio::time::Instant::now();
+        near.write_all(b"abcd").await.expect("open");
+        assert_eq!(reads(&mut far, 1000).await.as_deref(), Some(&b"abcd"[..]));
+        longest = longest.max(sent.elapsed());
+    }
+    assert!(longest > Duration::from_millis(100), "{longest:?}");
+}
