Moves of members are tested with the program's proposer

Cause: moves_tests drove rounds of its own, older than the pure proposer. Change: attempts hold a Proposer; schedules, cases and checks as before.

--- a/crates/control-plane/src/control/moves_tests.rs
+++ b/crates/control-plane/src/control/moves_tests.rs
@@ -2,11 +2,11 @@
 //! members that are removed and come back: what was chosen stays, whatever membership chose it.
 
 use super::acceptor::Acceptor;
-use super::round::{Round, Verdict};
+use super::proposer::{Action, Proposer, Request, Scope};
 use super::schedules::with_values;
 use super::values::{CONFIG, MEMBERSHIP};
 use crate::disk::format::State;
-use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare};
+use fleet_core::wire::{Member, Membership, Peeked, Vote};
 use hashbrown::HashSet;
 use prost::Message;
 use std::net::Ipv4Addr;
@@ -52,22 +52,33 @@
     }
 }
 
-/// One accept round of an owner; its messages arrive one at a time, or never.
+/// One owner at work; its accept messages arrive one at a time, or never.
 struct Attempt {
     owner: usize,
     incarnation: u64,
-    accept: Accept,
-    membership: Membership,
-    round: Round,
-    done: bool,
-    /// what the owner commits next
+    key: &'static str,
+    proposer: Proposer,
+    /// what the owner proposes once it owns the key
     then: Option<bytes::Bytes>,
 }
 
+/// A message of an attempt to a voter in its present incarnation.
+struct Wire {
+    attempt: usize,
+    to: usize,
+    incarnation: u64,
+    step: u64,
+    request: Request,
+}
+
+fn id(i: usize) -> u64 {
+    i as u64 + 1
+}
+
 struct World {
     machines: Vec<Machine>,
     attempts: Vec<Attempt>,
-    wires: Vec<(usize, usize, u64)>,
+    wires: Vec<Wire>,
     chosen: Vec<bytes::Bytes>,
     memberships: Vec<Membership>,
     next: u8,
@@ -96,109 +107,123 @@
         }
     }
 
-    /// Prepares a key at all of `reached` and opens the round that accepts the highest value anew.
-    fn prepare(&mut self, owner: usize, key: &str, reached: &[usize], then: Option<bytes::Bytes>) {
-        let a = &self.machines[owner].acceptor;
-        let (membership, recovery_epoch) = (a.membership().clone(), a.recovery_epoch());
-        let ballot = Ballot { n: a.highest(key) + 1, node: owner as u64 + 1, seq: 0 };
-        let epoch = membership.epoch;
-        let ask = Prepare {
-            key: key.into(),
-            membership: epoch,
-            ballot,
-            recovery_epoch,
-            known: Ballot::default(),
-        };
-        let mut round = Round::new(membership.members.len());
-        for voter in std::iter::once(owner).chain(reached.iter().copied().filter(|v| *v != owner)) {
-            if !holds(&membership, voter) {
-                continue;
-            }
-            let step = self.machines[voter].acceptor.prepare(&ask);
-            self.machines[voter].state.apply(&step.record);
-            if voter == owner && !step.answer.ok {
-                return;
-            }
-            round.vote(voter as u64, Some(&step.answer));
-        }
-        if round.verdict() != Verdict::Won {
-            return;
-        }
-        let value = round.into_best().map(|r| r.value).unwrap_or_default();
-        let ballot = Ballot { seq: 1, ..ballot };
-        let accept = Accept {
-            key: key.into(),
-            membership: epoch,
-            ballot,
-            value,
-            recovery_epoch,
-            same_as: None,
+    fn vote(&mut self, voter: usize, request: &Request) -> Vote {
+        let machine = &mut self.machines[voter];
+        let step = match request {
+            Request::Prepare(p) => machine.acceptor.prepare(p),
+            Request::Accept(a) => machine.acceptor.accept(a),
         };
-        self.open(owner, accept, membership, then);
+        machine.state.apply(&step.record);
+        step.answer
     }
 
-    fn open(
+    /// Prepares a key at all of `reached` and opens the round that accepts the highest value anew.
+    fn prepare(
         &mut self,
         owner: usize,
-        accept: Accept,
-        membership: Membership,
+        key: &'static str,
+        reached: &[usize],
         then: Option<bytes::Bytes>,
     ) {
-        let step = self.machines[owner].acceptor.accept(&accept);
-        self.machines[owner].state.apply(&step.record);
-        if !step.answer.ok {
+        let acceptor = &self.machines[owner].acceptor;
+        let membership = acceptor.membership().clone();
+        let scope = Scope {
+            membership: membership.epoch,
+            recovery_epoch: acceptor.recovery_epoch(),
+            voters: membership.members.len(),
+        };
+        let above = acceptor.highest(key);
+        let (mut proposer, first) = Proposer::prepare(id(owner), key, scope, above);
+        let Action::AskSelf(request) = first else { return };
+        let own = self.vote(owner, &request);
+        if proposer.on_vote(proposer.step(), id(owner), Some(&own)) != Action::AskOthers {
             return;
         }
-        let mut round = Round::new(membership.members.len());
-        round.vote(owner as u64, Some(&step.answer));
-        for to in (0..MACHINES).filter(|to| *to != owner && holds(&membership, *to)) {
-            self.wires.push((self.attempts.len(), to, self.machines[to].incarnation));
-        }
+        let voters = reached.iter().copied().filter(|v| *v != owner && holds(&membership, *v));
+        let asked: Vec<(usize, Request)> =
+            voters.map(|v| (v, proposer.request_for(id(v)))).collect();
+        let votes: Vec<(usize, Vote)> =
+            asked.iter().map(|(voter, request)| (*voter, self.vote(*voter, request))).collect();
+        let step = proposer.step();
+        let next = votes
+            .iter()
+            .map(|(voter, vote)| proposer.on_vote(step, id(*voter), Some(vote)))
+            .find(|action| *action != Action::Wait);
         let incarnation = self.machines[owner].incarnation;
-        let attempt = Attempt { owner, incarnation, accept, membership, round, done: false, then };
-        self.attempts.push(attempt);
+        self.attempts.push(Attempt { owner, incarnation, key, proposer, then });
+        self.act(self.attempts.len() - 1, next.unwrap_or(Action::Wait));
+    }
+
+    /// Carries out what an attempt's proposer asks for.
+    fn act(&mut self, attempt: usize, first: Action) {
+        let mut action = first;
+        loop {
+            let owner = self.attempts[attempt].owner;
+            action = match action {
+                Action::Wait | Action::Failed(_) => return,
+                Action::AskOthers => return self.broadcast(attempt),
+                Action::AskSelf(request) => {
+                    let vote = self.vote(owner, &request);
+                    let proposer = &mut self.attempts[attempt].proposer;
+                    proposer.on_vote(proposer.step(), id(owner), Some(&vote))
+                }
+                Action::Chosen => {
+                    let Some(next) = self.chose(attempt) else { return };
+                    next
+                }
+            };
+        }
+    }
+
+    fn broadcast(&mut self, attempt: usize) {
+        let a = &self.attempts[attempt];
+        let scope = a.proposer.scope();
+        let Some(membership) = self.memberships.iter().find(|m| m.epoch == scope.membership) else {
+            return;
+        };
+        for to in (0..MACHINES).filter(|to| *to != a.owner && holds(membership, *to)) {
+            self.wires.push(Wire {
+                attempt,
+                to,
+                incarnation: self.machines[to].incarnation,
+                step: a.proposer.step(),
+                request: a.proposer.request_for(id(to)),
+            });
+        }
     }
 
     fn deliver(&mut self, at: usize) {
         if self.wires.is_empty() {
             return;
         }
-        let (attempt, to, incarnation) = self.wires.swap_remove(at % self.wires.len());
-        if self.machines[to].incarnation != incarnation {
+        let wire = self.wires.swap_remove(at % self.wires.len());
+        if self.machines[wire.to].incarnation != wire.incarnation {
             return;
         }
-        let step = self.machines[to].acceptor.accept(&self.attempts[attempt].accept);
-        self.machines[to].state.apply(&step.record);
-        let a = &mut self.attempts[attempt];
-        let verdict = a.round.vote(to as u64, Some(&step.answer));
-        let alive = self.machines[a.owner].incarnation == a.incarnation;
-        if a.done || !alive || verdict != Verdict::Won {
+        let vote = self.vote(wire.to, &wire.request);
+        let a = &mut self.attempts[wire.attempt];
+        if self.machines[a.owner].incarnation != a.incarnation {
             return;
         }
-        a.done = true;
-        self.chose(attempt);
+        let action = a.proposer.on_vote(wire.step, id(wire.to), Some(&vote));
+        self.act(wire.attempt, action);
     }
 
-    fn chose(&mut self, attempt: usize) {
+    /// Notes what was chosen; the round that follows, if the owner has something to propose.
+    fn chose(&mut self, attempt: usize) -> Option<Action> {
         let a = &mut self.attempts[attempt];
-        let (owner, mut accept, then) = (a.owner, a.accept.clone(), a.then.take());
-        let membership = a.membership.clone();
-        if accept.key == CONFIG {
-            self.chosen.push(accept.value.clone());
-        } else if let Ok(chosen) = Membership::decode(accept.value.clone())
+        let (owner, key, value) = (a.owner, a.key, a.proposer.value().clone());
+        let then = a.then.take();
+        if key == CONFIG {
+            self.chosen.push(value.clone());
+        } else if let Ok(chosen) = Membership::decode(value.clone())
             && chosen.epoch > 0
         {
             self.memberships.push(chosen.clone());
             self.machines[owner].adopt(&chosen);
         }
-        let Some(then) = then else { return };
-        if accept.key == CONFIG {
-            accept.value = [accept.value, then].concat().into();
-        } else {
-            accept.value = then;
-        }
-        accept.ballot.seq += 1;
-        self.open(owner, accept, membership, None);
+        let next = if key == CONFIG { [value, then?].concat().into() } else { then? };
+        Some(self.attempts[attempt].proposer.propose(next))
     }
 
     fn change(&mut self, owner: usize, reached: &[usize]) {
@@ -320,7 +345,7 @@
     fn all(&mut self, at: &[usize], act: impl FnOnce(&mut World, &[usize])) {
         let before = self.attempts.len();
         act(self, at);
-        let due = |(attempt, to, _): &(usize, usize, u64)| *attempt >= before && at.contains(to);
+        let due = |wire: &Wire| wire.attempt >= before && at.contains(&wire.to);
         while let Some(w) = self.wires.iter().position(due) {
             self.deliver(w);
         }
