--- a/crates/control-plane/src/learner.rs
+++ b/crates/control-plane/src/learner.rs
@@ -191,7 +191,7 @@
 
 /// Keeps this node up to date with what a majority holds, also where notices were lost.
 pub async fn learning(controller: Arc<Controller>) {
-    let mut open: hashbrown::HashMap<String, Ballot> = hashbrown::HashMap::new();
+    let mut open: std::collections::BTreeMap<String, Ballot> = std::collections::BTreeMap::new();
     loop {
         let young = controller.learned.lock().is_empty();
         let pause = if young { constants::LEARN_PAUSE / 10 } else { constants::LEARN_PAUSE };
@@ -208,8 +208,8 @@
 async fn learn_chosen(
     controller: &Arc<Controller>,
     look: &Look,
-) -> hashbrown::HashMap<String, Ballot> {
-    let mut open = hashbrown::HashMap::new();
+) -> std::collections::BTreeMap<String, Ballot> {
+    let mut open = std::collections::BTreeMap::new();
     for key in look.keys() {
         match look.standing(key) {
             Some(Standing::Chosen(ballot)) => controller.catch_up(key, ballot, look).await,
--- a/crates/control-plane/src/members/recovery.rs
+++ b/crates/control-plane/src/members/recovery.rs
@@ -30,7 +30,7 @@
 /// Values read so far.
 #[derive(Default)]
 pub struct CatchUp {
-    values: hashbrown::HashMap<String, Partial>,
+    values: std::collections::BTreeMap<String, Partial>,
 }
 
 /// What is there of one value.
@@ -72,7 +72,7 @@
     /// if no holder has it now. What was read before at any other ballot is dropped: a voter of an
     /// earlier recovery epoch may have accepted it that no majority knows of.
     pub async fn fetch<H: Holder>(&mut self, key: &str, wanted: Ballot, holders: &[H]) -> bool {
-        let partial = self.values.entry_ref(key).or_insert_with(|| Partial::of(wanted));
+        let partial = self.values.entry(key.to_owned()).or_insert_with(|| Partial::of(wanted));
         if partial.ballot != wanted {
             *partial = Partial::of(wanted);
         }
@@ -91,8 +91,11 @@
 
     /// Puts the values read into the answers, which came with ballots only.
     fn fill(&mut self, answers: &mut [Peeked]) {
-        let values: hashbrown::HashMap<String, (Ballot, bytes::Bytes)> =
-            self.values.drain().map(|(key, p)| (key, (p.ballot, p.bytes.into()))).collect();
+        let values: std::collections::BTreeMap<String, (Ballot, bytes::Bytes)> =
+            std::mem::take(&mut self.values)
+                .into_iter()
+                .map(|(key, p)| (key, (p.ballot, p.bytes.into())))
+                .collect();
         let registers = answers.iter_mut().flat_map(|answer| &mut answer.registers);
         for register in registers.filter(|r| r.accepted != Ballot::default()) {
             if let Some((ballot, value)) = values.get(&register.key) {
@@ -104,12 +107,13 @@
 }
 
 /// Highest accepted ballot of each key, and who has it.
-fn wanted(answers: &[(u64, Peeked)]) -> hashbrown::HashMap<String, (Ballot, Vec<u64>)> {
-    let mut out: hashbrown::HashMap<String, (Ballot, Vec<u64>)> = hashbrown::HashMap::new();
+fn wanted(answers: &[(u64, Peeked)]) -> std::collections::BTreeMap<String, (Ballot, Vec<u64>)> {
+    let mut out: std::collections::BTreeMap<String, (Ballot, Vec<u64>)> =
+        std::collections::BTreeMap::new();
     let accepted = |r: &&Register| r.accepted != Ballot::default();
     for (id, answer) in answers {
         for register in answer.registers.iter().filter(accepted) {
-            let (highest, holders) = out.entry_ref(register.key.as_str()).or_default();
+            let (highest, holders) = out.entry(register.key.clone()).or_default();
             if register.accepted > *highest {
                 *highest = register.accepted;
                 holders.clear();
