Ballots of the future are refused; doc comments on registers, values, facts and tables

Cause: a corrupt ballot near the end of its range would have been promised, and no higher one is left then. Change: a voter refuses epochs more than 2^24 above what it knows, and an owner doesn't go above such.

--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -1,8 +1,7 @@
 //! The part of a register that every member holds and votes with.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::disk::format::Record;
+use fleet_core::constants;
 use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
 use prost::Message;
 
@@ -12,6 +11,7 @@
 /// recovery_epoch counts together with one of a later.
 const RECOVERY_EPOCH: &str = "\u{1}recovery_epoch";
 
+/// The voting side of all registers of one member, as a pure state machine.
 #[derive(Debug, Clone)]
 pub struct Acceptor {
     registers: std::collections::BTreeMap<String, Register>,
@@ -23,11 +23,14 @@
 
 /// What must be on the disk before the answer may go out.
 pub struct Step<T> {
+    /// goes to the disk first
     pub record: Record,
+    /// goes out once the record is on the disk
     pub answer: T,
 }
 
 impl Acceptor {
+    /// The acceptor of the node with this address, with what its disk holds.
     pub fn new(own: std::net::Ipv4Addr, state: crate::disk::format::State) -> Self {
         let mut a = Acceptor {
             registers: std::collections::BTreeMap::default(),
@@ -57,10 +60,12 @@
         self.registers.clear();
     }
 
+    /// The membership that this member follows; epoch 0 where it knows none.
     pub fn membership(&self) -> &Membership {
         &self.membership
     }
 
+    /// Whether this node is one of the voters.
     pub fn is_member(&self) -> bool {
         self.membership.members.iter().any(|m| self.is_own(m))
     }
@@ -69,6 +74,7 @@
         m.addr().is_some_and(|a| u64::from(u32::from(a)) == self.own)
     }
 
+    /// Whether it is a member that holds its state.
     pub fn votes(&self) -> bool {
         self.voting && self.is_member()
     }
@@ -78,6 +84,7 @@
         self.votes() && membership == self.membership.epoch
     }
 
+    /// The latest recovery epoch that it has heard of; it votes in no earlier one.
     pub fn recovery_epoch(&self) -> u64 {
         self.recovery_epoch
     }
@@ -99,14 +106,22 @@
         }
     }
 
+    /// What is held for a key.
     pub fn register(&self, key: &str) -> Option<&Register> {
         self.registers.get(key)
     }
 
+    /// Everything that is held.
     pub fn registers(&self) -> impl Iterator<Item = &Register> {
         self.registers.values()
     }
 
+    /// Whether a ballot of this key can have come about by elections: its epoch is not absurdly far ahead.
+    /// One that is would leave no higher epochs to anybody.
+    pub fn is_plausible(&self, key: &str, ballot: Ballot) -> bool {
+        ballot.n <= self.highest(key).saturating_add(constants::EPOCH_LEAD_MAX)
+    }
+
     /// Epoch that the next owner of this key must go above.
     pub fn highest(&self, key: &str) -> u64 {
         self.registers.get(key).map_or(0, |r| r.promised.n.max(r.accepted.n))
@@ -164,9 +179,12 @@
         self.record(kept)
     }
 
+    /// Promises a ballot, if no higher one was promised and its scope is the own one.
     pub fn prepare(&mut self, p: &Prepare) -> Step<Vote> {
         let promised = self.registers.get(&p.key).map(|r| r.promised).unwrap_or_default();
-        if !self.may_vote(p.membership, p.recovery_epoch) || p.ballot.epoch() <= promised.epoch() {
+        let is_late = p.ballot.epoch() <= promised.epoch();
+        let is_absurd = !self.is_plausible(&p.key, p.ballot);
+        if !self.may_vote(p.membership, p.recovery_epoch) || is_late || is_absurd {
             return self.refuse(&p.key);
         }
         let r = self
@@ -190,12 +208,14 @@
         }
     }
 
+    /// Accepts a value under a ballot that is not below the one promised.
     pub fn accept(&mut self, a: &Accept) -> Step<Vote> {
         let (promised, accepted) =
             self.registers.get(&a.key).map(|r| (r.promised, r.accepted)).unwrap_or_default();
         let late = a.ballot.epoch() < promised.epoch() || a.ballot <= accepted;
         let lacks_value = a.same_as.is_some_and(|same| same != accepted);
-        if !self.may_vote(a.membership, a.recovery_epoch) || late || lacks_value {
+        let is_absurd = !self.is_plausible(&a.key, a.ballot);
+        if !self.may_vote(a.membership, a.recovery_epoch) || late || lacks_value || is_absurd {
             return self.refuse(&a.key);
         }
         let value = match a.same_as {
@@ -221,6 +241,7 @@
         }
     }
 
+    /// What is held, with or without the values.
     pub fn peek(&self, values: bool) -> Step<Peeked> {
         let registers = self
             .registers
--- a/crates/control-plane/src/control/owner.rs
+++ b/crates/control-plane/src/control/owner.rs
@@ -224,7 +224,9 @@
     if !owner_is_silent(controller, key).await {
         return Err(ProposalError::OwnerActive);
     }
-    let above = above.max(controller.owners.heard(key).n);
+    let heard = controller.owners.heard(key);
+    let is_plausible = controller.acceptor.lock().is_plausible(key, heard);
+    let above = if is_plausible { above.max(heard.n) } else { above };
     let (mut proposer, first) = Proposer::prepare(controller.node.id(), key, scope, above);
     run_round(controller, key, &mut proposer, first).await?;
     fleet_core::log_event!(controller.log, fleet_core::log::Event::OwnerTaken,
--- a/crates/control-plane/src/control/schedules_tests.rs
+++ b/crates/control-plane/src/control/schedules_tests.rs
@@ -5,7 +5,7 @@
 use super::acceptor::Acceptor;
 use super::proposer::{Action, Proposer, Request, Scope};
 use crate::disk::format::{Record, State};
-use fleet_core::wire::{Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
+use fleet_core::wire::{Accept, Ballot, Member, Membership, Peeked, Prepare, Register, Vote};
 use std::net::Ipv4Addr;
 
 const KEY: &str = "k";
@@ -427,3 +427,30 @@
     assert_eq!(late.membership.unwrap().epoch, 2);
     assert!(n.acceptor.adopt(&membership(3)).is_none());
 }
+
+/// A corrupt ballot must not leave its key without higher ones.
+#[test]
+fn ballots_of_the_future_are_refused_and_change_nothing() {
+    let mut n = Node::founded(0, 3);
+    let ask = |n| Prepare {
+        key: KEY.into(),
+        membership: 1,
+        ballot: Ballot { n, node: 2, seq: 0 },
+        recovery_epoch: 0,
+        known: Ballot::default(),
+    };
+    for future in [u64::MAX, fleet_core::constants::EPOCH_LEAD_MAX + 1] {
+        assert!(!n.acceptor.prepare(&ask(future)).answer.ok);
+        let value = Accept {
+            key: KEY.into(),
+            membership: 1,
+            ballot: Ballot { n: future, node: 2, seq: 1 },
+            value: pack(&[7]),
+            recovery_epoch: 0,
+            same_as: None,
+        };
+        assert!(!n.acceptor.accept(&value).answer.ok);
+    }
+    assert!(n.acceptor.register(KEY).is_none());
+    assert!(n.acceptor.prepare(&ask(1)).answer.ok);
+}
--- a/crates/control-plane/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -1,7 +1,5 @@
 //! What each key holds, and the rules of changing it.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use super::history::{Finding, TakenConfig, TakenHistory};
 use fleet_core::configuration::{ConfigError, Configuration};
 use fleet_core::constants;
@@ -12,17 +10,22 @@
 };
 use prost::Message;
 
+/// Key of the operator's configuration.
 pub const CONFIG: &str = "config";
+/// Key of the membership of the controllers.
 pub const MEMBERSHIP: &str = "membership";
 
+/// Key of the weights named for a model.
 pub fn weights_key(model: &str) -> String {
     format!("weights/{model}")
 }
 
+/// The model of a key made by [`weights_key`].
 pub fn model_of(key: &str) -> Option<&str> {
     key.strip_prefix("weights/")
 }
 
+/// The key that a change is about.
 pub fn key_of(change: &ChangeKind) -> String {
     match change {
         ChangeKind::Replace(_) => CONFIG.to_owned(),
@@ -32,9 +35,12 @@
     }
 }
 
+/// What the owner of a key does with a change.
 #[derive(Debug, PartialEq)]
 pub enum Decision {
+    /// answers it without a new value
     Answer(Changed),
+    /// has this value chosen, and answers it then
     Write(bytes::Bytes, Changed),
 }
 
@@ -42,6 +48,7 @@
     Changed { outcome: outcome as i32, number, holder: String::new() }
 }
 
+/// The answer to a change of which nothing is known: it may yet be chosen.
 pub fn unknown() -> Changed {
     answer(Outcome::Unknown, 0)
 }
--- a/crates/control-plane/src/facts.rs
+++ b/crates/control-plane/src/facts.rs
@@ -1,26 +1,48 @@
 //! Events of a controller, and the view folded from them.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use fleet_core::wire::{Engine, Membership, NamedWeights, RingHead, View};
 
+/// Something that this controller learned and routers may have to hear of.
 #[derive(Debug, Clone)]
 pub enum Fact {
-    Config { version: u64, isolation: u64 },
-    Weights { model: String, version: u64 },
+    /// A configuration was chosen.
+    Config {
+        /// its number
+        version: u64,
+        /// isolation generation of its shared prompt parts
+        isolation: u64,
+    },
+    /// New weights were named.
+    Weights {
+        /// name of the model
+        model: String,
+        /// version that engines are to have
+        version: u64,
+    },
+    /// Another membership is in force.
     Membership(Membership),
+    /// An engine is known, or something of it has changed.
     Engine(Engine),
+    /// The ring of invalidations has moved on.
     Ring(RingHead),
+    /// So many routers are alive.
     Routers(u32),
 }
 
+/// All that this controller knows, folded from the facts.
 #[derive(Debug, Default)]
 pub struct Known {
+    /// version and isolation generation of the configuration
     pub config: Option<(u64, u64)>,
+    /// by model, the version named and when this controller heard of it
     pub weights: std::collections::BTreeMap<String, (u64, Option<tokio::time::Instant>)>,
+    /// the membership in force
     pub membership: Membership,
+    /// engines by id
     pub engines: std::collections::BTreeMap<String, Engine>,
+    /// where the ring of invalidations stands
     pub ring: Option<RingHead>,
+    /// how many routers are alive
     pub routers: u32,
 }
 
@@ -50,6 +72,7 @@
         Some(NamedWeights { model: model.to_owned(), version: *version, age_ms })
     }
 
+    /// Everything, for a router that has nothing yet.
     pub fn whole(&self) -> View {
         View {
             membership: Some(self.membership.clone()),
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -1,7 +1,5 @@
 //! Links to the controllers: views come in, signs of incarnation go out.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use crate::Router;
 use fleet_core::constants;
 use fleet_core::link::Link;
@@ -25,6 +23,7 @@
     out
 }
 
+/// Keeps the links to the controllers, and tells each once a second that this router is alive.
 pub async fn watching(d: Arc<Router>) {
     loop {
         let want = wanted(&d);
--- a/crates/data-plane/src/fleet_view/table.rs
+++ b/crates/data-plane/src/fleet_view/table.rs
@@ -1,19 +1,25 @@
 //! A configuration as requests ask for it.
 
-#![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
-
 use fleet_core::configuration::{ConfigError, Configuration, Kind, Limits, Route, Service};
 use std::sync::Arc;
 
+/// A tenant of the configuration.
 pub struct Tenant {
+    /// its name, as engines are told
     pub name: String,
+    /// rank of its requests, 0 is highest; goes before the route's
     pub priority: i64,
+    /// shares no prompt part with others
     pub isolated: bool,
 }
 
+/// One configuration, compiled for look-ups.
 pub struct Table {
+    /// number of the configuration
     pub version: u64,
+    /// isolation generation of the shared prompt parts
     pub isolation: u64,
+    /// what clients may send
     pub limits: Limits,
     routes: hashbrown::HashMap<String, Vec<Arc<Route>>, ahash::RandomState>,
     keys: hashbrown::HashMap<String, usize, ahash::RandomState>,
@@ -27,12 +33,19 @@
 /// May a second engine run it too?
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Repeat {
+    /// as often as the route allows
     Freely,
+    /// only behind the last event that the client got
     ByResuming,
+    /// at most once
     Never,
 }
 
 impl Table {
+    /// Reads and compiles a configuration.
+    ///
+    /// # Errors
+    /// What makes the body unreadable or invalid.
     pub fn compile(body: &[u8], isolation: u64) -> Result<Table, ConfigError> {
         let c = Configuration::read(body)?;
         let mut routes: hashbrown::HashMap<String, Vec<Arc<Route>>, ahash::RandomState> =
@@ -75,6 +88,7 @@
         })
     }
 
+    /// The route of a host with the longest prefix of the path; a port in `host` is left out.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(h, _)| h);
         let rows = self.routes.get(host).or_else(|| self.routes.get(name));
@@ -90,6 +104,7 @@
         !self.tenants.is_empty()
     }
 
+    /// Who holds this key.
     pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
         self.tenants.get(*self.keys.get(key)?)
     }
@@ -100,10 +115,12 @@
         least.is_none_or(|l| (r.priority, r.target_ms) < *l)
     }
 
+    /// A service by its name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
 
+    /// All stores of prompt parts.
     pub fn stores(&self) -> &[Service] {
         &self.stores
     }
@@ -123,6 +140,7 @@
     }
 }
 
+/// How often a request of this route may run.
 pub fn repeat(r: &Route) -> Repeat {
     match r.kind {
         Kind::Safe => Repeat::Freely,
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -42,6 +42,9 @@
 pub const ELECTION_QUIET: Duration = Duration::from_millis(300);
 /// ms; longest first pause before an election is tried again; doubles.
 pub const ELECTION_PAUSE_MS: u64 = 60;
+/// epochs; a ballot further ahead of what a voter knows is not one that elections brought about: a key sees a few
+/// elections a second at the worst, and a voter is away for days at the most.
+pub const EPOCH_LEAD_MAX: u64 = 1 << 24;
 /// times that a change is passed on before it is decided where it is.
 pub const CHANGE_HOPS: u32 = 2;
 /// times that a read looks at a quorum before it asks the owner to complete what is open.
