A controller with an empty disk links back to those that link to it

Change: without a vote, links also go to the controllers that opened one to here. Result: the cluster test fails without it and passes with it.

--- a/crates/control-plane/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -33,6 +33,8 @@
     /// no link comes up any more
     unlinked: std::sync::atomic::AtomicBool,
     zones: parking_lot::Mutex<BTreeMap<Ipv4Addr, String>>,
+    /// controllers that opened links to here: all that an empty disk may have, where the seeds have gone
+    callers: parking_lot::Mutex<BTreeSet<Ipv4Addr>>,
     incarnations: parking_lot::Mutex<hashbrown::HashMap<String, Incarnations>>,
     joiners: parking_lot::Mutex<BTreeMap<String, (fleet_core::wire::Member, tokio::time::Instant)>>,
     /// loads of engines, as routers and controllers tell them
@@ -53,7 +55,7 @@
 }
 
 impl Members {
-    /// Keeps one link to each member and seed.
+    /// Keeps one link to each member and, without a vote, to the seeds and to the controllers that call.
     pub fn relink(&self, s: &crate::Controller) {
         let p = s.settings();
         let mut want = BTreeSet::<Ipv4Addr>::new();
@@ -63,6 +65,9 @@
                 std::net::IpAddr::V4(ip) => Some(ip),
                 std::net::IpAddr::V6(_) => None,
             }));
+            want.extend(self.callers.lock().iter().copied());
+        } else {
+            self.callers.lock().clear();
         }
         want.remove(&s.node.ip);
         let mut links = self.links.lock();
@@ -109,7 +114,9 @@
 
     /// A router of the same machine has an incarnation of its own, which no disk ends.
     pub fn enter(&self, hello: &fleet_core::wire::Hello) {
+        let ip: Option<Ipv4Addr> = hello.ip.parse().ok();
         if hello.role == fleet_core::node::Role::Controller as u32 {
+            self.callers.lock().extend(ip);
             self.incarnations
                 .lock()
                 .entry_ref(hello.ip.as_str())
@@ -117,7 +124,7 @@
                 .seen
                 .insert(hello.incarnation);
         }
-        if let Ok(ip) = hello.ip.parse() {
+        if let Some(ip) = ip {
             self.zones.lock().insert(ip, hello.zone.clone());
         }
     }
--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -170,6 +170,24 @@
     read_everywhere(&cluster, &[1, 3], 8).await;
 }
 
+/// The seeds in the settings may be older than the members: then only these know where the others are.
+#[tokio::test(start_paused = true)]
+async fn a_lost_disk_is_read_back_where_all_other_seeds_have_gone() {
+    let mut cluster = Cluster::found(3, 8).await;
+    replace(&cluster, 1, 0, 7).await;
+    for (gone, successor) in [(2, 4), (3, 5)] {
+        cluster.crash(gone);
+        cluster.start_empty(successor).await;
+        cluster.settle().await;
+    }
+    assert_eq!(cluster.members(1), [1, 4, 5]);
+    cluster.crash(1);
+    cluster.start_empty(1).await;
+    cluster.settle().await;
+    cluster.crash(4);
+    read_everywhere(&cluster, &[1, 5], 7).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_lost_disk_is_read_back_with_a_configuration_of_megabytes() {
     let mut cluster = Cluster::found(3, 5).await;
