Where no engine is heard, those that broke and served nothing since are left out

Cause: a controller out of contact with a majority answers heartbeats with 503, so the engines go on to other controllers, and after 3.5 beats the router that reaches only this one has every engine as silent. Placement then took all of them alike, resting or not, and sent requests again and again to engines that had left meanwhile, at up to 0.4 s each.

Change: what speaks for an engine has three steps. First those that are heard and don't rest; then those of which one thing is doubtful; last those that are silent and have served nothing since a connection broke, also once their rest is over.

--- a/crates/data-plane/src/place/candidates.rs
+++ b/crates/data-plane/src/place/candidates.rs
@@ -4,6 +4,7 @@
 use crate::Router;
 use crate::fleet_view::Named;
 use crate::fleet_view::roll::{Roll, Row};
+use crate::pool::Health;
 use fleet_core::constants;
 use fleet_core::fleet;
 use fleet_core::wire::Standing;
@@ -18,10 +19,31 @@
     pub version: Option<u64>,
     /// it is about to get other weights
     pub fading: bool,
-    awake: bool,
+    liveness: Liveness,
 }
 
-/// Engines that may run the request; the silent and resting ones only if there are no others.
+/// What speaks for an engine being alive; the later, the more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Liveness {
+    /// No controller hears it, and it has served nothing since a connection broke.
+    Unlikely,
+    /// One of the two: a controller that is cut off hears no engine, and a connection may fail once.
+    Doubtful,
+    /// It is heard, and nothing broke lately.
+    Awake,
+}
+
+impl Liveness {
+    fn of(silent: bool, health: Health) -> Liveness {
+        match (silent, health) {
+            (false, Health::Sound | Health::Unproven) => Liveness::Awake,
+            (false, Health::Resting) | (true, Health::Sound) => Liveness::Doubtful,
+            (true, Health::Unproven | Health::Resting) => Liveness::Unlikely,
+        }
+    }
+}
+
+/// Engines that may run the request; those that are likely dead only if there are no others.
 pub fn candidates(
     router: &Router,
     roll: &Roll,
@@ -41,12 +63,17 @@
         }
         found.extend(weights.candidate(number, row, now));
     }
-    if found.iter().any(|candidate| candidate.awake) {
-        found.retain(|candidate| candidate.awake);
-    }
+    keep_liveliest(&mut found);
     found
 }
 
+/// Drops all but those that most speaks for.
+fn keep_liveliest(found: &mut Vec<Candidate>) {
+    if let Some(best) = found.iter().map(|candidate| candidate.liveness).max() {
+        found.retain(|candidate| candidate.liveness == best);
+    }
+}
+
 /// The weights that a request wants, and how long older ones may serve it.
 struct WantedWeights<'a> {
     model: Option<&'a str>,
@@ -75,7 +102,7 @@
             row: number,
             version,
             fading: marked && self.model.is_some_and(is_fading),
-            awake: !row.news.silent && !row.engine.is_resting(now),
+            liveness: Liveness::of(row.news.silent, row.engine.health(now)),
         })
     }
 }
--- a/crates/data-plane/src/place/candidates_tests.rs
+++ b/crates/data-plane/src/place/candidates_tests.rs
@@ -12,3 +12,36 @@
     assert!(version_allowed(3, named, t + Duration::from_secs(60), bound));
     assert!(version_allowed(1, None, t, bound));
 }
+
+/// Rows that stay of these engines, each told as silent or not and with what its connections tell.
+fn kept(engines: &[(bool, Health)]) -> Vec<usize> {
+    let candidate = |(row, (silent, health)): (usize, &(bool, Health))| Candidate {
+        row,
+        version: None,
+        fading: false,
+        liveness: Liveness::of(*silent, *health),
+    };
+    let mut found: Vec<Candidate> = engines.iter().enumerate().map(candidate).collect();
+    keep_liveliest(&mut found);
+    found.iter().map(|candidate| candidate.row).collect()
+}
+
+#[test]
+fn where_no_engine_is_heard_those_that_broke_and_served_nothing_since_are_left_out() {
+    use Health::{Resting, Sound, Unproven};
+    assert_eq!(kept(&[(true, Sound), (true, Resting), (true, Sound)]), [0, 2]);
+    assert_eq!(kept(&[(true, Sound), (true, Unproven)]), [0]);
+    assert_eq!(kept(&[(true, Resting), (false, Resting), (true, Sound)]), [1, 2]);
+}
+
+#[test]
+fn an_engine_that_is_heard_and_does_not_rest_goes_before_all_others() {
+    use Health::{Resting, Sound, Unproven};
+    assert_eq!(kept(&[(true, Sound), (false, Sound), (false, Resting)]), [1]);
+    assert_eq!(kept(&[(true, Sound), (false, Unproven), (true, Unproven)]), [1]);
+}
+
+#[test]
+fn the_likely_dead_are_tried_where_there_are_no_others() {
+    assert_eq!(kept(&[(true, Health::Resting), (true, Health::Unproven)]), [0, 1]);
+}
--- a/crates/data-plane/src/pool/engine.rs
+++ b/crates/data-plane/src/pool/engine.rs
@@ -103,6 +103,17 @@
     pub(super) open: AtomicU32,
 }
 
+/// What the connections of this router tell of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It served since it last broke a connection, or never broke one.
+    Sound,
+    /// It broke a connection or let none come up, and was left alone since; it has served nothing yet.
+    Unproven,
+    /// It broke a connection or let none come up a short time ago, and is left alone.
+    Resting,
+}
+
 impl EngineHandle {
     /// An engine that was just heard of; none if its address is none.
     pub fn new(e: &Engine) -> Option<EngineHandle> {
@@ -178,6 +189,16 @@
         self.work().rest_until.is_some_and(|t| now < t)
     }
 
+    /// What its connections tell of it.
+    pub fn health(&self, now: Instant) -> Health {
+        let work = self.work();
+        match work.rest_until {
+            None => Health::Sound,
+            Some(until) if now < until => Health::Resting,
+            Some(_) => Health::Unproven,
+        }
+    }
+
     /// Broke a connection or let none come up: left alone for a while, longer each time.
     pub fn broke(&self, now: Instant) {
         let mut w = self.work();
--- a/crates/data-plane/src/pool/engine_tests.rs
+++ b/crates/data-plane/src/pool/engine_tests.rs
@@ -26,6 +26,17 @@
     assert!(!s.is_resting(t + constants::ENGINE_REST));
 }
 
+#[test]
+fn unproven_from_a_break_until_it_serves() {
+    let (engine, start) = (engine(), Instant::now());
+    assert_eq!(engine.health(start), Health::Sound);
+    engine.broke(start);
+    assert_eq!(engine.health(start), Health::Resting);
+    assert_eq!(engine.health(start + constants::ENGINE_REST_MAX * 9), Health::Unproven);
+    engine.served();
+    assert_eq!(engine.health(start), Health::Sound);
+}
+
 #[tokio::test(start_paused = true)]
 async fn newcomer_is_warm_after_a_while_and_reports_its_first_answers_once() {
     let s = engine();
--- a/crates/data-plane/src/pool/mod.rs
+++ b/crates/data-plane/src/pool/mod.rs
@@ -4,7 +4,7 @@
 pub mod engine;
 pub mod idle_life;
 
-pub use engine::{EngineHandle, Told, Work};
+pub use engine::{EngineHandle, Health, Told, Work};
 
 use fleet_core::constants;
 use fleet_core::wire::Standing;
