Members.Look: the control plane as a controller sees it, made when asked

Cause: an operator could not see who votes, who lags, who owns a key or holds a duty without reading the logs of all controllers.

Change: GET /anisedyke/Members.Look.

--- /dev/null
+++ b/crates/control-plane/src/api/members.rs
@@ -0,0 +1,14 @@
+//! The control plane as this controller sees it; read-only.
+
+use super::{Context, json};
+use http::StatusCode;
+
+#[dropshot::endpoint { method = GET, path = "/anisedyke/Members.Look" }]
+pub async fn look(
+    rq: dropshot::RequestContext<Context>,
+) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
+    let view = crate::service::members::look(rq.context()).await;
+    let body = serde_json::to_string(&view)
+        .map_err(|error| dropshot::HttpError::for_internal_error(error.to_string()))?;
+    json(StatusCode::OK, body)
+}
--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod fleet;
 mod instances;
+mod members;
 mod rollout;
 mod weights;
 
@@ -75,7 +76,8 @@
         .and_then(|()| api.register(config::fetch))
         .and_then(|()| api.register(weights::put))
         .and_then(|()| api.register(fleet::look))
-        .and_then(|()| api.register(rollout::look));
+        .and_then(|()| api.register(rollout::look))
+        .and_then(|()| api.register(members::look));
     registered.map_err(|e| std::io::Error::other(e.to_string()))?;
     let settings = dropshot::ConfigDropshot {
         bind_address: at,
--- a/crates/control-plane/src/contact.rs
+++ b/crates/control-plane/src/contact.rs
@@ -30,6 +30,11 @@
         begun.get(majority - 1).map(|oldest| *oldest + span)
     }
 
+    /// When the last call began that this voter answered.
+    pub fn last_answer(&self, voter: u64) -> Option<Instant> {
+        self.answered.get(&voter).copied()
+    }
+
     /// Those that vote no longer are forgotten.
     pub fn retain(&mut self, voters: &[u64]) {
         self.answered.retain(|v, _| voters.contains(v));
@@ -58,6 +63,11 @@
     pub fn in_contact(&self) -> bool {
         self.contact_until().is_some_and(|t| Instant::now() < t)
     }
+
+    /// Age of the last answer of a voter; none if it has not answered since the start.
+    pub fn last_answer_age(&self, voter: u64) -> Option<Duration> {
+        self.contact.lock().last_answer(voter).map(|begun| begun.elapsed())
+    }
 }
 
 /// Looks whether contact stands. The learner's rounds keep it up; only where these are late does this
--- a/crates/control-plane/src/control/values.rs
+++ b/crates/control-plane/src/control/values.rs
@@ -25,12 +25,17 @@
     key.strip_prefix("weights/")
 }
 
+/// The key that holds a duty's fencing token.
+pub fn duty_key(duty: &str) -> String {
+    format!("duty/{duty}")
+}
+
 /// The key that a change is about.
 pub fn key_of(change: &ChangeKind) -> String {
     match change {
         ChangeKind::Replace(_) => CONFIG.to_owned(),
         ChangeKind::Name(n) => weights_key(&n.model),
-        ChangeKind::Raise(r) => format!("duty/{}", r.duty),
+        ChangeKind::Raise(r) => duty_key(&r.duty),
         ChangeKind::Confirm(key) => key.clone(),
     }
 }
--- a/crates/control-plane/src/duties/lease.rs
+++ b/crates/control-plane/src/duties/lease.rs
@@ -77,6 +77,13 @@
         true
     }
 
+    /// Which node has the lease by these grants, and until when.
+    pub fn granted(&self, duty: &str, now: Instant) -> Option<(&str, Instant)> {
+        let running = self.table.get(duty)?.iter().filter(|grant| now < grant.until);
+        let latest = running.max_by_key(|grant| grant.until)?;
+        Some((&latest.node, latest.until))
+    }
+
     /// Nobody of another node is known to hold it.
     pub fn is_free(&self, duty: &str, node: &str, now: Instant) -> bool {
         let grants = self.table.get(duty);
--- a/crates/control-plane/src/duties/mod.rs
+++ b/crates/control-plane/src/duties/mod.rs
@@ -58,6 +58,12 @@
         self.mandate(duty).map(|m| m.fence)
     }
 
+    /// Which node this member granted a duty to, and until when, if that lease runs.
+    pub fn granted(&self, duty: &str, now: Instant) -> Option<(String, Instant)> {
+        let grantor = self.grantor.lock();
+        grantor.granted(duty, now).map(|(node, until)| (node.to_owned(), until))
+    }
+
     fn with<T>(&self, duty: &'static str, f: impl FnOnce(&mut Holder) -> T) -> T {
         f(self.holders.lock().entry(duty).or_insert_with(|| Holder::new(0)))
     }
--- a/crates/control-plane/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -100,7 +100,7 @@
     }
 
     /// The zone that a process at this address told.
-    fn zone_of(&self, ip: Ipv4Addr) -> Option<String> {
+    pub(crate) fn zone_of(&self, ip: Ipv4Addr) -> Option<String> {
         self.zones.lock().get(&ip).cloned()
     }
 
--- a/crates/control-plane/src/members/register_reads.rs
+++ b/crates/control-plane/src/members/register_reads.rs
@@ -20,6 +20,14 @@
     Fetched { known: register.is_some(), register }
 }
 
+impl Controller {
+    /// The value of [`fetched`], if the key is known here.
+    pub(crate) fn newest_value(self: &Arc<Self>, key: &str) -> Option<bytes::Bytes> {
+        let register = fetched(self, Fetch { key: key.to_owned() }).register?;
+        Some(register.value)
+    }
+}
+
 /// Part of an accepted value, for the member at `peer` that reads its state back.
 pub fn piece(s: &Arc<Controller>, peer: &str, ask: &FetchPiece) -> Piece {
     let current = s.acceptor.lock().register(&ask.key).cloned();
--- a/crates/control-plane/src/service/mod.rs
+++ b/crates/control-plane/src/service/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod configuration;
 pub mod instances;
+pub mod members;
 pub mod weights;
 
 use crate::Controller;
--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -3,6 +3,8 @@
 
 #[path = "cluster/leases.rs"]
 mod leases;
+#[path = "cluster/members.rs"]
+mod members;
 mod stand;
 
 use bytes::Bytes;
