--- a/crates/fleetctl/src/main.rs
+++ b/crates/fleetctl/src/main.rs
@@ -1,4 +1,5 @@
-//! `fleetctl check FILE --control ADDR[,ADDR…]` and `fleetctl rollout --control ADDR[,ADDR…]`
+//! `fleetctl check FILE --control ADDR[,ADDR…]`, `fleetctl rollout --control ADDR[,ADDR…]` and
+//! `fleetctl members --control ADDR[,ADDR…]`
 
 use fleetctl::report;
 use gumdrop::Options;
@@ -22,6 +23,8 @@
     Check(Check),
     /// tell how far named weights have come
     Rollout(Rollout),
+    /// tell how the control plane stands
+    Members(Members),
 }
 
 #[derive(Debug, Options)]
@@ -63,12 +66,28 @@
     limit_ms: u64,
 }
 
+#[derive(Debug, Options)]
+struct Members {
+    /// print this help
+    help: bool,
+    /// control addresses; each is asked, and the voters that they name
+    #[options(meta = "ADDR[,ADDR...]", required)]
+    control: String,
+    /// print the view as JSON
+    #[options(no_short)]
+    json: bool,
+    /// longest wait for each call
+    #[options(no_short, meta = "MS", default = "2000")]
+    limit_ms: u64,
+}
+
 /// Between two looks at a roll-out that is watched.
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
 const USAGE: &str =
     "usage: fleetctl check FILE --control ADDR[,ADDR...] [--json] [--strict] [--limit-ms MS]
-       fleetctl rollout --control ADDR[,ADDR...] [--watch] [--json] [--limit-ms MS]";
+       fleetctl rollout --control ADDR[,ADDR...] [--watch] [--json] [--limit-ms MS]
+       fleetctl members --control ADDR[,ADDR...] [--json] [--limit-ms MS]";
 
 /// Why nothing could be checked; printed, and turned into an exit code.
 struct Unchecked(String);
@@ -131,12 +150,25 @@
     }
 }
 
+fn members(options: &Members) -> Result<u8, Unchecked> {
+    let nodes = control_addresses(&options.control)?;
+    let limit = Duration::from_millis(options.limit_ms);
+    let members = build_runtime()?.block_on(fleetctl::members::ask(&nodes, limit))?;
+    if options.json {
+        println!("{}", members.json());
+    } else {
+        print!("{}", members.text());
+    }
+    Ok(members.exit())
+}
+
 fn print_help() {
     println!(
-        "{USAGE}\n\n{}\n\ncheck:\n{}\n\nrollout:\n{}\n\nexit codes: 0 clean, 1 findings, 2 could not check",
+        "{USAGE}\n\n{}\n\ncheck:\n{}\n\nrollout:\n{}\n\nmembers:\n{}\n\nexit codes: 0 clean, 1 findings, 2 could not check",
         CommandLine::usage(),
         Check::usage(),
-        Rollout::usage()
+        Rollout::usage(),
+        Members::usage()
     );
 }
 
@@ -155,6 +187,7 @@
     match command_line.verb {
         Some(Verb::Check(options)) => check(&options),
         Some(Verb::Rollout(options)) => rollout(&options),
+        Some(Verb::Members(options)) => members(&options),
         None => {
             print_help();
             Ok(report::UNCHECKED)
--- /dev/null
+++ b/crates/fleetctl/tests/members.rs
@@ -0,0 +1,83 @@
+//! The control plane as several nodes tell it, some of them cut off, gone or garbled.
+
+mod stand;
+
+use fleetctl::ask::AskError;
+use fleetctl::members::{Verdict, ask};
+use stand::{nowhere, ok};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+async fn node(body: String) -> SocketAddr {
+    stand::node(move |head| {
+        assert!(head.starts_with("GET /anisedyke/Members.Look "));
+        ok(&body)
+    })
+    .await
+}
+
+/// Voters 1 to 3, of which the first so many answer; `control` is where voter 2 takes calls.
+fn told(teller: u8, in_contact: bool, voting: usize, control: &str) -> String {
+    let voters: Vec<_> = (1..=3)
+        .map(|n| {
+            let behind = (n == 2).then(|| serde_json::json!({"epochs": 1, "rounds": 4}));
+            serde_json::json!({"ip": format!("10.0.0.{n}"), "zone": "z",
+                "control": if n == 2 { control } else { "" }, "joinedEpoch": 0,
+                "answered": n <= voting, "lastAnswerMs": 5300, "votes": n <= voting,
+                "membershipEpoch": 1, "recoveryEpoch": 0, "config": null, "behind": behind})
+        })
+        .collect();
+    let granted = serde_json::json!({"node": "n1", "leftMs": 1000 + u64::from(teller)});
+    serde_json::json!({
+        "name": format!("n{teller}"), "ip": format!("10.0.0.{teller}"), "inContact": in_contact,
+        "votes": true, "leaving": false, "disk": "works", "membershipEpoch": 1,
+        "recoveryEpoch": 0, "toleratedLosses": 1, "config": null, "voters": voters,
+        "keys": [{"key": "config", "owner": "10.0.0.1", "epoch": 6}],
+        "duties": [{"duty": "roll-out", "holder": "n1", "fence": 9, "acts": false,
+            "granted": granted}],
+    })
+    .to_string()
+}
+
+#[tokio::test]
+async fn a_node_in_contact_is_believed_and_the_voters_it_names_are_asked_too() {
+    let second = node(told(2, true, 3, "")).await;
+    let first = node(told(1, true, 3, &second.to_string())).await;
+    let cut_off = node(told(3, false, 1, "")).await;
+    let members = ask(&[nowhere(), cut_off, first], LIMIT).await.unwrap();
+    assert_eq!((members.verdict(), members.exit()), (Verdict::Healthy, 0));
+    let text = members.text();
+    for part in [
+        "healthy: 3 of 3 voters vote, a quorum is 2",
+        "voter 10.0.0.2 in z: votes, config 1 epochs and 4 rounds behind",
+        "recovery epoch 0, out of contact",
+        "key config: owner 10.0.0.1, epoch 6",
+        "duty roll-out: holder n1, fencing token 9, granted by 3 for up to 1003 ms more",
+    ] {
+        assert!(text.contains(part), "{part}\n{text}");
+    }
+    let json: serde_json::Value = serde_json::from_str(&members.json()).unwrap();
+    assert_eq!((&json["verdict"], &json["voting"]), (&"healthy".into(), &3.into()));
+    assert_eq!(json["nodes"].as_array().unwrap().len(), 4);
+}
+
+#[tokio::test]
+async fn a_view_without_spare_voters_is_a_finding() {
+    for (voting, verdict) in [(2, Verdict::AtRisk), (1, Verdict::NoQuorum)] {
+        let first = node(told(1, voting > 1, voting, "")).await;
+        let members = ask(&[first], LIMIT).await.unwrap();
+        assert_eq!((members.verdict(), members.exit()), (verdict, 1));
+        assert!(members.text().contains("voter 10.0.0.3 in z: no answer, the last one 5300 ms"));
+    }
+}
+
+#[tokio::test]
+async fn nobody_to_ask_is_an_error_that_names_each() {
+    let (garbled, gone) = (node("[]".to_owned()).await, nowhere());
+    let Err(AskError::Unreachable(why)) = ask(&[gone, garbled], LIMIT).await else {
+        panic!("nobody answered well");
+    };
+    assert!(why.contains(&gone.to_string()) && why.contains("can't be read"), "{why}");
+}
