A duty given back on leaving is logged as ended

Cause: a controller that stops dropped its leases without event 241, so that its log showed them as held.

Change: giving back and running out share one function, which logs 241 if the duty was held.

Result: the new test failed without the change and passes with it; the cluster tests pass.

--- a/crates/control-plane/src/duties/holding.rs
+++ b/crates/control-plane/src/duties/holding.rs
@@ -55,7 +55,7 @@
 /// Gives all duties back: nothing is done under them from here on.
 pub async fn leave_all(s: &Arc<Controller>) {
     for duty in [ROLL_OUT, INDEX_KEEPER] {
-        if s.duties.with(duty, |h| h.drop_lease()) {
+        if lapse(s, duty) {
             ask(s, duty, true, constants::PHASE_LIMIT).await;
         }
     }
@@ -79,7 +79,9 @@
                 }
             }
             Step::Record(id) => record(&s, duty, id).await,
-            Step::Lapsed => lapse(&s, duty),
+            Step::Lapsed => {
+                lapse(&s, duty);
+            }
             Step::Rest(until) => {
                 pause = until.map_or(pause, |t| pause.min(t.saturating_duration_since(now)));
             }
@@ -87,9 +89,13 @@
     }
 }
 
-fn lapse(s: &Controller, duty: &'static str) {
-    s.duties.with(duty, |h| h.drop_lease());
-    fleet_core::log_event!(s.log, Event::DutyLeft, "duty" => duty);
+/// Acts under the duty no longer; whether this node held it.
+fn lapse(s: &Controller, duty: &'static str) -> bool {
+    let held = s.duties.with(duty, |h| h.drop_lease());
+    if held {
+        fleet_core::log_event!(s.log, Event::DutyLeft, "duty" => duty);
+    }
+    held
 }
 
 async fn try_to_take(s: &Arc<Controller>, duty: &'static str, terms: Terms) {
@@ -128,7 +134,9 @@
 async fn record(s: &Arc<Controller>, duty: &'static str, id: RaiseId) {
     match raise(s, duty, id, true).await.outcome() {
         Outcome::Done => s.duties.with(duty, |h| h.recorded(id)),
-        Outcome::Stale => lapse(s, duty),
+        Outcome::Stale => {
+            lapse(s, duty);
+        }
         Outcome::Unknown | Outcome::Unproven | Outcome::Invalid => {}
     }
 }
--- a/crates/control-plane/tests/cluster/leases.rs
+++ b/crates/control-plane/tests/cluster/leases.rs
@@ -76,6 +76,16 @@
     assert_eq!(cluster.controller(first).duties.fence(ROLL_OUT), None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_duty_given_back_is_logged_as_ended() {
+    let cluster = Cluster::found(3, 32).await;
+    let (first, _) = next_holder(&cluster, &[1, 2, 3]).await;
+    let ended = format!("n{first} duty lease ended");
+    assert!(cluster.trace.lines().iter().all(|line| !line.ends_with(&ended)));
+    cluster.leave(first).await;
+    assert!(cluster.trace.lines().iter().any(|line| line.ends_with(&ended)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn contact_ends_with_the_majority_and_comes_back_with_it() {
     let mut cluster = Cluster::found(3, 41).await;
