--- a/crates/control-plane/tests/contact.rs
+++ b/crates/control-plane/tests/contact.rs
@@ -88,12 +88,31 @@
     assert!(fetched.0 == 503 && fetched.1.contains(NO_CONTACT), "{fetched:?}");
     let look = s.answers(http::Method::GET, "/anisedyke/Fleet.Look", "").await;
     assert!(look.0 == 200 && look.1.contains("i-1"), "{look:?}");
+    let members = s.answers(http::Method::GET, "/anisedyke/Members.Look", "").await;
+    assert!(members.0 == 200 && members.1.contains(r#""inContact":false"#), "{members:?}");
     let left = s.answers(post, "/anisedyke/Instances.Deregister/i-1", "").await;
     assert!(left.0 == 503 && left.1.contains(NO_CONTACT), "{left:?}");
     let look = s.answers(http::Method::GET, "/anisedyke/Fleet.Look", "").await;
     assert!(look.1.contains("gone"), "{look:?}");
 }
 
+/// What is wrong in itself no other node would take either.
+#[tokio::test]
+async fn what_is_malformed_is_told_so_also_out_of_contact() {
+    let s = Running::start(3, 3);
+    for path in ["Instances.Heartbeat/i-1", "Instances.Deregister/i-1"] {
+        let told = s.answers(http::Method::POST, &format!("/anisedyke/{path}"), "{").await;
+        assert!(told.0 == 400 && told.1.contains("malformed"), "{path}: {told:?}");
+        let large = " ".repeat(fleet_core::constants::BEAT_BYTES + 1);
+        let told = s.answers(http::Method::POST, &format!("/anisedyke/{path}"), &large).await;
+        assert!(told.0 == 413 && told.1.contains("too_large"), "{path}: {told:?}");
+    }
+    for path in ["Config.Replace", "version-put"] {
+        let told = s.answers(http::Method::POST, &format!("/anisedyke/{path}"), "{").await;
+        assert!(told.0 == 503 && told.1.contains(NO_CONTACT), "{path}: {told:?}");
+    }
+}
+
 #[tokio::test]
 async fn in_contact_heartbeats_and_changes_are_acknowledged() {
     let s = Running::start(2, 1);
@@ -104,4 +123,6 @@
     assert_eq!(replaced.0, 200, "{}", replaced.1);
     let fetched = s.answers(http::Method::GET, "/anisedyke/Config.Fetch", "").await;
     assert_eq!(fetched, (200, CONFIGURATION.to_owned()));
+    let members = s.answers(http::Method::GET, "/anisedyke/Members.Look", "").await;
+    assert!(members.0 == 200 && members.1.contains(r#""inContact":true"#), "{members:?}");
 }
