A disk that hangs takes its member's vote and its keys, as one that refuses does

Cause: is_broken was set only when a write came back with an error. An owner whose disk hung kept its keys: an order at its node ended after 900 ms without an answer, its duty leases were renewed for ever (they need no disk), and it said yes to pre-votes though it could not vote. Change: MonitoredDisk stands before the queue of records; one that waits longer than DISK_LIMIT (350 ms, more behind large values) counts as broken until it is through. Without the mend four of the cluster tests failed (order at the owner: no answer after 900 ms; no event; no other holder within 15 s; pre-vote yes). With it, orders at each of three nodes, 0, 200, 600 and 5000 ms after the disk hung, are acknowledged within 1 s of paused time. Control-plane tests pass. The fleet of the operator tests now waits until its links are up: a record is watched by a task of its own, so a start yields also where the disk is ready at once, and the first controller found nobody listening. The time that the test measures begins after that, as before.

--- a/crates/control-plane/src/control/owner.rs
+++ b/crates/control-plane/src/control/owner.rs
@@ -57,7 +57,8 @@
 pub fn pre_vote(controller: &Controller, ask: &PreVote) -> PreVoted {
     let (eligible, promised, bytes) = {
         let acceptor = controller.acceptor.lock();
-        let eligible = acceptor.votes() && acceptor.membership().epoch == ask.membership;
+        let votes = acceptor.votes() && !controller.disk_broken();
+        let eligible = votes && acceptor.membership().epoch == ask.membership;
         let bytes = acceptor.register(&ask.key).map_or(0, |r| r.value.len());
         (eligible, acceptor.promised(&ask.key), bytes)
     };
@@ -211,7 +212,7 @@
 async fn elect(controller: &Arc<Controller>, key: &str) -> Result<Proposer, ProposalError> {
     let (scope, above) = {
         let acceptor = controller.acceptor.lock();
-        if !acceptor.votes() {
+        if !acceptor.votes() || controller.disk_broken() {
             return Err(ProposalError::NoOwnVote);
         }
         let scope = Scope {
@@ -255,6 +256,9 @@
 ) -> Result<Changed, ProposalError> {
     let slot = controller.owners.slot(key);
     let mut slot = slot.lock().await;
+    if controller.disk_broken() {
+        return Err(ProposalError::NoOwnVote);
+    }
     let owned = slot.take().filter(|proposer| stands(controller, key, proposer));
     let mut owned = match owned {
         Some(proposer) => {
--- a/crates/control-plane/src/disk/mod.rs
+++ b/crates/control-plane/src/disk/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod files;
 pub mod format;
+pub mod monitor;
 pub mod storage;
 pub mod writer;
 
--- a/crates/control-plane/src/duties/holding.rs
+++ b/crates/control-plane/src/duties/holding.rs
@@ -74,7 +74,7 @@
             Step::Ask => try_to_take(&s, duty, terms).await,
             Step::Renew => {
                 pause = constants::RENEW_TICK;
-                if ask(&s, duty, false, constants::RENEW_LIMIT).await {
+                if !s.disk_broken() && ask(&s, duty, false, constants::RENEW_LIMIT).await {
                     s.duties.with(duty, |h| h.renewed(now, Instant::now(), terms));
                 }
             }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -43,7 +43,7 @@
     settings: parking_lot::RwLock<Arc<fleet_core::settings::Settings>>,
     /// its vote, and what it voted for
     pub acceptor: parking_lot::Mutex<control::acceptor::Acceptor>,
-    disk: Arc<dyn disk::RecordQueue>,
+    disk: disk::monitor::MonitoredDisk,
     /// where links, engines and stores are reached
     pub transport: Arc<dyn fleet_core::transport::Transport>,
     /// keys that it owns
@@ -83,7 +83,7 @@
         self.draw() % below.max(1)
     }
 
-    /// Whether the disk refused the last write.
+    /// Whether the disk refused the last write, or one hangs: this controller can't vote then.
     pub fn disk_broken(&self) -> bool {
         self.disk.is_broken()
     }
--- a/crates/control-plane/src/running.rs
+++ b/crates/control-plane/src/running.rs
@@ -87,7 +87,7 @@
             owners: control::owner::Owners::default(),
             acceptor: parking_lot::Mutex::new(acceptor),
             settings: parking_lot::RwLock::new(Arc::new(settings)),
-            disk: environment.disk,
+            disk: crate::disk::monitor::MonitoredDisk::new(environment.disk, log.clone()),
             transport: environment.transport,
             node,
             log,
--- a/crates/control-plane/tests/cluster/leases.rs
+++ b/crates/control-plane/tests/cluster/leases.rs
@@ -9,7 +9,7 @@
 
 const TICK: Duration = Duration::from_millis(20);
 /// As the settings have it where they name none.
-const LEASE: Duration = Duration::from_secs(3);
+pub const LEASE: Duration = Duration::from_secs(3);
 
 /// Who may give orders now, and under which fence.
 fn holder(cluster: &Cluster, nodes: &[usize]) -> Option<(usize, u64)> {
@@ -21,7 +21,7 @@
 }
 
 /// Waits for somebody who may give orders.
-async fn next_holder(cluster: &Cluster, nodes: &[usize]) -> (usize, u64) {
+pub async fn next_holder(cluster: &Cluster, nodes: &[usize]) -> (usize, u64) {
     let end = Instant::now() + LEASE * 5;
     loop {
         if let Some(held) = holder(cluster, nodes) {
@@ -32,7 +32,7 @@
     }
 }
 
-fn others(size: usize, node: usize) -> Vec<usize> {
+pub fn others(size: usize, node: usize) -> Vec<usize> {
     (1..=size).filter(|n| *n != node).collect()
 }
 
--- a/crates/control-plane/tests/memory/mod.rs
+++ b/crates/control-plane/tests/memory/mod.rs
@@ -80,6 +80,8 @@
 /// A controller without a disk, and so without a vote.
 pub const WITHOUT_VOTE: u8 = 9;
 const PORT: u16 = 7000;
+/// Time after which all links are up.
+const LINKED: Duration = Duration::from_secs(2);
 
 fn ip(last: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, last)
@@ -110,7 +112,7 @@
 }
 
 impl Fleet {
-    /// All start for the first time.
+    /// All start for the first time, and are linked.
     pub async fn start() -> Fleet {
         let network = Arc::new(Network::default());
         let mut running = HashMap::new();
@@ -127,6 +129,8 @@
             let started = Controller::start(settings(last), log, environment).await.unwrap();
             running.insert(last, started);
         }
+        // who started first found nobody listening, and tries again
+        tokio::time::sleep(LINKED).await;
         Fleet { network, running }
     }
 
--- a/crates/control-plane/tests/stand/disk.rs
+++ b/crates/control-plane/tests/stand/disk.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// Time that a record takes to be durable.
 const WRITE: Duration = Duration::from_millis(2);
@@ -21,6 +21,7 @@
 pub struct MemoryDisk {
     jobs: mpsc::UnboundedSender<Job>,
     image: Arc<Mutex<State>>,
+    hangs: watch::Sender<bool>,
     task: tokio::task::AbortHandle,
 }
 
@@ -28,8 +29,15 @@
     pub fn start(node: usize, state: State, trace: Trace) -> MemoryDisk {
         let (jobs, queue) = mpsc::unbounded_channel();
         let image = Arc::new(Mutex::new(state));
-        let task = tokio::spawn(write(node, queue, image.clone(), trace)).abort_handle();
-        MemoryDisk { jobs, image, task }
+        let hangs = watch::Sender::new(false);
+        let writing = write(node, queue, image.clone(), hangs.subscribe(), trace);
+        let task = tokio::spawn(writing).abort_handle();
+        MemoryDisk { jobs, image, hangs, task }
+    }
+
+    /// From now on records are queued and not written, or written again.
+    pub fn hang(&self, hangs: bool) {
+        self.hangs.send_replace(hangs);
     }
 
     /// Takes no more; gives what is on it.
@@ -43,9 +51,13 @@
     node: usize,
     mut queue: mpsc::UnboundedReceiver<Job>,
     image: Arc<Mutex<State>>,
+    mut hangs: watch::Receiver<bool>,
     trace: Trace,
 ) {
     while let Some(Job { record, done }) = queue.recv().await {
+        if hangs.wait_for(|hangs| !*hangs).await.is_err() {
+            return;
+        }
         tokio::time::sleep(WRITE).await;
         image.lock().apply(&record);
         let hash = fleet_core::node::stable_hash(&[&record.encode_to_vec()]);
--- a/crates/control-plane/tests/stand/mod.rs
+++ b/crates/control-plane/tests/stand/mod.rs
@@ -151,6 +151,12 @@
         self.trace.add(node, "disk stopped");
     }
 
+    /// The node's disk hangs: records wait, and none is refused. Or it works again.
+    pub fn hang_disk(&self, node: usize, hangs: bool) {
+        self.started[&node].disk.hang(hangs);
+        self.trace.add(node, if hangs { "disk hangs" } else { "disk works" });
+    }
+
     /// Nodes in the membership as this one knows it.
     pub fn members(&self, node: usize) -> Vec<usize> {
         let acceptor = self.controller(node).acceptor.lock();
--- a/crates/fleet-core/src/constants/control.rs
+++ b/crates/fleet-core/src/constants/control.rs
@@ -12,6 +12,10 @@
 pub const DUEL_PAUSE_MS: u64 = 40;
 /// ms; how often a controller compares what it knows with what its peers hold.
 pub const LEARN_PAUSE: Duration = Duration::from_millis(500);
+/// ms; a record that waits longer counts as one that hangs: below the limit of a phase, so that an owner
+/// whose own vote didn't come in time knows why. A slowed disk takes half of it for the sync under way and
+/// half for the record's own.
+pub const DISK_LIMIT: Duration = Duration::from_millis(350);
 /// ms; how often a refused disk is tried again.
 pub const DISK_RETRY: Duration = Duration::from_millis(300);
 /// bytes; a slot is laid down in full at first start so that a full disk stops nothing; it is laid
@@ -52,6 +56,11 @@
 /// ms; longest first pause between two looks of a read; doubles. A round takes two syncs and a round trip.
 pub const READ_PAUSE_MS: u64 = 20;
 
+/// ms; longest that a working disk takes for this many bytes of queued records.
+pub fn disk_limit(bytes: usize) -> Duration {
+    DISK_LIMIT + Duration::from_millis(bytes as u64 / VALUE_BYTES_PER_MS)
+}
+
 /// ms; limit of one round that carries a value of so many bytes.
 pub fn phase_limit(bytes: usize) -> Duration {
     PHASE_LIMIT + Duration::from_millis(bytes as u64 / VALUE_BYTES_PER_MS)
