A successor from another zone has its place when the lost member stops counting

Cause: a joiner of another zone waited until the lost member had been silent for 7 s, whoever it was. Change: a joiner tells how long its process has run. One that started after the member fell silent is most likely its successor and waits catchUpS - 2.5 s of silence, 3 s at least; one that ran before stands by and waits 7 s as before, also where this node has never heard the member. bounds.catchUpS is read (4 s if not told). The waiting joiners have a module of their own. Result: the cluster test (four pairs of losses, three starts of the successor, all zones different) failed with no_contact for ever, and passes; a stand-by still takes no place in a restart of 5 s.

--- a/crates/control-plane/src/members/exchange.rs
+++ b/crates/control-plane/src/members/exchange.rs
@@ -32,12 +32,37 @@
     pub member: Member,
     /// How long its link has brought nothing.
     pub silent: Duration,
+    /// Whether its link has ever brought anything: only then is it known when it fell silent.
+    pub heard: bool,
     /// Whether it votes now.
     pub votes: bool,
     /// How long it has not been seen to vote.
     pub mute: Duration,
 }
 
+/// A controller that waits to be taken in.
+#[derive(Debug, Clone)]
+pub struct Joiner {
+    /// Who it is.
+    pub member: Member,
+    /// How long its process has run.
+    pub running: Duration,
+}
+
+impl Joiner {
+    /// A process that started after the member fell silent is most likely its successor. One that ran
+    /// before has stood by, and tells nothing about whether the member comes back.
+    fn succeeds(&self, lost: &Seen) -> bool {
+        lost.heard && self.running < lost.silent
+    }
+}
+
+/// Silence after which a successor from another zone may take a member's place: so that it votes when the
+/// lost one stops counting, and no shorter than for a joiner of its own zone, since members restart.
+pub fn successor_wait(catch_up: Duration) -> Duration {
+    catch_up.saturating_sub(constants::EXCHANGE_TIME).max(constants::MEMBER_SILENT_ZONE)
+}
+
 /// All that the next membership depends on.
 pub struct Situation<'a> {
     /// In force.
@@ -45,9 +70,11 @@
     /// Its members.
     pub members: &'a [Seen],
     /// Who waits to be taken in.
-    pub joiners: &'a [Member],
+    pub joiners: &'a [Joiner],
     /// What may be lost.
     pub tolerance: &'a Tolerance,
+    /// Silence after which a successor may take a member's place.
+    pub successor_wait: Duration,
 }
 
 impl Situation<'_> {
@@ -62,9 +89,9 @@
         self.replaced().or_else(|| self.grown()).or_else(|| self.spread())
     }
 
-    fn joiners(&self) -> impl Iterator<Item = &Member> {
+    fn joiners(&self) -> impl Iterator<Item = &Joiner> {
         let known = |ip: &str| self.membership.members.iter().any(|m| m.ip == ip);
-        self.joiners.iter().filter(move |joiner| !known(&joiner.ip))
+        self.joiners.iter().filter(move |joiner| !known(&joiner.member.ip))
     }
 
     fn holds_state(&self, next: &Membership) -> bool {
@@ -81,7 +108,9 @@
 
     fn replaced(&self) -> Option<Membership> {
         let pairs = self.members.iter().flat_map(|lost| self.joiners().map(move |j| (lost, j)));
-        let rated = pairs.filter(|(lost, joiner)| is_lost(lost, joiner)).filter_map(|(lost, j)| {
+        let due = pairs.filter(|(lost, joiner)| self.is_lost(lost, joiner));
+        let rated = due.filter_map(|(lost, joiner)| {
+            let j = &joiner.member;
             let next = exchanged(self.membership, &lost.member, j);
             let exposed = exposure(&self.located(&next), self.tolerance);
             let elsewhere = lost.member.zone != j.zone;
@@ -102,6 +131,7 @@
             return None;
         }
         let rated = self.joiners().map(|joiner| {
+            let joiner = &joiner.member;
             let next = grown(self.membership, joiner);
             let located = self.located(&next);
             let exposed = exposure(&located, self.tolerance);
@@ -120,6 +150,7 @@
         }
         let pairs = self.members.iter().flat_map(|seen| self.joiners().map(move |j| (seen, j)));
         let rated = pairs.map(|(seen, joiner)| {
+            let joiner = &joiner.member;
             let next = exchanged(self.membership, &seen.member, joiner);
             let exposed = exposure(&self.located(&next), self.tolerance);
             ((exposed, joiner.ip.clone(), seen.member.ip.clone()), next)
@@ -127,13 +158,18 @@
         let ((exposed, ..), next) = rated.min_by(|a, b| a.0.cmp(&b.0))?;
         (exposed < now && self.holds_state(&next)).then_some(next)
     }
-}
 
-/// Silent for long, or linked and without a vote for far longer than reading back takes.
-fn is_lost(seen: &Seen, joiner: &Member) -> bool {
-    let same_zone = seen.member.zone == joiner.zone;
-    let limit = if same_zone { constants::MEMBER_SILENT_ZONE } else { constants::MEMBER_SILENT };
-    !seen.votes && (seen.silent >= limit || seen.mute >= constants::MEMBER_MUTE)
+    /// Silent for long, or linked and without a vote for far longer than reading back takes.
+    fn is_lost(&self, seen: &Seen, joiner: &Joiner) -> bool {
+        let limit = if seen.member.zone == joiner.member.zone {
+            constants::MEMBER_SILENT_ZONE
+        } else if joiner.succeeds(seen) {
+            self.successor_wait
+        } else {
+            constants::MEMBER_SILENT
+        };
+        !seen.votes && (seen.silent >= limit || seen.mute >= constants::MEMBER_MUTE)
+    }
 }
 
 fn quorum(membership: &Membership) -> usize {
--- a/crates/control-plane/src/members/exchange_tests.rs
+++ b/crates/control-plane/src/members/exchange_tests.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// As settings have it.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
 fn at(n: u8, zone: &str) -> Member {
     Member { ip: format!("10.0.0.{n}"), zone: zone.into(), ..Default::default() }
 }
@@ -12,7 +15,7 @@
 
 fn voting(member: &Member) -> Seen {
     let (silent, mute) = (Duration::ZERO, Duration::ZERO);
-    Seen { member: member.clone(), silent, votes: true, mute }
+    Seen { member: member.clone(), silent, heard: true, votes: true, mute }
 }
 
 /// Silent and without a vote for this long.
@@ -30,10 +33,28 @@
     Tolerance { machines, zones, ..Default::default() }
 }
 
+/// Stood by before anything happened.
+fn stand_by(member: &Member) -> Joiner {
+    Joiner { member: member.clone(), running: Duration::from_secs(3600) }
+}
+
+/// Started this long ago.
+fn newcomer(member: &Member, ms: u64) -> Joiner {
+    Joiner { member: member.clone(), running: Duration::from_millis(ms) }
+}
+
 fn next(members: &[Seen], joiners: &[Member], tolerance: &Tolerance) -> Option<Vec<u8>> {
+    let joiners: Vec<Joiner> = joiners.iter().map(stand_by).collect();
+    next_with(members, &joiners, tolerance)
+}
+
+fn next_with(members: &[Seen], joiners: &[Joiner], tolerance: &Tolerance) -> Option<Vec<u8>> {
     let all: Vec<Member> = members.iter().map(|seen| seen.member.clone()).collect();
     let membership = membership(&all);
-    let next = Situation { membership: &membership, members, joiners, tolerance }.next()?;
+    let successor_wait = successor_wait(CATCH_UP);
+    let situation =
+        Situation { membership: &membership, members, joiners, tolerance, successor_wait };
+    let next = situation.next()?;
     assert_eq!(next.epoch, 2);
     let joined: Vec<&Member> = next.members.iter().filter(|m| m.joined_epoch == 2).collect();
     assert_eq!(joined.len(), 1, "one at a time, with the epoch that took it in");
@@ -131,6 +152,29 @@
     assert_eq!(next(&spread, &[at(6, "b"), at(9, "d")], &regions), Some(vec![2, 3, 9]));
 }
 
+#[test]
+fn a_newcomer_replaces_a_member_that_fell_silent_before_it_started() {
+    let lost = |ms| [gone(&at(1, "a"), ms), voting(&at(2, "b")), voting(&at(3, "c"))];
+    let one = bears(1, 0);
+    let [stands_by, successor] = [stand_by(&at(8, "d")), newcomer(&at(9, "e"), 700)];
+    let both = [stands_by.clone(), successor.clone()];
+    assert_eq!(next_with(&lost(2999), &both, &one), None);
+    assert_eq!(next_with(&lost(3000), &both, &one), Some(vec![2, 3, 9]));
+    assert_eq!(next_with(&lost(6999), &[stands_by], &one), None, "it may be a restart");
+    let earlier = newcomer(&at(9, "e"), 3000);
+    assert_eq!(next_with(&lost(3000), &[earlier], &one), None, "it ran before");
+    let [first, second, third] = lost(6999);
+    let unheard = [Seen { heard: false, ..first }, second, third];
+    assert_eq!(next_with(&unheard, &[successor], &one), None, "who knows when it fell silent");
+}
+
+#[test]
+fn a_successor_waits_for_what_the_settings_leave_and_no_shorter_than_one_of_the_zone() {
+    let wait = |seconds| successor_wait(Duration::from_secs(seconds));
+    assert_eq!(wait(6), Duration::from_millis(3500));
+    assert_eq!([wait(4), wait(1)], [constants::MEMBER_SILENT_ZONE; 2]);
+}
+
 proptest::proptest! {
     /// Whatever is gone, mute or waiting: a quorum of the next membership votes already.
     #[test]
@@ -149,7 +193,9 @@
             }
         }).collect();
         let joiners: Vec<Member> = joining.iter().zip(10..).map(|(z, n)| at(n, names[*z])).collect();
-        if let Some(next) = next(&members, &joiners, &bears(2, zones)) {
+        let joiners: Vec<Joiner> = joiners.iter().zip([500, 4000, 9000, 90_000])
+            .map(|(joiner, ms)| newcomer(joiner, ms)).collect();
+        if let Some(next) = next_with(&members, &joiners, &bears(2, zones)) {
             let votes = |n: &&u8| usize::from(**n) <= seen.len() && seen[usize::from(**n) - 1].1 > 1;
             proptest::prop_assert!(next.iter().filter(votes).count() > next.len() / 2);
             proptest::prop_assert!(next.len() <= 5 && next.len() >= members.len());
--- a/crates/control-plane/src/members/membership.rs
+++ b/crates/control-plane/src/members/membership.rs
@@ -1,6 +1,6 @@
 //! Joining the controllers, and moving their membership: one at a time, by the membership's own key.
 
-use super::exchange::{Seen, Situation, Tolerance};
+use super::exchange::{self, Joiner, Seen, Situation, Tolerance};
 use super::recovery;
 use crate::Controller;
 use crate::control::{owner, values};
@@ -69,7 +69,8 @@
 async fn ask_to_join(s: &Arc<Controller>) {
     let observes = s.disk_absent() || s.disk_broken();
     for (_, link) in s.members.links() {
-        let ask = Body::Join(Join { member: own(s), observes });
+        let running_ms = s.started.elapsed().as_millis() as u64;
+        let ask = Body::Join(Join { member: own(s), observes, running_ms });
         if let Ok(Body::Joined(joined)) = link.call(ask, constants::PHASE_LIMIT).await
             && let Some(membership) = joined.membership
         {
@@ -113,7 +114,7 @@
     loop {
         tokio::time::sleep(constants::LEARN_PAUSE).await;
         let membership = s.acceptor.lock().membership().clone();
-        let joiners = s.members.waiting(&membership);
+        let joiners = s.members.joiners.lock().waiting(&membership, Instant::now());
         if joiners.is_empty() || !s.acceptor.lock().votes() {
             mutes = Mutes::default();
             continue;
@@ -161,7 +162,7 @@
 fn next_of(
     s: &Controller,
     membership: &Membership,
-    joiners: &[Member],
+    joiners: &[Joiner],
     voters: &[u64],
     mutes: &Mutes,
 ) -> Option<Membership> {
@@ -174,7 +175,10 @@
     };
     let members: Vec<Seen> =
         membership.members.iter().map(|member| seen(s, member, voters, mutes)).collect();
-    Situation { membership, members: &members, joiners, tolerance: &tolerance }.next()
+    let successor_wait = exchange::successor_wait(settings.bounds.catch_up);
+    let situation =
+        Situation { membership, members: &members, joiners, tolerance: &tolerance, successor_wait };
+    situation.next()
 }
 
 fn seen(s: &Controller, member: &Member, voters: &[u64], mutes: &Mutes) -> Seen {
@@ -186,9 +190,10 @@
         member.zone = zone;
     }
     let link = member.addr().and_then(|ip| s.members.link(ip));
-    let heard = link.and_then(|link| link.silent_for()).unwrap_or_else(|| s.started.elapsed());
+    let silent = link.and_then(|link| link.silent_for());
     Seen {
-        silent: if own { Duration::ZERO } else { heard },
+        silent: if own { Duration::ZERO } else { silent.unwrap_or_else(|| s.started.elapsed()) },
+        heard: own || silent.is_some(),
         votes: member_id(&member).is_some_and(|id| voters.contains(&id)),
         mute: mutes.of(&member),
         member,
@@ -206,8 +211,8 @@
 }
 
 /// A controller that waits to be taken in.
-pub fn heard_join(s: &Controller, m: Member) {
-    if m.ip.parse::<IpAddr>().is_ok() {
-        s.members.joiners.lock().insert(m.ip.clone(), (m, Instant::now()));
+pub fn heard_join(s: &Controller, ask: Join) {
+    if ask.member.ip.parse::<IpAddr>().is_ok() && !ask.observes {
+        s.members.joiners.lock().hear(ask, Instant::now());
     }
 }
--- a/crates/control-plane/src/members/mod.rs
+++ b/crates/control-plane/src/members/mod.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 pub mod handover;
+mod joiners;
 pub mod loads;
 mod membership;
 mod peer_service;
@@ -36,7 +37,7 @@
     /// controllers that opened links to here: all that an empty disk may have, where the seeds have gone
     callers: parking_lot::Mutex<BTreeSet<Ipv4Addr>>,
     incarnations: parking_lot::Mutex<hashbrown::HashMap<String, Incarnations>>,
-    joiners: parking_lot::Mutex<BTreeMap<String, (fleet_core::wire::Member, tokio::time::Instant)>>,
+    joiners: parking_lot::Mutex<joiners::Joiners>,
     /// loads of engines, as routers and controllers tell them
     pub loads: loads::PeerService,
     /// values that other members read back from here
@@ -104,14 +105,6 @@
         self.zones.lock().get(&ip).cloned()
     }
 
-    /// Controllers outside this membership that asked to be taken in and still do.
-    fn waiting(&self, membership: &fleet_core::wire::Membership) -> Vec<fleet_core::wire::Member> {
-        let mut joiners = self.joiners.lock();
-        joiners.retain(|_, (_, asked)| asked.elapsed() < fleet_core::constants::JOIN_PAUSE * 6);
-        let outside = |ip: &str| membership.members.iter().all(|m| m.ip != ip);
-        joiners.values().map(|(joiner, _)| joiner).filter(|j| outside(&j.ip)).cloned().collect()
-    }
-
     /// A router of the same machine has an incarnation of its own, which no disk ends.
     pub fn enter(&self, hello: &fleet_core::wire::Hello) {
         let ip: Option<Ipv4Addr> = hello.ip.parse().ok();
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -66,9 +66,7 @@
             Body::Lease(l) => Some(Body::Leased(duties::grant(s, &l))),
             Body::Beats(b) => Some(Body::Beats(heard_beats(s, b))),
             Body::Join(j) => {
-                if !j.observes {
-                    super::membership::heard_join(s, j.member);
-                }
+                super::membership::heard_join(s, j);
                 Some(Body::Joined(Joined {
                     membership: Some(s.acceptor.lock().membership().clone()),
                 }))
--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -5,6 +5,8 @@
 mod hung_disk;
 #[path = "cluster/leases.rs"]
 mod leases;
+#[path = "cluster/second_loss.rs"]
+mod second_loss;
 mod stand;
 
 use bytes::Bytes;
--- a/crates/fleet-core/src/constants/members.rs
+++ b/crates/fleet-core/src/constants/members.rs
@@ -4,6 +4,9 @@
 
 /// ms; a member silent for this long may be replaced by a joiner of its own zone.
 pub const MEMBER_SILENT_ZONE: Duration = Duration::from_millis(3000);
+/// ms; what is left of `catchUpS` for an exchange and for the newcomer's reading back: half a second until
+/// it is looked for, two pauses by rank, a round, and over a second for a large state.
+pub const EXCHANGE_TIME: Duration = Duration::from_millis(2500);
 /// ms; a member silent for this long may be replaced by any joiner.
 pub const MEMBER_SILENT: Duration = Duration::from_millis(7000);
 /// ms; a joiner asks again this often.
--- a/crates/fleet-core/src/settings.rs
+++ b/crates/fleet-core/src/settings.rs
@@ -50,6 +50,8 @@
     pub version: Duration,
     /// A process that ran without trouble for this long counts as in touch with the others (`contactMs`).
     pub contact: Duration,
+    /// A machine counts as lost until it, or its successor, has run for this long (`catchUpS`).
+    pub catch_up: Duration,
     /// Second sends allowed for each arrival, within a window (`retryRatio`).
     pub retry_ratio: f64,
     /// The sliding window in which second sends are counted (`retryWindowS`).
@@ -239,6 +241,7 @@
             lease: lines.duration("bounds.leaseMs", 1.0, 3000.0)?,
             version: lines.duration("bounds.versionMs", 1.0, 8000.0)?,
             contact: lines.duration("bounds.contactMs", 1.0, 3000.0)?,
+            catch_up: lines.duration("bounds.catchUpS", 1000.0, 4.0)?,
             retry_ratio: lines.optional("bounds.retryRatio", "a number")?.unwrap_or(0.0),
             retry_window: lines.duration("bounds.retryWindowS", 1000.0, 10.0)?,
             retry_slack: lines.optional("bounds.retrySlack", "a number")?.unwrap_or(0.0),
--- a/crates/fleet-core/src/settings_tests.rs
+++ b/crates/fleet-core/src/settings_tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-const GOOD: &str = "nodeName=n1\nip=10.0.0.1\nzone=z\nportRange=100,110\nseeds=10.0.0.1:80,10.0.0.2:80\nnew.field=7\nzones.z=r\nbounds.leaseMs=1500\n";
+const GOOD: &str = "nodeName=n1\nip=10.0.0.1\nzone=z\nportRange=100,110\nseeds=10.0.0.1:80,10.0.0.2:80\nnew.field=7\nzones.z=r\nbounds.leaseMs=1500\nbounds.catchUpS=6\n";
 
 #[test]
 fn reads_what_it_knows_and_ignores_the_rest() {
@@ -10,6 +10,7 @@
     assert_eq!(p.node_name, "n1");
     assert_eq!(p.seeds.len(), 2);
     assert_eq!(p.bounds.lease, Duration::from_millis(1500));
+    assert_eq!(p.bounds.catch_up, Duration::from_secs(6));
     assert_eq!(p.zones, vec![("z".to_owned(), "r".to_owned())]);
     assert!(!p.bootstrap);
 }
--- a/crates/fleet-core/src/wire/members.rs
+++ b/crates/fleet-core/src/wire/members.rs
@@ -70,6 +70,9 @@
     /// Has no disk: wants to know the membership, never to be in it.
     #[prost(bool, tag = "2")]
     pub observes: bool,
+    /// For how long its process has run.
+    #[prost(uint64, tag = "3")]
+    pub running_ms: u64,
 }
 
 /// Answer to [`Join`]; a place is given later, by a new membership.
