A controller that leaves gives its keys back

Cause: whoever was asked for a change after its owner had left tried that owner, then waited until voters had seen it silent for 300 ms and a pause. Change: a controller that is told to stop decides nothing more and passes on what comes in; it waits for its rounds under way (400 ms at most), and tells the other members (message Leaving). They remember the ballots that it had: those have no owner to pass to, and pre-votes for their keys are a yes at once. An owner that comes back prepares higher ballots, so nothing has to be taken back.

--- a/crates/control-plane/src/control/mod.rs
+++ b/crates/control-plane/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod acceptor;
 pub mod election;
 pub mod history;
+pub mod leaving;
 pub mod look;
 pub mod owner;
 pub mod proposer;
--- a/crates/control-plane/src/control/owner.rs
+++ b/crates/control-plane/src/control/owner.rs
@@ -1,6 +1,7 @@
 //! Owning keys: drives a [`Proposer`] for each key that this node owns or takes over.
 
 use super::election::Elections;
+use super::leaving::LeftBallots;
 use super::proposer::{Action, ProposalError, Proposer, Request, Scope};
 use super::values::Decision;
 use crate::Controller;
@@ -22,6 +23,7 @@
     elections: parking_lot::Mutex<Elections>,
     /// highest promised ballot heard of in refusals, by key: who owns it now
     heard: parking_lot::Mutex<hashbrown::HashMap<String, Ballot>>,
+    left: parking_lot::Mutex<LeftBallots>,
 }
 
 impl Owners {
@@ -46,6 +48,29 @@
         self.heard.lock().get(key).copied().unwrap_or_default()
     }
 
+    /// The owner of this ballot has left.
+    pub fn owner_left(&self, key: &str, promised: Ballot) {
+        self.left.lock().insert(key, promised);
+    }
+
+    /// Whether the owner of this ballot has left.
+    pub fn has_left(&self, key: &str, promised: Ballot) -> bool {
+        self.left.lock().contains(key, promised)
+    }
+
+    /// Waits for the rounds under way, and owns nothing from then on unless a key is taken over again.
+    pub async fn release_all(&self) {
+        let mut slots: Vec<(String, Slot)> =
+            self.slots.lock().iter().map(|(key, slot)| (key.clone(), slot.clone())).collect();
+        slots.sort_by(|a, b| a.0.cmp(&b.0));
+        let releases = slots.iter().map(|(_, slot)| async move {
+            if let Ok(mut slot) = tokio::time::timeout(constants::PHASE_LIMIT, slot.lock()).await {
+                *slot = None;
+            }
+        });
+        futures_util::future::join_all(releases).await;
+    }
+
     fn is_quiet(&self, key: &str, value_bytes: usize) -> bool {
         let span = constants::ELECTION_QUIET + constants::phase_limit(value_bytes)
             - constants::PHASE_LIMIT;
@@ -62,7 +87,9 @@
         let bytes = acceptor.register(&ask.key).map_or(0, |r| r.value.len());
         (eligible, acceptor.promised(&ask.key), bytes)
     };
-    PreVoted { ok: eligible && controller.owners.is_quiet(&ask.key, bytes), promised }
+    let owners = &controller.owners;
+    let free = owners.has_left(&ask.key, promised) || owners.is_quiet(&ask.key, bytes);
+    PreVoted { ok: eligible && free, promised }
 }
 
 async fn own_vote(controller: &Arc<Controller>, request: &Request) -> Option<Vote> {
@@ -212,7 +239,7 @@
 async fn elect(controller: &Arc<Controller>, key: &str) -> Result<Proposer, ProposalError> {
     let (scope, above) = {
         let acceptor = controller.acceptor.lock();
-        if !acceptor.votes() || controller.disk_broken() {
+        if !acceptor.votes() || !controller.may_own() {
             return Err(ProposalError::NoOwnVote);
         }
         let scope = Scope {
@@ -256,7 +283,7 @@
 ) -> Result<Changed, ProposalError> {
     let slot = controller.owners.slot(key);
     let mut slot = slot.lock().await;
-    if controller.disk_broken() {
+    if !controller.may_own() {
         return Err(ProposalError::NoOwnVote);
     }
     let owned = slot.take().filter(|proposer| stands(controller, key, proposer));
--- a/crates/control-plane/src/control/submit.rs
+++ b/crates/control-plane/src/control/submit.rs
@@ -22,7 +22,7 @@
     let promised = controller.acceptor.lock().promised(key);
     let learned = controller.learned.lock().get(key).map(|(b, _)| *b).unwrap_or_default();
     let highest = promised.max(learned).max(controller.owners.heard(key));
-    (highest.node != 0).then_some(highest.node)
+    (highest.node != 0 && !controller.owners.has_left(key, highest)).then_some(highest.node)
 }
 
 /// Has a change decided by the owner of its key, which is elected anew if it is silent.
@@ -77,7 +77,7 @@
 }
 
 fn can_decide(controller: &Controller) -> bool {
-    !controller.disk_broken() && controller.acceptor.lock().votes()
+    controller.may_own() && controller.acceptor.lock().votes()
 }
 
 /// For a node without a vote: one member after the other brings the change to its owner.
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -93,6 +93,11 @@
         self.disk.is_absent()
     }
 
+    /// Whether this controller may own keys: not without a disk that works, nor once it leaves.
+    pub fn may_own(&self) -> bool {
+        !self.disk_broken() && !*self.leaving.borrow()
+    }
+
     /// Turns true when this controller is told to stop.
     pub fn leaving(&self) -> tokio::sync::watch::Receiver<bool> {
         self.leaving.subscribe()
--- a/crates/control-plane/src/members/peer_service.rs
+++ b/crates/control-plane/src/members/peer_service.rs
@@ -3,7 +3,7 @@
 #![expect(missing_docs, reason = "older than the lint; mended when the file is next changed")]
 
 use super::RouterSeen;
-use crate::control::{owner, submit};
+use crate::control::{leaving, owner, submit};
 use crate::facts::Fact;
 use crate::{Controller, distribution, duties, engines};
 use fleet_core::constants;
@@ -51,6 +51,10 @@
                 vote.map(Body::Vote)
             }
             Body::PreVote(p) => Some(Body::PreVoted(owner::pre_vote(s, &p))),
+            Body::Leaving(_) => {
+                leaving::heard_leaving(s, peer.hello.ip.parse().ok()?);
+                Some(Body::Nothing(Done {}))
+            }
             Body::Peek(p) => s.vote(|a| a.peek(p.values)).await.map(Body::Peeked),
             Body::Recover(r) => read_back(s, peer, &r).await.map(Body::Peeked),
             Body::FetchPiece(ask) => {
--- a/crates/control-plane/src/running.rs
+++ b/crates/control-plane/src/running.rs
@@ -152,13 +152,14 @@
 }
 
 impl Running {
-    /// Ends in good order, as a program does when it is told to stop: gives its duties back, and tells
-    /// the others what they may not know of the engines.
+    /// Ends in good order, as a program does when it is told to stop: gives its duties and keys back,
+    /// and tells the others what they may not know of the engines.
     pub async fn leave(&self) {
         fleet_core::log_event!(self.controller.log, Event::Stopping);
         self.controller.leaving.send_replace(true);
         let tell = engines::registry::tell_all(&self.controller);
-        tokio::join!(duties::leave_all(&self.controller), tell);
+        let give_back = control::leaving::give_keys_back(&self.controller);
+        tokio::join!(duties::leave_all(&self.controller), give_back, tell);
     }
 
     /// Ends at once, as in a crash: its tasks stop where they are, its connections close. Steps
--- a/crates/fleet-core/src/wire/answers.rs
+++ b/crates/fleet-core/src/wire/answers.rs
@@ -17,7 +17,7 @@
             Body::Lease(_) => |answer| matches!(answer, Body::Leased(_)),
             Body::Beats(_) => |answer| matches!(answer, Body::Beats(_)),
             Body::Join(_) => |answer| matches!(answer, Body::Joined(_)),
-            Body::Alive(_) => |answer| matches!(answer, Body::Nothing(_)),
+            Body::Alive(_) | Body::Leaving(_) => |answer| matches!(answer, Body::Nothing(_)),
             Body::ConfigAsk(_) => |answer| matches!(answer, Body::ConfigGive(_)),
             Body::RingAsk(_) => |answer| matches!(answer, Body::RingGive(_)),
             Body::Hello(_)
--- a/crates/fleet-core/src/wire/frame.rs
+++ b/crates/fleet-core/src/wire/frame.rs
@@ -25,7 +25,7 @@
     /// The message itself; none where the receiver does not know its kind.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 32, 33, 40, 41"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 32, 33, 40, 41, 42"
     )]
     pub body: Option<Body>,
 }
@@ -120,6 +120,9 @@
     /// Answers `PreVote`.
     #[prost(message, tag = "41")]
     PreVoted(PreVoted),
+    /// A controller has given back the keys that it owned; answered with `Nothing`.
+    #[prost(message, tag = "42")]
+    Leaving(Done),
     /// Router to controller; answered with `ConfigGive`.
     #[prost(message, tag = "32")]
     ConfigAsk(ConfigAsk),
