Tests: one in-memory fleet; the operator's tests run on the stand

tests/memory and tests/stand were two networks and disks of memory beside each other. The stand has learnt what only the other could (a controller without a disk, disks that take no time, a router's link), the operator's tests are a module of the cluster tests, and tests/memory is gone. All six tests and their assertions are as they were. Each moved test was seen to fail on a change of the sources: a pause before the answer, 64 kept versions, bases that aren't checked, no kept bodies, a quorum of one with the check of contact left out, another code for a number below. The last two were tried on the former place too, and failed the same tests.

--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -7,6 +7,8 @@
 mod hung_disk;
 #[path = "cluster/leases.rs"]
 mod leases;
+#[path = "cluster/operator.rs"]
+mod operator;
 #[path = "cluster/second_loss.rs"]
 mod second_loss;
 mod stand;
--- a/crates/control-plane/tests/operator.rs
+++ b/crates/control-plane/tests/cluster/operator.rs
@@ -1,15 +1,12 @@
 //! What an operator is answered by controllers that run as in the program, but for disks and lines.
 
-mod memory;
-
+use super::stand::Cluster;
 use control_plane::service::{Rejection, configuration};
 use fleet_core::delta;
 use fleet_core::digest::BodyDigest;
 use fleet_core::link::Link;
-use fleet_core::node::{Node, Role};
 use fleet_core::packing;
 use fleet_core::wire::{Body, ConfigAsk, ConfigDelta, ConfigForm, ConfigGive};
-use memory::{Fleet, VOTERS, WITHOUT_VOTE};
 use prost::Message;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,8 +14,21 @@
 use tokio::time::Instant;
 
 const ROUTES: u64 = 60;
+const VOTERS: [usize; 3] = [1, 2, 3];
+/// A controller without a disk, and so without a vote.
+const WITHOUT_VOTE: usize = 9;
 /// Last number of a router's address.
-const ROUTER: u8 = 20;
+const ROUTER: usize = 20;
+/// Time after which all controllers are linked.
+const LINKED: Duration = Duration::from_secs(2);
+
+/// Three voters whose disks take no time, and a controller without a vote.
+async fn start_fleet() -> Cluster {
+    let mut fleet = Cluster::found_with_instant_disks(VOTERS.len(), 1).await;
+    fleet.start_without_disk(WITHOUT_VOTE).await;
+    tokio::time::sleep(LINKED).await;
+    fleet
+}
 
 fn route(number: u64, timeout: u64) -> serde_json::Value {
     serde_json::json!({"name": format!("r-{}", number * 7919), "host": "h.example", "kind": "safe",
@@ -34,14 +44,19 @@
     })
 }
 
-async fn replace(fleet: &Fleet, at: u8, base: &str, body: impl ToString) -> Result<u64, Rejection> {
+async fn replace(
+    fleet: &Cluster,
+    at: usize,
+    base: &str,
+    body: impl ToString,
+) -> Result<u64, Rejection> {
     let body = body.to_string().into();
     let replaced = configuration::replace(fleet.controller(at), Some(base), body).await?;
     Ok(replaced.version)
 }
 
 /// Sends an order until it is taken, as operators do after 503.
-async fn taken(fleet: &Fleet, at: u8, base: u64, body: &serde_json::Value) -> u64 {
+async fn taken(fleet: &Cluster, at: usize, base: u64, body: &serde_json::Value) -> u64 {
     for _ in 0..20 {
         match replace(fleet, at, &base.to_string(), body).await {
             Ok(version) => return version,
@@ -120,7 +135,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn bad_orders_are_never_acknowledged_and_change_nothing() {
-    let fleet = Fleet::start().await;
+    let fleet = start_fleet().await;
     assert_eq!(taken(&fleet, 1, 0, &sheet(5, 10)).await, 5);
     for order in invalid_bodies().into_iter().chain(wrong_numbers()) {
         for at in [1, 2, WITHOUT_VOTE] {
@@ -156,7 +171,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_order_sent_again_anywhere_after_100_others_is_acknowledged() {
-    let fleet = Fleet::start().await;
+    let fleet = start_fleet().await;
     for version in 1..=101 {
         taken(&fleet, VOTERS[version as usize % 3], version - 1, &sheet(version, version)).await;
     }
@@ -168,9 +183,8 @@
 }
 
 /// A router's link; what is pushed to it goes to `pushed`.
-fn link(fleet: &Fleet, to: u8, pushed: Option<mpsc::Sender<Body>>) -> Arc<Link> {
-    let node = Node::seeded(&memory::settings(ROUTER), Role::Router, u64::from(ROUTER));
-    Link::keep_over(fleet.network.clone(), &node, memory::peer_address(to), pushed)
+fn link(fleet: &Cluster, to: usize, pushed: Option<mpsc::Sender<Body>>) -> Arc<Link> {
+    fleet.router_link(ROUTER, to, pushed)
 }
 
 async fn ask(link: &Link, digest: &bytes::Bytes) -> ConfigGive {
@@ -184,7 +198,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn any_controller_gives_a_router_the_confirmed_configuration_and_then_a_delta() {
-    let fleet = Fleet::start().await;
+    let fleet = start_fleet().await;
     taken(&fleet, 1, 0, &sheet(5, 10)).await;
     let mut links = Vec::new();
     for to in VOTERS.into_iter().chain([WITHOUT_VOTE]) {
@@ -210,7 +224,7 @@
 /// Time stands still here unless all wait for it: what sleeps before the answer would show.
 #[tokio::test(start_paused = true)]
 async fn an_operator_is_answered_when_the_change_is_chosen_also_beside_a_router_that_hangs() {
-    let fleet = Fleet::start().await;
+    let fleet = start_fleet().await;
     taken(&fleet, 1, 0, &sheet(5, 10)).await;
     // nobody receives from these, so the links stop reading with the second push
     let (pushed, _never_received) = mpsc::channel(1);
@@ -219,7 +233,7 @@
         link.watch().wait_for(|up| *up).await.unwrap();
     }
     for at in VOTERS {
-        let base = 4 + u64::from(at);
+        let base = 4 + at as u64;
         let begun = Instant::now();
         assert_eq!(
             replace(&fleet, at, &base.to_string(), sheet(base + 1, 10)).await.ok(),
@@ -232,7 +246,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_controller_without_a_majority_hands_out_and_takes_nothing() {
-    let mut fleet = Fleet::start().await;
+    let mut fleet = start_fleet().await;
     taken(&fleet, 1, 0, &sheet(5, 10)).await;
     let link = link(&fleet, 1, None);
     assert_eq!(ask(&link, &bytes::Bytes::new()).await.version, 5);
--- a/crates/control-plane/tests/stand/disk.rs
+++ b/crates/control-plane/tests/stand/disk.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// Time that a record takes to be durable.
-const WRITE: Duration = Duration::from_millis(2);
+/// Time that a record takes to be durable, unless the disk takes none.
+pub const WRITE: Duration = Duration::from_millis(2);
 
 struct Job {
     record: Record,
@@ -26,11 +26,13 @@
 }
 
 impl MemoryDisk {
-    pub fn start(node: usize, state: State, trace: Trace) -> MemoryDisk {
+    pub fn start(node: usize, state: State, write_time: Duration, trace: Trace) -> MemoryDisk {
         let (jobs, queue) = mpsc::unbounded_channel();
         let image = Arc::new(Mutex::new(state));
         let hangs = watch::Sender::new(false);
-        let writing = write(node, queue, image.clone(), hangs.subscribe(), trace);
+        let disk =
+            Writer { node, write_time, image: image.clone(), hangs: hangs.subscribe(), trace };
+        let writing = disk.run(queue);
         let task = tokio::spawn(writing).abort_handle();
         MemoryDisk { jobs, image, hangs, task }
     }
@@ -47,23 +49,30 @@
     }
 }
 
-async fn write(
+/// Writes what is queued, one record after the other.
+struct Writer {
     node: usize,
-    mut queue: mpsc::UnboundedReceiver<Job>,
+    write_time: Duration,
     image: Arc<Mutex<State>>,
-    mut hangs: watch::Receiver<bool>,
+    hangs: watch::Receiver<bool>,
     trace: Trace,
-) {
-    while let Some(Job { record, done }) = queue.recv().await {
-        if hangs.wait_for(|hangs| !*hangs).await.is_err() {
-            return;
+}
+
+impl Writer {
+    async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Job>) {
+        while let Some(Job { record, done }) = queue.recv().await {
+            if self.hangs.wait_for(|hangs| !*hangs).await.is_err() {
+                return;
+            }
+            if !self.write_time.is_zero() {
+                tokio::time::sleep(self.write_time).await;
+            }
+            self.image.lock().apply(&record);
+            let hash = fleet_core::node::stable_hash(&[&record.encode_to_vec()]);
+            self.trace.add(self.node, &format!("wrote {hash:016x}"));
+            // who asked may have given up
+            let _ = done.send(());
         }
-        tokio::time::sleep(WRITE).await;
-        image.lock().apply(&record);
-        let hash = fleet_core::node::stable_hash(&[&record.encode_to_vec()]);
-        trace.add(node, &format!("wrote {hash:016x}"));
-        // who asked may have given up
-        let _ = done.send(());
     }
 }
 
--- a/crates/control-plane/tests/stand/mod.rs
+++ b/crates/control-plane/tests/stand/mod.rs
@@ -4,13 +4,19 @@
 mod disk;
 mod network;
 
+use control_plane::disk::RecordQueue;
 use control_plane::disk::format::State;
+use control_plane::disk::writer::Disk;
 use control_plane::{Controller, Environment, Running};
 use disk::MemoryDisk;
+use fleet_core::link::Link;
+use fleet_core::node::{Node, Role};
+use fleet_core::wire::Body;
 use network::{Machine, Network};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 /// Longest time of the clock that anything here may take.
@@ -59,7 +65,14 @@
 struct Started {
     running: Running,
     machine: Machine,
-    disk: Arc<MemoryDisk>,
+    /// none on a machine without a disk
+    disk: Option<Arc<MemoryDisk>>,
+}
+
+impl Started {
+    fn disk(&self) -> &MemoryDisk {
+        self.disk.as_ref().expect("it has a disk")
+    }
 }
 
 pub struct Cluster {
@@ -68,6 +81,7 @@
     started: BTreeMap<usize, Started>,
     images: BTreeMap<usize, State>,
     seeds_used: u64,
+    write_time: Duration,
     pub trace: Trace,
 }
 
@@ -84,12 +98,22 @@
 impl Cluster {
     /// Machines 1 to `size`; the seed is all that runs differ by.
     pub async fn found(size: usize, seed: u64) -> Cluster {
+        Cluster::found_with_disks(size, seed, disk::WRITE).await
+    }
+
+    /// The same with disks that take no time, so that what waits for anything else shows.
+    pub async fn found_with_instant_disks(size: usize, seed: u64) -> Cluster {
+        Cluster::found_with_disks(size, seed, Duration::ZERO).await
+    }
+
+    async fn found_with_disks(size: usize, seed: u64, write_time: Duration) -> Cluster {
         let mut cluster = Cluster {
             size,
             network: Arc::default(),
             started: BTreeMap::new(),
             images: BTreeMap::new(),
             seeds_used: seed * 1000,
+            write_time,
             trace: Trace::new(),
         };
         for node in 1..=size {
@@ -103,12 +127,31 @@
         let image = self.images.get(&node).cloned();
         let first_start = image.is_none();
         let state = image.unwrap_or_default();
-        let disk = Arc::new(MemoryDisk::start(node, state.clone(), self.trace.clone()));
+        let disk = MemoryDisk::start(node, state.clone(), self.write_time, self.trace.clone());
+        self.start_with(node, state, first_start, Some(Arc::new(disk))).await;
+    }
+
+    /// Starts a node on a machine without a disk: it serves, and never votes.
+    pub async fn start_without_disk(&mut self, node: usize) {
+        self.start_with(node, State::default(), false, None).await;
+    }
+
+    async fn start_with(
+        &mut self,
+        node: usize,
+        state: State,
+        first_start: bool,
+        disk: Option<Arc<MemoryDisk>>,
+    ) {
+        let queue: Arc<dyn RecordQueue> = match &disk {
+            Some(disk) => disk.clone(),
+            None => Arc::new(Disk::absent()),
+        };
         let machine = Machine::new(node, self.network.clone(), self.trace.clone());
         self.seeds_used += 1;
         let environment = Environment {
             transport: Arc::new(machine.clone()),
-            disk: disk.clone(),
+            disk: queue,
             state,
             first_start,
             seed: self.seeds_used,
@@ -124,7 +167,9 @@
         let dead = self.started.remove(&node).unwrap();
         dead.machine.end();
         dead.running.abort();
-        self.images.insert(node, dead.disk.end());
+        if let Some(disk) = &dead.disk {
+            self.images.insert(node, disk.end());
+        }
         self.trace.add(node, "crashed");
     }
 
@@ -147,13 +192,13 @@
 
     /// The node runs and is linked, but nothing more is kept, so that it answers no vote.
     pub fn stop_disk(&self, node: usize) {
-        self.started[&node].disk.end();
+        self.started[&node].disk().end();
         self.trace.add(node, "disk stopped");
     }
 
     /// The node's disk hangs: records wait, and none is refused. Or it works again.
     pub fn hang_disk(&self, node: usize, hangs: bool) {
-        self.started[&node].disk.hang(hangs);
+        self.started[&node].disk().hang(hangs);
         self.trace.add(node, if hangs { "disk hangs" } else { "disk works" });
     }
 
@@ -168,6 +213,20 @@
         &self.started[&node].running.controller
     }
 
+    /// A router's link to a node; what is pushed to it goes to `pushed`.
+    pub fn router_link(
+        &self,
+        router: usize,
+        to: usize,
+        pushed: Option<mpsc::Sender<Body>>,
+    ) -> Arc<Link> {
+        let machine = Machine::new(router, self.network.clone(), self.trace.clone());
+        let node = Node::seeded(&settings(router, self.size), Role::Router, router as u64);
+        let node_settings = settings(to, self.size);
+        let peer_service = node_settings.peer_addr(node_settings.ip.into());
+        Link::keep_over(Arc::new(machine), &node, peer_service, pushed)
+    }
+
     /// Lets all that goes on in turns go on for a while.
     pub async fn settle(&self) {
         tokio::time::sleep(SETTLED).await;
