--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -43,7 +43,7 @@
     settings: parking_lot::RwLock<Arc<fleet_core::settings::Settings>>,
     /// its vote, and what it voted for
     pub acceptor: parking_lot::Mutex<control::acceptor::Acceptor>,
-    disk: Arc<dyn disk::RecordQueue>,
+    disk: disk::monitor::MonitoredDisk,
     /// where links, engines and stores are reached
     pub transport: Arc<dyn fleet_core::transport::Transport>,
     /// keys that it owns
@@ -83,7 +83,7 @@
         self.draw() % below.max(1)
     }
 
-    /// Whether the disk refused the last write.
+    /// Whether the disk refused the last write, or one hangs: this controller can't vote then.
     pub fn disk_broken(&self) -> bool {
         self.disk.is_broken()
     }
@@ -93,6 +93,11 @@
         self.disk.is_absent()
     }
 
+    /// Whether this controller may own keys: not without a disk that works, nor once it leaves.
+    pub fn may_own(&self) -> bool {
+        !self.disk_broken() && !*self.leaving.borrow()
+    }
+
     /// Turns true when this controller is told to stop.
     pub fn leaving(&self) -> tokio::sync::watch::Receiver<bool> {
         self.leaving.subscribe()
--- a/crates/control-plane/tests/stand/disk.rs
+++ b/crates/control-plane/tests/stand/disk.rs
@@ -8,10 +8,10 @@
 use prost::Message;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
-/// Time that a record takes to be durable.
-const WRITE: Duration = Duration::from_millis(2);
+/// Time that a record takes to be durable, unless the disk takes none.
+pub const WRITE: Duration = Duration::from_millis(2);
 
 struct Job {
     record: Record,
@@ -21,15 +21,25 @@
 pub struct MemoryDisk {
     jobs: mpsc::UnboundedSender<Job>,
     image: Arc<Mutex<State>>,
+    hangs: watch::Sender<bool>,
     task: tokio::task::AbortHandle,
 }
 
 impl MemoryDisk {
-    pub fn start(node: usize, state: State, trace: Trace) -> MemoryDisk {
+    pub fn start(node: usize, state: State, write_time: Duration, trace: Trace) -> MemoryDisk {
         let (jobs, queue) = mpsc::unbounded_channel();
         let image = Arc::new(Mutex::new(state));
-        let task = tokio::spawn(write(node, queue, image.clone(), trace)).abort_handle();
-        MemoryDisk { jobs, image, task }
+        let hangs = watch::Sender::new(false);
+        let disk =
+            Writer { node, write_time, image: image.clone(), hangs: hangs.subscribe(), trace };
+        let writing = disk.run(queue);
+        let task = tokio::spawn(writing).abort_handle();
+        MemoryDisk { jobs, image, hangs, task }
+    }
+
+    /// From now on records are queued and not written, or written again.
+    pub fn hang(&self, hangs: bool) {
+        self.hangs.send_replace(hangs);
     }
 
     /// Takes no more; gives what is on it.
@@ -39,19 +49,30 @@
     }
 }
 
-async fn write(
+/// Writes what is queued, one record after the other.
+struct Writer {
     node: usize,
-    mut queue: mpsc::UnboundedReceiver<Job>,
+    write_time: Duration,
     image: Arc<Mutex<State>>,
+    hangs: watch::Receiver<bool>,
     trace: Trace,
-) {
-    while let Some(Job { record, done }) = queue.recv().await {
-        tokio::time::sleep(WRITE).await;
-        image.lock().apply(&record);
-        let hash = fleet_core::node::stable_hash(&[&record.encode_to_vec()]);
-        trace.add(node, &format!("wrote {hash:016x}"));
-        // who asked may have given up
-        let _ = done.send(());
+}
+
+impl Writer {
+    async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Job>) {
+        while let Some(Job { record, done }) = queue.recv().await {
+            if self.hangs.wait_for(|hangs| !*hangs).await.is_err() {
+                return;
+            }
+            if !self.write_time.is_zero() {
+                tokio::time::sleep(self.write_time).await;
+            }
+            self.image.lock().apply(&record);
+            let hash = fleet_core::node::stable_hash(&[&record.encode_to_vec()]);
+            self.trace.add(self.node, &format!("wrote {hash:016x}"));
+            // who asked may have given up
+            let _ = done.send(());
+        }
     }
 }
 
