A duty attempt that never acted is taken back at once

Cause: a candidate that failed left a rest of 0.75 s at each member that had granted, as a holder does whose orders may be on their way. Candidates that keep each other out by their rests fit the logs; why the first holder lost it there is not found. Change: the withdrawal of an attempt bears no lease, and leaves no rest.

--- a/crates/control-plane/src/duties/holding.rs
+++ b/crates/control-plane/src/duties/holding.rs
@@ -19,8 +19,25 @@
     Leased { ok: may_grant && s.duties.grantor.lock().answer(l, Instant::now(), terms) }
 }
 
+/// Takes an attempt back that never held the duty: no order can be on its way, so others may ask at once.
+async fn withdraw(s: &Arc<Controller>, duty: &str) {
+    send(s, duty, true, Duration::ZERO, constants::PHASE_LIMIT).await;
+}
+
 /// Asks all members; true with a majority.
 async fn ask(s: &Arc<Controller>, duty: &str, leave: bool, limit: Duration) -> bool {
+    let lease = terms(s.settings().bounds.lease, duty).lease;
+    send(s, duty, leave, lease, limit).await
+}
+
+/// `lease` is zero where the sender never acted under it.
+async fn send(
+    s: &Arc<Controller>,
+    duty: &str,
+    leave: bool,
+    lease: Duration,
+    limit: Duration,
+) -> bool {
     let (members, membership) = {
         let acceptor = s.acceptor.lock();
         (acceptor.membership().members.clone(), acceptor.membership().epoch)
@@ -28,7 +45,7 @@
     let l = Lease {
         duty: duty.to_owned(),
         incarnation: s.node.incarnation,
-        ms: terms(s.settings().bounds.lease, duty).lease.as_millis() as u64,
+        ms: lease.as_millis() as u64,
         leave,
         node: s.node.name.clone(),
         number: s.duties.next_message(),
@@ -114,14 +131,14 @@
 async fn take(s: &Arc<Controller>, duty: &'static str, terms: Terms) {
     let asked = Instant::now();
     if !ask(s, duty, false, constants::PHASE_LIMIT).await {
-        ask(s, duty, true, constants::PHASE_LIMIT).await;
+        withdraw(s, duty).await;
         return;
     }
     let granted = Instant::now();
     let id = s.duties.with(duty, |h| h.raise());
     let c = raise(s, duty, id, false).await;
     if c.outcome() != Outcome::Done {
-        ask(s, duty, true, constants::PHASE_LIMIT).await;
+        withdraw(s, duty).await;
         return;
     }
     let alone = c.holder == s.node.name;
--- a/crates/control-plane/src/duties/lease.rs
+++ b/crates/control-plane/src/duties/lease.rs
@@ -69,7 +69,8 @@
             return false;
         }
         // orders that were on their way when it was given back have ended by then
-        let rest = if terms.orders { terms.margin() } else { Duration::ZERO };
+        let acted = l.ms > 0;
+        let rest = if terms.orders && acted { terms.margin() } else { Duration::ZERO };
         let before = own.map_or(now, |i| grants.swap_remove(i).until);
         let until = if l.leave { before.min(now + rest) } else { now + terms.lease };
         let (node, incarnation, number) = (l.node.clone(), l.incarnation, l.number);
--- a/crates/control-plane/src/duties/lease_tests.rs
+++ b/crates/control-plane/src/duties/lease_tests.rs
@@ -13,8 +13,19 @@
     Lease { duty: "d".into(), incarnation, number, node, ..Default::default() }
 }
 
+/// Of a holder that has acted.
 fn leave(incarnation: u64, number: u64) -> Lease {
-    Lease { leave: true, ..lease(incarnation, number) }
+    Lease { leave: true, ms: L.as_millis() as u64, ..lease(incarnation, number) }
+}
+
+/// Candidates that fail must not keep each other out: with a rest for each of them, several could go on for ever.
+#[test]
+fn an_attempt_that_never_acted_is_taken_back_at_once() {
+    let t = Instant::now();
+    let mut g = Grantor::new(None);
+    assert!(g.answer(&lease(1, 1), t, ORDERS));
+    assert!(g.answer(&Lease { ms: 0, ..leave(1, 2) }, t, ORDERS));
+    assert!(g.answer(&lease(2, 1), t, ORDERS));
 }
 
 #[test]
