--- a/crates/control-plane/src/duties/lease_tests.rs
+++ b/crates/control-plane/src/duties/lease_tests.rs
@@ -224,6 +224,7 @@
             node: format!("n{who}"),
             number: n.number,
             leave,
+            ms: L.as_millis() as u64,
             ..Default::default()
         };
         let number = n.number;
