--- a/crates/control-plane/src/duties/lease_tests.rs
+++ b/crates/control-plane/src/duties/lease_tests.rs
@@ -215,7 +215,8 @@
         }
     }
 
-    fn send(&mut self, who: usize, leave: bool) -> u64 {
+    /// `acted`: the sender may have given orders under the lease.
+    fn send(&mut self, who: usize, leave: bool, acted: bool) -> u64 {
         let n = &mut self.nodes[who];
         n.number += 1;
         let l = Lease {
@@ -224,7 +225,7 @@
             node: format!("n{who}"),
             number: n.number,
             leave,
-            ms: L.as_millis() as u64,
+            ms: if acted { L.as_millis() as u64 } else { 0 },
             ..Default::default()
         };
         let number = n.number;
@@ -233,7 +234,7 @@
     }
 
     fn begin(&mut self, who: usize, goal: Goal) {
-        let number = self.send(who, false);
+        let number = self.send(who, false, true);
         let asked = self.now;
         self.nodes[who].pending = Some(Pending { asked, number, have: 0, goal });
     }
@@ -244,7 +245,7 @@
             if now - p.asked > Duration::from_millis(1300) {
                 self.nodes[who].pending = None;
                 if p.goal == Goal::Take {
-                    self.send(who, true);
+                    self.send(who, true, false);
                 }
             }
             return;
@@ -355,7 +356,7 @@
                 let now = self.now;
                 let holds = self.nodes.iter().position(|n| n.holder.mandate(now).is_some());
                 if let Some(who) = holds.filter(|who| self.nodes[*who].holder.drop_lease()) {
-                    self.send(who, true);
+                    self.send(who, true, true);
                 }
             }
             11 if arg.is_multiple_of(4) => self.restart(arg / 4 % 3),
