Remove an unused look-up of the acceptor; the answer to Recover is documented as it is

Nothing called Acceptor::accepted any more; Peeked still said that an answer to Recover holds values, which now follow by key.

--- a/crates/control-plane/src/control/acceptor.rs
+++ b/crates/control-plane/src/control/acceptor.rs
@@ -138,11 +138,6 @@
         self.registers.get(key).map(|r| r.promised).unwrap_or_default()
     }
 
-    /// Ballot under which the value held for this key was accepted.
-    pub fn accepted(&self, key: &str) -> Ballot {
-        self.registers.get(key).map(|r| r.accepted).unwrap_or_default()
-    }
-
     fn record(&self, registers: Vec<Register>) -> Record {
         Record { registers, voting: self.voting, reset: false }
     }
--- a/crates/fleet-core/src/wire/registers.rs
+++ b/crates/fleet-core/src/wire/registers.rs
@@ -142,7 +142,7 @@
     /// Whether the member votes at all; only then does its answer count.
     #[prost(bool, tag = "1")]
     pub votes: bool,
-    /// All its registers, on [`Recover`] with values.
+    /// All its registers; values only where the question asked for them, never on [`Recover`].
     #[prost(message, repeated, tag = "2")]
     pub registers: Vec<Register>,
     /// The membership that it votes in.
