Sight: metrics of both programs, an event for the end of a drain and for learned targets

Cause: logs could not tell from when a router counts the bound of a version, how many requests go to older weights, or what a drain cuts off; nothing showed the state between two lines. No decision is changed.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod index_owner;
 pub mod leases;
 pub mod membership;
+mod metrics;
 pub mod process;
 pub mod rollout;
 pub mod runtime;
--- /dev/null
+++ b/crates/control-plane/src/metrics.rs
@@ -0,0 +1,79 @@
+//! What a controller shows of itself as metrics: its part in the agreement, its leases and the roll-out.
+
+use crate::controller::Controller;
+use crate::leases::{INDEX_OWNER_LEASE, ROLLOUT_LEASE};
+use crate::rollout::status::{self, ModelView};
+use std::collections::BTreeMap;
+use std::fmt;
+use telemetry::{Exposition, Source};
+
+impl Source for Controller {
+    fn write(&self, exposition: &mut Exposition<'_>) -> fmt::Result {
+        write_agreement(self, exposition)?;
+        write_leases(self, exposition)?;
+        write_rollout(self, exposition)
+    }
+}
+
+fn write_agreement(controller: &Controller, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let consensus = controller.consensus();
+    let flag = |holds: bool| f64::from(u8::from(holds));
+    let config = controller.cluster_state().read(|state| state.config_version());
+    let shutting_down = controller.process().is_shutting_down();
+    exposition.gauge("shutting_down", "1 from SIGTERM on", flag(shutting_down))?;
+    exposition.gauge("votes", "1 if this node votes", flag(consensus.votes()))?;
+    let help = "1 while a majority of the voters answers this node";
+    exposition.gauge("quorum_contact", help, flag(consensus.in_contact()))?;
+    let epoch = consensus.membership_epoch() as f64;
+    exposition.gauge("membership_epoch", "Epoch of the membership in force", epoch)?;
+    exposition.gauge("config_version", "Newest configuration known to be chosen", config as f64)
+}
+
+fn write_leases(controller: &Controller, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let token = |lease: &'static str| {
+        let token = controller.leases().fencing_token(lease).unwrap_or(0);
+        ([("lease", lease.to_owned())], token as f64)
+    };
+    let series = [ROLLOUT_LEASE, INDEX_OWNER_LEASE].map(token);
+    let series = series.iter().map(|(labels, token)| (&labels[..], *token));
+    let help = "Fencing token of a lease that this node holds; 0 if it doesn't";
+    exposition.gauges("lease_fencing_token", help, series)
+}
+
+fn write_rollout(controller: &Controller, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let view = status::view(controller.rollout());
+    let help = "Engines that may load weights at once";
+    exposition.gauge("rollout_concurrency", help, view.width as f64)?;
+    let by_model = |figure: fn(&ModelView) -> u64| -> Vec<_> {
+        let of = |model: &ModelView| ([("model", model.model.clone())], figure(model) as f64);
+        view.models.iter().map(of).collect()
+    };
+    let mut write = |name, help, figure| {
+        let series = by_model(figure);
+        exposition.gauges(name, help, series.iter().map(|(labels, n)| (&labels[..], *n)))
+    };
+    write("rollout_target_version", "Target version of the weights", |model| model.revision)?;
+    write("rollout_target_age_ms", "Age of the target", |model| model.age_ms)?;
+    write("rollout_time_left_ms", "Time until no engine may lag", |model| model.left_ms)?;
+    write_engines(&view.models, exposition)
+}
+
+fn write_engines(models: &[ModelView], exposition: &mut Exposition<'_>) -> fmt::Result {
+    let mut counts: BTreeMap<(String, u64, &str), usize> = BTreeMap::new();
+    for model in models {
+        for engine in &model.engines {
+            let version = engine.revision.unwrap_or(0);
+            *counts.entry((model.model.clone(), version, engine.state.name())).or_default() += 1;
+        }
+    }
+    let series: Vec<_> = counts
+        .into_iter()
+        .map(|((model, version, state), count)| {
+            let labels =
+                [("model", model), ("version", version.to_string()), ("state", state.to_owned())];
+            (labels, count as f64)
+        })
+        .collect();
+    let series = series.iter().map(|(labels, count)| (&labels[..], *count));
+    exposition.gauges("engines", "Engines by version and step of the roll-out", series)
+}
--- a/crates/control-plane/src/rollout/status.rs
+++ b/crates/control-plane/src/rollout/status.rs
@@ -71,6 +71,19 @@
     HeartbeatMissed,
 }
 
+impl State {
+    /// Its name in views and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Ready => "ready",
+            State::Waiting => "waiting",
+            State::DrainingStreams => "fading",
+            State::Updating => "turning",
+            State::HeartbeatMissed => "silent",
+        }
+    }
+}
+
 /// How far an engine has come towards the target version of a model.
 pub fn state_of(engine: &Engine, model: &str, target: u64) -> State {
     if engine.heartbeat_missed {
--- a/crates/control-plane/src/runtime.rs
+++ b/crates/control-plane/src/runtime.rs
@@ -5,6 +5,7 @@
 use crate::{ControllerError, api};
 use fleet_core::constants;
 use fleet_core::log::Event;
+use fleet_core::program::Start;
 use fleet_core::settings::Settings;
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
@@ -72,15 +73,15 @@
 /// # Errors
 ///
 /// A setting is missing, the disk can't be used, or a port can't be listened at. Nothing runs then.
-pub async fn run(
-    settings: Settings,
-    log: slog::Logger,
-    stop: watch::Receiver<bool>,
-    reread: mpsc::Receiver<Settings>,
-) -> Result<(), ControllerError> {
+pub async fn run(start: Start) -> Result<(), ControllerError> {
+    let Start { settings, log, stop, reread, metrics } = start;
     let control = settings.control.ok_or(ControllerError::SettingMissing("bindAddrs.control"))?;
     let environment = Environment::of_program(&settings, &log)?;
-    let running = Controller::start(settings, log, environment).await?;
+    let mut running = Controller::start(settings, log.clone(), environment).await?;
+    if let Some(address) = metrics {
+        let source = running.controller.clone();
+        running.tasks.spawn(telemetry::serve(address, log, source));
+    }
     let server = api::serve(running.controller(), control)
         .map_err(|e| ControllerError::Control(e.kind()))?;
     until_stopped(running.controller(), stop, reread).await;
--- a/crates/control-plane/tests/program/mod.rs
+++ b/crates/control-plane/tests/program/mod.rs
@@ -1,6 +1,7 @@
 //! A controller as its program runs it: over TCP, with files, on this machine.
 
 use control_plane::engines::client::EngineClient;
+use fleet_core::program::Start;
 use fleet_core::settings::Settings;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
@@ -43,7 +44,8 @@
         let (reread, rereads) = mpsc::channel(1);
         let log = fleet_core::log::root(slog::Level::Error, "a", "controller");
         let task = tokio::spawn(async move {
-            control_plane::run(settings, log, stopped, rereads).await.unwrap();
+            let start = Start { settings, log, stop: stopped, reread: rereads, metrics: None };
+            control_plane::run(start).await.unwrap();
         });
         let control = SocketAddr::new(ip.into(), control);
         Program { control, dir, task, _ends: (stop, reread) }
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -10,9 +10,7 @@
         what: "keeps anisedyke's control state and knows its engines",
         needs: missing_settings,
     };
-    start(about, |settings, log, stop, reread| async move {
-        control_plane::run(settings, log, stop, reread).await
-    })
+    start(about, control_plane::run)
 }
 
 fn missing_settings(settings: &Settings) -> Vec<&'static str> {
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -4,9 +4,10 @@
 use fleet_core::constants;
 use fleet_core::link::Link;
 use fleet_core::log::Event;
-use fleet_core::wire::{Body, RouterHeartbeat};
+use fleet_core::wire::{Body, FleetUpdate, RouterHeartbeat};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// The controllers to be linked with: the membership's, and the seeds while they may help.
 fn addresses(router: &Router) -> hashbrown::HashSet<Ipv4Addr> {
@@ -48,7 +49,7 @@
         let links: Vec<Arc<Link>> = router.fleet_view.links.lock().values().cloned().collect();
         let heartbeat = RouterHeartbeat {
             version: router.fleet_view.routing_table().map_or(0, |t| t.version),
-            shutting_down: router.shutting_down.load(std::sync::atomic::Ordering::Relaxed),
+            shutting_down: router.is_shutting_down(),
         };
         for l in links {
             let heartbeat = heartbeat.clone();
@@ -74,6 +75,7 @@
             changed = up.changed() => {
                 if changed.is_ok() && !*up.borrow_and_update() {
                     router.fleet_view.disturb();
+                    router.counters.controllers_lost.fetch_add(1, Ordering::Relaxed);
                     fleet_core::log_event!(router.log, Event::LinkDown);
                 }
                 if changed.is_err() {
@@ -91,6 +93,18 @@
             Some(_) => continue,
             None => return,
         };
+        log_new_targets(&router, &v);
         router.fleet_view.apply(&v);
     }
 }
+
+/// Says when this router learned of target weights that are newer than the ones it knows.
+fn log_new_targets(router: &Router, update: &FleetUpdate) {
+    for weights in &update.weights {
+        let known = router.fleet_view.target(&weights.model).map_or(0, |target| target.version);
+        if weights.version > known {
+            fleet_core::log_event!(router.log, Event::TargetVersionLearned, "model" => &weights.model,
+                "version" => weights.version, "age_ms" => weights.age_ms);
+        }
+    }
+}
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -101,6 +101,13 @@
         Some(TargetVersion { since, ..target })
     }
 
+    /// The target weights of all models, by name.
+    pub fn targets(&self) -> std::collections::BTreeMap<String, TargetVersion> {
+        let models: Vec<String> = self.target.read().keys().cloned().collect();
+        let of = |model: String| self.target(&model).map(|target| (model, target));
+        models.into_iter().filter_map(of).collect()
+    }
+
     /// A controller was lost: the roll-out may be held up, and its bound counts anew from here.
     pub fn disturb(&self) {
         *self.disturbed.lock() = Some(Instant::now());
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod fleet_view;
 pub mod load_balancer;
+mod metrics;
 pub mod pool;
 pub mod proxy;
 pub mod retry_budget;
@@ -46,6 +47,18 @@
     pub rejected: AtomicU64,
     /// Requests that were sent and got no answer of an engine.
     pub failed: AtomicU64,
+    /// Dispatches to engines with older weights than the target.
+    pub outdated_dispatches: AtomicU64,
+    /// Dispatches that an engine rejected with 421.
+    pub version_mismatches: AtomicU64,
+    /// Responses that an engine broke off.
+    pub broken: AtomicU64,
+    /// Responses cut at their deadline.
+    pub past_deadline: AtomicU64,
+    /// Responses that the client left.
+    pub abandoned: AtomicU64,
+    /// Controllers that were lost.
+    pub controllers_lost: AtomicU64,
     /// Streams that went on at another engine.
     pub resumed: AtomicU64,
     /// Retries.
@@ -98,6 +111,8 @@
     shutting_down: AtomicBool,
     /// Open connections of clients.
     pub open: AtomicUsize,
+    /// Requests accepted and not yet answered completely.
+    pub in_flight: Arc<proxy::in_flight::InFlight>,
     closing: tokio::sync::watch::Sender<bool>,
     random: RandomSource,
 }
@@ -116,6 +131,7 @@
             ready: AtomicBool::new(false),
             shutting_down: AtomicBool::new(false),
             open: AtomicUsize::new(0),
+            in_flight: Arc::default(),
             closing: tokio::sync::watch::channel(false).0,
             settings: parking_lot::RwLock::new(Arc::new(settings)),
             node,
@@ -133,6 +149,11 @@
         self.random.next()
     }
 
+    /// Whether this router was asked to end.
+    pub fn is_shutting_down(&self) -> bool {
+        self.shutting_down.load(Ordering::Relaxed)
+    }
+
     /// Whether clients may come: a configuration is in force, and the router is not shutting down.
     pub fn is_ready(&self) -> bool {
         let now = !self.shutting_down.load(Ordering::Relaxed)
@@ -163,12 +184,8 @@
 /// # Errors
 ///
 /// A setting is missing, or a port can't be listened at. Nothing runs then.
-pub async fn run(
-    settings: fleet_core::settings::Settings,
-    log: slog::Logger,
-    mut stop: tokio::sync::watch::Receiver<bool>,
-    mut reread: tokio::sync::mpsc::Receiver<fleet_core::settings::Settings>,
-) -> Result<(), RouterError> {
+pub async fn run(start: fleet_core::program::Start) -> Result<(), RouterError> {
+    let fleet_core::program::Start { settings, log, mut stop, mut reread, metrics } = start;
     let front = settings.front.ok_or(RouterError::ParamMissing("bindAddrs.frontHttp"))?;
     let probe = settings.readiness.ok_or(RouterError::ParamMissing("bindAddrs.readiness"))?;
     let listen = |address| {
@@ -187,6 +204,9 @@
         tokio::spawn(fleet_view::invalidations::run_index_scrubber(router.clone())),
         tokio::spawn(pool::run_idle_sweeper(router.clone())),
     ];
+    if let Some(address) = metrics {
+        tokio::spawn(telemetry::serve(address, log.clone(), router.clone()));
+    }
     let accepting = tokio::spawn(proxy::run_client_listener(router.clone(), front));
     fleet_core::log_event!(log, Event::Started, "incarnation" => router.node.incarnation);
     let mut counted = tokio::time::interval(constants::COUNTERS_INTERVAL);
@@ -200,6 +220,8 @@
     }
     fleet_core::log_event!(log, Event::Stopping);
     leave(&router, accepting).await;
+    fleet_core::log_event!(log, Event::DrainEnded,
+        "cut" => router.in_flight.all(), "cut_new" => router.in_flight.accepted_late());
     router.log_counters();
     for task in tasks {
         task.abort();
--- /dev/null
+++ b/crates/data-plane/src/metrics.rs
@@ -0,0 +1,103 @@
+//! What a router shows of itself as metrics: its counters, and the state that explains them.
+
+use crate::Router;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use telemetry::{Exposition, Source};
+
+impl Source for Router {
+    fn write(&self, exposition: &mut Exposition<'_>) -> fmt::Result {
+        write_counters(self, exposition)?;
+        write_requests(self, exposition)?;
+        write_configuration(self, exposition)?;
+        write_targets(self, exposition)?;
+        write_engines(self, exposition)
+    }
+}
+
+fn write_counters(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let counters = &router.counters;
+    let all: [(&str, &str, &AtomicU64); 14] = [
+        ("requests", "Requests with a route and a service", &counters.requests),
+        ("responses", "Responses of engines that have begun", &counters.responses),
+        ("rejected", "Requests rejected before any engine ran them", &counters.rejected),
+        ("failed", "Requests that were dispatched and got no response", &counters.failed),
+        ("resumed", "Streams that went on at another engine", &counters.resumed),
+        ("retries", "Retries", &counters.retries),
+        ("engine_connections", "New connections to engines", &counters.connections),
+        ("idle_resets", "Dispatches on an idle connection that was reset", &counters.idle_resets),
+        (
+            "outdated_dispatches",
+            "Dispatches to engines with older weights than the target",
+            &counters.outdated_dispatches,
+        ),
+        (
+            "version_mismatches",
+            "Dispatches that an engine rejected with 421",
+            &counters.version_mismatches,
+        ),
+        ("responses_broken_by_engine", "Responses that an engine broke off", &counters.broken),
+        ("responses_past_deadline", "Responses cut at their deadline", &counters.past_deadline),
+        ("responses_abandoned", "Responses that the client left", &counters.abandoned),
+        ("clock_restarts", "Controllers that were lost", &counters.controllers_lost),
+    ];
+    for (name, help, counter) in all {
+        exposition.counter(name, help, counter.load(Ordering::Relaxed))?;
+    }
+    Ok(())
+}
+
+fn write_requests(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let shutting_down = router.shutting_down.load(Ordering::Relaxed);
+    let late = router.in_flight.accepted_late() as f64;
+    let open = router.open.load(Ordering::Relaxed) as f64;
+    exposition.gauge("shutting_down", "1 from SIGTERM on", f64::from(u8::from(shutting_down)))?;
+    exposition.gauge("requests_in_flight", "Requests in flight", router.in_flight.all() as f64)?;
+    exposition.gauge("requests_in_flight_late", "Those accepted after SIGTERM", late)?;
+    exposition.gauge("client_connections", "Open connections of clients", open)
+}
+
+fn write_configuration(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let view = &router.fleet_view;
+    let version = view.routing_table().map_or(0, |table| table.version);
+    let links = view.links_up().len() as f64;
+    exposition.gauge("config_version", "Configuration in force", version as f64)?;
+    exposition.gauge("controller_links", "Links to controllers that are up", links)?;
+    exposition.gauge("routers", "Routers that are alive", view.routers() as f64)
+}
+
+fn write_targets(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let targets = router.fleet_view.targets();
+    let series: Vec<_> = targets
+        .iter()
+        .map(|(model, target)| {
+            let labels = [("model", model.clone()), ("version", target.version.to_string())];
+            (labels, target.since.elapsed().as_secs_f64())
+        })
+        .collect();
+    let help = "Age of the clock that bounds older weights, by target version";
+    let series = series.iter().map(|(labels, age)| (&labels[..], *age));
+    exposition.gauges("target_weights_age_seconds", help, series)
+}
+
+fn write_engines(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let mut counts: BTreeMap<(String, u64), usize> = BTreeMap::new();
+    for engine in router.fleet_view.engines.read().values() {
+        let state = engine.state();
+        if state.state() != fleet_core::wire::EngineState::Ready {
+            continue;
+        }
+        for weights in &state.weights {
+            *counts.entry((weights.model.clone(), weights.version)).or_default() += 1;
+        }
+    }
+    let series: Vec<_> = counts
+        .into_iter()
+        .map(|((model, version), count)| {
+            ([("model", model), ("version", version.to_string())], count as f64)
+        })
+        .collect();
+    let series = series.iter().map(|(labels, count)| (&labels[..], *count));
+    exposition.gauges("engines", "Ready engines by version of their weights", series)
+}
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -13,7 +13,7 @@
 };
 use fleet_core::constants;
 use fleet_core::log::Event;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -109,6 +109,9 @@
     let request = accepted.request();
     let interactive = request.routing_table.is_interactive(&request.route);
     let load = SendLoad::start(&choice, request.prompt.load(), interactive);
+    if is_outdated(router, request, &choice) {
+        router.counters.outdated_dispatches.fetch_add(1, Ordering::Relaxed);
+    }
     let dispatched = accepted.dispatch(&choice.engine.id);
     let send = Send { choice, load, at: Instant::now(), first: connection.is_new() };
     let until = latest_send(dispatched.request());
@@ -119,6 +122,12 @@
     }
 }
 
+/// Whether the engine is known to have older weights than the target.
+fn is_outdated(router: &Router, request: &ClientRequest, choice: &Choice) -> bool {
+    let target = request.prompt.model.as_deref().and_then(|model| router.fleet_view.target(model));
+    target.is_some_and(|target| choice.version.is_some_and(|version| version < target.version))
+}
+
 /// A send under way.
 struct Send {
     choice: Choice,
@@ -173,6 +182,9 @@
         };
         match response_check::check(head, &sent) {
             Verdict::NotExecuted(proof) => {
+                if status == StatusCode::MISDIRECTED_REQUEST {
+                    router.counters.version_mismatches.fetch_add(1, Ordering::Relaxed);
+                }
                 keep_after_refusal(connection, body);
                 Outcome::NotExecuted(dispatched.not_executed(proof))
             }
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! | [`response_check`] | what the head of the response proves |
 //! | [`relay`] | passes the body on, and resumes a broken stream |
 //! | [`answer`] | responses of the router itself |
+//! | [`in_flight`] | counts the requests that a router has to answer before it may end |
 //!
 //! [`stage`] has a type for each step (accepted, dispatched, responding): a rejection that promises that the request has not
 //! run can only be made from a proof that it hasn't.
@@ -15,6 +16,7 @@
 pub mod dispatch;
 pub mod events;
 pub mod headers;
+pub mod in_flight;
 pub mod passive_health;
 pub mod relay;
 pub mod request;
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -15,7 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -25,8 +25,10 @@
     Complete,
     /// the engine broke off
     Broken,
-    /// the client has gone, or the time is over
+    /// the client has gone
     Abandoned,
+    /// the time is over
+    PastDeadline,
 }
 
 /// Begins the answer to the client; its body follows as it comes.
@@ -69,13 +71,14 @@
 ) {
     let deadline = responding.request.deadline;
     let passing = pass(&mut responding.body, Some, chunks);
-    match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::Abandoned) {
+    match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::PastDeadline) {
         BodyEnd::Complete => {
             responding.connection.end();
             let _ = chunks.send(BodyChunk::End).await;
         }
         BodyEnd::Broken => record_connection_failure(router, &responding),
-        BodyEnd::Abandoned => {}
+        BodyEnd::Abandoned => count(&router.counters.abandoned),
+        BodyEnd::PastDeadline => count(&router.counters.past_deadline),
     }
 }
 
@@ -89,7 +92,7 @@
     loop {
         let deadline = responding.request.deadline;
         let passing = pass(&mut responding.body, |bytes| splitter.push(&bytes), chunks);
-        match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::Abandoned) {
+        match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::PastDeadline) {
             BodyEnd::Complete => {
                 responding.connection.end();
                 if let Some(remainder) = splitter.remainder() {
@@ -98,7 +101,8 @@
                 let _ = chunks.send(BodyChunk::End).await;
                 return;
             }
-            BodyEnd::Abandoned => return,
+            BodyEnd::Abandoned => return count(&router.counters.abandoned),
+            BodyEnd::PastDeadline => return count(&router.counters.past_deadline),
             BodyEnd::Broken => record_connection_failure(router, &responding),
         }
         splitter.drop_half();
@@ -108,6 +112,10 @@
     }
 }
 
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
 /// Passes on what `split` makes of the bytes, as they come.
 async fn pass(
     body: &mut Incoming,
--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -61,6 +61,7 @@
         body,
         attempted: Vec::new(),
         sends: 0,
+        in_flight: router.in_flight.enter(router.is_shutting_down()),
     }))
 }
 
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -6,6 +6,7 @@
 
 use super::answer::{self, Failure, Out};
 use super::headers;
+use super::in_flight::InFlightGuard;
 use super::response_check::{NotExecuted, RelayableHead};
 use super::send_load::SendLoad;
 use crate::Router;
@@ -52,6 +53,8 @@
     pub attempted: Vec<String>,
     /// sends to engines so far
     pub sends: u32,
+    /// Counts it until it is dropped, which is after the last byte of its response.
+    pub in_flight: InFlightGuard,
 }
 
 impl ClientRequest {
--- a/crates/fleet-core/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -28,6 +28,7 @@
     SettingsRejected = 104, Warning, "settings rejected, the previous ones stay in force";
     Counters = 105, Info, "counters";
     ListenError = 106, Error, "cannot listen";
+    MetricsUnavailable = 107, Warning, "metrics cannot be served";
     DiskOpened = 200, Info, "disk opened";
     DiskEmpty = 201, Warning, "empty disk: recovering state from the other voters";
     DiskError = 202, Warning, "disk write failed or hangs";
@@ -61,7 +62,9 @@
     LinkDown = 301, Info, "link to controller down";
     Ready = 310, Info, "ready";
     Unready = 311, Info, "not ready";
+    DrainEnded = 312, Info, "drain ended";
     ConfigInForce = 320, Info, "configuration in force";
+    TargetVersionLearned = 321, Info, "target weights learned";
     EngineError = 330, Info, "connection to engine failed";
     ResponseRejected = 331, Info, "response rejected";
     EngineWarmedUp = 333, Info, "engine warmed up";
--- a/crates/fleet-core/src/program.rs
+++ b/crates/fleet-core/src/program.rs
@@ -21,6 +21,9 @@
     /// error, warning, info or debug
     #[options(meta = "LEVEL", default = "info")]
     log_level: String,
+    /// serve metrics at this port of the node's address
+    #[options(no_short, meta = "PORT")]
+    metrics: Option<u16>,
 }
 
 /// What tells one program from the other.
@@ -46,20 +49,27 @@
 struct Loaded {
     path: String,
     settings: Settings,
+    metrics_port: Option<u16>,
+}
+
+/// What a program runs with.
+pub struct Start {
+    /// The settings at the start.
+    pub settings: Settings,
+    /// The root logger.
+    pub log: slog::Logger,
+    /// Turns true once the program is to end.
+    pub stop: tokio::sync::watch::Receiver<bool>,
+    /// Settings that are read again while it runs.
+    pub reread: tokio::sync::mpsc::Receiver<Settings>,
+    /// Where to serve metrics; nowhere if none.
+    pub metrics: Option<std::net::SocketAddr>,
 }
 
 /// Runs a program from its command line to its exit code.
-///
-/// `run` gets the settings, the root logger, a flag that turns true once the program is to end, and the settings
-/// that are read again while it runs.
 pub fn start<F, R, E>(about: About, run: F) -> ExitCode
 where
-    F: FnOnce(
-        Settings,
-        slog::Logger,
-        tokio::sync::watch::Receiver<bool>,
-        tokio::sync::mpsc::Receiver<Settings>,
-    ) -> R,
+    F: FnOnce(Start) -> R,
     R: Future<Output = Result<(), E>>,
     E: std::fmt::Display,
 {
@@ -67,7 +77,8 @@
         Ok(prepared) => prepared,
         Err(code) => return code,
     };
-    let Loaded { path, settings } = loaded;
+    let Loaded { path, settings, metrics_port } = loaded;
+    let metrics = metrics_port.map(|port| std::net::SocketAddr::new(settings.ip.into(), port));
     let log = crate::log::root(level, &settings.node_name, about.name);
     let runtime = match build_runtime(settings.cores) {
         Ok(runtime) => runtime,
@@ -75,7 +86,7 @@
     };
     let ended = runtime.block_on(async {
         let (stop, reread) = watch_signals(path, settings.clone(), about.needs, log.clone());
-        run(settings, log.clone(), stop, reread).await
+        run(Start { settings, log: log.clone(), stop, reread, metrics }).await
     });
     runtime.shutdown_background();
     match ended {
@@ -99,7 +110,8 @@
         let why = format!("--log-level: `{}` is not a level", command_line.log_level);
         return Err(fail(about, USAGE, why));
     };
-    let loaded = load(about, command_line.settings).map_err(|e| fail(about, SETTINGS, e))?;
+    let mut loaded = load(about, command_line.settings).map_err(|e| fail(about, SETTINGS, e))?;
+    loaded.metrics_port = command_line.metrics;
     if command_line.check {
         println!("{}: usable", loaded.path);
         return Err(ExitCode::SUCCESS);
@@ -127,7 +139,7 @@
 fn load(about: &About, path: Option<String>) -> Result<Loaded, SettingsError> {
     let path = path.map_or_else(Settings::path, Ok)?;
     let settings = load_complete(&path, about.needs)?;
-    Ok(Loaded { path, settings })
+    Ok(Loaded { path, settings, metrics_port: None })
 }
 
 /// Settings in which nothing is missing that this program needs.
--- a/crates/fleet-core/tests/event_numbers.rs
+++ b/crates/fleet-core/tests/event_numbers.rs
@@ -52,12 +52,19 @@
 };
 
 /// Numbers that came after those above, in their order.
-const LATER: [(u32, slog::Level); 2] = [(332, slog::Level::Info), (333, slog::Level::Info)];
+const LATER: [(u32, slog::Level); 5] = [
+    (332, slog::Level::Info),
+    (333, slog::Level::Info),
+    (107, slog::Level::Warning),
+    (312, slog::Level::Info),
+    (321, slog::Level::Info),
+];
 
 #[test]
 fn every_event_has_the_number_and_the_level_that_it_always_had() {
     let mut events: Vec<_> = Event::ALL.iter().map(|e| (*e as u32, e.level())).collect();
     events.sort_by_key(|(number, _)| *number);
-    let expected: Vec<_> = EVENTS.into_iter().chain(LATER).collect();
+    let mut expected: Vec<_> = EVENTS.into_iter().chain(LATER).collect();
+    expected.sort_by_key(|(number, _)| *number);
     assert_eq!(events, expected);
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -10,9 +10,7 @@
         what: "carries requests from clients to engines and answers back",
         needs: missing_settings,
     };
-    start(about, |settings, log, stop, reread| async move {
-        data_plane::run(settings, log, stop, reread).await
-    })
+    start(about, data_plane::run)
 }
 
 fn missing_settings(settings: &Settings) -> Vec<&'static str> {
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -1,5 +1,6 @@
 //! A controller, a router and a stand-in engine on loopback: the whole path, and what is kept on disk.
 
+use fleet_core::program::Start;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -59,7 +60,8 @@
         let (stop, stopped) = tokio::sync::watch::channel(false);
         let (_, reread) = tokio::sync::mpsc::channel(1);
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let run = control_plane::run(self.settings(bootstrap), log, stopped, reread);
+        let settings = self.settings(bootstrap);
+        let run = control_plane::run(Start { settings, log, stop: stopped, reread, metrics: None });
         Running { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 
@@ -67,7 +69,8 @@
         let (stop, stopped) = tokio::sync::watch::channel(false);
         let (_, reread) = tokio::sync::mpsc::channel(1);
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let run = data_plane::run(self.settings(false), log, stopped, reread);
+        let settings = self.settings(false);
+        let run = data_plane::run(Start { settings, log, stop: stopped, reread, metrics: None });
         Running { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 }
--- /dev/null
+++ b/crates/telemetry/src/server.rs
@@ -0,0 +1,71 @@
+//! The HTTP side: one path, read only.
+
+use crate::exposition::{Source, render};
+use bytes::Bytes;
+use fleet_core::constants;
+use fleet_core::log::Event;
+use http::{HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::Full;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Where the metrics are fetched.
+pub const METRICS_PATH: &str = "/metrics";
+
+const CONTENT_TYPE: HeaderValue =
+    HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
+
+/// Answers fetches of the metrics until aborted. A port that can't be listened at is logged, and ends this and
+/// nothing else: a process runs on without its metrics.
+pub async fn serve(address: SocketAddr, log: slog::Logger, source: Arc<dyn Source>) {
+    let listener = match fleet_core::link::listen(address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            fleet_core::log_event!(log, Event::MetricsUnavailable,
+                "at" => address.to_string(), "why" => error.to_string());
+            return;
+        }
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(constants::RECONNECT_BACKOFF).await;
+            continue;
+        };
+        tokio::spawn(answer_connection(stream, source.clone()));
+    }
+}
+
+async fn answer_connection(stream: tokio::net::TcpStream, source: Arc<dyn Source>) {
+    let service = hyper::service::service_fn(|request: http::Request<hyper::body::Incoming>| {
+        let response = respond(request.method(), request.uri().path(), source.clone());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // A fetch that breaks off concerns only the one who fetched.
+    let _ = hyper::server::conn::http1::Builder::new()
+        .timer(hyper_util::rt::TokioTimer::new())
+        .header_read_timeout(constants::IDLE_CONNECTION_TIMEOUT)
+        .max_buf_size(8192)
+        .serve_connection(hyper_util::rt::TokioIo::new(stream), service)
+        .await;
+}
+
+fn respond(method: &Method, path: &str, source: Arc<dyn Source>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    if path != METRICS_PATH {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    if method != Method::GET {
+        *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+        return response;
+    }
+    match render(source) {
+        Ok(text) => {
+            *response.body_mut() = Full::new(Bytes::from(text));
+            response.headers_mut().insert(header::CONTENT_TYPE, CONTENT_TYPE);
+        }
+        Err(_) => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+    }
+    response
+}
