--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -14,6 +14,8 @@
 mod resignation;
 #[path = "cluster/second_loss.rs"]
 mod second_loss;
+#[path = "cluster/shutdown.rs"]
+mod shutdown;
 
 use bytes::Bytes;
 use control_plane::Controller;
--- /dev/null
+++ b/crates/data-plane/tests/version_bound.rs
@@ -0,0 +1,100 @@
+//! Until when a request may go to an engine with older weights: `versionMs` after the acknowledgement of the first
+//! version that the engine lacks, whatever is named or restarted since.
+
+use data_plane::Router;
+use data_plane::fleet_view::routing_table::Table;
+use data_plane::load_balancer::choose_engine;
+use data_plane::load_balancer::prompt::Prompt;
+use fleet_core::settings::Settings;
+use fleet_core::wire::{Engine, FleetUpdate, TargetWeights, Weights};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// `versionMs` of the deployment in these tests.
+const BOUND: Duration = Duration::from_secs(8);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A router that knows one engine with version 1 of the model, and a configuration whose service it serves.
+fn router() -> (Arc<Router>, Arc<Table>) {
+    let text = "nodeName=r1\nip=127.0.0.1\nzone=z\nportRange=1,9\nbounds.versionMs=8000\n";
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let router = Router::assemble(Settings::parse(text).unwrap(), log);
+    let configuration = serde_json::json!({
+        "revision": 1,
+        "routes": [{"host": "h.example", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 20000,
+            "service": "s", "maxAttempts": 1}],
+        "services": [{"name": "s", "maxConns": 100, "engine": {"slots": 8, "kvCapacity": 100_000,
+            "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}}],
+        "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
+    });
+    let table = Table::compile(configuration.to_string().as_bytes(), 1).unwrap();
+    router.fleet_view.set_table(table);
+    router.fleet_view.apply(&FleetUpdate { engines: vec![engine(1, 1)], ..Default::default() });
+    let table = router.fleet_view.routing_table().unwrap();
+    (router, table)
+}
+
+fn engine(call: u64, version: u64) -> Engine {
+    Engine {
+        id: "e1".into(),
+        call,
+        service: "s".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "z".into(),
+        slots: 8,
+        weights: vec![Weights { model: "m".into(), version }],
+        ..Default::default()
+    }
+}
+
+fn name(router: &Router, version: u64, age_ms: u64) {
+    let weights = vec![TargetWeights { model: "m".into(), version, age_ms }];
+    router.fleet_view.apply(&FleetUpdate { weights, ..Default::default() });
+}
+
+fn prompt() -> Prompt {
+    let mut headers = http::HeaderMap::new();
+    headers.insert("x-model", http::HeaderValue::from_static("m"));
+    headers.insert("x-token-count", http::HeaderValue::from_static("30,5"));
+    Prompt::read(&headers)
+}
+
+fn serves((router, table): &(Arc<Router>, Arc<Table>)) -> bool {
+    choose_engine(router, table, "s", None, &prompt(), &[]).is_ok()
+}
+
+#[tokio::test(start_paused = true)]
+async fn naming_a_newer_version_does_not_extend_the_bound_of_the_one_before() {
+    let fleet = router();
+    name(&fleet.0, 2, 0);
+    tokio::time::advance(ms(4400)).await;
+    assert!(serves(&fleet), "well before the bound older weights serve");
+    name(&fleet.0, 3, 0);
+    tokio::time::advance(BOUND - ms(4400)).await;
+    assert!(!serves(&fleet), "version 1 may not begin: 8 s after version 2 was acknowledged");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_counts_from_the_first_version_that_it_lacks() {
+    let fleet = router();
+    name(&fleet.0, 2, 0);
+    tokio::time::advance(ms(4400)).await;
+    name(&fleet.0, 3, 0);
+    fleet.0.fleet_view.apply(&FleetUpdate { engines: vec![engine(2, 2)], ..Default::default() });
+    tokio::time::advance(BOUND - ms(4400)).await;
+    assert!(serves(&fleet), "version 2 may serve until the bound of version 3");
+    tokio::time::advance(ms(4400)).await;
+    assert!(!serves(&fleet));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_newest_weights_serve_at_any_age() {
+    let fleet = router();
+    name(&fleet.0, 2, 0);
+    fleet.0.fleet_view.apply(&FleetUpdate { engines: vec![engine(2, 2)], ..Default::default() });
+    tokio::time::advance(BOUND * 10).await;
+    assert!(serves(&fleet));
+}
