Each version bounds older weights from its own naming; the oldest weights are updated first

Cause: router and controllers kept one time for each model, so that naming version 3 extended the bound of version 2; the roll-out counted its time from the newest naming and took the least busy engine first, so that busy ones kept the oldest weights. A link that was merely reset restarted the clock as well, and a mark of a roll-out lapsed at routers after four seconds while an engine still ended its runs. Change: TargetVersions (fleet-core) at controllers and routers; VersionBound (data-plane) is the one place that decides whether a request may begin, with the wait expected at the engine; what has no response near the bound is taken back; the plan goes by the time that each engine has left; only a controller that stays away restarts the clock; marks are renewed, and an order that the engine reports to be under way is not given up.

--- a/crates/control-plane/src/cluster_state.rs
+++ b/crates/control-plane/src/cluster_state.rs
@@ -4,6 +4,7 @@
 //! registers, engines from their heartbeats, and the ring from the index owner.
 
 use fleet_core::change_log::{ChangeLog, Fold};
+use fleet_core::target_versions::TargetVersions;
 use fleet_core::wire::{Engine, FleetUpdate, Membership, RingHead, TargetWeights};
 use std::collections::BTreeMap;
 use tokio::sync::watch;
@@ -48,22 +49,13 @@
     pub isolation: u64,
 }
 
-/// The weights that engines are to serve a model with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WeightsTarget {
-    /// Their version.
-    pub version: u64,
-    /// When this controller learned of it.
-    pub learned_at: Instant,
-}
-
 /// All that this controller knows, folded from changes.
 #[derive(Debug, Default)]
 pub struct ClusterState {
     /// The configuration in force; none before the first.
     pub config: Option<ConfigInForce>,
-    /// Target weights by model.
-    pub weights: BTreeMap<String, WeightsTarget>,
+    /// Versions named for the weights of each model, with the moments at which this controller learned of them.
+    pub weights: BTreeMap<String, TargetVersions>,
     /// The membership in force.
     pub membership: Membership,
     /// Engines by id.
@@ -82,8 +74,7 @@
                 self.config = Some(ConfigInForce { version: *version, isolation: *isolation });
             }
             StateChange::Weights { model, version } => {
-                let target = WeightsTarget { version: *version, learned_at: Instant::now() };
-                self.weights.insert(model.clone(), target);
+                self.weights.entry(model.clone()).or_default().learn(*version, Instant::now());
             }
             StateChange::Membership(membership) => self.membership = membership.clone(),
             StateChange::Engine(engine) => {
@@ -101,10 +92,20 @@
         self.config.map_or(0, |config| config.version)
     }
 
-    fn target(&self, model: &str) -> Option<TargetWeights> {
-        let target = self.weights.get(model)?;
-        let age_ms = target.learned_at.elapsed().as_millis() as u64;
-        Some(TargetWeights { model: model.to_owned(), version: target.version, age_ms })
+    /// All versions that engines of a model may lack, the oldest first: each has a bound of its own.
+    fn targets<'a>(&'a self, model: &'a str) -> impl Iterator<Item = TargetWeights> + 'a {
+        let named = self.weights.get(model).map_or(&[][..], TargetVersions::all);
+        named.iter().map(|target| TargetWeights {
+            model: model.to_owned(),
+            version: target.version,
+            age_ms: target.since.elapsed().as_millis() as u64,
+        })
+    }
+
+    /// The newest version that was named for a model's weights; 0 if none was.
+    pub fn target_version(&self, model: &str) -> u64 {
+        let newest = self.weights.get(model).and_then(TargetVersions::newest);
+        newest.map_or(0, |target| target.version)
     }
 
     /// Everything, for a router that has nothing yet.
@@ -112,7 +113,7 @@
         FleetUpdate {
             membership: Some(self.membership.clone()),
             config: self.config_version(),
-            weights: self.weights.keys().filter_map(|model| self.target(model)).collect(),
+            weights: self.weights.keys().flat_map(|model| self.targets(model)).collect(),
             engines: self.engines.values().cloned().collect(),
             ring: self.ring.clone(),
             routers: self.routers,
@@ -128,7 +129,7 @@
                 StateChange::Config { .. } => update.config = self.config_version(),
                 StateChange::Weights { model, .. } => {
                     update.weights.retain(|target| target.model != *model);
-                    update.weights.extend(self.target(model));
+                    update.weights.extend(self.targets(model));
                 }
                 StateChange::Membership(_) => update.membership = Some(self.membership.clone()),
                 StateChange::Engine(engine) => {
--- a/crates/control-plane/src/consensus/anti_entropy.rs
+++ b/crates/control-plane/src/consensus/anti_entropy.rs
@@ -66,10 +66,7 @@
 
     fn learn_weights(&self, model: &str, value: &Bytes) {
         let Ok(WeightsValue { version }) = WeightsValue::decode(value.clone()) else { return };
-        let is_newer = self
-            .cluster_state
-            .read(|state| state.weights.get(model).is_none_or(|known| known.version < version));
-        if version == 0 || !is_newer {
+        if self.cluster_state.read(|state| state.target_version(model)) >= version {
             return;
         }
         fleet_core::log_event!(self.process.log, Event::TargetVersionSet,
--- a/crates/control-plane/src/index_owner/mod.rs
+++ b/crates/control-plane/src/index_owner/mod.rs
@@ -261,8 +261,8 @@
     /// Invalidations of weights that no engine has any more, and of a shared isolation that has ended.
     fn collect(&mut self, state: &ClusterState) -> Vec<Invalidation> {
         let mut invalidations = Vec::new();
-        for (model, target) in &state.weights {
-            let (model, version) = (model.clone(), target.version);
+        for model in state.weights.keys() {
+            let (model, version) = (model.clone(), state.target_version(model));
             let is_rolled_out = !state.engines.values().any(|engine| {
                 engine.state() == EngineState::Ready
                     && fleet::version_of(engine, &model).is_some_and(|has| has < version)
--- a/crates/control-plane/src/rollout/mod.rs
+++ b/crates/control-plane/src/rollout/mod.rs
@@ -15,7 +15,7 @@
 pub mod plan;
 pub mod status;
 
-use crate::cluster_state::{ClusterStateStore, StateChange, WeightsTarget};
+use crate::cluster_state::{ClusterStateStore, StateChange};
 use crate::engines::client::EngineClient;
 use crate::engines::registry::EngineRegistry;
 use crate::leases::{LeaseManager, ROLLOUT_LEASE};
@@ -25,6 +25,7 @@
 use fleet_core::fleet;
 use fleet_core::load::{self, ByEngine};
 use fleet_core::log::Event;
+use fleet_core::target_versions::TargetVersions;
 use fleet_core::transport::Transport;
 use fleet_core::wire::{Engine, EngineState};
 use order::OrderError;
@@ -81,9 +82,10 @@
 #[derive(Clone)]
 struct Target {
     model: String,
+    /// The newest version that was named.
     version: u64,
-    /// When this node learned of it.
-    since: Instant,
+    /// All versions that engines may lack: each has a bound of its own.
+    versions: TargetVersions,
 }
 
 impl Target {
@@ -92,20 +94,22 @@
         fleet::version_of(engine, &self.model).is_some_and(|version| version < self.version)
     }
 
-    /// Time until routers stop sending requests to older weights, less a margin.
-    fn remaining(&self, rollout: &Rollout, now: Instant) -> Duration {
+    /// Time until routers stop sending requests to an engine with older weights, less a margin. It counts from the naming
+    /// of the first version that the engine lacks, also where newer ones were named since.
+    fn remaining(&self, engine: &Engine, bound: Duration, now: Instant) -> Duration {
         let margin = constants::VERSION_MARGIN + constants::ROLLOUT_MARGIN;
-        let bound = rollout.process.settings().bounds.version.saturating_sub(margin);
-        bound.saturating_sub(now.duration_since(self.since))
+        let version = fleet::version_of(engine, &self.model).unwrap_or(0);
+        let outdated_since = self.versions.outdated_since(version).unwrap_or(now);
+        bound.saturating_sub(margin).saturating_sub(now.duration_since(outdated_since))
     }
 }
 
 fn targets(rollout: &Rollout) -> Vec<Target> {
     rollout.cluster_state.read(|state| {
-        let target = |(model, target): (&String, &WeightsTarget)| Target {
+        let target = |(model, versions): (&String, &TargetVersions)| Target {
             model: model.clone(),
-            version: target.version,
-            since: target.learned_at,
+            version: state.target_version(model),
+            versions: versions.clone(),
         };
         state.weights.iter().map(target).collect()
     })
@@ -162,8 +166,7 @@
     let now = Instant::now();
     let engines = serving_engines(rollout, &target.model);
     let outdated = outdated_engines(rollout, plan, loads, &target, &engines);
-    let remaining = target.remaining(rollout, now);
-    let actions = plan.next(now, engines.len(), &outdated, remaining);
+    let actions = plan.next(now, engines.len(), &outdated);
     actions.into_iter().map(|action| (target.clone(), action)).collect()
 }
 
@@ -186,10 +189,11 @@
     target: &Target,
     engines: &[Engine],
 ) -> Vec<OutdatedEngine> {
+    let (bound, now) = (rollout.process.settings().bounds.version, Instant::now());
     let mut outdated = Vec::new();
     for engine in engines.iter().filter(|engine| target.is_ahead_of(engine)) {
         if fleet::is_draining_streams(engine, &target.model, Some(target.version)) {
-            plan.adopt(&engine.id, Instant::now());
+            plan.adopt(&engine.id, now);
         }
         let key = load::key_of(&engine.id);
         let load = loads.get(&key).copied().unwrap_or_default();
@@ -199,6 +203,7 @@
             interactive_share: rollout.load_reports.interactive_share(key),
             interactive_runs: load.interactive,
             runs: load.runs,
+            remaining: target.remaining(engine, bound, now),
         });
     }
     outdated
@@ -242,7 +247,10 @@
     publish_update_state(rollout, &engine.id, set_updating).await;
     tokio::time::sleep(constants::ROLLOUT_NOTICE).await;
     let (model, version) = (target.model.as_str(), target.version);
-    let updated = order::order(rollout, &mut client, engine, model, version).await;
+    let updated = {
+        let ordering = order::order(rollout, &mut client, engine, model, version);
+        keep_marked(rollout, &engine.id, ordering).await
+    };
     log_update(rollout, engine, target, &updated);
     publish_update_state(rollout, &engine.id, |engine| {
         clear_marks(engine);
@@ -254,6 +262,19 @@
     updated
 }
 
+/// Waits for an order to end. Routers heed a mark only for so long, since whoever set it may have died, and the runs that
+/// an engine ends first may last longer: the mark is renewed meanwhile.
+async fn keep_marked<T>(rollout: &Arc<Rollout>, id: &str, ordering: impl Future<Output = T>) -> T {
+    tokio::pin!(ordering);
+    loop {
+        let renewal = tokio::time::sleep(constants::ROLLOUT_STATE_TIMEOUT / 2);
+        tokio::select! {
+            ended = &mut ordering => return ended,
+            () = renewal => publish_update_state(rollout, id, set_updating).await,
+        }
+    }
+}
+
 fn log_update(
     rollout: &Rollout,
     engine: &Engine,
--- a/crates/control-plane/src/rollout/order.rs
+++ b/crates/control-plane/src/rollout/order.rs
@@ -129,13 +129,17 @@
     model: &str,
     version: u64,
 ) -> Result<Duration, OrderError> {
-    let until = Instant::now() + constants::ORDER_TIMEOUT;
+    let latest = Instant::now() + constants::ORDER_LONGEST;
+    let mut until = Instant::now() + constants::ORDER_TIMEOUT;
     let mut progress = Progress::new(model, version);
     while Instant::now() < until {
         if !rollout.cluster_state.read(|n| is_at_its_address(e, n.engines.values())) {
             return Err(OrderError::Unknown);
         }
         if let Some(r) = report(client, e).await? {
+            if r.busy {
+                until = latest.min(Instant::now() + constants::ORDER_TIMEOUT);
+            }
             match progress.on_report(&r, Instant::now())? {
                 Next::Done(took) => return Ok(took),
                 Next::Wait => {}
--- a/crates/control-plane/src/rollout/plan.rs
+++ b/crates/control-plane/src/rollout/plan.rs
@@ -24,6 +24,8 @@
     pub interactive_runs: u32,
     /// All requests in flight.
     pub runs: u32,
+    /// Time until routers send it nothing more under the weights that it has; less, the older these are.
+    pub remaining: Duration,
 }
 
 /// How far the update of one engine has come, and since when.
@@ -125,17 +127,11 @@
         *self = Plan { update_duration: self.update_duration, ..Plan::default() };
     }
 
-    /// What to begin now, of `all` engines of a service of which some are outdated, with this much time
-    /// left until the deadline of the roll-out.
-    pub fn next(
-        &mut self,
-        now: Instant,
-        all: usize,
-        outdated: &[OutdatedEngine],
-        remaining: Duration,
-    ) -> Vec<Action> {
+    /// What to begin now, of `all` engines of a service of which some are outdated. Those that have the least time left
+    /// come first.
+    pub fn next(&mut self, now: Instant, all: usize, outdated: &[OutdatedEngine]) -> Vec<Action> {
         self.track(outdated);
-        let budget = self.update_budget(all, outdated.len(), remaining);
+        let budget = self.update_budget(all, outdated);
         let serving = self.serving(outdated);
         let mut actions = self.begin_drains(now, outdated, &serving);
         let mut updates = self.drained(now, outdated);
@@ -166,10 +162,9 @@
         self.is_interactive.get(&engine.id).copied().unwrap_or(false)
     }
 
-    fn update_budget(&mut self, all: usize, outdated: usize, remaining: Duration) -> UpdateBudget {
+    fn update_budget(&mut self, all: usize, outdated: &[OutdatedEngine]) -> UpdateBudget {
         let concurrency = self.concurrency.get_or_insert_with(|| Concurrency::new(all)).limit();
-        let rounds = remaining.as_secs_f64() / self.update_duration.as_secs_f64().max(0.1);
-        let needed = (outdated as f64 / rounds.max(0.5)).ceil() as usize;
+        let needed = self.needed_concurrency(outdated);
         let engines = |share: f64| ((all as f64 * share).ceil() as usize).max(1);
         let max_share = if needed > engines(constants::ROLLOUT_MAX_SHARE) {
             constants::ROLLOUT_MAX_SHARE_LATE
@@ -181,14 +176,30 @@
         UpdateBudget { capacity, is_late: needed > concurrency }
     }
 
-    /// Engines with which nothing was begun: the least busy first, zones taking turns.
+    /// Engines that have to be updated at once so that each is ready in the time that it has left: for each of them, all
+    /// that have no more time than it come before it or beside it.
+    fn needed_concurrency(&self, outdated: &[OutdatedEngine]) -> usize {
+        let mut remaining: Vec<Duration> = outdated.iter().map(|engine| engine.remaining).collect();
+        remaining.sort_unstable();
+        let duration = self.update_duration.as_secs_f64().max(0.1);
+        let needed = |(before, left): (usize, &Duration)| {
+            let rounds = left.as_secs_f64() / duration;
+            ((before + 1) as f64 / rounds.max(0.5)).ceil() as usize
+        };
+        remaining.iter().enumerate().map(needed).max().unwrap_or(0)
+    }
+
+    /// Engines with which nothing was begun: those with the oldest weights first, then the least busy, zones taking turns.
     fn serving<'a>(&self, outdated: &'a [OutdatedEngine]) -> Vec<&'a OutdatedEngine> {
         let mut serving: Vec<&OutdatedEngine> =
             outdated.iter().filter(|engine| !self.steps.contains_key(&engine.id)).collect();
         serving.sort_by(|a, b| {
-            (a.interactive_runs, a.runs, &a.id).cmp(&(b.interactive_runs, b.runs, &b.id))
+            let rank =
+                |engine: &OutdatedEngine| (engine.remaining, engine.interactive_runs, engine.runs);
+            (rank(a), &a.id).cmp(&(rank(b), &b.id))
         });
-        interleave_zones(serving)
+        let same_time = |a: &&OutdatedEngine, b: &&OutdatedEngine| a.remaining == b.remaining;
+        serving.chunk_by(same_time).flat_map(interleave_zones).collect()
     }
 
     /// Interactive engines that may be away at once.
@@ -216,7 +227,7 @@
         ids.into_iter().map(Action::DrainStreams).collect()
     }
 
-    /// Engines whose streams have ended, or had their time; the least busy first.
+    /// Engines whose streams have ended, or had their time: those with the oldest weights first, then the least busy.
     fn drained(&self, now: Instant, outdated: &[OutdatedEngine]) -> Vec<String> {
         let draining = outdated.iter().filter_map(|engine| match self.step(&engine.id) {
             Some(Step::DrainingStreams(since)) => Some((since, engine)),
@@ -228,7 +239,8 @@
             .filter(|(since, engine)| engine.interactive_runs == 0 || timed_out(since))
             .collect();
         drained.sort_by(|(since_a, a), (since_b, b)| {
-            (a.interactive_runs, since_a, &a.id).cmp(&(b.interactive_runs, since_b, &b.id))
+            let rank = |engine: &OutdatedEngine| (engine.remaining, engine.interactive_runs);
+            (rank(a), since_a, &a.id).cmp(&(rank(b), since_b, &b.id))
         });
         drained.into_iter().map(|(_, engine)| engine.id.clone()).collect()
     }
@@ -242,10 +254,10 @@
 }
 
 /// One engine of each zone after the other, each zone in the order that it had.
-fn interleave_zones(engines: Vec<&OutdatedEngine>) -> Vec<&OutdatedEngine> {
+fn interleave_zones<'a>(engines: &[&'a OutdatedEngine]) -> Vec<&'a OutdatedEngine> {
     let mut counts: HashMap<&str, usize> = HashMap::new();
     let mut ranked: Vec<(usize, &OutdatedEngine)> = Vec::with_capacity(engines.len());
-    for engine in engines {
+    for engine in engines.iter().copied() {
         let rank = counts.entry(engine.zone.as_str()).or_default();
         *rank += 1;
         ranked.push((*rank, engine));
--- a/crates/control-plane/src/rollout/status.rs
+++ b/crates/control-plane/src/rollout/status.rs
@@ -2,10 +2,11 @@
 
 use super::Rollout;
 use super::plan::{Plan, Step};
-use crate::cluster_state::{ClusterState, WeightsTarget};
+use crate::cluster_state::ClusterState;
 use crate::leases::ROLLOUT_LEASE;
 use fleet_core::constants;
 use fleet_core::fleet::{is_draining_streams, is_updating, version_of};
+use fleet_core::target_versions::TargetVersions;
 use fleet_core::wire::{Engine, EngineState};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -120,17 +121,18 @@
     let models = rollout.cluster_state.read(|state| {
         let mut targets: Vec<_> = state.weights.iter().collect();
         targets.sort_by_key(|(model, _)| model.as_str());
-        let view = |(model, target): (&String, &WeightsTarget)| {
-            let age = now.duration_since(target.learned_at);
-            ModelView {
+        let view = |(model, versions): (&String, &TargetVersions)| {
+            let target = versions.newest()?;
+            let age = now.duration_since(target.since);
+            Some(ModelView {
                 age_ms: age.as_millis() as u64,
                 engines: engine_views(state, &plan, model, target.version, now),
                 left_ms: bound.saturating_sub(age).as_millis() as u64,
                 model: model.clone(),
                 revision: target.version,
-            }
+            })
         };
-        targets.into_iter().map(view).collect()
+        targets.into_iter().filter_map(view).collect()
     });
     let holds = rollout.leases.fencing_token(ROLLOUT_LEASE).is_some();
     RolloutView { holds, models, width: plan.concurrency() }
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -8,6 +8,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use tokio::time::Instant;
 
 /// The controllers to be linked with: the membership's, and the seeds while they may help.
 fn addresses(router: &Router) -> hashbrown::HashSet<Ipv4Addr> {
@@ -63,24 +64,58 @@
     }
 }
 
+/// Tells the loss of a controller from the loss of a connection to it.
+///
+/// A connection that is reset comes up again at the next try. A controller that has ended, or that is cut off, can't be
+/// reached for longer: only that is evidence that a roll-out may be held up.
+#[derive(Debug, Default)]
+struct LossDetector {
+    /// Since when the link has been down; none while it is up, or once its loss was returned.
+    down_since: Option<Instant>,
+}
+
+impl LossDetector {
+    fn link_changed(&mut self, is_up: bool, now: Instant) {
+        self.down_since = (!is_up).then_some(now);
+    }
+
+    /// Waits until the controller counts as lost; returns since when, once for each loss.
+    ///
+    /// # Cancel safety
+    ///
+    /// A wait that is dropped changes nothing.
+    async fn lost(&mut self) -> Instant {
+        let Some(down_since) = self.down_since else { return std::future::pending().await };
+        tokio::time::sleep_until(down_since + constants::CONTROLLER_LOSS_TIMEOUT).await;
+        self.down_since = None;
+        down_since
+    }
+}
+
 async fn receive_updates(
     router: Arc<Router>,
     link: std::sync::Weak<Link>,
     mut rx: tokio::sync::mpsc::Receiver<Body>,
 ) {
     let Some(mut up) = link.upgrade().map(|l| l.watch()) else { return };
+    let mut loss = LossDetector::default();
     loop {
         let body = tokio::select! {
             b = rx.recv() => b,
             changed = up.changed() => {
-                if changed.is_ok() && !*up.borrow_and_update() {
-                    router.fleet_view.disturb();
-                    router.counters.controllers_lost.fetch_add(1, Ordering::Relaxed);
-                    fleet_core::log_event!(router.log, Event::LinkDown);
-                }
                 if changed.is_err() {
                     return;
                 }
+                let is_up = *up.borrow_and_update();
+                loss.link_changed(is_up, Instant::now());
+                if !is_up {
+                    fleet_core::log_event!(router.log, Event::LinkDown);
+                }
+                continue;
+            }
+            lost_since = loss.lost() => {
+                router.fleet_view.disturb(lost_since);
+                router.counters.controllers_lost.fetch_add(1, Ordering::Relaxed);
                 continue;
             }
         };
@@ -101,10 +136,14 @@
 /// Says when this router learned of target weights that are newer than the ones it knows.
 fn log_new_targets(router: &Router, update: &FleetUpdate) {
     for weights in &update.weights {
-        let known = router.fleet_view.target(&weights.model).map_or(0, |target| target.version);
+        let known = router.fleet_view.target_version(&weights.model).unwrap_or(0);
         if weights.version > known {
             fleet_core::log_event!(router.log, Event::TargetVersionLearned, "model" => &weights.model,
                 "version" => weights.version, "age_ms" => weights.age_ms);
         }
     }
 }
+
+#[cfg(test)]
+#[path = "links_tests.rs"]
+mod tests;
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -9,6 +9,7 @@
 //! | [`config_fetch`], [`routing_table`] | fetches the configuration in force and compiles it |
 //! | [`endpoints`] | the engines of a service, as the load balancer weighs them |
 //! | [`load_reports`] | own requests in flight out, the sum of all routers in |
+//! | [`version_bound`] | until when a request may begin under older weights |
 //! | [`invalidations`] | the prompt index, kept valid by the ring of the index owner |
 
 pub mod config_fetch;
@@ -17,25 +18,23 @@
 pub mod links;
 pub mod load_reports;
 pub mod routing_table;
+pub mod version_bound;
 
 use crate::pool::EngineHandle;
 use fleet_core::constants;
+use fleet_core::target_versions::TargetVersions;
 use fleet_core::wire::{Engine, EngineState, FleetUpdate, Membership, RingHead, TargetWeights};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 use tokio::time::Instant;
+use version_bound::VersionBound;
 
 /// All engines that are known, by instance id; deregistered ones for a while.
 pub type EngineHandles = hashbrown::HashMap<String, Arc<EngineHandle>, ahash::RandomState>;
 
-/// Target weights of a model, and since when.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TargetVersion {
-    /// The target version.
-    pub version: u64,
-    /// When it was set, or when the roll-out was last disturbed.
-    pub since: Instant,
-}
+/// The versions named for the weights of each model. A request shares them with the view.
+type Targets = hashbrown::HashMap<String, Arc<TargetVersions>, ahash::RandomState>;
 
 /// What this router was sent of the fleet, and what it saw itself. Nothing in it goes back to an older
 /// state.
@@ -45,7 +44,8 @@
     announced_config: tokio::sync::watch::Sender<u64>,
     /// All engines that are known.
     pub engines: parking_lot::RwLock<EngineHandles>,
-    target: parking_lot::RwLock<hashbrown::HashMap<String, TargetVersion, ahash::RandomState>>,
+    /// By model.
+    targets: parking_lot::RwLock<Targets>,
     /// When a controller was lost last.
     disturbed: parking_lot::Mutex<Option<Instant>>,
     membership: parking_lot::Mutex<Membership>,
@@ -67,7 +67,7 @@
             routing_table: parking_lot::RwLock::new(None),
             announced_config: tokio::sync::watch::channel(0).0,
             engines: parking_lot::RwLock::default(),
-            target: parking_lot::RwLock::default(),
+            targets: parking_lot::RwLock::default(),
             disturbed: parking_lot::Mutex::default(),
             membership: parking_lot::Mutex::default(),
             ring: parking_lot::Mutex::default(),
@@ -94,23 +94,28 @@
         true
     }
 
-    /// The target weights of a model.
-    pub fn target(&self, model: &str) -> Option<TargetVersion> {
-        let target = self.target.read().get(model).copied()?;
-        let since = self.disturbed.lock().map_or(target.since, |at| at.max(target.since));
-        Some(TargetVersion { since, ..target })
+    /// The newest version that was named for a model's weights.
+    pub fn target_version(&self, model: &str) -> Option<u64> {
+        let targets = self.targets.read();
+        targets.get(model)?.newest().map(|target| target.version)
+    }
+
+    /// Until when requests may begin under the weights of each version of a model.
+    pub fn version_bound(&self, model: &str, bound: Duration) -> VersionBound {
+        let targets = self.targets.read().get(model).cloned().unwrap_or_default();
+        VersionBound::new(targets, *self.disturbed.lock(), bound)
     }
 
-    /// The target weights of all models, by name.
-    pub fn targets(&self) -> std::collections::BTreeMap<String, TargetVersion> {
-        let models: Vec<String> = self.target.read().keys().cloned().collect();
-        let of = |model: String| self.target(&model).map(|target| (model, target));
-        models.into_iter().filter_map(of).collect()
+    /// The versions named for the weights of all models, by name.
+    pub fn targets(&self) -> std::collections::BTreeMap<String, Arc<TargetVersions>> {
+        let targets = self.targets.read();
+        targets.iter().map(|(model, targets)| (model.clone(), targets.clone())).collect()
     }
 
-    /// A controller was lost: the roll-out may be held up, and its bound counts anew from here.
-    pub fn disturb(&self) {
-        *self.disturbed.lock() = Some(Instant::now());
+    /// A controller was lost at this moment: the roll-out may be held up, and all bounds count from here at the earliest.
+    pub fn disturb(&self, at: Instant) {
+        let mut disturbed = self.disturbed.lock();
+        *disturbed = disturbed.map_or(Some(at), |before| Some(before.max(at)));
     }
 
     /// Live routers, this one included.
@@ -161,14 +166,11 @@
 
     fn update_target(&self, update: &TargetWeights) {
         let since = Instant::now()
-            .checked_sub(std::time::Duration::from_millis(update.age_ms))
+            .checked_sub(Duration::from_millis(update.age_ms))
             .unwrap_or_else(Instant::now);
-        let mut all = self.target.write();
-        let target =
-            all.entry_ref(update.model.as_str()).or_insert(TargetVersion { version: 0, since });
-        if update.version > target.version {
-            *target = TargetVersion { version: update.version, since };
-        }
+        let mut all = self.targets.write();
+        let targets = all.entry_ref(update.model.as_str()).or_default();
+        Arc::make_mut(targets).learn(update.version, since);
     }
 
     /// The highest version of a configuration that a controller announced.
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -49,6 +49,8 @@
     pub failed: AtomicU64,
     /// Dispatches to engines with older weights than the target.
     pub outdated_dispatches: AtomicU64,
+    /// Dispatches to engines with older weights that were taken back before the bound.
+    pub version_cutoffs: AtomicU64,
     /// Dispatches that an engine rejected with 421.
     pub version_mismatches: AtomicU64,
     /// Responses that an engine broke off.
--- a/crates/data-plane/src/load_balancer/candidates.rs
+++ b/crates/data-plane/src/load_balancer/candidates.rs
@@ -1,14 +1,13 @@
 //! The engines of a service that may run a request.
 
+use super::cost;
 use super::prompt::Prompt;
 use crate::Router;
-use crate::fleet_view::TargetVersion;
 use crate::fleet_view::endpoints::{Endpoint, EndpointSet};
+use crate::fleet_view::version_bound::VersionBound;
 use crate::pool::Health;
-use fleet_core::constants;
 use fleet_core::fleet;
 use fleet_core::wire::EngineState;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// An engine that may run the request, under these weights.
@@ -51,10 +50,13 @@
     attempted: &[String],
     now: Instant,
 ) -> Vec<Candidate> {
+    let settings = router.settings();
     let weights = WantedWeights {
         model: prompt.model.as_deref(),
-        target: prompt.model.as_deref().and_then(|model| router.fleet_view.target(model)),
-        bound: router.settings().bounds.version,
+        bound: prompt
+            .model
+            .as_deref()
+            .map(|model| router.fleet_view.version_bound(model, settings.bounds.version)),
     };
     let mut found = Vec::with_capacity(endpoint_set.endpoints.len());
     for (number, endpoint) in endpoint_set.endpoints.iter().enumerate() {
@@ -77,14 +79,14 @@
 /// The weights that a request wants, and how long older ones may serve it.
 struct WantedWeights<'a> {
     model: Option<&'a str>,
-    target: Option<TargetVersion>,
-    bound: Duration,
+    /// Of the model; none without one.
+    bound: Option<VersionBound>,
 }
 
 impl WantedWeights<'_> {
     /// The engine, if its weights allow it.
     fn candidate(&self, number: usize, endpoint: &Endpoint, now: Instant) -> Option<Candidate> {
-        let target_version = self.target.map(|target| target.version);
+        let target_version = self.bound.as_ref().and_then(VersionBound::target_version);
         let marked = endpoint.engine.has_rollout_mark(now);
         let is_updating = |model| fleet::is_updating(&endpoint.state, model, target_version);
         if marked && self.model.is_some_and(is_updating) {
@@ -94,7 +96,7 @@
         if self.model.is_some() && !endpoint.state.weights.is_empty() && version.is_none() {
             return None;
         }
-        if version.is_some_and(|version| !version_allowed(version, self.target, now, self.bound)) {
+        if version.is_some_and(|version| !self.may_begin(version, endpoint, now)) {
             return None;
         }
         let is_draining_streams =
@@ -106,18 +108,15 @@
             liveness: Liveness::of(endpoint.state.heartbeat_missed, endpoint.engine.health(now)),
         })
     }
-}
 
-/// May a send still go to an engine with these weights?
-pub fn version_allowed(
-    engine: u64,
-    target: Option<TargetVersion>,
-    now: Instant,
-    bound: Duration,
-) -> bool {
-    let Some(target) = target else { return true };
-    let late = target.since + bound.saturating_sub(constants::VERSION_MARGIN);
-    engine >= target.version || now < late
+    /// Whether a request that is sent now begins in time at an engine with these weights.
+    fn may_begin(&self, version: u64, endpoint: &Endpoint, now: Instant) -> bool {
+        let Some(bound) = &self.bound else { return true };
+        if bound.target_version().is_none_or(|target| version >= target) {
+            return true;
+        }
+        bound.allows(version, cost::expected_wait(endpoint, now), now)
+    }
 }
 
 #[cfg(test)]
--- a/crates/data-plane/src/load_balancer/candidates_tests.rs
+++ b/crates/data-plane/src/load_balancer/candidates_tests.rs
@@ -2,17 +2,6 @@
 
 use super::*;
 
-#[test]
-fn old_weights_end_well_before_the_bound() {
-    let t = Instant::now();
-    let bound = Duration::from_secs(8);
-    let target = Some(TargetVersion { version: 3, since: t });
-    assert!(version_allowed(2, target, t + Duration::from_secs(6), bound));
-    assert!(!version_allowed(2, target, t + Duration::from_secs(7), bound));
-    assert!(version_allowed(3, target, t + Duration::from_secs(60), bound));
-    assert!(version_allowed(1, None, t, bound));
-}
-
 /// Rows that stay of these engines, each told as silent or not and with what its connections tell.
 fn retained(engines: &[(bool, Health)]) -> Vec<usize> {
     let candidate = |(endpoint, (heartbeat_missed, health)): (usize, &(bool, Health))| Candidate {
--- a/crates/data-plane/src/load_balancer/cost.rs
+++ b/crates/data-plane/src/load_balancer/cost.rs
@@ -7,6 +7,7 @@
 use crate::fleet_view::endpoints::Endpoint;
 use crate::pool::Work;
 use fleet_core::constants;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Share of an engine's KV memory above which a further request may preempt others.
@@ -93,6 +94,17 @@
     (fill - MEMORY_PRESSURE_FROM) * MEMORY_PRESSURE_COST_MS
 }
 
+/// How long a request that is sent now waits at an engine before it begins: until the prompts before it are read, and
+/// one of the runs has ended for each that waits for a slot.
+pub fn expected_wait(endpoint: &Endpoint, now: Instant) -> Duration {
+    let work = endpoint.engine.work();
+    let occupancy = Occupancy::of(&work, endpoint, now);
+    let reading_ms = work.all(now).unread as f64 / constants::READ_RATE;
+    let ms =
+        reading_ms + f64::from(occupancy.waiting) * constants::WAIT_COST_MS + occupancy.slot_ms();
+    Duration::from_secs_f64(ms / 1000.0)
+}
+
 /// The cost of one engine, with what a source of KV blocks would spare it.
 pub fn evaluate(
     request: &RequestProfile,
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -18,7 +18,7 @@
 
 fn write_counters(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
     let counters = &router.counters;
-    let all: [(&str, &str, &AtomicU64); 14] = [
+    let all: [(&str, &str, &AtomicU64); 15] = [
         ("requests", "Requests with a route and a service", &counters.requests),
         ("responses", "Responses of engines that have begun", &counters.responses),
         ("rejected", "Requests rejected before any engine ran them", &counters.rejected),
@@ -32,6 +32,11 @@
             "Dispatches to engines with older weights than the target",
             &counters.outdated_dispatches,
         ),
+        (
+            "version_cutoffs",
+            "Dispatches to older weights taken back before the bound",
+            &counters.version_cutoffs,
+        ),
         (
             "version_mismatches",
             "Dispatches that an engine rejected with 421",
@@ -71,12 +76,14 @@
     let targets = router.fleet_view.targets();
     let series: Vec<_> = targets
         .iter()
+        .flat_map(|(model, targets)| targets.all().iter().map(move |target| (model, target)))
         .map(|(model, target)| {
             let labels = [("model", model.clone()), ("version", target.version.to_string())];
             (labels, target.since.elapsed().as_secs_f64())
         })
         .collect();
-    let help = "Age of the clock that bounds older weights, by target version";
+    let help =
+        "Time since a version was named; older weights are bounded by the first that they lack";
     let series = series.iter().map(|(labels, age)| (&labels[..], *age));
     exposition.gauges("target_weights_age_seconds", help, series)
 }
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -109,23 +109,31 @@
     let request = accepted.request();
     let interactive = request.routing_table.is_interactive(&request.route);
     let load = SendLoad::start(&choice, request.prompt.load(), interactive);
-    if is_outdated(router, request, &choice) {
+    let cutoff = version_cutoff(router, request, &choice);
+    if cutoff.is_some() {
         router.counters.outdated_dispatches.fetch_add(1, Ordering::Relaxed);
     }
     let dispatched = accepted.dispatch(&choice.engine.id);
     let send = Send { choice, load, at: Instant::now(), first: connection.is_new() };
-    let until = latest_send(dispatched.request());
-    match tokio::time::timeout_at(until, connection.send(outgoing)).await {
+    let latest = latest_send(dispatched.request());
+    let cutoff = cutoff.filter(|cutoff| *cutoff < latest);
+    match tokio::time::timeout_at(cutoff.unwrap_or(latest), connection.send(outgoing)).await {
         Ok(Ok((connection, response))) => send.answered(router, dispatched, connection, response),
         Ok(Err(error)) => send.failed(router, dispatched, error),
+        // the connection is closed, and with it goes what still waits at the engine
+        Err(_) if cutoff.is_some() => {
+            router.counters.version_cutoffs.fetch_add(1, Ordering::Relaxed);
+            Outcome::Uncertain(dispatched)
+        }
         Err(_) => Outcome::DeadlineExceeded(dispatched),
     }
 }
 
-/// Whether the engine is known to have older weights than the target.
-fn is_outdated(router: &Router, request: &ClientRequest, choice: &Choice) -> bool {
-    let target = request.prompt.model.as_deref().and_then(|model| router.fleet_view.target(model));
-    target.is_some_and(|target| choice.version.is_some_and(|version| version < target.version))
+/// When a dispatch to an engine with older weights is taken back if it has no response; none for the newest ones.
+fn version_cutoff(router: &Router, request: &ClientRequest, choice: &Choice) -> Option<Instant> {
+    let model = request.prompt.model.as_deref()?;
+    let bound = router.fleet_view.version_bound(model, router.settings().bounds.version);
+    bound.cutoff_of(choice.version?)
 }
 
 /// A send under way.
--- a/crates/data-plane/tests/version_bound.rs
+++ b/crates/data-plane/tests/version_bound.rs
@@ -90,6 +90,15 @@
     assert!(!serves(&fleet));
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_oldest_age_that_any_controller_tells_counts() {
+    let fleet = router();
+    name(&fleet.0, 2, 0);
+    name(&fleet.0, 2, 5000);
+    tokio::time::advance(BOUND - ms(5000)).await;
+    assert!(!serves(&fleet), "a controller has known the version for 8 s");
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_newest_weights_serve_at_any_age() {
     let fleet = router();
--- a/crates/fleet-core/src/constants/engines.rs
+++ b/crates/fleet-core/src/constants/engines.rs
@@ -14,8 +14,11 @@
 pub const TOMBSTONE: Duration = Duration::from_secs(300);
 /// ms; an engine under order is asked for its report this often.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// s; an order without end is given up and looked at anew.
+/// s; an order that the engine doesn't report to be under way is given up and looked at anew.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(6);
+/// s; an order is given up after this even if it is under way: the runs that the engine ends first have passed their
+/// deadlines by then.
+pub const ORDER_LONGEST: Duration = Duration::from_secs(20);
 /// ms; answers to orders and reports come within a round trip and a step.
 pub const ENGINE_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// ms; an order has reached its engine this long after it was sent, on a link that is not in trouble.
--- a/crates/fleet-core/src/constants/link.rs
+++ b/crates/fleet-core/src/constants/link.rs
@@ -20,6 +20,9 @@
 pub const LINK_BACKLOG: usize = 256;
 /// ms; pause before a broken link is tried again.
 pub const RECONNECT_BACKOFF: Duration = Duration::from_millis(250);
+/// ms; a controller whose link stays down for longer is lost: a connection that was only reset is up again a
+/// `RECONNECT_BACKOFF` later, and a process takes half a second to start.
+pub const CONTROLLER_LOSS_TIMEOUT: Duration = Duration::from_millis(450);
 /// bytes; frames that wait are written together up to this, so that a connection holds little beside its queue.
 pub const WRITE_BATCH: usize = 64 << 10;
 /// frames; a reader with so many waiting gets nothing that can be sent later in a newer form.
--- a/crates/fleet-core/src/constants/rollout.rs
+++ b/crates/fleet-core/src/constants/rollout.rs
@@ -36,7 +36,13 @@
 pub const STREAM_DRAIN_COST_MS: f64 = 400.0;
 /// ms; what each run beyond an engine's slots costs: one of them has to end first.
 pub const SLOT_COST_MS: f64 = 120.0;
+/// versions of a model's weights whose moments are remembered; several minutes of new ones each few seconds. Of more, the
+/// oldest are taken for one.
+pub const TARGET_VERSIONS_CAPACITY: usize = 16;
 /// ms; the roll-out means to end this long before routers stop offering to old weights.
 pub const ROLLOUT_MARGIN: Duration = Duration::from_millis(500);
-/// ms; routers stop offering to old weights this long before the bound.
+/// ms; a request to an engine with older weights whose response has not begun is taken back this long before the bound:
+/// the engine has dropped it by then, a round trip and a step later.
+pub const VERSION_CUTOFF: Duration = Duration::from_millis(150);
+/// ms; routers stop offering to old weights this long before the bound, and the wait expected there besides.
 pub const VERSION_MARGIN: Duration = Duration::from_millis(1500);
--- a/crates/fleet-core/src/lib.rs
+++ b/crates/fleet-core/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod program;
 pub mod random;
 pub mod settings;
+pub mod target_versions;
 pub mod transport;
 pub mod wire;
--- /dev/null
+++ b/crates/fleet-core/src/target_versions_tests.rs
@@ -0,0 +1,71 @@
+//! Tests of `target_versions`.
+
+use super::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn at(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+#[test]
+fn an_engine_is_outdated_since_the_first_version_that_it_lacks() {
+    let start = Instant::now();
+    let mut targets = TargetVersions::default();
+    for (version, ms) in [(2, 0), (3, 4400), (4, 8800)] {
+        assert!(targets.learn(version, at(start, ms)));
+    }
+    assert_eq!(targets.outdated_since(1), Some(start));
+    assert_eq!(targets.outdated_since(2), Some(at(start, 4400)));
+    assert_eq!(targets.outdated_since(3), Some(at(start, 8800)));
+    assert_eq!(targets.outdated_since(4), None);
+    assert_eq!(targets.newest().map(|target| target.version), Some(4));
+}
+
+#[test]
+fn the_earliest_moment_told_counts_and_nothing_told_later_extends_it() {
+    let start = Instant::now();
+    let mut targets = TargetVersions::default();
+    assert!(targets.learn(2, at(start, 5000)));
+    assert!(!targets.learn(2, at(start, 9000)));
+    assert!(targets.learn(2, at(start, 1000)));
+    assert_eq!(targets.outdated_since(1), Some(at(start, 1000)));
+    assert!(!targets.learn(0, start), "there is no version 0");
+}
+
+#[test]
+fn a_version_learned_late_was_named_before_those_above_it() {
+    let start = Instant::now();
+    let mut targets = TargetVersions::default();
+    targets.learn(3, at(start, 1000));
+    targets.learn(2, at(start, 7000));
+    assert_eq!(targets.outdated_since(1), Some(at(start, 1000)));
+}
+
+proptest! {
+    /// Against a list of all that was told: never later than the truth, and exact while few versions are known.
+    #[test]
+    fn a_bound_is_never_later_than_all_that_was_told_makes_it(
+        told in prop::collection::vec((1u64..40, 0u64..10_000), 1..80),
+        engine in 0u64..40,
+    ) {
+        let start = Instant::now();
+        let mut targets = TargetVersions::default();
+        let mut model: BTreeMap<u64, u64> = BTreeMap::new();
+        for (version, ms) in told {
+            targets.learn(version, at(start, ms));
+            let known = model.entry(version).or_insert(ms);
+            *known = ms.min(*known);
+        }
+        let expected = model.range(engine + 1..).map(|(_, ms)| *ms).min().map(|ms| at(start, ms));
+        let found = targets.outdated_since(engine);
+        prop_assert_eq!(found.is_some(), expected.is_some());
+        prop_assert!(found <= expected);
+        if model.len() <= constants::TARGET_VERSIONS_CAPACITY {
+            prop_assert_eq!(found, expected);
+        }
+        prop_assert!(targets.all().len() <= constants::TARGET_VERSIONS_CAPACITY);
+        prop_assert!(targets.all().is_sorted_by(|a, b| a.version < b.version && a.since <= b.since));
+    }
+}
