A controller stays until the router of its machine has ended

Cause: on SIGTERM a controller ended at once and was started again half a second later, while the router of the same machine drained for up to 7.6 s: streams that it then broke off were those of a machine that counts as running. Change: Controller::leave waits for the links of its own machine's router, within the grace period; it votes and passes calls on meanwhile and owns nothing. Routers of counted machines link to their own controller, member or not.

--- a/crates/control-plane/src/controller.rs
+++ b/crates/control-plane/src/controller.rs
@@ -15,6 +15,7 @@
 use crate::rollout::{self, Rollout, RolloutParts};
 use crate::service::membership::ViewSources;
 use crate::storage::monitor::MonitoredDisk;
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::node::{Node, Role};
 use fleet_core::settings::Settings;
@@ -22,6 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 /// The areas of one controller, wired. Each is built with those before it that it needs.
 pub struct Controller {
@@ -199,14 +201,22 @@
         self.consensus.relink();
     }
 
-    /// Ends in good order: releases its leases and keys, and sends the others what they may not know of the
-    /// engines. Each part has a time-out.
+    /// Ends in good order: releases its leases and keys, sends the others what they may not know of the engines, and
+    /// stays until the router of its machine has ended. Meanwhile it votes and passes calls on, and owns nothing. Each part
+    /// has a time-out.
+    ///
+    /// Whoever runs the machine starts a process again that has ended. A controller that ended at once would be back,
+    /// and its machine count as one that runs, while the router still drains.
     pub(crate) async fn leave(&self) {
         fleet_core::log_event!(self.process.log, Event::Stopping);
+        let grace = self.process.settings().bounds.grace;
+        let latest = Instant::now() + grace.saturating_sub(constants::CONTROLLER_GRACE_MARGIN);
         self.process.begin_shutdown();
         let share_engines = self.registry.share_all();
         let release_keys = resignation::release_keys(&self.consensus);
         tokio::join!(self.leases.release_all(), release_keys, share_engines);
+        let router_gone = self.routers.wait_until_gone(self.process.node.ip);
+        let _ = tokio::time::timeout_at(latest, router_gone).await;
     }
 
     /// Closes the links to all other processes.
--- a/crates/control-plane/src/membership/routers.rs
+++ b/crates/control-plane/src/membership/routers.rs
@@ -5,6 +5,8 @@
 use fleet_core::wire::Body;
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Linked routers, and when each last sent a heartbeat. Both locks are leaves.
@@ -14,6 +16,8 @@
     links: Mutex<BTreeMap<u64, Peer>>,
     /// By name.
     live: Mutex<BTreeMap<String, Live>>,
+    /// Wakes those who wait for a router to go.
+    disconnected: Notify,
 }
 
 struct Live {
@@ -35,6 +39,26 @@
         if live.get(name).is_some_and(|router| router.incarnation == incarnation) {
             live.remove(name);
         }
+        drop(live);
+        self.disconnected.notify_waiters();
+    }
+
+    /// Waits until no router of a machine is linked; returns at once if none is.
+    ///
+    /// # Cancel safety
+    ///
+    /// A wait that is dropped changes nothing.
+    pub async fn wait_until_gone(&self, machine: Ipv4Addr) {
+        let machine = machine.to_string();
+        let is_linked = || self.links.lock().values().any(|peer| peer.handshake.ip == machine);
+        loop {
+            // taken before the look, so that an end between the two is not missed
+            let disconnected = self.disconnected.notified();
+            if !is_linked() {
+                return;
+            }
+            disconnected.await;
+        }
     }
 
     /// Takes in a heartbeat; returns how many routers are live now.
--- a/crates/control-plane/src/runtime.rs
+++ b/crates/control-plane/src/runtime.rs
@@ -86,7 +86,7 @@
         .map_err(|e| ControllerError::Control(e.kind()))?;
     until_stopped(running.controller(), stop, reread).await;
     running.leave().await;
-    let _ = tokio::time::timeout(constants::PHASE_TIMEOUT, server.close()).await;
+    let _ = tokio::time::timeout(constants::SERVER_CLOSE_TIMEOUT, server.close()).await;
     running.abort();
     Ok(())
 }
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -27,9 +27,17 @@
             std::net::IpAddr::V6(_) => None,
         }));
     }
+    out.extend(own_machine(router));
     out
 }
 
+/// The controller of this machine, if there is one: also where it is no member, it ends after this router only if it
+/// is linked with it.
+fn own_machine(router: &Router) -> Option<Ipv4Addr> {
+    let settings = router.settings();
+    settings.counted.then_some(settings.ip)
+}
+
 /// Keeps the links to the controllers, and sends each a heartbeat once a second.
 pub async fn run_link_maintenance(router: Arc<Router>) {
     loop {
--- a/crates/fleet-core/src/settings/mod.rs
+++ b/crates/fleet-core/src/settings/mod.rs
@@ -72,6 +72,8 @@
     pub seeds: Vec<SocketAddr>,
     /// True only at the very first start of all, on empty disks: the seeds are then the members.
     pub bootstrap: bool,
+    /// Whether the platform counts the machine among those whose loss `tolerance` bounds; controllers run there.
+    pub counted: bool,
     /// Folder on the machine's disk; none on a machine without one.
     pub data_dir: Option<std::path::PathBuf>,
     /// Time between two heartbeats of an engine; at least 50 ms.
@@ -130,6 +132,7 @@
             ports,
             seeds,
             bootstrap: lines.optional("bootstrap", "true or false")?.unwrap_or(false),
+            counted: lines.optional("counted", "true or false")?.unwrap_or(false),
             data_dir: lines.optional("dataDir", "a path")?,
             heartbeat: lines.duration("heartbeatMs", 1.0, 1000.0)?.max(Duration::from_millis(50)),
             cores: lines.optional("limits.cores", "a whole number")?.unwrap_or(1usize).max(1),
--- a/crates/fleet-core/tests/settings_format.rs
+++ b/crates/fleet-core/tests/settings_format.rs
@@ -19,6 +19,7 @@
 portRange=7640,7655
 seeds=10.0.0.1:8169, 10.0.0.2:8169
 bootstrap=true
+counted=true
 dataDir=/data/x
 heartbeatMs=1200
 limits.cores=2
@@ -57,6 +58,7 @@
         ports: PortRange { first: 7640, last: 7655 },
         seeds: vec!["10.0.0.1:8169".parse().unwrap(), "10.0.0.2:8169".parse().unwrap()],
         bootstrap: true,
+        counted: true,
         data_dir: Some("/data/x".into()),
         heartbeat: ms(1200),
         cores: 2,
@@ -95,6 +97,7 @@
         ports: PortRange { first: 7640, last: 7655 },
         seeds: Vec::new(),
         bootstrap: false,
+        counted: false,
         data_dir: None,
         heartbeat: ms(1000),
         cores: 1,
