A router that shuts down rejects what it can't complete, unsent and for another router

Change: the time for each token that a response puts out is learnt by service; a request that is expected to outlast the router gets 503 with Retry-After 0 and Connection: close, before any engine is chosen. Tests besides for requests that wait at engines with outdated weights.

--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -45,6 +45,8 @@
     pub responses: AtomicU64,
     /// Requests rejected unsent.
     pub rejected: AtomicU64,
+    /// Requests that came after SIGTERM and would not have been complete before this router ends.
+    pub rejected_at_end: AtomicU64,
     /// Requests that were sent and got no answer of an engine.
     pub failed: AtomicU64,
     /// Dispatches to engines with older weights than the target.
@@ -111,6 +113,10 @@
     /// The readiness that was logged last.
     ready: AtomicBool,
     shutting_down: AtomicBool,
+    /// When the process ends; set once it is asked to.
+    ends_at: std::sync::OnceLock<tokio::time::Instant>,
+    /// How long responses take.
+    pub stream_paces: proxy::stream_pace::StreamPaces,
     /// Open connections of clients.
     pub open: AtomicUsize,
     /// Requests accepted and not yet answered completely.
@@ -132,6 +138,8 @@
             started: tokio::time::Instant::now(),
             ready: AtomicBool::new(false),
             shutting_down: AtomicBool::new(false),
+            ends_at: std::sync::OnceLock::new(),
+            stream_paces: proxy::stream_pace::StreamPaces::default(),
             open: AtomicUsize::new(0),
             in_flight: Arc::default(),
             closing: tokio::sync::watch::channel(false).0,
@@ -156,6 +164,20 @@
         self.shutting_down.load(Ordering::Relaxed)
     }
 
+    /// Asks this router to end: it is unready from now on, and ends at this moment at the latest.
+    pub fn begin_shutdown(&self, ends_at: tokio::time::Instant) {
+        let _ = self.ends_at.set(ends_at);
+        self.shutting_down.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a request that puts out so many tokens is expected to be complete before this router ends. True while
+    /// it is not known when that is, or how long responses take.
+    pub fn can_finish(&self, service: &str, tokens: u64) -> bool {
+        let Some(ends_at) = self.ends_at.get() else { return true };
+        let expected = self.stream_paces.expected(service, tokens).unwrap_or_default();
+        tokio::time::Instant::now() + expected <= *ends_at
+    }
+
     /// Whether clients may come: a configuration is in force, and the router is not shutting down.
     pub fn is_ready(&self) -> bool {
         let now = !self.shutting_down.load(Ordering::Relaxed)
@@ -235,7 +257,7 @@
 async fn leave(router: &Arc<Router>, accepting: tokio::task::JoinHandle<()>) {
     let end = tokio::time::Instant::now()
         + router.settings().bounds.grace.saturating_sub(constants::GRACE_MARGIN);
-    router.shutting_down.store(true, Ordering::Relaxed);
+    router.begin_shutdown(end);
     tokio::time::sleep(constants::PROBES_MISSED).await;
     accepting.abort();
     router.closing.send_replace(true);
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -18,10 +18,15 @@
 
 fn write_counters(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
     let counters = &router.counters;
-    let all: [(&str, &str, &AtomicU64); 15] = [
+    let all: [(&str, &str, &AtomicU64); 16] = [
         ("requests", "Requests with a route and a service", &counters.requests),
         ("responses", "Responses of engines that have begun", &counters.responses),
         ("rejected", "Requests rejected before any engine ran them", &counters.rejected),
+        (
+            "rejected_at_end",
+            "Requests rejected since this router ends before they could be complete",
+            &counters.rejected_at_end,
+        ),
         ("failed", "Requests that were dispatched and got no response", &counters.failed),
         ("resumed", "Streams that went on at another engine", &counters.resumed),
         ("retries", "Retries", &counters.retries),
--- a/crates/data-plane/src/proxy/answer.rs
+++ b/crates/data-plane/src/proxy/answer.rs
@@ -64,6 +64,8 @@
 pub enum Rejection {
     /// no configuration, or a route that leads nowhere
     NotReady,
+    /// This router ends before the response could be complete; another one may take the request at once.
+    ShuttingDown,
     /// no route for this host and path
     NoRoute,
     /// a key is needed, and this is none
@@ -85,6 +87,7 @@
     pub fn write(self) -> Response<Out> {
         match self {
             Rejection::NotReady => refusal(),
+            Rejection::ShuttingDown => elsewhere(),
             Rejection::NoRoute => empty(StatusCode::NOT_FOUND),
             Rejection::Unauthorized => empty(StatusCode::UNAUTHORIZED),
             Rejection::BadRequest => empty(StatusCode::BAD_REQUEST),
@@ -130,6 +133,13 @@
     response
 }
 
+/// The promise that the request has not run and never will here, and that it may be sent elsewhere now.
+fn elsewhere() -> Response<Out> {
+    let mut response = closing(StatusCode::SERVICE_UNAVAILABLE);
+    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("0"));
+    response
+}
+
 fn closing(status: StatusCode) -> Response<Out> {
     let mut response = empty(status);
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! | [`response_check`] | what the head of the response proves |
 //! | [`relay`] | passes the body on, and resumes a broken stream |
 //! | [`answer`] | responses of the router itself |
+//! | [`stream_pace`] | how long responses take, for a router that is about to end |
 //! | [`in_flight`] | counts the requests that a router has to answer before it may end |
 //!
 //! [`stage`] has a type for each step (accepted, dispatched, responding): a rejection that promises that the request has not
@@ -23,6 +24,7 @@
 pub mod response_check;
 pub mod send_load;
 pub mod stage;
+pub mod stream_pace;
 
 use crate::Router;
 use answer::Out;
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -4,7 +4,7 @@
 use super::dispatch::{self, Outcome};
 use super::events::EventSplitter;
 use super::headers;
-use super::stage::Responding;
+use super::stage::{ClientRequest, Responding};
 use crate::Router;
 use crate::fleet_view::routing_table::Repeat;
 use bytes::Bytes;
@@ -73,6 +73,7 @@
     let passing = pass(&mut responding.body, Some, chunks);
     match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::PastDeadline) {
         BodyEnd::Complete => {
+            record_pace(router, &responding.request);
             responding.connection.end();
             let _ = chunks.send(BodyChunk::End).await;
         }
@@ -94,6 +95,7 @@
         let passing = pass(&mut responding.body, |bytes| splitter.push(&bytes), chunks);
         match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::PastDeadline) {
             BodyEnd::Complete => {
+                record_pace(router, &responding.request);
                 responding.connection.end();
                 if let Some(remainder) = splitter.remainder() {
                     let _ = chunks.send(BodyChunk::Data(remainder)).await;
@@ -112,6 +114,12 @@
     }
 }
 
+/// Takes in how long a complete response took.
+fn record_pace(router: &Router, request: &ClientRequest) {
+    let took = request.accepted_at.elapsed();
+    router.stream_paces.record(&request.service, request.prompt.put_out, took);
+}
+
 fn count(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -41,9 +41,13 @@
     let body = read_body(body, routing_table.limits.max_body_bytes, deadline).await?;
     let service =
         routing_table.pick(&route, router.random()).ok_or(Rejection::NotReady)?.to_owned();
+    let prompt = Prompt::read(&head.headers);
+    if !router.can_finish(&service, prompt.put_out) {
+        router.counters.rejected_at_end.fetch_add(1, Ordering::Relaxed);
+        return Err(Rejection::ShuttingDown);
+    }
     router.counters.requests.fetch_add(1, Ordering::Relaxed);
     router.arrived(&service);
-    let prompt = Prompt::read(&head.headers);
     let mut passed_on = head.headers;
     headers::strip_request(&mut passed_on);
     Ok(Accepted::new(ClientRequest {
@@ -53,6 +57,7 @@
         tenant,
         service,
         prompt,
+        accepted_at: Instant::now(),
         deadline,
         attempt,
         method: head.method,
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -37,6 +37,8 @@
     pub prompt: Prompt,
     /// whether it may run twice
     pub repeat: Repeat,
+    /// When it had been read.
+    pub accepted_at: Instant,
     /// the client's deadline or the route's timeout, whichever comes first
     pub deadline: Instant,
     /// the client's id of this try
--- a/crates/data-plane/tests/engines/main.rs
+++ b/crates/data-plane/tests/engines/main.rs
@@ -1,8 +1,10 @@
 //! Engines that misbehave: nothing of theirs is passed on as a success, nothing runs twice.
 
 mod answers;
+mod draining;
 mod harness;
 mod idle;
+mod outdated;
 mod promises;
 mod silence;
 
