--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -46,13 +46,31 @@
         }
         let router = router.clone();
         tokio::spawn(async move {
-            router.open.fetch_add(1, Ordering::Relaxed);
+            let _open = OpenConnection::new(&router);
             serve_client(&router, s).await;
-            router.open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
+/// A client's connection, counted for as long as this lives, also where its task ends by a panic: a router that shuts down
+/// waits until none is left.
+struct OpenConnection<'a> {
+    router: &'a Router,
+}
+
+impl<'a> OpenConnection<'a> {
+    fn new(router: &'a Router) -> OpenConnection<'a> {
+        router.open.fetch_add(1, Ordering::Relaxed);
+        OpenConnection { router }
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        self.router.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve_client(router: &Arc<Router>, s: tokio::net::TcpStream) {
     let limits = router.fleet_view.routing_table().map(|t| t.limits.clone()).unwrap_or_default();
     let idle = limits.idle_timeout_ms.max(limits.header_timeout_ms).max(1000);
