A run from the naming of versions to the router's choice, with restarts drawn by proptest

Change: crates/router/tests/version_bound.rs plays named versions, restarts of controllers and routers and a lagging engine through both libraries; routers_are_sent_every_version_with_its_own_age in control-plane. Measured: passes; with the clock of the newest version in place of the first that an engine lacks it fails ("0ns past the bound").

--- a/crates/control-plane/src/cluster_state.rs
+++ b/crates/control-plane/src/cluster_state.rs
@@ -201,3 +201,7 @@
         Self::new()
     }
 }
+
+#[cfg(test)]
+#[path = "cluster_state_tests.rs"]
+mod tests;
