--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -1,34 +1,41 @@
-//! Links to the controllers: views come in, signs of incarnation go out.
+//! Links to the controllers: updates come in, heartbeats go out.
 
 use crate::Router;
 use fleet_core::constants;
 use fleet_core::link::Link;
 use fleet_core::log::Event;
 use fleet_core::wire::{Body, FleetUpdate, RouterHeartbeat};
-use std::net::Ipv4Addr;
-use std::sync::Arc;
+use hashbrown::HashSet;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Weak};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-/// The controllers to be linked with: the membership's, and the seeds while they may help.
-fn addresses(router: &Router) -> hashbrown::HashSet<Ipv4Addr> {
-    let mut out: hashbrown::HashSet<Ipv4Addr> =
-        router.fleet_view.membership.lock().members.iter().filter_map(|m| m.addr()).collect();
-    let up = router
-        .fleet_view
-        .links
-        .lock()
-        .iter()
-        .filter(|(ip, l)| out.contains(*ip) && l.is_up())
-        .count();
-    if up == 0 {
-        out.extend(router.settings().seeds.iter().filter_map(|a| match a.ip() {
-            std::net::IpAddr::V4(ip) => Some(ip),
-            std::net::IpAddr::V6(_) => None,
-        }));
+/// The controllers to be linked with: the membership's, the seeds while no member is linked, and this machine's own.
+fn addresses(router: &Router) -> HashSet<Ipv4Addr> {
+    let membership = router.fleet_view.membership.lock();
+    let mut addresses: HashSet<Ipv4Addr> =
+        membership.members.iter().filter_map(|member| member.addr()).collect();
+    drop(membership);
+    if !is_any_linked(router, &addresses) {
+        addresses.extend(seeds(router));
     }
-    out.extend(own_machine(router));
-    out
+    addresses.extend(own_machine(router));
+    addresses
+}
+
+fn is_any_linked(router: &Router, addresses: &HashSet<Ipv4Addr>) -> bool {
+    let links = router.fleet_view.links.lock();
+    links.iter().any(|(ip, link)| addresses.contains(ip) && link.is_up())
+}
+
+fn seeds(router: &Router) -> Vec<Ipv4Addr> {
+    let ipv4 = |seed: &SocketAddr| match seed.ip() {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
+    };
+    router.settings().seeds.iter().filter_map(ipv4).collect()
 }
 
 /// The controller of this machine, if there is one: also where it is no member, it ends after this router only if it
@@ -41,37 +48,48 @@
 /// Keeps the links to the controllers, and sends each a heartbeat once a second.
 pub async fn run_link_maintenance(router: Arc<Router>) {
     loop {
-        let addresses = addresses(&router);
-        {
-            let mut links = router.fleet_view.links.lock();
-            links.retain(|ip, _| addresses.contains(ip));
-            for ip in addresses {
-                links.entry(ip).or_insert_with(|| {
-                    let (tx, rx) = tokio::sync::mpsc::channel(constants::LINK_BACKLOG);
-                    let link =
-                        Link::keep(&router.node, router.settings().peer_addr(ip.into()), Some(tx));
-                    tokio::spawn(receive_updates(router.clone(), Arc::downgrade(&link), rx));
-                    link
-                });
-            }
-        }
-        let links: Vec<Arc<Link>> = router.fleet_view.links.lock().values().cloned().collect();
-        let heartbeat = RouterHeartbeat {
-            version: router.fleet_view.routing_table().map_or(0, |t| t.version),
-            shutting_down: router.is_shutting_down(),
-        };
-        for l in links {
-            let heartbeat = heartbeat.clone();
-            tokio::spawn(async move {
-                let _ = l
-                    .call(Body::RouterHeartbeat(heartbeat), constants::ROUTER_HEARTBEAT_INTERVAL)
-                    .await;
-            });
-        }
+        update_links(&router);
+        send_heartbeats(&router);
         tokio::time::sleep(constants::ROUTER_HEARTBEAT_INTERVAL).await;
     }
 }
 
+/// Opens the links that are missing, and drops those to controllers that are no longer wanted.
+fn update_links(router: &Arc<Router>) {
+    let addresses = addresses(router);
+    let mut links = router.fleet_view.links.lock();
+    links.retain(|ip, _| addresses.contains(ip));
+    for ip in addresses {
+        links.entry(ip).or_insert_with(|| open_link(router, ip));
+    }
+}
+
+/// A link to the controller at an address. Its updates are taken in by a task that ends with the link.
+fn open_link(router: &Arc<Router>, ip: Ipv4Addr) -> Arc<Link> {
+    let (pushed, updates) = mpsc::channel(constants::LINK_BACKLOG);
+    let address = router.settings().peer_addr(ip.into());
+    let link = Link::keep(&router.node, address, Some(pushed));
+    tokio::spawn(receive_updates(router.clone(), Arc::downgrade(&link), updates));
+    link
+}
+
+/// Sends a heartbeat to all controllers. Each is a task of its own, which ends by its time-out: a controller that does not
+/// answer holds up no other.
+fn send_heartbeats(router: &Router) {
+    let heartbeat = RouterHeartbeat {
+        version: router.fleet_view.routing_table().map_or(0, |table| table.version),
+        shutting_down: router.is_shutting_down(),
+    };
+    let links: Vec<Arc<Link>> = router.fleet_view.links.lock().values().cloned().collect();
+    for link in links {
+        let heartbeat = Body::RouterHeartbeat(heartbeat.clone());
+        tokio::spawn(async move {
+            // what it shows is whether the link stands, which the link knows
+            let _ = link.call(heartbeat, constants::ROUTER_HEARTBEAT_INTERVAL).await;
+        });
+    }
+}
+
 /// Tells the loss of a controller from the loss of a connection to it.
 ///
 /// A connection that is reset comes up again at the next try. A controller that has ended, or that is cut off, can't be
@@ -100,44 +118,56 @@
     }
 }
 
-async fn receive_updates(
-    router: Arc<Router>,
-    link: std::sync::Weak<Link>,
-    mut rx: tokio::sync::mpsc::Receiver<Body>,
-) {
-    let Some(mut up) = link.upgrade().map(|l| l.watch()) else { return };
+/// What a link brings, or what became of it.
+enum LinkEvent {
+    /// A controller pushed a message.
+    Pushed(Body),
+    /// The link came up or went down.
+    Changed { is_up: bool },
+    /// The controller counts as lost since this moment.
+    Lost { since: Instant },
+    /// The link was dropped.
+    Dropped,
+}
+
+async fn receive_updates(router: Arc<Router>, link: Weak<Link>, mut updates: mpsc::Receiver<Body>) {
+    let Some(mut is_up) = link.upgrade().map(|link| link.watch()) else { return };
     let mut loss = LossDetector::default();
     loop {
-        let body = tokio::select! {
-            b = rx.recv() => b,
-            changed = up.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-                let is_up = *up.borrow_and_update();
+        let event = tokio::select! {
+            pushed = updates.recv() => pushed.map_or(LinkEvent::Dropped, LinkEvent::Pushed),
+            changed = is_up.changed() => match changed {
+                Ok(()) => LinkEvent::Changed { is_up: *is_up.borrow_and_update() },
+                Err(_) => LinkEvent::Dropped,
+            },
+            since = loss.lost() => LinkEvent::Lost { since },
+        };
+        match event {
+            LinkEvent::Pushed(body) => apply(&router, body),
+            LinkEvent::Changed { is_up } => {
                 loss.link_changed(is_up, Instant::now());
                 if !is_up {
                     fleet_core::log_event!(router.log, Event::LinkDown);
                 }
-                continue;
             }
-            lost_since = loss.lost() => {
-                router.fleet_view.disturb(lost_since);
+            LinkEvent::Lost { since } => {
+                router.fleet_view.disturb(since);
                 router.counters.controllers_lost.fetch_add(1, Ordering::Relaxed);
-                continue;
-            }
-        };
-        let v = match body {
-            Some(Body::FleetUpdate(v)) => v,
-            Some(Body::LoadReport(l)) => {
-                router.fleet_view.update_loads(&l);
-                continue;
             }
-            Some(_) => continue,
-            None => return,
-        };
-        log_new_targets(&router, &v);
-        router.fleet_view.apply(&v);
+            LinkEvent::Dropped => return,
+        }
+    }
+}
+
+/// Takes in what a controller pushed; a message of a kind that a router has no use for is ignored.
+fn apply(router: &Router, body: Body) {
+    match body {
+        Body::FleetUpdate(update) => {
+            log_new_targets(router, &update);
+            router.fleet_view.apply(&update);
+        }
+        Body::LoadReport(loads) => router.fleet_view.update_loads(&loads),
+        _ => {}
     }
 }
 
