--- a/crates/data-plane/src/load_balancer/candidates.rs
+++ b/crates/data-plane/src/load_balancer/candidates.rs
@@ -12,16 +12,16 @@
 
 /// An engine that may run the request, under these weights.
 pub struct Candidate {
-    /// its row of the roll
+    /// Its place in the endpoint set.
     pub endpoint: usize,
-    /// the weights that the request would run under
+    /// The weights that the request would run under; none if the engine names none for the model.
     pub version: Option<u64>,
-    /// it is about to get other weights
+    /// The roll-out is about to update it.
     pub draining_streams: bool,
     liveness: Liveness,
 }
 
-/// What speaks for an engine being alive; the later, the more.
+/// The evidence that an engine is alive, the weakest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Liveness {
     /// Its heartbeats are missed, and it has served nothing since a connection broke.
@@ -69,7 +69,7 @@
     found
 }
 
-/// Drops all but those that most speaks for.
+/// Drops all but those with the strongest evidence of being alive.
 fn retain_liveliest(found: &mut Vec<Candidate>) {
     if let Some(best) = found.iter().map(|candidate| candidate.liveness).max() {
         found.retain(|candidate| candidate.liveness == best);
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -1,4 +1,4 @@
-//! Sending a request to one engine, and what becomes of that send.
+//! Dispatching a request to one engine, and the outcome.
 
 use super::headers;
 use super::passive_health;
@@ -26,17 +26,17 @@
     connection: PooledConnection,
 }
 
-/// What became of a send.
+/// The outcome of a dispatch.
 pub enum Outcome {
-    /// an answer for the client has begun
+    /// A response for the client has begun.
     Responding(Box<Responding>),
-    /// the engine proves that it has not run it
+    /// The engine proves that it has not run the request.
     NotExecuted(Accepted),
-    /// nothing went out
+    /// No byte of the request was sent.
     NotSent(Accepted),
-    /// it may have run, and no answer of use came
+    /// The engine may have run the request, and no response of use came.
     Uncertain(Dispatched),
-    /// it may have run, and the deadline is here
+    /// The engine may have run the request, and the deadline has passed.
     DeadlineExceeded(Dispatched),
 }
 
@@ -81,19 +81,23 @@
     Err(accepted)
 }
 
-/// Behind this no answer could reach the client in time.
+/// After this no response could reach the client in time.
 fn latest_send(request: &ClientRequest) -> Instant {
     request.deadline - constants::DEADLINE_MARGIN
 }
 
-/// This router's part of the connections that an engine takes from all callers.
+/// This router's share of the connections that an engine accepts from all callers.
 fn connection_share(router: &Router, request: &ClientRequest) -> u32 {
     let most = request.routing_table.service(&request.service).map_or(0, |s| s.max_conns) as usize;
     let routers = router.fleet_view.routers() + constants::BUDGET_SPARES;
     (most / routers).max(constants::CONNECTIONS_LEAST) as u32
 }
 
-/// Sends the request, and waits for the head of an answer.
+/// Sends the request, and waits for the head of a response.
+///
+/// # Cancel safety
+///
+/// A dispatch that is dropped closes its connection; the engine may have run the request.
 pub async fn dispatch(
     router: &Router,
     accepted: Accepted,
@@ -136,12 +140,12 @@
     bound.cutoff_of(choice.version?)
 }
 
-/// A send under way.
+/// A dispatch in flight.
 struct Send {
     choice: Choice,
     load: SendLoad,
     at: Instant,
-    /// nothing went out on its connection before
+    /// No request went out on its connection before.
     first: bool,
 }
 
@@ -167,7 +171,7 @@
         }
     }
 
-    /// Reads what the head of an answer proves.
+    /// Decides by what the head of a response proves.
     fn answered(
         mut self,
         router: &Router,
@@ -252,7 +256,7 @@
     Some(outgoing)
 }
 
-/// The refusal itself is known: its body only matters to the connection, and holds nobody up.
+/// Reads the body of a rejection in a task of its own, which ends by its time-out: it matters only to the connection.
 fn keep_after_refusal(connection: Streaming, body: Incoming) {
     if body.is_end_stream() {
         return connection.end();
@@ -265,7 +269,7 @@
     });
 }
 
-/// An engine that broke off or let no connection come up is left alone for a while.
+/// Ejects an engine that broke off or accepted no connection.
 fn record_connection_failure(router: &Router, choice: &Choice, why: &str) {
     choice.engine.record_failure(Instant::now());
     fleet_core::log_event!(router.log, Event::EngineError, "id" => &choice.engine.id, "why" => why);
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -1,4 +1,4 @@
-//! Passing an engine's answer on as it comes, and going on elsewhere where that is allowed.
+//! Relaying an engine's response as it comes, and resuming a broken stream at another engine where that is allowed.
 
 use super::answer::{BodyChunk, Out};
 use super::dispatch::{self, Outcome};
@@ -21,17 +21,17 @@
 
 /// How a body ended.
 enum BodyEnd {
-    /// all of it was passed on
+    /// All of it was relayed.
     Complete,
-    /// the engine broke off
+    /// The engine broke off.
     Broken,
-    /// the client has gone
+    /// The client has gone.
     Abandoned,
-    /// the time is over
+    /// The deadline or the route's timeout has passed.
     PastDeadline,
 }
 
-/// Begins the answer to the client; its body follows as it comes.
+/// Begins the response to the client; its body follows as it comes.
 pub fn relay(router: &Arc<Router>, mut responding: Responding) -> Response<Out> {
     let status = responding.head.status();
     let mut response = Response::new(Out::Empty);
@@ -50,7 +50,7 @@
     response
 }
 
-/// Passes the body on in a task of its own.
+/// Relays the body in a task of its own, which ends with the body, the client or the deadline.
 fn relay_body(router: Arc<Router>, responding: Responding, resumable: bool) -> Out {
     let (chunks, body) = mpsc::channel(constants::RELAY_BACKLOG);
     tokio::spawn(async move {
