--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -10,86 +10,27 @@
 //! 3. [`pool`]: connections to engines, and what is known of each engine
 //! 4. [`retry_budget`]: how many requests may go to a second engine
 //! 5. [`fleet_view`]: what controllers send, and the configuration in force
+//! 6. [`runtime`]: start and end; [`counters`] and `metrics`: what it shows of itself
 
 // A process that carries traffic does not panic for a value that is not there; tests may.
 #![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::print_stdout))]
 
+pub mod counters;
 pub mod fleet_view;
 pub mod load_balancer;
 mod metrics;
 pub mod pool;
 pub mod proxy;
 pub mod retry_budget;
+pub mod runtime;
+
+pub use counters::Counters;
+pub use runtime::{RouterError, run};
 
-use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::random::RandomSource;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-
-/// Why a router cannot run.
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum RouterError {
-    /// {0}: not in the settings, which a router needs
-    ParamMissing(&'static str),
-    /// cannot listen at {0}: {1}
-    Listen(std::net::SocketAddr, std::io::ErrorKind),
-}
-
-/// Counted in memory, written out every `COUNTERS_INTERVAL` (event 105); all since the start.
-#[derive(Default)]
-pub struct Counters {
-    /// Requests with a route and a service.
-    pub requests: AtomicU64,
-    /// Answers of engines that have begun.
-    pub responses: AtomicU64,
-    /// Requests rejected unsent.
-    pub rejected: AtomicU64,
-    /// Requests that came after SIGTERM and would not have been complete before this router ends.
-    pub rejected_at_end: AtomicU64,
-    /// Requests that were sent and got no answer of an engine.
-    pub failed: AtomicU64,
-    /// Dispatches to engines with older weights than the target.
-    pub outdated_dispatches: AtomicU64,
-    /// Dispatches to engines with older weights that were taken back before the bound.
-    pub version_cutoffs: AtomicU64,
-    /// Dispatches that an engine rejected with 421.
-    pub version_mismatches: AtomicU64,
-    /// Responses that an engine broke off.
-    pub broken: AtomicU64,
-    /// Responses cut at their deadline.
-    pub past_deadline: AtomicU64,
-    /// Responses that the client left.
-    pub abandoned: AtomicU64,
-    /// Controllers that were lost.
-    pub controllers_lost: AtomicU64,
-    /// Streams that went on at another engine.
-    pub resumed: AtomicU64,
-    /// Retries.
-    pub retries: AtomicU64,
-    /// New connections to engines.
-    pub connections: AtomicU64,
-    /// Sends on an idle connection that was reset: the engine had perhaps closed it already.
-    pub idle_resets: AtomicU64,
-    /// Tokens of prompts that the chosen engine was known to have cached.
-    pub cached_tokens: AtomicU64,
-    /// Tokens of prompts that it was not known to have cached.
-    pub missing_tokens: AtomicU64,
-    /// Sends with a source that is known to have cached what is missing.
-    pub transfers: AtomicU64,
-    /// Sends with a source that is only guessed.
-    pub guesses: AtomicU64,
-    /// Sends with a sink.
-    pub sinks: AtomicU64,
-    /// Sends whose prompt a store is known to have some of.
-    pub stored: AtomicU64,
-    /// Tokens of shared parts that were missing and had no known source.
-    pub shared_missing: AtomicU64,
-    /// Responses to requests that need much prefill.
-    pub prefill_heavy_answers: AtomicU64,
-    /// Their waits for a first event, added up, in microseconds.
-    pub prefill_heavy_wait_us: AtomicU64,
-}
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 /// All state of a router.
 ///
@@ -187,81 +128,4 @@
         }
         now
     }
-
-    fn log_counters(&self) {
-        let counters = &self.counters;
-        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
-        fleet_core::log_event!(self.log, Event::Counters,
-            "taken" => get(&counters.requests), "begun" => get(&counters.responses), "refused" => get(&counters.rejected),
-            "failed" => get(&counters.failed), "resumed" => get(&counters.resumed), "again" => get(&counters.retries),
-            "connections" => get(&counters.connections), "forgotten" => get(&counters.idle_resets),
-            "links_rejected" => self.fleet_view.links_rejected(),
-            "parts_held" => get(&counters.cached_tokens),
-            "parts_missing" => get(&counters.missing_tokens), "moves" => get(&counters.transfers),
-            "guesses" => get(&counters.guesses), "sinks" => get(&counters.sinks), "stored" => get(&counters.stored),
-            "shared_missing" => get(&counters.shared_missing), "index" => self.fleet_view.prefix_view.current_index().entries());
-    }
-}
-
-/// Runs a router until it is stopped.
-///
-/// # Errors
-///
-/// A setting is missing, or a port can't be listened at. Nothing runs then.
-pub async fn run(start: fleet_core::program::Start) -> Result<(), RouterError> {
-    let fleet_core::program::Start { settings, log, mut stop, mut reread, metrics } = start;
-    let front = settings.front.ok_or(RouterError::ParamMissing("bindAddrs.frontHttp"))?;
-    let probe = settings.readiness.ok_or(RouterError::ParamMissing("bindAddrs.readiness"))?;
-    let listen = |address| {
-        fleet_core::link::listen(address)
-            .map_err(|e: std::io::Error| RouterError::Listen(address, e.kind()))
-    };
-    let (front, probe) = (listen(front)?, listen(probe)?);
-    let router = Router::assemble(settings, log.clone());
-    let tasks = [
-        tokio::spawn(proxy::run_readiness(router.clone(), probe)),
-        tokio::spawn(fleet_view::links::run_link_maintenance(router.clone())),
-        tokio::spawn(fleet_view::config_fetch::run_config_fetch(router.clone())),
-        tokio::spawn(fleet_view::invalidations::run_invalidation_reader(router.clone())),
-        tokio::spawn(fleet_view::invalidations::run_findings_reporter(router.clone())),
-        tokio::spawn(fleet_view::load_reports::run_load_reporter(router.clone())),
-        tokio::spawn(fleet_view::invalidations::run_index_scrubber(router.clone())),
-        tokio::spawn(pool::run_idle_sweeper(router.clone())),
-    ];
-    if let Some(address) = metrics {
-        tokio::spawn(telemetry::serve(address, log.clone(), router.clone()));
-    }
-    let accepting = tokio::spawn(proxy::run_client_listener(router.clone(), front));
-    fleet_core::log_event!(log, Event::Started, "incarnation" => router.node.incarnation);
-    let mut counted = tokio::time::interval(constants::COUNTERS_INTERVAL);
-    counted.tick().await;
-    loop {
-        tokio::select! {
-            _ = stop.wait_for(|stopped| *stopped) => break,
-            Some(newer) = reread.recv() => *router.settings.write() = Arc::new(newer),
-            _ = counted.tick() => router.log_counters(),
-        }
-    }
-    fleet_core::log_event!(log, Event::Stopping);
-    leave(&router, accepting).await;
-    fleet_core::log_event!(log, Event::DrainEnded,
-        "cut" => router.in_flight.all(), "cut_new" => router.in_flight.accepted_late());
-    router.log_counters();
-    for task in tasks {
-        task.abort();
-    }
-    Ok(())
-}
-
-/// Unready at once, serving until the platform has noticed, then only what runs.
-async fn leave(router: &Arc<Router>, accepting: tokio::task::JoinHandle<()>) {
-    let end = tokio::time::Instant::now()
-        + router.settings().bounds.grace.saturating_sub(constants::GRACE_MARGIN);
-    router.begin_shutdown(end);
-    tokio::time::sleep(constants::PROBES_MISSED).await;
-    accepting.abort();
-    router.closing.send_replace(true);
-    while router.open.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end {
-        tokio::time::sleep(constants::ROLLOUT_INTERVAL).await;
-    }
 }
