--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -12,6 +12,8 @@
 mod operator;
 #[path = "cluster/resignation.rs"]
 mod resignation;
+#[path = "cluster/rollout.rs"]
+mod rollout;
 #[path = "cluster/second_loss.rs"]
 mod second_loss;
 #[path = "cluster/shutdown.rs"]
--- a/crates/control-plane/tests/harness/mod.rs
+++ b/crates/control-plane/tests/harness/mod.rs
@@ -11,9 +11,11 @@
 use disk::MemoryDisk;
 use fleet_core::link::Link;
 use fleet_core::node::{Node, Role};
+use fleet_core::transport::{Listener, Transport};
 use fleet_core::wire::Body;
 use network::{Machine, Network};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -227,6 +229,12 @@
         Link::keep_over(Arc::new(machine), &node, peer_service, pushed)
     }
 
+    /// Listens at an address that is no controller's.
+    pub fn listen(&self, at: SocketAddr) -> Box<dyn Listener> {
+        let machine = Machine::new(0, self.network.clone(), self.trace.clone());
+        machine.listen(at).unwrap()
+    }
+
     /// Lets all that goes on in turns go on for a while.
     pub async fn wait_until_settled(&self) {
         tokio::time::sleep(SETTLED).await;
