Whether a router shuts down follows from when it ends

Cause: two fields said the same, a flag and the moment of the end, set one after the other in begin_shutdown. Change: the flag is gone; is_shutting_down asks whether the moment is set, and readiness and metrics call it. No behaviour is changed.

--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -53,7 +53,6 @@
     pub started: tokio::time::Instant,
     /// The readiness that was logged last.
     ready: AtomicBool,
-    shutting_down: AtomicBool,
     /// When the process ends; set once it is asked to.
     ends_at: std::sync::OnceLock<tokio::time::Instant>,
     /// How long responses take.
@@ -78,7 +77,6 @@
             counters: Counters::default(),
             started: tokio::time::Instant::now(),
             ready: AtomicBool::new(false),
-            shutting_down: AtomicBool::new(false),
             ends_at: std::sync::OnceLock::new(),
             stream_paces: proxy::stream_pace::StreamPaces::default(),
             open: AtomicUsize::new(0),
@@ -102,13 +100,13 @@
 
     /// Whether this router was asked to end.
     pub fn is_shutting_down(&self) -> bool {
-        self.shutting_down.load(Ordering::Relaxed)
+        self.ends_at.get().is_some()
     }
 
     /// Asks this router to end: it is unready from now on, and ends at this moment at the latest.
     pub fn begin_shutdown(&self, ends_at: tokio::time::Instant) {
+        // asked a second time, it still ends when it was first told to
         let _ = self.ends_at.set(ends_at);
-        self.shutting_down.store(true, Ordering::Relaxed);
     }
 
     /// Whether a request that puts out so many tokens is expected to be complete before this router ends. True while
@@ -121,8 +119,7 @@
 
     /// Whether clients may come: a configuration is in force, and the router is not shutting down.
     pub fn is_ready(&self) -> bool {
-        let now = !self.shutting_down.load(Ordering::Relaxed)
-            && self.fleet_view.routing_table().is_some();
+        let now = !self.is_shutting_down() && self.fleet_view.routing_table().is_some();
         if self.ready.swap(now, Ordering::Relaxed) != now {
             fleet_core::log_event!(self.log, if now { Event::Ready } else { Event::Unready });
         }
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -59,7 +59,7 @@
 }
 
 fn write_requests(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
-    let shutting_down = router.shutting_down.load(Ordering::Relaxed);
+    let shutting_down = router.is_shutting_down();
     let late = router.in_flight.accepted_late() as f64;
     let open = router.open.load(Ordering::Relaxed) as f64;
     exposition.gauge("shutting_down", "1 from SIGTERM on", f64::from(u8::from(shutting_down)))?;
