A refused fencing token is never used again

Change: who hears a refusal drops the lease at once (LeaseManager::refused) and requests it anew; each token is tried once at the most. Measured: cluster/rollout a_refused_fencing_token_is_not_used_again, lease_tests (run on this commit's sources).

--- a/crates/control-plane/src/leases/lease.rs
+++ b/crates/control-plane/src/leases/lease.rs
@@ -207,6 +207,12 @@
         self.lease.take().is_some()
     }
 
+    /// Holds it no longer if it was acted under this fencing token; whether it did.
+    pub fn drop_refused(&mut self, fencing_token: u64) -> bool {
+        let is_refused = self.lease.is_some_and(|lease| lease.fencing_token <= fencing_token);
+        is_refused && self.drop_lease()
+    }
+
     /// The fencing token to act under and until when, if the lease surely stands and a former holder's has
     /// surely ended.
     pub fn fenced_lease(&self, now: Instant) -> Option<FencedLease> {
--- a/crates/control-plane/src/leases/lease_holder.rs
+++ b/crates/control-plane/src/leases/lease_holder.rs
@@ -69,13 +69,24 @@
         }
     }
 
+    /// Somebody refused what was sent under this fencing token, since another node has used a higher one: nothing more is
+    /// done under it, whatever the voters granted. The lease is requested anew, with a token above both.
+    pub fn refused(&self, name: &'static str, fencing_token: u64) {
+        let was_held = self.with_holder(name, |holder| holder.drop_refused(fencing_token));
+        self.log_release(name, was_held);
+    }
+
     /// Acts under the lease no longer; whether this node held it.
     fn stop_acting(&self, name: &'static str) -> bool {
         let was_held = self.with_holder(name, |holder| holder.drop_lease());
+        self.log_release(name, was_held);
+        was_held
+    }
+
+    fn log_release(&self, name: &'static str, was_held: bool) {
         if was_held {
             fleet_core::log_event!(self.process.log, Event::LeaseReleased, "duty" => name);
         }
-        was_held
     }
 
     fn may_acquire(&self, name: &str) -> bool {
--- a/crates/control-plane/src/leases/lease_tests.rs
+++ b/crates/control-plane/src/leases/lease_tests.rs
@@ -449,3 +449,15 @@
         run(&steps).map_err(proptest::test_runner::TestCaseError::fail)?;
     }
 }
+
+#[test]
+fn a_refusal_ends_the_lease_that_it_is_about_and_no_later_one() {
+    let now = Instant::now();
+    let mut holder = LeaseHolder::new(1);
+    holder.acquired(now, now, 7, true, ORDERS);
+    assert!(!holder.drop_refused(6), "of a lease that was held before");
+    assert!(holder.fenced_lease(now).is_some());
+    assert!(holder.drop_refused(7));
+    assert_eq!(holder.fenced_lease(now), None);
+    assert!(!holder.drop_refused(7), "there is none to drop");
+}
--- a/crates/control-plane/src/rollout/order.rs
+++ b/crates/control-plane/src/rollout/order.rs
@@ -233,7 +233,10 @@
     match answer.map(|answer| answer.status.as_u16()) {
         Ok(202) => Ok(OrderOutcome::Accepted),
         Ok(200) => Ok(OrderOutcome::AlreadyApplied),
-        Ok(412) => Err(OrderError::Fenced),
+        Ok(412) => {
+            rollout.leases.refused(ROLLOUT_LEASE, lease.fencing_token);
+            Err(OrderError::Fenced)
+        }
         Ok(421) => Err(OrderError::WrongEngine),
         Ok(_) | Err(_) => Ok(OrderOutcome::Unclear),
     }
--- a/crates/control-plane/tests/cluster/rollout.rs
+++ b/crates/control-plane/tests/cluster/rollout.rs
@@ -22,6 +22,17 @@
 #[derive(Default)]
 struct StubEngine {
     orders: Mutex<Vec<Instant>>,
+    /// A fencing token that it has seen: orders that bear a lower one are refused.
+    highest_fence: Mutex<u64>,
+    /// Fencing tokens of the orders that it refused, and when.
+    refused: Mutex<Vec<(u64, Instant)>>,
+}
+
+/// The fencing token in an order.
+fn fence_of(request: &str) -> u64 {
+    let (_, fence) = request.split_once(r#""fence":"#).expect("an order bears a fencing token");
+    let digits: String = fence.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().expect("a number")
 }
 
 impl StubEngine {
@@ -42,10 +53,20 @@
             .to_string()
     }
 
+    fn take_order(&self, fence: u64) -> u16 {
+        let mut highest = self.highest_fence.lock();
+        if fence < *highest {
+            self.refused.lock().push((fence, Instant::now()));
+            return 412;
+        }
+        *highest = fence;
+        self.orders.lock().push(Instant::now());
+        202
+    }
+
     fn answer(&self, request: &str) -> String {
         let (status, body) = if request.starts_with("POST /anisedyke/order") {
-            self.orders.lock().push(Instant::now());
-            (202, String::new())
+            (self.take_order(fence_of(request)), String::new())
         } else if request.starts_with("GET /anisedyke/report") {
             (200, self.report())
         } else {
@@ -118,3 +139,33 @@
     assert!(!times.windows(2).any(lapsed), "routers heed it all the time: {times:?}");
     assert!(times.last().unwrap().duration_since(times[0]) >= RUNS);
 }
+
+/// The engine has seen a higher fencing token than the holder's, as if another node had held the lease in between.
+#[tokio::test(start_paused = true)]
+async fn a_refused_fencing_token_is_not_used_again() {
+    let cluster = Cluster::found(3, 72).await;
+    cluster.wait_until_settled().await;
+    let (_, token) = super::leases::next_holder(&cluster, &[1, 2, 3]).await;
+    let engine = Arc::new(StubEngine::default());
+    *engine.highest_fence.lock() = token + 2;
+    tokio::spawn(engine.clone().run(cluster.listen(ADDRESS.parse().unwrap())));
+    heartbeat(&cluster, &engine, 1).await;
+    let target = |controller: Arc<control_plane::Controller>| async move {
+        weights::put(controller.consensus(), r#"{"model":"m","revision":2}"#.into()).await
+    };
+    cluster.retry_until_ok(1, target).await;
+
+    let start = Instant::now();
+    for call in 2.. {
+        tokio::time::sleep(INTERVAL).await;
+        heartbeat(&cluster, &engine, call).await;
+        if engine.revision() == 2 {
+            break;
+        }
+        assert!(start.elapsed() < LIMIT, "refused: {:?}", engine.refused.lock());
+    }
+    let refused = engine.refused.lock().clone();
+    assert!(refused.len() >= 2, "each higher token was tried: {refused:?}");
+    assert!(refused.is_sorted_by(|a, b| a.0 < b.0), "no token twice: {refused:?}");
+    assert_eq!(engine.orders.lock().len(), 1);
+}
