Each router prefers engines by an order of its own, and idle connections

Cause: 300 routers that see the same loads choose the same cheapest engine until they hear of each other, and a pool of 240 engines is nearly never met again (86 of 100 requests opened a connection). Change: Subset: rendezvous order of engines for each router, weighed by how many routers there are; a new connection has a cost. Prefixes, loads and faults still outweigh it.

--- a/crates/data-plane/src/fleet_view/endpoints.rs
+++ b/crates/data-plane/src/fleet_view/endpoints.rs
@@ -20,9 +20,29 @@
     pub near: bool,
     /// heavy requests settle here: alike at all routers, and stable as engines come and go
     pub prefill_heavy: bool,
+    /// How far down the own order of this router the engine stands, from 0 (first) to 1.
+    pub distance: f64,
     rank: u64,
 }
 
+/// Who looks at the engines: what the same engines are worth differs from router to router.
+#[derive(Clone, Copy)]
+pub struct Viewpoint<'a> {
+    /// The router's zone.
+    pub zone: &'a str,
+    /// The router's name.
+    pub router: &'a str,
+}
+
+impl Viewpoint<'_> {
+    /// Where an engine stands in the router's own order, from 0 to 1: rendezvous hashing, so that each engine comes
+    /// first for its share of the routers, and few change when a router or an engine comes or goes.
+    fn distance(&self, engine: &str) -> f64 {
+        let hash = fleet_core::node::stable_hash(&[self.router.as_bytes(), engine.as_bytes()]);
+        hash as f64 / u64::MAX as f64
+    }
+}
+
 impl Endpoint {
     /// Rendezvous of a part with this engine.
     pub fn rank(&self, part: u64) -> u64 {
@@ -68,7 +88,7 @@
     /// Endpoints of these engines; `state` counts the updates that they include.
     pub fn new(
         engines: Vec<(Arc<EngineHandle>, Engine)>,
-        zone: &str,
+        viewpoint: Viewpoint<'_>,
         index: &Index,
         interactive: f64,
         state: u64,
@@ -77,8 +97,9 @@
             .into_iter()
             .map(|(engine, state)| Endpoint {
                 at: index.admit(&engine.id),
-                near: state.zone == zone,
+                near: state.zone == viewpoint.zone,
                 prefill_heavy: false,
+                distance: viewpoint.distance(&engine.id),
                 rank: fleet_core::node::stable_hash(&[engine.id.as_bytes()]),
                 engine,
                 state,
@@ -155,7 +176,7 @@
     pub fn of(
         &self,
         service: &str,
-        zone: &str,
+        viewpoint: Viewpoint<'_>,
         handles: &parking_lot::RwLock<EngineHandles>,
         index: &Index,
     ) -> Arc<EndpointSet> {
@@ -175,7 +196,8 @@
             })
             .collect();
         let interactive = self.interactive.lock().applied;
-        let endpoint_set = Arc::new(EndpointSet::new(engines, zone, index, interactive, key.state));
+        let endpoint_set =
+            Arc::new(EndpointSet::new(engines, viewpoint, index, interactive, key.state));
         self.made.lock().insert(service.to_owned(), endpoint_set.clone());
         endpoint_set
     }
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -21,6 +21,7 @@
 pub mod version_bound;
 
 use crate::pool::EngineHandle;
+use endpoints::Viewpoint;
 use fleet_core::constants;
 use fleet_core::target_versions::TargetVersions;
 use fleet_core::wire::{Engine, EngineState, FleetUpdate, Membership, RingHead, TargetWeights};
@@ -153,8 +154,12 @@
     }
 
     /// The engines of a service, as the load balancer weighs them.
-    pub fn endpoints_of(&self, service: &str, zone: &str) -> Arc<endpoints::EndpointSet> {
-        self.endpoints.of(service, zone, &self.engines, self.prefix_view.current_index())
+    pub fn endpoints_of(
+        &self,
+        service: &str,
+        viewpoint: Viewpoint<'_>,
+    ) -> Arc<endpoints::EndpointSet> {
+        self.endpoints.of(service, viewpoint, &self.engines, self.prefix_view.current_index())
     }
 
     /// Weights seen in an answer of an engine.
--- a/crates/data-plane/src/load_balancer/cost.rs
+++ b/crates/data-plane/src/load_balancer/cost.rs
@@ -124,6 +124,8 @@
     if !endpoint.near {
         ms += constants::ZONE_COST_MS;
     }
+    let is_connected = work.has_idle_connection(now, request.subset.longest_idle);
+    ms += request.subset.ms(endpoint.distance, is_connected);
     ms += memory_ms(request, &work);
     if request.prompt.is_prefill_heavy() != endpoint.prefill_heavy {
         ms += constants::WRONG_GROUP_COST_MS;
--- a/crates/data-plane/src/load_balancer/mod.rs
+++ b/crates/data-plane/src/load_balancer/mod.rs
@@ -12,7 +12,7 @@
 pub mod request_profile;
 
 use crate::Router;
-use crate::fleet_view::endpoints::Endpoint;
+use crate::fleet_view::endpoints::{Endpoint, Viewpoint};
 use crate::fleet_view::routing_table::{Table, Tenant};
 use crate::pool::EngineHandle;
 use candidates::Candidate;
@@ -21,7 +21,7 @@
 use kv_transfer::Source;
 use prefix_cache::PrefixCache;
 use prompt::Prompt;
-use request_profile::{RequestProfile, SelectionContext};
+use request_profile::{RequestProfile, SelectionContext, Subset};
 use smallvec::SmallVec;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -69,12 +69,16 @@
 ) -> Result<Choice, NoEndpoint> {
     let now = Instant::now();
     let index = router.fleet_view.prefix_view.current_index();
-    let endpoint_set = router.fleet_view.endpoints_of(service, &router.node.zone);
+    let viewpoint = Viewpoint { zone: &router.node.zone, router: &router.node.name };
+    let endpoint_set = router.fleet_view.endpoints_of(service, viewpoint);
     let candidates = candidates::candidates(router, &endpoint_set, prompt, attempted, now);
     if candidates.is_empty() {
         return Err(NoEndpoint::Unknown);
     }
-    let request = RequestProfile::new(routing_table, service, prompt, index, &router.node.zone);
+    let longest_idle = router.idle_timeouts.of(service).safe_idle_time(now);
+    let subset = Subset::among(router.fleet_view.routers(), longest_idle);
+    let request =
+        RequestProfile::new(routing_table, service, prompt, index, viewpoint.zone, subset);
     let context = SelectionContext { request, endpoint_set: &endpoint_set, index, now };
     let isolation = prefix_cache::isolation(tenant, routing_table.isolation);
     let selection = Selection {
--- a/crates/data-plane/src/load_balancer/request_profile.rs
+++ b/crates/data-plane/src/load_balancer/request_profile.rs
@@ -7,6 +7,7 @@
 use fleet_core::constants;
 use prompt_index::{At, Index};
 use smallvec::SmallVec;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// What the engines are weighed for.
@@ -23,6 +24,38 @@
     pub link_mbps: f64,
     /// stores that answer, the one where this prompt belongs first
     pub stores: SmallVec<[Store<'a>; 4]>,
+    /// what this router's own order of the engines weighs
+    pub subset: Subset,
+}
+
+/// How strongly a router keeps to its own subset of the engines.
+///
+/// Each router has an order of its own ([`Endpoint::distance`](crate::fleet_view::endpoints::Endpoint::distance)). Where
+/// costs are near, it takes the engines that come first in it, so that it meets the same ones again: their connections
+/// stay warm, and routers that see the same loads don't all choose the same engine before they hear of each other. A
+/// subset without a border needs no rule for when to leave it: what is loaded, failing or lacks the prefix costs more.
+#[derive(Debug, Clone, Copy)]
+pub struct Subset {
+    /// ms; what the last engine of the own order costs more than the first
+    pub spread_ms: f64,
+    /// a connection that idled for longer is not used again
+    pub longest_idle: Duration,
+}
+
+impl Subset {
+    /// Among so many routers: alone there is nobody to keep apart from, and the more there are, the less each knows of
+    /// what the others have just sent.
+    pub fn among(routers: usize, longest_idle: Duration) -> Subset {
+        let others = routers.saturating_sub(1) as f64;
+        let crowd = others / (others + constants::SUBSET_HALF_ROUTERS);
+        Subset { spread_ms: constants::SUBSET_SPREAD_MS * crowd, longest_idle }
+    }
+
+    /// What an engine at this distance costs, with or without an idle connection that is fit.
+    pub fn ms(&self, distance: f64, is_connected: bool) -> f64 {
+        let connect_ms = if is_connected { 0.0 } else { constants::NEW_CONNECTION_COST_MS };
+        distance * self.spread_ms + connect_ms
+    }
 }
 
 impl<'a> RequestProfile<'a> {
@@ -33,6 +66,7 @@
         prompt: &'a Prompt,
         index: &Index,
         zone: &'a str,
+        subset: Subset,
     ) -> RequestProfile<'a> {
         let facts = routing_table.service(service).and_then(|s| s.engine.as_ref());
         let part = prompt.deepest_shared().unwrap_or(0);
@@ -46,6 +80,7 @@
             token_bits: facts.map_or(0.0, |f| f.kv_token_bytes * 8.0),
             link_mbps: facts.map_or(0.0, |f| f.link_mbps),
             stores,
+            subset,
         }
     }
 
@@ -111,3 +146,7 @@
     /// one time for all that is weighed
     pub now: Instant,
 }
+
+#[cfg(test)]
+#[path = "request_profile_tests.rs"]
+mod tests;
--- a/crates/data-plane/src/pool/engine.rs
+++ b/crates/data-plane/src/pool/engine.rs
@@ -83,6 +83,11 @@
         }
         out
     }
+
+    /// Whether a connection is there that idled for no longer than this.
+    pub fn has_idle_connection(&self, now: Instant, longest: Duration) -> bool {
+        self.idle.back().is_some_and(|idle| idle.is_open(now) && idle.idle_time(now) <= longest)
+    }
 }
 
 /// One instance of an engine.
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -14,6 +14,11 @@
 pub const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// ms; loads that have not changed are reported again this often.
 pub const LOAD_REPORT_REFRESH: Duration = Duration::from_millis(500);
+/// engines in a report that goes out at each `LOAD_REPORT_INTERVAL`: 18 KB a second, a seventieth of a line of 10 Mbit/s. Of
+/// more engines, reports go out less often.
+pub const LOAD_REPORT_ENGINES: usize = 256;
+/// ms; longest pause between two reports: they must not lapse before the next.
+pub const LOAD_REPORT_INTERVAL_MAX: Duration = Duration::from_millis(1000);
 /// ms; loads older than this count no more.
 pub const LOAD_REPORT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// tokens; unit in which loads are reported.
@@ -53,6 +58,13 @@
 pub const REPORTED_LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 /// ms; what leaving the zone costs in bytes and time.
 pub const ZONE_COST_MS: f64 = 4.0;
+/// ms; what a new connection to an engine costs: a round trip, its set-up there, its price, and at times a slot.
+pub const NEW_CONNECTION_COST_MS: f64 = 5.0;
+/// ms; what the last engine of a router's own order costs more than its first: less than a KV transfer, so that a router
+/// leaves its subset for a cached prefix, and as much as a few running requests.
+pub const SUBSET_SPREAD_MS: f64 = 12.0;
+/// other routers beside which a router's own order has half of its weight.
+pub const SUBSET_HALF_ROUTERS: f64 = 64.0;
 /// tokens; a move of fewer costs about as much as reading them.
 pub const TRANSFER_MIN_TOKENS: u64 = 400;
 /// own tokens that may go along to the store with shared ones, as their share.
