Bounds of a controller that follow the size of the fleet; a roll-out has a goal

Cause: at 3,001 engines each link kept a write buffer of up to 256 KB, a complete state of 1.2 MB was queued for each of 300 routers at once, loads of all engines went out ten times a second (12 MB a second for 60 routers), and each engine was asked for events four times a second. Change: complete states go out a few at a time, large load reports and calls for events less often, small buffers; concurrency follows a goal of 4 s within what traffic can spare and twice what loads allow.

--- a/crates/control-plane/src/cluster_state.rs
+++ b/crates/control-plane/src/cluster_state.rs
@@ -179,6 +179,13 @@
         self.position.subscribe()
     }
 
+    /// Whether a router at `position` needs the complete state: it has nothing yet, or the changes since are no longer
+    /// retained.
+    pub fn needs_complete_state(&self, position: Option<u64>) -> bool {
+        let log = self.log.lock();
+        position.is_none_or(|position| position != log.head() && log.since(position).is_none())
+    }
+
     /// What is new since `position`, and the position now: nothing if nothing is, and the complete state
     /// where the changes since are no longer retained.
     pub fn update_since(&self, position: Option<u64>) -> (u64, Option<FleetUpdate>) {
--- a/crates/control-plane/src/engines/client.rs
+++ b/crates/control-plane/src/engines/client.rs
@@ -48,7 +48,7 @@
             .map_err(CallError::Connect)?;
         io.reset_on_close().map_err(|_| CallError::Broken)?;
         let (sender, conn) = hyper::client::conn::http1::Builder::new()
-            .max_buf_size(64 << 10)
+            .max_buf_size(constants::ENGINE_CLIENT_BUFFER)
             .handshake(hyper_util::rt::TokioIo::new(io))
             .await
             .map_err(|_| CallError::Broken)?;
--- a/crates/control-plane/src/index_owner/follower.rs
+++ b/crates/control-plane/src/index_owner/follower.rs
@@ -93,7 +93,7 @@
             index_owner.commit(invalidations);
         }
         drop((e, first));
-        tokio::time::sleep(constants::EVENTS_INTERVAL).await;
+        tokio::time::sleep(index_owner.events_interval()).await;
     }
 }
 
--- a/crates/control-plane/src/index_owner/mod.rs
+++ b/crates/control-plane/src/index_owner/mod.rs
@@ -36,6 +36,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 use throttle::SnapshotThrottle;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
@@ -152,6 +154,8 @@
     throttle: Mutex<SnapshotThrottle>,
     /// Bounds the memory for what holders have gathered before they are first asked.
     first_reads: tokio::sync::Semaphore,
+    /// Holders that are followed.
+    holders: AtomicUsize,
 }
 
 impl IndexOwner {
@@ -168,9 +172,15 @@
             readers: Mutex::default(),
             throttle: Mutex::default(),
             first_reads: tokio::sync::Semaphore::new(constants::FIRST_READS),
+            holders: AtomicUsize::new(0),
         }
     }
 
+    /// Pause between two calls to the same holder.
+    fn events_interval(&self) -> Duration {
+        events_interval(self.holders.load(Ordering::Relaxed))
+    }
+
     fn head(&self) -> RingHead {
         RingHead {
             fencing_token: self.fencing_token,
@@ -217,6 +227,13 @@
     }
 }
 
+/// Pause between two calls to the same holder, where so many are followed: the more there are the longer it is, so that
+/// their answers together keep within the owner's part of a processor.
+fn events_interval(holders: usize) -> Duration {
+    let crowd = holders as f64 / constants::EVENTS_HOLDERS as f64;
+    constants::EVENTS_INTERVAL.mul_f64(crowd.max(1.0))
+}
+
 /// One task for each holder; they are aborted when this is dropped.
 #[derive(Default)]
 struct Followers {
@@ -232,6 +249,7 @@
         holders: BTreeMap<String, Source>,
     ) -> Vec<Invalidation> {
         while self.tasks.try_join_next().is_some() {}
+        owner.holders.store(holders.len(), Ordering::Relaxed);
         let mut invalidations = Vec::new();
         self.by_holder.retain(|holder, task| {
             let stays = holders.contains_key(holder);
--- a/crates/control-plane/src/membership/peer_service.rs
+++ b/crates/control-plane/src/membership/peer_service.rs
@@ -21,6 +21,7 @@
     Prepare, ReadBallots, RecoverRequest, RingRequest, Vote,
 };
 use std::sync::Arc;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// The areas that answer messages.
 pub struct PeerServiceParts {
@@ -51,12 +52,16 @@
 /// The end of the links that routers and other controllers open to this one.
 pub struct PeerService {
     parts: PeerServiceParts,
+    /// Complete states that are on their way to routers: each is in memory until it has gone out, and hundreds of routers
+    /// may link at once.
+    complete_states: Arc<Semaphore>,
 }
 
 impl PeerService {
     /// Answers with these areas.
     pub fn new(parts: PeerServiceParts) -> PeerService {
-        PeerService { parts }
+        let complete_states = Arc::new(Semaphore::new(constants::COMPLETE_STATES_IN_FLIGHT));
+        PeerService { parts, complete_states }
     }
 }
 
@@ -66,7 +71,12 @@
         if peer.handshake.role == Role::Router as u32 {
             self.parts.routers.connected(peer);
             // ends when the link does
-            tokio::spawn(push_updates(self.parts.cluster_state.clone(), peer.clone()));
+            let updates = RouterUpdates {
+                cluster_state: self.parts.cluster_state.clone(),
+                complete_states: self.complete_states.clone(),
+                peer: peer.clone(),
+            };
+            tokio::spawn(updates.run());
         }
     }
 
@@ -214,34 +224,61 @@
 
 /// Pushes what is new to one router, as it comes; to one that reads slowly, all of it in one view once it has
 /// read what waits.
-async fn push_updates(cluster_state: Arc<ClusterStateStore>, peer: Peer) {
-    let mut changes = cluster_state.subscribe();
-    let mut position = None;
-    loop {
-        changes.borrow_and_update();
-        while peer.backlog() >= constants::SLOW_READER_BACKLOG {
-            tokio::time::sleep(constants::SLOW_READER_POLL_INTERVAL).await;
-            if peer.is_closed() {
-                return;
+struct RouterUpdates {
+    cluster_state: Arc<ClusterStateStore>,
+    complete_states: Arc<Semaphore>,
+    peer: Peer,
+}
+
+impl RouterUpdates {
+    /// Pushes until the link ends.
+    async fn run(self) {
+        let mut changes = self.cluster_state.subscribe();
+        let mut position = None;
+        while !self.peer.is_closed() {
+            changes.borrow_and_update();
+            self.backlog_below(constants::SLOW_READER_BACKLOG).await;
+            let Some(pushed) = self.push_since(position).await else { continue };
+            position = Some(pushed);
+            tokio::select! {
+                biased;
+                changed = changes.changed() => if changed.is_err() { return },
+                () = tokio::time::sleep(constants::ROUTER_TIMEOUT) => {}
             }
         }
-        let (head, view) = cluster_state.update_since(position);
-        if let Some(v) = view
-            && peer.push(Body::FleetUpdate(v)).is_err()
-        {
-            if peer.is_closed() {
-                return;
-            }
-            continue;
+    }
+
+    /// Pushes what is new since a position, and returns how far it reaches; none if it was not taken.
+    async fn push_since(&self, position: Option<u64>) -> Option<u64> {
+        let permit = self.permit_for_complete_state(position).await;
+        let (head, view) = self.cluster_state.update_since(position);
+        if let Some(view) = view {
+            self.peer.push(Body::FleetUpdate(view)).ok()?;
         }
-        position = Some(head);
-        tokio::select! {
-            biased;
-            changed = changes.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep(constants::ROUTER_TIMEOUT) => {}
+        if permit.is_some() {
+            // a router behind a cut must not hold up the others
+            let sent = self.backlog_below(1);
+            let _ = tokio::time::timeout(constants::COMPLETE_STATE_TIMEOUT, sent).await;
         }
-        if peer.is_closed() {
-            return;
+        Some(head)
+    }
+
+    /// Waits for its turn if the router has to be sent the complete state.
+    async fn permit_for_complete_state(
+        &self,
+        position: Option<u64>,
+    ) -> Option<SemaphorePermit<'_>> {
+        if !self.cluster_state.needs_complete_state(position) {
+            return None;
+        }
+        // it is never closed
+        self.complete_states.acquire().await.ok()
+    }
+
+    /// Waits until fewer frames than this wait for the router to read them, or the link has ended.
+    async fn backlog_below(&self, frames: usize) {
+        while self.peer.backlog() >= frames && !self.peer.is_closed() {
+            tokio::time::sleep(constants::SLOW_READER_POLL_INTERVAL).await;
         }
     }
 }
--- a/crates/control-plane/src/rollout/mod.rs
+++ b/crates/control-plane/src/rollout/mod.rs
@@ -98,9 +98,19 @@
     /// of the first version that the engine lacks, also where newer ones were named since.
     fn remaining(&self, engine: &Engine, bound: Duration, now: Instant) -> Duration {
         let margin = constants::VERSION_MARGIN + constants::ROLLOUT_MARGIN;
+        bound.saturating_sub(margin).saturating_sub(self.outdated_for(engine, now))
+    }
+
+    /// Time in which an engine should have the target weights, though it may serve for longer.
+    fn goal(&self, engine: &Engine, now: Instant) -> Duration {
+        constants::ROLLOUT_GOAL.saturating_sub(self.outdated_for(engine, now))
+    }
+
+    /// For how long the weights of an engine have been outdated.
+    fn outdated_for(&self, engine: &Engine, now: Instant) -> Duration {
         let version = fleet::version_of(engine, &self.model).unwrap_or(0);
         let outdated_since = self.versions.outdated_since(version).unwrap_or(now);
-        bound.saturating_sub(margin).saturating_sub(now.duration_since(outdated_since))
+        now.duration_since(outdated_since)
     }
 }
 
@@ -204,6 +214,7 @@
             interactive_runs: load.interactive,
             runs: load.runs,
             remaining: target.remaining(engine, bound, now),
+            goal: target.goal(engine, now),
         });
     }
     outdated
--- a/crates/control-plane/src/rollout/plan.rs
+++ b/crates/control-plane/src/rollout/plan.rs
@@ -26,6 +26,8 @@
     pub runs: u32,
     /// Time until routers send it nothing more under the weights that it has; less, the older these are.
     pub remaining: Duration,
+    /// Time in which it should have the target weights: what it serves later counts for less.
+    pub goal: Duration,
 }
 
 /// How far the update of one engine has come, and since when.
@@ -75,7 +77,7 @@
 /// How many updates may begin now.
 struct UpdateBudget {
     capacity: usize,
-    /// The learnt concurrency does not suffice for the time that is left.
+    /// The learnt concurrency does not suffice for the time that is left, or for the goal.
     is_late: bool,
 }
 
@@ -164,22 +166,25 @@
 
     fn update_budget(&mut self, all: usize, outdated: &[OutdatedEngine]) -> UpdateBudget {
         let concurrency = self.concurrency.get_or_insert_with(|| Concurrency::new(all)).limit();
-        let needed = self.needed_concurrency(outdated);
+        let needed = self.needed_concurrency(outdated.iter().map(|engine| engine.remaining));
         let engines = |share: f64| ((all as f64 * share).ceil() as usize).max(1);
+        // the goal is worth a wider roll-out, but neither crowded engines nor slow loads
+        let wanted = self.needed_concurrency(outdated.iter().map(|engine| engine.goal));
+        let wanted = wanted.min(concurrency * 2).min(engines(constants::ROLLOUT_MAX_SHARE));
         let max_share = if needed > engines(constants::ROLLOUT_MAX_SHARE) {
             constants::ROLLOUT_MAX_SHARE_LATE
         } else {
             constants::ROLLOUT_MAX_SHARE
         };
-        let at_once = concurrency.max(needed).min(engines(max_share));
+        let at_once = concurrency.max(needed).max(wanted).min(engines(max_share));
         let capacity = at_once.saturating_sub(self.updating());
-        UpdateBudget { capacity, is_late: needed > concurrency }
+        UpdateBudget { capacity, is_late: needed.max(wanted) > concurrency }
     }
 
     /// Engines that have to be updated at once so that each is ready in the time that it has left: for each of them, all
     /// that have no more time than it come before it or beside it.
-    fn needed_concurrency(&self, outdated: &[OutdatedEngine]) -> usize {
-        let mut remaining: Vec<Duration> = outdated.iter().map(|engine| engine.remaining).collect();
+    fn needed_concurrency(&self, remaining: impl Iterator<Item = Duration>) -> usize {
+        let mut remaining: Vec<Duration> = remaining.collect();
         remaining.sort_unstable();
         let duration = self.update_duration.as_secs_f64().max(0.1);
         let needed = |(before, left): (usize, &Duration)| {
--- a/crates/control-plane/tests/rollout_plan.rs
+++ b/crates/control-plane/tests/rollout_plan.rs
@@ -17,9 +17,15 @@
         interactive_runs,
         runs: interactive_runs + 1,
         remaining: LONG,
+        goal: LONG,
     }
 }
 
+/// The same engines, which should be done in so much time.
+fn with_goal(engines: &[OutdatedEngine], goal: Duration) -> Vec<OutdatedEngine> {
+    engines.iter().map(|engine| OutdatedEngine { goal, ..engine.clone() }).collect()
+}
+
 /// The same engines with so much time left.
 fn with_remaining(engines: &[OutdatedEngine], remaining: Duration) -> Vec<OutdatedEngine> {
     engines.iter().map(|engine| OutdatedEngine { remaining, ..engine.clone() }).collect()
@@ -202,3 +208,40 @@
     }
     assert_eq!(updated(&plan.next(t, 20, &all)).len(), 8, "each is ready in time");
 }
+
+#[test]
+fn a_goal_widens_the_roll_out_only_as_far_as_traffic_can_spare() {
+    let (mut plan, t) = (Plan::default(), Instant::now());
+    let all = with_goal(&fleet(0, 100, 0), constants::UPDATE_INITIAL_ESTIMATE * 4);
+    assert_eq!(updated(&plan.next(t, 100, &all)).len(), 25, "all within four updates");
+    let (mut plan, passed) = (Plan::default(), with_goal(&all, Duration::ZERO));
+    let most = (100.0 * constants::ROLLOUT_MAX_SHARE) as usize;
+    assert_eq!(
+        updated(&plan.next(t, 100, &passed)).len(),
+        most,
+        "a goal that has passed is no bound"
+    );
+}
+
+#[test]
+fn slow_loads_narrow_a_roll_out_whose_goal_has_passed() {
+    let (mut plan, t) = (Plan::default(), Instant::now());
+    let all = with_remaining(&with_goal(&fleet(0, 100, 0), Duration::ZERO), LONG * 1000);
+    let begun = plan.next(t, 100, &all);
+    let ms = Duration::from_millis;
+    for (number, id) in updated(&begun).into_iter().enumerate() {
+        let load = if number == 0 { ms(400) } else { ms(4000) };
+        let ended = t + constants::CONCURRENCY_DECREASE_INTERVAL * (number as u32 + 1);
+        plan.ended(id, ended, Some(load));
+    }
+    assert!(updated(&plan.next(t + LONG, 100, &all)).len() <= 2 * plan.concurrency());
+    assert!(plan.concurrency() < 5, "{}", plan.concurrency());
+}
+
+#[test]
+fn batch_like_ones_do_not_wait_for_the_interactive_ones_where_the_goal_is_near() {
+    let (mut plan, t) = (Plan::default(), Instant::now());
+    let all = with_goal(&fleet(10, 10, 5), constants::UPDATE_INITIAL_ESTIMATE * 3);
+    let out = plan.next(t, 20, &all);
+    assert!(updated(&out).iter().all(|id| *id >= "e010") && !updated(&out).is_empty());
+}
--- a/crates/fleet-core/src/constants/engines.rs
+++ b/crates/fleet-core/src/constants/engines.rs
@@ -19,6 +19,8 @@
 /// s; an order is given up after this even if it is under way: the runs that the engine ends first have passed their
 /// deadlines by then.
 pub const ORDER_LONGEST: Duration = Duration::from_secs(20);
+/// bytes; read from an engine or store at once: the index owner has a connection to each, and the HTTP library takes no less.
+pub const ENGINE_CLIENT_BUFFER: usize = 8 << 10;
 /// ms; answers to orders and reports come within a round trip and a step.
 pub const ENGINE_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// ms; an order has reached its engine this long after it was sent, on a link that is not in trouble.
--- a/crates/fleet-core/src/constants/invalidations.rs
+++ b/crates/fleet-core/src/constants/invalidations.rs
@@ -8,6 +8,9 @@
 pub const EVENTS_WAIT_MS: u64 = 1000;
 /// ms; pause after a call for events, so that busy engines don't make it a loop.
 pub const EVENTS_INTERVAL: Duration = Duration::from_millis(250);
+/// holders that are called at that pace; with more, each is called less often. Some 500 calls a second take a tenth of a
+/// core.
+pub const EVENTS_HOLDERS: usize = 320;
 /// slots of the ring of invalidations; a power of two.
 pub const RING_SLOTS: usize = 4096;
 /// entries published under one hold of the writer's lock.
--- a/crates/fleet-core/src/constants/link.rs
+++ b/crates/fleet-core/src/constants/link.rs
@@ -27,9 +27,14 @@
 pub const WRITE_BATCH: usize = 64 << 10;
 /// frames; a reader with so many waiting gets nothing that can be sent later in a newer form.
 pub const SLOW_READER_BACKLOG: usize = 8;
+/// complete states of the fleet that a controller has on their way to routers at once: 400 bytes an engine each in memory.
+pub const COMPLETE_STATES_IN_FLIGHT: usize = 16;
+/// ms; a router that has not read a complete state by then makes room for another: its line carries that of 240 engines in
+/// a fiftieth of this.
+pub const COMPLETE_STATE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// ms; pause before a slow reader's queue is looked at again.
 pub const SLOW_READER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// bytes; most messages are small, and each connection has a buffer to read them from.
 pub const LINK_READ_BUFFER: usize = 4096;
-/// bytes; a larger buffer of written frames is given back once they have gone.
-pub const WRITE_BUFFER_RETAINED: usize = 256 << 10;
+/// bytes; a larger buffer of written frames is given back once they have gone: a controller has a link to each router.
+pub const WRITE_BUFFER_RETAINED: usize = 16 << 10;
--- a/crates/fleet-core/src/constants/rollout.rs
+++ b/crates/fleet-core/src/constants/rollout.rs
@@ -10,6 +10,9 @@
 pub const ROLLOUT_INITIAL_SHARE: f64 = 0.15;
 /// engines' share of a service that turn together at the most, while the bound leaves the time.
 pub const ROLLOUT_MAX_SHARE: f64 = 0.3;
+/// ms; a roll-out means to end by then: older weights are worth less from a second and a half on, so that a wider roll-out
+/// is worth its crowding.
+pub const ROLLOUT_GOAL: Duration = Duration::from_millis(4000);
 /// engines' share of a service that turn together when the bound would else be missed.
 pub const ROLLOUT_MAX_SHARE_LATE: f64 = 0.5;
 /// share of the interactive engines that get no more long streams, or turn: the others take theirs.
--- a/crates/fleet-core/src/load.rs
+++ b/crates/fleet-core/src/load.rs
@@ -98,18 +98,29 @@
 }
 
 /// Decides whether a message goes out now: when it has changed, and every `LOAD_REPORT_REFRESH` so that it
-/// still counts.
+/// still counts. A large one goes out less often, so that the bytes of a second stay the same for each reader however
+/// many engines there are.
 #[derive(Default)]
 pub struct ReportSchedule {
     sent: Option<(tokio::time::Instant, LoadReport)>,
 }
 
+/// Shortest time between two reports of so many engines.
+fn report_interval(engines: usize) -> std::time::Duration {
+    let sizes = engines.div_ceil(constants::LOAD_REPORT_ENGINES).max(1) as u32;
+    (constants::LOAD_REPORT_INTERVAL * sizes).min(constants::LOAD_REPORT_INTERVAL_MAX)
+}
+
 impl ReportSchedule {
     /// Whether these loads go out now; they are then the ones sent last.
     pub fn is_due(&mut self, now: tokio::time::Instant, loads: &LoadReport) -> bool {
         let due = match &self.sent {
             Some((at, was)) => {
-                was != loads || now.duration_since(*at) >= constants::LOAD_REPORT_REFRESH
+                let age = now.duration_since(*at);
+                let is_new = was != loads || age >= constants::LOAD_REPORT_REFRESH;
+                // a task that wakes a little early counts as in time
+                is_new
+                    && age + constants::LOAD_REPORT_INTERVAL / 2 >= report_interval(was.keys.len())
             }
             None => true,
         };
@@ -119,3 +130,7 @@
         due
     }
 }
+
+#[cfg(test)]
+#[path = "load_tests.rs"]
+mod tests;
