The ring of invalidations is relayed by the other voters

Change: where there are 32 routers or more, each voter reads the owner's ring, keeps a copy with a ring of its own and serves the routers near it (index_owner/relay.rs); routers choose by zone, leave a relay that is down, silent or behind another owner (fleet_view/ring_sources.rs), and report what they find to it. The reader's state machine is shared (invalidation/reader.rs). An older router ignores the new field and reads the owner.

--- a/crates/control-plane/src/cluster_state.rs
+++ b/crates/control-plane/src/cluster_state.rs
@@ -36,6 +36,8 @@
     Engine(Engine),
     /// The ring of invalidations has moved on.
     Ring(RingHead),
+    /// This controller has begun to relay the ring.
+    RingRelay(RingHead),
     /// So many routers are alive.
     Routers(u32),
 }
@@ -62,6 +64,8 @@
     pub engines: BTreeMap<String, Engine>,
     /// Where the ring of invalidations stands.
     pub ring: Option<RingHead>,
+    /// Where the copy of the ring stands that this controller passes on; none while it relays nothing.
+    pub ring_relay: Option<RingHead>,
     /// How many routers are alive.
     pub routers: u32,
 }
@@ -81,6 +85,7 @@
                 self.engines.insert(engine.id.clone(), engine.clone());
             }
             StateChange::Ring(head) => self.ring = Some(head.clone()),
+            StateChange::RingRelay(head) => self.ring_relay = Some(head.clone()),
             StateChange::Routers(count) => self.routers = *count,
         }
     }
@@ -118,6 +123,7 @@
             ring: self.ring.clone(),
             routers: self.routers,
             nudge: false,
+            ring_relay: self.ring_relay.clone(),
         }
     }
 
@@ -137,6 +143,7 @@
                     update.engines.extend(self.engines.get(&engine.id).cloned());
                 }
                 StateChange::Ring(_) => update.ring = self.ring.clone(),
+                StateChange::RingRelay(_) => update.ring_relay = self.ring_relay.clone(),
                 StateChange::Routers(_) => update.routers = self.routers,
             }
         }
--- a/crates/control-plane/src/controller.rs
+++ b/crates/control-plane/src/controller.rs
@@ -176,6 +176,8 @@
         tasks.spawn(run_lease_holder(self.leases.clone(), INDEX_OWNER_LEASE));
         tasks.spawn(rollout::run_rollout(self.rollout.clone()));
         tasks.spawn(index_owner::run_index_owner(self.index.clone()));
+        tasks.spawn(index_owner::run_ring_relay(self.index.clone()));
+        tasks.spawn(index_owner::run_relay_announcements(self.index.clone()));
         tasks
     }
 
--- a/crates/control-plane/src/index_owner/feed.rs
+++ b/crates/control-plane/src/index_owner/feed.rs
@@ -1,16 +1,25 @@
-//! What the index owner answers routers that read the ring.
+//! What the index owner, or a relay, answers those who read the ring.
 
-use super::IndexOwner;
+use super::published::PublishedIndex;
 use fleet_core::constants;
 use fleet_core::wire::{RingRequest, RingResponse};
 use invalidation::ring::Read;
 use tokio::time::Instant;
 
-impl IndexOwner {
+/// Who reads the ring.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reader {
+    /// A router, one of hundreds.
+    Router,
+    /// A controller that passes the ring on to routers: the sooner it has a snapshot, the sooner all of them do.
+    Relay,
+}
+
+impl PublishedIndex {
     /// Entries behind the reader's cursor, or a reset with a snapshot. An answer without a head means later.
-    pub fn answer(&self, request: &RingRequest) -> Option<RingResponse> {
+    pub fn answer(&self, request: &RingRequest, reader: Reader) -> RingResponse {
         self.readers.lock().insert(request.reader, Instant::now());
-        self.entries(request).or_else(|| self.refill(request.reader))
+        self.entries(request).unwrap_or_else(|| self.refill(request.reader, reader))
     }
 
     /// Entries and findings behind the reader's cursor, where it is known here and not overrun.
@@ -32,17 +41,17 @@
     }
 
     /// A snapshot, or later: a new owner learns from the holders first, and sends no more than its line carries.
-    fn refill(&self, reader: u64) -> Option<RingResponse> {
+    fn refill(&self, number: u64, reader: Reader) -> RingResponse {
         let now = Instant::now();
-        let warm = now.duration_since(self.started) >= constants::INDEX_WARM_UP;
         let (snapshot, cursor) = {
             let index = self.index.lock();
-            if !warm || !self.throttle.lock().try_acquire(now, index.snapshot_bytes()) {
-                return Some(RingResponse::default());
+            let is_granted = self.throttle.lock().try_acquire(now, index.snapshot_bytes());
+            if now < self.serves_from || !(is_granted || reader == Reader::Relay) {
+                return RingResponse::default();
             }
-            (index.snapshot(), self.ring.enter(reader).1)
+            (index.snapshot(), self.ring.enter(number).1)
         };
         let head = Some(self.head());
-        Some(RingResponse { head, reset: true, cursor, snapshot, entries: Vec::new() })
+        RingResponse { head, reset: true, cursor, snapshot, entries: Vec::new() }
     }
 }
--- a/crates/control-plane/src/index_owner/follower.rs
+++ b/crates/control-plane/src/index_owner/follower.rs
@@ -66,7 +66,7 @@
     let mut at: Option<Position> = None;
     let void = || {
         fleet_core::log_event!(index_owner.process.log, Event::HolderReset, "holder" => &holder);
-        index_owner.commit([Invalidation::Holder(holder.clone())]);
+        index_owner.published.commit([Invalidation::Holder(holder.clone())]);
     };
     loop {
         // what a holder has gathered by the first call can be much: few of these at a time
@@ -89,8 +89,8 @@
             void();
         }
         if update.accept {
-            let invalidations = index_owner.index.lock().apply_events(&holder, &e);
-            index_owner.commit(invalidations);
+            let invalidations = index_owner.published.index.lock().apply_events(&holder, &e);
+            index_owner.published.commit(invalidations);
         }
         drop((e, first));
         tokio::time::sleep(index_owner.events_interval()).await;
--- a/crates/control-plane/src/index_owner/mod.rs
+++ b/crates/control-plane/src/index_owner/mod.rs
@@ -3,42 +3,48 @@
 //!
 //! One controller does this at a time, under [`INDEX_OWNER_LEASE`]. Each time the lease is acquired a new
 //! `IndexOwner` begins with a ring of its own and an empty index; readers of a former ring start again from a
-//! snapshot. One task follows each holder (`follower`); `index` is what they have learned, `feed` answers
-//! routers, `throttle` bounds the snapshots that are on their way.
+//! snapshot. One task follows each holder (`follower`); `index` is what they have learned, `published` keeps it with the
+//! ring, `feed` answers readers from there, `throttle` bounds the snapshots that are on their way.
+//!
+//! Where there are many routers, the other voters read the ring too, and pass it on to the routers near them (`relay`).
 //!
 //! Order of locks: the index, then the throttle; the others are leaves.
 
 mod feed;
 mod follower;
 mod index;
+mod published;
+mod relay;
 mod throttle;
 
+pub use feed::Reader;
+pub use relay::{run_relay_announcements, run_ring_relay};
+
 use crate::cluster_state::{ClusterState, ClusterStateStore, StateChange};
 use crate::config_distribution::ConfigBodies;
 use crate::consensus::{Consensus, state_machine};
 use crate::engines::client::EngineClient;
 use crate::leases::{INDEX_OWNER_LEASE, LeaseManager};
+use crate::membership::peer_links::MemberLink;
 use crate::membership::routers::Routers;
 use crate::process::Process;
 use fleet_core::log::Event;
 use fleet_core::transport::Transport;
 use fleet_core::wire::{
-    Body, CachedPrefixes, ConfigValue, EngineState, FleetUpdate, Invalidation, RingEntry, RingHead,
+    Body, CachedPrefixes, ConfigValue, EngineState, FleetUpdate, Invalidation, RingHead,
     RingRequest, RingResponse, Weights,
 };
 use fleet_core::{constants, fleet};
 use follower::Source;
-use index::Index;
-use invalidation::draft::Draft;
-use invalidation::ring::Ring;
 use parking_lot::Mutex;
 use prost::Message;
+use published::PublishedIndex;
+use relay::RingRelay;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use throttle::SnapshotThrottle;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 
@@ -61,51 +67,81 @@
     pub transport: Arc<dyn Transport>,
 }
 
-/// The index owner that this controller is, while it holds the lease.
+/// The index owner that this controller is while it holds the lease, and the relay that it is otherwise.
 pub struct IndexOwnership {
     parts: IndexOwnershipParts,
     current: Mutex<Option<Arc<IndexOwner>>>,
+    relay: RingRelay,
 }
 
 impl IndexOwnership {
     /// This controller is none as yet.
     pub fn new(parts: IndexOwnershipParts) -> IndexOwnership {
-        IndexOwnership { parts, current: Mutex::default() }
+        IndexOwnership { parts, current: Mutex::default(), relay: RingRelay::default() }
     }
 
-    /// Takes in what a router's own requests leave cached; dropped where another controller is the owner.
-    pub fn record_found(&self, found: &CachedPrefixes) {
-        if let Some(owner) = self.current.lock().clone() {
-            owner.index.lock().record_found(&found.entries);
+    /// Takes in what a router's own requests leave cached. A relay passes it on to its readers and to the owner.
+    pub fn record_found(&self, found: CachedPrefixes) {
+        let owner = self.current.lock().clone();
+        match owner {
+            Some(owner) => owner.published.index.lock().record_found(&found.entries),
+            None => self.relay_found(found),
         }
     }
 
-    /// Answers a router that reads the ring; none where another controller is the owner.
-    pub fn answer_reader(&self, request: &RingRequest) -> Option<RingResponse> {
-        let owner = self.current.lock().clone()?;
-        self.parts.leases.fencing_token(INDEX_OWNER_LEASE)?;
-        owner.answer(request)
+    /// Answers a reader of the ring. Where this controller neither owns nor relays it, the answer says so, and the
+    /// reader turns to another.
+    pub fn answer_reader(&self, request: &RingRequest, reader: Reader) -> RingResponse {
+        let owner = self.current.lock().clone();
+        let is_owner = self.parts.leases.fencing_token(INDEX_OWNER_LEASE).is_some();
+        let published = match owner.filter(|_| is_owner) {
+            Some(owner) => Some(owner.published.clone()),
+            None => self.relay.published(),
+        };
+        published.map(|published| published.answer(request, reader)).unwrap_or_default()
     }
 
     /// Keeps the index until the lease is lost.
     async fn run_until_lost(&self, owner: &Arc<IndexOwner>) {
         let mut followers = Followers::default();
         let mut published = PublishedInvalidations::default();
-        let mut announced = (0, 0);
+        let mut announcements = Announcements::default();
         while self.parts.leases.fencing_token(INDEX_OWNER_LEASE) == Some(owner.fencing_token) {
             let mut invalidations = followers.follow(owner, self.holders());
             invalidations.extend(self.parts.cluster_state.read(|state| published.collect(state)));
-            owner.commit(invalidations);
-            owner.drop_stuck_readers();
-            let head = owner.head();
-            if (head.head, head.found) != announced {
-                announced = (head.head, head.found);
-                self.parts.cluster_state.append(StateChange::Ring(head));
+            owner.published.commit(invalidations);
+            owner.published.drop_stuck_readers();
+            let head = owner.published.head();
+            match announcements.due(&head, Instant::now()) {
+                Some(Audience::All) => {
+                    self.announce_to_readers(&owner.published, head.clone());
+                    self.announce_to_relays(head);
+                }
+                Some(Audience::Relays) => self.announce_to_relays(head),
+                None => {}
             }
             tokio::time::sleep(constants::RING_PUBLISH_INTERVAL).await;
         }
     }
 
+    /// Tells the routers that read the ring here that it has moved. Other routers read relays; they were told of the ring
+    /// when it began, and are when they link to this controller.
+    fn announce_to_readers(&self, published: &PublishedIndex, head: RingHead) {
+        self.parts.cluster_state.amend(|state| state.ring = Some(head.clone()));
+        published.push_to_readers(&FleetUpdate { ring: Some(head), ..Default::default() });
+    }
+
+    /// Tells the other voters, which may relay it, where the ring stands.
+    fn announce_to_relays(&self, head: RingHead) {
+        if !relay::is_worthwhile(&self.parts.cluster_state) {
+            return;
+        }
+        let update = FleetUpdate { ring: Some(head), ..Default::default() };
+        for MemberLink { link, .. } in self.parts.consensus.links_to_voters() {
+            let _ = link.notify(Body::FleetUpdate(update.clone()));
+        }
+    }
+
     /// Engines and stores that are there now, by name.
     fn holders(&self) -> BTreeMap<String, Source> {
         let state = &self.parts.cluster_state;
@@ -132,8 +168,8 @@
         let owner = Arc::new(IndexOwner::new(token, parts.process.random() | 1, parts.clone()));
         *ownership.current.lock() = Some(owner.clone());
         fleet_core::log_event!(parts.process.log, Event::RingStarted,
-            "fence" => token, "incarnation" => owner.incarnation);
-        parts.cluster_state.append(StateChange::Ring(owner.head()));
+            "fence" => token, "incarnation" => owner.published.incarnation);
+        parts.cluster_state.append(StateChange::Ring(owner.published.head()));
         ownership.run_until_lost(&owner).await;
         *ownership.current.lock() = None;
     }
@@ -142,16 +178,9 @@
 /// The state of one index owner, from the acquisition of the lease to its loss.
 struct IndexOwner {
     process: Arc<Process>,
-    routers: Arc<Routers>,
     transport: Arc<dyn Transport>,
-    started: Instant,
     fencing_token: u64,
-    incarnation: u64,
-    ring: Ring<RingEntry>,
-    index: Mutex<Index>,
-    /// When each reader of the ring came last.
-    readers: Mutex<hashbrown::HashMap<u64, Instant>>,
-    throttle: Mutex<SnapshotThrottle>,
+    published: Arc<PublishedIndex>,
     /// Bounds the memory for what holders have gathered before they are first asked.
     first_reads: tokio::sync::Semaphore,
     /// Holders that are followed.
@@ -160,17 +189,13 @@
 
 impl IndexOwner {
     fn new(fencing_token: u64, incarnation: u64, parts: IndexOwnershipParts) -> IndexOwner {
+        let serves_from = Instant::now() + constants::INDEX_WARM_UP;
+        let published = PublishedIndex::new(&parts, fencing_token, incarnation, serves_from);
         IndexOwner {
             process: parts.process,
-            routers: parts.routers,
             transport: parts.transport,
-            started: Instant::now(),
             fencing_token,
-            incarnation,
-            ring: Ring::new(constants::RING_SLOTS, constants::RING_BATCH, constants::RING_LAG),
-            index: Mutex::default(),
-            readers: Mutex::default(),
-            throttle: Mutex::default(),
+            published: Arc::new(published),
             first_reads: tokio::sync::Semaphore::new(constants::FIRST_READS),
             holders: AtomicUsize::new(0),
         }
@@ -181,50 +206,9 @@
         events_interval(self.holders.load(Ordering::Relaxed))
     }
 
-    fn head(&self) -> RingHead {
-        RingHead {
-            fencing_token: self.fencing_token,
-            incarnation: self.incarnation,
-            head: self.ring.head(),
-            owner: self.process.node.ip.to_string(),
-            found: self.index.lock().found_so_far(),
-        }
-    }
-
     fn client(&self, address: SocketAddr) -> EngineClient {
         EngineClient::over(self.transport.clone(), self.process.node.ip, address)
     }
-
-    /// One change: applied to the index at once, published when it is complete.
-    fn commit(&self, entries: impl IntoIterator<Item = Invalidation>) {
-        let lagging = {
-            let mut index = self.index.lock();
-            let mut draft = Draft::open(&mut *index);
-            for what in entries {
-                draft.add(RingEntry { scope: 0, what: Some(what) });
-            }
-            draft.commit(&self.ring)
-        };
-        for reader in lagging {
-            let nudge = FleetUpdate { nudge: true, ..Default::default() };
-            self.routers.push(reader, Body::FleetUpdate(nudge));
-        }
-    }
-
-    /// Readers that have not come for long lose their cursors, so that they don't hold the ring up.
-    fn drop_stuck_readers(&self) {
-        let mut stuck = Vec::new();
-        self.readers.lock().retain(|reader, last_read| {
-            let is_live = last_read.elapsed() <= constants::READER_TIMEOUT;
-            if !is_live {
-                stuck.push(*reader);
-            }
-            is_live
-        });
-        for reader in stuck {
-            self.ring.drop_reader(reader);
-        }
-    }
 }
 
 /// Pause between two calls to the same holder, where so many are followed: the more there are the longer it is, so that
@@ -234,6 +218,36 @@
     constants::EVENTS_INTERVAL.mul_f64(crowd.max(1.0))
 }
 
+/// Who is told where the ring stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Audience {
+    /// Whoever reads it.
+    All,
+    /// The other voters, of which one may have linked since.
+    Relays,
+}
+
+/// Decides when the ring is announced: to all when it has moved, to relays again and again.
+#[derive(Default)]
+struct Announcements {
+    last: Option<(RingHead, Instant)>,
+}
+
+impl Announcements {
+    /// Who is told now, if anybody; they count as told.
+    fn due(&mut self, head: &RingHead, now: Instant) -> Option<Audience> {
+        let audience = match &self.last {
+            Some((last, _)) if last != head => Audience::All,
+            Some((_, at)) if now.duration_since(*at) < constants::RELAY_READ_INTERVAL => {
+                return None;
+            }
+            Some(_) | None => Audience::Relays,
+        };
+        self.last = Some((head.clone(), now));
+        Some(audience)
+    }
+}
+
 /// One task for each holder; they are aborted when this is dropped.
 #[derive(Default)]
 struct Followers {
--- a/crates/control-plane/src/membership/peer_service.rs
+++ b/crates/control-plane/src/membership/peer_service.rs
@@ -9,7 +9,7 @@
 use crate::config_distribution::ConfigDistribution;
 use crate::consensus::{Consensus, forward, resignation};
 use crate::engines::registry::{EngineRegistry, HeartbeatSource};
-use crate::index_owner::IndexOwnership;
+use crate::index_owner::{IndexOwnership, Reader};
 use crate::leases::LeaseManager;
 use crate::process::Process;
 use fleet_core::constants;
@@ -17,8 +17,8 @@
 use fleet_core::log::Event;
 use fleet_core::node::Role;
 use fleet_core::wire::{
-    Accept, Body, ChangeRequest, CommitNotice, Empty, EngineHeartbeats, JoinRequest, JoinResponse,
-    Prepare, ReadBallots, RecoverRequest, RingRequest, Vote,
+    Accept, Body, ChangeRequest, CommitNotice, Empty, EngineHeartbeats, FleetUpdate, JoinRequest,
+    JoinResponse, Prepare, ReadBallots, RecoverRequest, RingRequest, Vote,
 };
 use std::sync::Arc;
 use tokio::sync::{Semaphore, SemaphorePermit};
@@ -118,7 +118,7 @@
             Body::JoinRequest(request) => self.join(request),
             Body::RouterHeartbeat(_) => self.router_heartbeat(peer),
             Body::CachedPrefixes(found) => {
-                parts.index.record_found(&found);
+                parts.index.record_found(found);
                 None
             }
             Body::LoadReport(report) => {
@@ -126,6 +126,7 @@
                 None
             }
             Body::RingRequest(request) => self.ring(peer, &request),
+            Body::FleetUpdate(update) => self.owner_head(peer, update),
             _ => None,
         }
     }
@@ -218,7 +219,19 @@
         if peer.backlog() >= constants::SLOW_READER_BACKLOG {
             return None;
         }
-        self.parts.index.answer_reader(request).map(Body::RingResponse)
+        let is_relay = peer.handshake.role == Role::Controller as u32;
+        let reader = if is_relay { Reader::Relay } else { Reader::Router };
+        Some(Body::RingResponse(self.parts.index.answer_reader(request, reader)))
+    }
+
+    /// Another controller, which owns the index, has published something.
+    fn owner_head(&self, peer: &Peer, update: FleetUpdate) -> Option<Body> {
+        if peer.handshake.role == Role::Controller as u32
+            && let Some(head) = update.ring
+        {
+            self.parts.index.record_owner_head(head);
+        }
+        None
     }
 }
 
--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -10,6 +10,8 @@
 mod membership_view;
 #[path = "cluster/operator.rs"]
 mod operator;
+#[path = "cluster/relay.rs"]
+mod relay;
 #[path = "cluster/resignation.rs"]
 mod resignation;
 #[path = "cluster/rollout.rs"]
--- a/crates/data-plane/src/fleet_view/endpoints.rs
+++ b/crates/data-plane/src/fleet_view/endpoints.rs
@@ -36,10 +36,12 @@
 
 impl Viewpoint<'_> {
     /// Where an engine stands in the router's own order, from 0 to 1: rendezvous hashing, so that each engine comes
-    /// first for its share of the routers, and few change when a router or an engine comes or goes.
-    fn distance(&self, engine: &str) -> f64 {
+    /// first for its share of the routers, and few change when a router or an engine comes or goes. Near ones come first
+    /// more often.
+    fn distance(&self, engine: &str, near: bool) -> f64 {
         let hash = fleet_core::node::stable_hash(&[self.router.as_bytes(), engine.as_bytes()]);
-        hash as f64 / u64::MAX as f64
+        let drawn = hash as f64 / u64::MAX as f64;
+        if near { drawn * constants::NEAR_DISTANCE } else { drawn }
     }
 }
 
@@ -99,7 +101,7 @@
                 at: index.admit(&engine.id),
                 near: state.zone == viewpoint.zone,
                 prefill_heavy: false,
-                distance: viewpoint.distance(&engine.id),
+                distance: viewpoint.distance(&engine.id, state.zone == viewpoint.zone),
                 rank: fleet_core::node::stable_hash(&[engine.id.as_bytes()]),
                 engine,
                 state,
--- a/crates/data-plane/src/fleet_view/invalidations.rs
+++ b/crates/data-plane/src/fleet_view/invalidations.rs
@@ -1,37 +1,17 @@
 //! The router's end of the ring: entries are fetched in the background, applied before a placement.
 
+use super::FleetView;
 use crate::Router;
 use fleet_core::constants;
 use fleet_core::link::Link;
 use fleet_core::log::Event;
-use fleet_core::wire::{Body, CachedParts, CachedPrefixes, RingEntry, RingRequest, RingResponse};
+use fleet_core::wire::{Body, CachedParts, CachedPrefixes};
 use invalidation::cache::Cache;
+pub use invalidation::reader::{RingPosition, ViewUpdate, step};
 use prompt_index::Index;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-
-/// What one fetch brought.
-pub struct ViewUpdate {
-    /// The whole view gives way.
-    pub reset: bool,
-    /// What holders were found to keep; on a reset, all of it.
-    pub snapshot: Vec<CachedParts>,
-    /// Invalidations, to be applied after the findings.
-    pub entries: Vec<RingEntry>,
-}
-
-impl ViewUpdate {
-    /// Applies all of it to a cache.
-    pub fn apply(&self, cache: &mut impl Cache) {
-        if self.reset {
-            cache.reset();
-        }
-        invalidation::cache::refill(cache, &self.snapshot);
-        for entry in &self.entries {
-            invalidation::cache::apply(cache, entry, |_| true);
-        }
-    }
-}
+use tokio::time::Instant;
 
 /// The index as the ring changes it: its entries are the index's Evicted and HolderGone.
 struct Indexed<'a>(&'a Index);
@@ -157,7 +137,7 @@
     }
 }
 
-/// Reports to the index owner what own sends have left behind.
+/// Reports what own sends have left behind to whoever passes the ring on to this router.
 pub async fn run_findings_reporter(router: Arc<Router>) {
     loop {
         tokio::time::sleep(constants::FINDINGS_REPORT_INTERVAL).await;
@@ -165,8 +145,9 @@
         if entries.is_empty() {
             continue;
         }
-        let owner = router.fleet_view.ring.lock().as_ref().map(|head| head.owner.clone());
-        if let Some(link) = owner.and_then(|owner| router.fleet_view.link_to(&owner)) {
+        // nobody can take them in now: a later index owner is sent them again
+        let source = router.fleet_view.ring_to_read(&router.node);
+        if let Some(link) = source.and_then(|source| router.fleet_view.link_to(&source)) {
             let _ = link.notify(Body::CachedPrefixes(CachedPrefixes { entries }));
         }
     }
@@ -185,113 +166,72 @@
     }
 }
 
-/// Where this reader stands, and in which incarnation of the ring.
-#[derive(Default, Clone, Copy, PartialEq, Eq, Debug)]
-pub struct RingPosition {
-    fencing_token: u64,
-    incarnation: u64,
-    cursor: u64,
-    found: u64,
-}
-
-impl RingPosition {
-    /// A place in a ring.
-    pub fn new(fencing_token: u64, incarnation: u64, cursor: u64, found: u64) -> RingPosition {
-        RingPosition { fencing_token, incarnation, cursor, found }
-    }
-
-    /// The index owner's fencing token.
-    pub fn fencing_token(&self) -> u64 {
-        self.fencing_token
-    }
-
-    /// The incarnation of the ring.
-    pub fn incarnation(&self) -> u64 {
-        self.incarnation
-    }
-
-    /// Position of the first entry that the reader lacks.
-    pub fn cursor(&self) -> u64 {
-        self.cursor
-    }
-}
-
-/// What an answer of the index owner does to the reader: its next place, and what to apply. None if the
-/// answer cannot be used: it is of an older index owner, of another ring without a reset, or without a head.
-pub fn step(
-    position: RingPosition,
-    answer: RingResponse,
-) -> Option<(RingPosition, Option<ViewUpdate>)> {
-    let head = answer.head?;
-    if head.fencing_token < position.fencing_token {
-        return None;
-    }
-    if !answer.reset
-        && (head.fencing_token, head.incarnation) != (position.fencing_token, position.incarnation)
-    {
-        return None;
-    }
-    let next = RingPosition {
-        fencing_token: head.fencing_token,
-        incarnation: head.incarnation,
-        cursor: answer.cursor,
-        found: head.found,
-    };
-    let RingResponse { reset, snapshot, entries, .. } = answer;
-    let has_changes = reset || !entries.is_empty() || !snapshot.is_empty();
-    Some((next, has_changes.then_some(ViewUpdate { reset, snapshot, entries })))
-}
-
 /// Fetches behind the head whenever it has moved or the index owner has notified.
 pub async fn run_invalidation_reader(router: Arc<Router>) {
     let view = &router.fleet_view;
     let mut position = RingPosition::default();
     let mut announced = (0, 0);
+    let mut is_reading = false;
     loop {
-        let _ =
-            tokio::time::timeout(constants::READER_TIMEOUT / 4, view.ring_moved.notified()).await;
+        let pause = if is_reading {
+            constants::READER_TIMEOUT / 4
+        } else {
+            constants::RING_SEARCH_INTERVAL
+        };
+        let _ = tokio::time::timeout(pause, view.ring_moved.notified()).await;
         tokio::time::sleep(constants::RING_FETCH_DELAY).await;
-        let Some(head) = view.ring.lock().clone() else { continue };
-        let Some(link) = view.link_to(&head.owner) else { continue };
-        if announced != (head.fencing_token, head.incarnation) {
-            announced = (head.fencing_token, head.incarnation);
-            let entries = view.prefix_view.found_before();
-            let _ = link.notify(Body::CachedPrefixes(CachedPrefixes { entries }));
+        report_findings_again(view, &mut announced);
+        let source = view.ring_to_read(&router.node);
+        is_reading = source.is_some();
+        let Some(source) = source else { continue };
+        let Some(link) = view.link_to(&source) else { continue };
+        let mut fetched = fetch(&router, &link, &mut position).await;
+        while fetched == Fetch::More {
+            fetched = fetch(&router, &link, &mut position).await;
+        }
+        if fetched == Fetch::NoAnswer {
+            view.ring_sources.avoid(&source, Instant::now());
         }
-        while fetch(&router, &link, &mut position).await == Fetch::More {}
     }
 }
 
+/// A new index owner starts from nothing: it is told what own sends have left behind before it came.
+fn report_findings_again(view: &FleetView, announced: &mut (u64, u64)) {
+    let Some(head) = view.ring_sources.owner() else { return };
+    let Some(link) = view.link_to(&head.owner) else { return };
+    if *announced == (head.fencing_token, head.incarnation) {
+        return;
+    }
+    *announced = (head.fencing_token, head.incarnation);
+    let entries = view.prefix_view.found_before();
+    let _ = link.notify(Body::CachedPrefixes(CachedPrefixes { entries }));
+}
+
 /// What a fetch leaves to be done.
-#[derive(PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fetch {
     /// There are more entries.
     More,
-    /// Nothing more for now, or no answer that can be used.
+    /// Nothing more for now, or an answer that can't be used.
     Done,
+    /// Whoever was asked doesn't answer.
+    NoAnswer,
 }
 
 /// Fetches once, and leaves what came to be applied.
 async fn fetch(router: &Router, link: &Link, position: &mut RingPosition) -> Fetch {
-    let request = RingRequest {
-        fencing_token: position.fencing_token,
-        incarnation: position.incarnation,
-        cursor: position.cursor,
-        reader: router.node.incarnation,
-        refill: *position == RingPosition::default(),
-        found: position.found,
-    };
+    let request = position.request(router.node.incarnation);
     let limit = if request.refill { constants::REFILL_TIMEOUT } else { constants::PHASE_TIMEOUT };
     let Ok(Body::RingResponse(answer)) = link.call(Body::RingRequest(request), limit).await else {
-        return Fetch::Done;
+        return Fetch::NoAnswer;
     };
     let head = answer.head.as_ref().map_or(0, |head| head.head);
     let Some((next, update)) = step(*position, answer) else { return Fetch::Done };
     *position = next;
     let Some(update) = update else { return Fetch::Done };
     if update.reset {
-        fleet_core::log_event!(router.log, Event::ReaderReset, "cursor" => position.cursor);
+        fleet_core::log_event!(router.log, Event::ReaderReset, "cursor" => position.cursor());
     }
     router.fleet_view.prefix_view.put(update);
-    if position.cursor < head { Fetch::More } else { Fetch::Done }
+    if position.cursor() < head { Fetch::More } else { Fetch::Done }
 }
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -69,7 +69,7 @@
     let (pushed, updates) = mpsc::channel(constants::LINK_BACKLOG);
     let address = router.settings().peer_addr(ip.into());
     let link = Link::keep(&router.node, address, Some(pushed));
-    tokio::spawn(receive_updates(router.clone(), Arc::downgrade(&link), updates));
+    tokio::spawn(receive_updates(router.clone(), ip, Arc::downgrade(&link), updates));
     link
 }
 
@@ -130,7 +130,12 @@
     Dropped,
 }
 
-async fn receive_updates(router: Arc<Router>, link: Weak<Link>, mut updates: mpsc::Receiver<Body>) {
+async fn receive_updates(
+    router: Arc<Router>,
+    controller: Ipv4Addr,
+    link: Weak<Link>,
+    mut updates: mpsc::Receiver<Body>,
+) {
     let Some(mut is_up) = link.upgrade().map(|link| link.watch()) else { return };
     let mut loss = LossDetector::default();
     loop {
@@ -147,6 +152,7 @@
             LinkEvent::Changed { is_up } => {
                 loss.link_changed(is_up, Instant::now());
                 if !is_up {
+                    router.fleet_view.ring_sources.forget_relay(&controller.to_string());
                     fleet_core::log_event!(router.log, Event::LinkDown);
                 }
             }
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -11,12 +11,14 @@
 //! | [`load_reports`] | own requests in flight out, the sum of all routers in |
 //! | [`version_bound`] | until when a request may begin under older weights |
 //! | [`invalidations`] | the prompt index, kept valid by the ring of the index owner |
+//! | [`ring_sources`] | which copy of that ring is read |
 
 pub mod config_fetch;
 pub mod endpoints;
 pub mod invalidations;
 pub mod links;
 pub mod load_reports;
+pub mod ring_sources;
 pub mod routing_table;
 pub mod version_bound;
 
@@ -24,7 +26,8 @@
 use endpoints::Viewpoint;
 use fleet_core::constants;
 use fleet_core::target_versions::TargetVersions;
-use fleet_core::wire::{Engine, EngineState, FleetUpdate, Membership, RingHead, TargetWeights};
+use fleet_core::wire::{Engine, EngineState, FleetUpdate, Member, Membership, TargetWeights};
+use ring_sources::{RingReader, RingSources};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -50,8 +53,8 @@
     /// When a controller was lost last.
     disturbed: parking_lot::Mutex<Option<Instant>>,
     membership: parking_lot::Mutex<Membership>,
-    /// Where the ring of invalidations stands.
-    pub ring: parking_lot::Mutex<Option<RingHead>>,
+    /// The ring of invalidations and its copies.
+    pub ring_sources: RingSources,
     /// Wakes the reader of the ring.
     pub ring_moved: tokio::sync::Notify,
     routers: AtomicUsize,
@@ -71,7 +74,7 @@
             targets: parking_lot::RwLock::default(),
             disturbed: parking_lot::Mutex::default(),
             membership: parking_lot::Mutex::default(),
-            ring: parking_lot::Mutex::default(),
+            ring_sources: RingSources::default(),
             ring_moved: tokio::sync::Notify::new(),
             routers: AtomicUsize::new(1),
             prefix_view: invalidations::PrefixView::new(),
@@ -101,6 +104,12 @@
         targets.get(model)?.newest().map(|target| target.version)
     }
 
+    /// When the newest version was named for a model's weights.
+    pub fn target_named_at(&self, model: &str) -> Option<Instant> {
+        let targets = self.targets.read();
+        targets.get(model)?.newest().map(|target| target.since)
+    }
+
     /// Until when requests may begin under the weights of each version of a model.
     pub fn version_bound(&self, model: &str, bound: Duration) -> VersionBound {
         let targets = self.targets.read().get(model).cloned().unwrap_or_default();
@@ -130,6 +139,14 @@
         self.links.lock().get(&ip).cloned()
     }
 
+    /// The address of the ring that this router reads; none while there is none to be read.
+    fn ring_to_read(&self, node: &fleet_core::node::Node) -> Option<String> {
+        let membership = self.membership.lock().clone();
+        let is_up = |member: &Member| self.link_to(&member.ip).is_some_and(|link| link.is_up());
+        let reader = RingReader { zone: &node.zone, name: &node.name, routers: self.routers() };
+        self.ring_sources.choose(&membership.members, &reader, is_up, Instant::now())
+    }
+
     /// Frames and answers of controllers that could not be taken, over the links kept now.
     pub fn links_rejected(&self) -> u64 {
         self.links.lock().values().map(|link| link.rejected()).sum()
@@ -211,12 +228,15 @@
             self.update_membership(membership);
         }
         if let Some(head) = &view.ring {
-            self.update_ring(head);
+            self.ring_sources.update_owner(head, Instant::now());
+        }
+        if let Some(head) = &view.ring_relay {
+            self.ring_sources.update_relay(head);
         }
         if view.routers > 0 {
             self.routers.store(view.routers as usize, Ordering::Relaxed);
         }
-        if view.ring.is_some() || view.nudge {
+        if view.ring.is_some() || view.ring_relay.is_some() || view.nudge {
             self.ring_moved.notify_one();
         }
         self.announced_config.send_if_modified(|announced| {
@@ -232,16 +252,6 @@
             *current = update.clone();
         }
     }
-
-    fn update_ring(&self, update: &RingHead) {
-        let mut current = self.ring.lock();
-        let is_older = |current: &RingHead| {
-            (update.fencing_token, update.head) < (current.fencing_token, current.head)
-        };
-        if !current.as_ref().is_some_and(is_older) {
-            *current = Some(update.clone());
-        }
-    }
 }
 
 impl Default for FleetView {
--- a/crates/fleet-core/src/constants/invalidations.rs
+++ b/crates/fleet-core/src/constants/invalidations.rs
@@ -8,6 +8,20 @@
 pub const EVENTS_WAIT_MS: u64 = 1000;
 /// ms; pause after a call for events, so that busy engines don't make it a loop.
 pub const EVENTS_INTERVAL: Duration = Duration::from_millis(250);
+/// routers; with fewer, all of them read the index owner's ring: a relay's copy of the index costs more than it spares.
+pub const RELAY_ROUTERS: usize = 32;
+/// ms; a relay reads the owner's ring this often at least.
+pub const RELAY_READ_INTERVAL: Duration = Duration::from_millis(1000);
+/// ms; a relay that the owner has not answered for so long stops. A lost owner has a successor before: until then the relay
+/// still tells the routers near it what they find.
+pub const RELAY_TIMEOUT: Duration = Duration::from_millis(8000);
+/// ms; how long routers wait for a relay of their own zone after another controller has become the owner: its warm-up and
+/// a snapshot.
+pub const RELAY_PATIENCE: Duration = Duration::from_millis(2000);
+/// ms; a relay that didn't answer is left alone this long.
+pub const RELAY_RETRY_INTERVAL: Duration = Duration::from_millis(3000);
+/// ms; pause before a router looks again for a ring to read.
+pub const RING_SEARCH_INTERVAL: Duration = Duration::from_millis(250);
 /// holders that are called at that pace; with more, each is called less often. Some 500 calls a second take a tenth of a
 /// core.
 pub const EVENTS_HOLDERS: usize = 320;
--- a/crates/fleet-core/src/constants/rollout.rs
+++ b/crates/fleet-core/src/constants/rollout.rs
@@ -37,6 +37,11 @@
 pub const MIX_DECAY: f32 = 0.95;
 /// ms; what it costs a long stream to go to an engine that is about to turn.
 pub const STREAM_DRAIN_COST_MS: f64 = 400.0;
+/// ms; after the naming of a version, older weights are worth as much as before for about this long.
+pub const OUTDATED_GRACE: Duration = Duration::from_millis(1200);
+/// ms; what older weights cost from then on: a fifth of what the request is worth. A wait as long makes about one request in
+/// five late where engines are busy.
+pub const OUTDATED_COST_MS: f64 = 120.0;
 /// ms; what each run beyond an engine's slots costs: one of them has to end first.
 pub const SLOT_COST_MS: f64 = 120.0;
 /// versions of a model's weights whose moments are remembered; several minutes of new ones each few seconds. Of more, the
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -63,6 +63,13 @@
 /// ms; what the last engine of a router's own order costs more than its first: less than a KV transfer, so that a router
 /// leaves its subset for a cached prefix, and as much as a few running requests.
 pub const SUBSET_SPREAD_MS: f64 = 12.0;
+/// routers that have an engine in their subsets, about: what they send before they hear of each other keeps an engine busy
+/// for some tenths of a second.
+pub const SUBSET_ROUTERS: usize = 16;
+/// engines in a subset at the least: of both groups, with some that change their weights or fail.
+pub const SUBSET_ENGINES_LEAST: usize = 12;
+/// what the distance of an engine in the router's own zone counts: half of a subset is there where there are six zones.
+pub const NEAR_DISTANCE: f64 = 0.2;
 /// other routers beside which a router's own order has half of its weight.
 pub const SUBSET_HALF_ROUTERS: f64 = 64.0;
 /// tokens; a move of fewer costs about as much as reading them.
--- a/crates/fleet-core/src/log.rs
+++ b/crates/fleet-core/src/log.rs
@@ -58,6 +58,8 @@
     RingStarted = 280, Info, "invalidation ring started";
     HolderReset = 281, Info, "cached prefixes of a holder reset";
     ReaderReset = 282, Info, "invalidation reader reset";
+    RelayStarted = 283, Info, "invalidation ring relayed";
+    RelayStopped = 284, Info, "invalidation ring relayed no longer";
     LinkUp = 300, Debug, "link to controller up";
     LinkDown = 301, Info, "link to controller down";
     Ready = 310, Info, "ready";
--- a/crates/fleet-core/src/wire/invalidations.rs
+++ b/crates/fleet-core/src/wire/invalidations.rs
@@ -3,7 +3,7 @@
 use super::Weights;
 use prost::Message;
 
-/// Where the ring of invalidations stands; pushed to routers when it moves.
+/// Where the ring of invalidations, or a relay's copy of it, stands; pushed to its readers when it moves.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct RingHead {
     /// The index owner's fencing token; a higher one is a later owner.
@@ -15,7 +15,7 @@
     /// Position behind the newest entry.
     #[prost(uint64, tag = "3")]
     pub head: u64,
-    /// The index owner's IP address, to which [`RingRequest`] goes.
+    /// The IP address of the index owner, or of the relay, to which [`RingRequest`] goes.
     #[prost(string, tag = "4")]
     pub owner: String,
     /// Findings (parts that holders were found to keep) counted so far.
--- a/crates/fleet-core/src/wire/views.rs
+++ b/crates/fleet-core/src/wire/views.rs
@@ -54,4 +54,7 @@
     /// This reader is behind by more than half of the ring, and is asked to fetch at once.
     #[prost(bool, tag = "7")]
     pub nudge: bool,
+    /// Where the sender's copy of the ring of invalidations stands, which routers may read in place of the index owner's.
+    #[prost(message, optional, tag = "8")]
+    pub ring_relay: Option<RingHead>,
 }
--- a/crates/fleet-core/tests/event_numbers.rs
+++ b/crates/fleet-core/tests/event_numbers.rs
@@ -2,7 +2,7 @@
 
 use fleet_core::log::Event;
 
-const EVENTS: [(u32, slog::Level); 43] = {
+const EVENTS: [(u32, slog::Level); 45] = {
     use slog::Level::{Debug, Error, Info, Warning};
     [
         (100, Info),
@@ -41,6 +41,8 @@
         (280, Info),
         (281, Info),
         (282, Info),
+        (283, Info),
+        (284, Info),
         (300, Debug),
         (301, Info),
         (310, Info),
--- a/crates/fleet-core/tests/wire_format.rs
+++ b/crates/fleet-core/tests/wire_format.rs
@@ -209,6 +209,7 @@
         ring: Some(ring_head()),
         routers: 6,
         nudge: true,
+        ring_relay: None,
     };
     let loads = LoadReport {
         keys: vec![1, 2],
--- a/crates/invalidation/src/lib.rs
+++ b/crates/invalidation/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cache;
 pub mod draft;
+pub mod reader;
 pub mod ring;
 pub mod salt;
 mod sync;
