A router works with a subset of the engines, and old weights cost what they are worth

Cause: routers that see the same loads, some tenths of a second old, choose the same engine; an engine that has just been updated looks idle to 300 routers at once. Change: candidates are the first of the router's own order, so many that each engine is in the subsets of 16 routers, with all that have the prefix and the affinity target; all where those are full.

--- a/crates/data-plane/src/load_balancer/mod.rs
+++ b/crates/data-plane/src/load_balancer/mod.rs
@@ -85,15 +85,29 @@
         prefix_caches: prefix_cache::prefix_caches(&context, &candidates, &isolation),
         affinity_target: affinity_target(&context, &candidates),
         newest: candidates.iter().filter_map(|candidate| candidate.version).max(),
+        outdated_ms: outdated_ms(router, prompt, now),
+        border: border(&context, &candidates),
         context,
     };
-    let best = selection.cheapest(&candidates).ok_or(NoEndpoint::Unknown)?;
-    if best.cost.is_full {
-        return Err(NoEndpoint::Full);
-    }
+    let best = selection.best(&candidates)?;
     Ok(selection.choose(router, &best))
 }
 
+/// What older weights cost now: nothing while a version has just been named, or none was.
+fn outdated_ms(router: &Router, prompt: &Prompt, now: Instant) -> f64 {
+    let model = prompt.model.as_deref();
+    let since = model.and_then(|model| router.fleet_view.target_named_at(model));
+    let is_priced = since.is_some_and(|since| now >= since + constants::OUTDATED_GRACE);
+    if is_priced { constants::OUTDATED_COST_MS } else { 0.0 }
+}
+
+/// Where this router's subset of the candidates ends.
+fn border(context: &SelectionContext, candidates: &[Candidate]) -> f64 {
+    let endpoints = &context.endpoint_set.endpoints;
+    let distance = |candidate: &Candidate| endpoints[candidate.endpoint].distance;
+    context.request.subset.border(candidates.iter().map(distance).collect())
+}
+
 /// Where the deepest shared part settles, alike at all routers.
 fn affinity_target(context: &SelectionContext, candidates: &[Candidate]) -> Option<usize> {
     let part = context.request.prompt.deepest_shared()?;
@@ -112,6 +126,10 @@
     affinity_target: Option<usize>,
     /// the newest weights that any candidate has
     newest: Option<u64>,
+    /// what weights older than those cost
+    outdated_ms: f64,
+    /// the distance at which the subset ends
+    border: f64,
 }
 
 /// A candidate that was weighed, and the source that would spare it most.
@@ -137,7 +155,23 @@
             .map_or(0, |prefix_cache| prefix_cache.cached(candidate.endpoint))
     }
 
-    fn cheapest<'b>(&'b self, candidates: &'b [Candidate]) -> Option<Best<'b>> {
+    /// The cheapest of the subset and of those that have the prefix; of all, if these are full.
+    fn best<'b>(&'b self, candidates: &'b [Candidate]) -> Result<Best<'b>, NoEndpoint> {
+        let weighed = candidates.iter().filter(|candidate| self.is_weighed(candidate));
+        let best = match self.cheapest(weighed) {
+            Some(best) if !best.cost.is_full => return Ok(best),
+            Some(_) | None => self.cheapest(candidates.iter()).ok_or(NoEndpoint::Unknown)?,
+        };
+        if best.cost.is_full { Err(NoEndpoint::Full) } else { Ok(best) }
+    }
+
+    fn is_weighed(&self, candidate: &Candidate) -> bool {
+        self.endpoint(candidate).distance <= self.border
+            || self.affinity_target == Some(candidate.endpoint)
+            || self.cached(candidate) >= constants::TRANSFER_MIN_TOKENS
+    }
+
+    fn cheapest<'b>(&'b self, candidates: impl Iterator<Item = &'b Candidate>) -> Option<Best<'b>> {
         let mut best: Option<Best> = None;
         for candidate in candidates {
             let next = self.evaluate(candidate);
@@ -165,7 +199,7 @@
         let offer = source.map(|source| source.for_endpoint(request, endpoint, cached));
         let mut cost = cost::evaluate(request, endpoint, &tokens, offer.as_ref(), now);
         if candidate.version < self.newest {
-            cost.ms += constants::WAIT_COST_MS;
+            cost.ms += self.outdated_ms;
         }
         if candidate.draining_streams && !request.prompt.is_prefill_heavy() {
             cost.ms += constants::STREAM_DRAIN_COST_MS;
--- a/crates/data-plane/src/load_balancer/request_profile.rs
+++ b/crates/data-plane/src/load_balancer/request_profile.rs
@@ -28,16 +28,19 @@
     pub subset: Subset,
 }
 
-/// How strongly a router keeps to its own subset of the engines.
+/// The engines that a router keeps to, among many routers.
 ///
-/// Each router has an order of its own ([`Endpoint::distance`](crate::fleet_view::endpoints::Endpoint::distance)). Where
-/// costs are near, it takes the engines that come first in it, so that it meets the same ones again: their connections
-/// stay warm, and routers that see the same loads don't all choose the same engine before they hear of each other. A
-/// subset without a border needs no rule for when to leave it: what is loaded, failing or lacks the prefix costs more.
+/// Each router has an order of its own ([`Endpoint::distance`](crate::fleet_view::endpoints::Endpoint::distance)), and
+/// works with the first so many candidates in it: so many that each engine is in the subsets of
+/// [`SUBSET_ROUTERS`](constants::SUBSET_ROUTERS) routers, whatever the number of either. It meets the same engines again, so
+/// that their connections stay warm, and an engine that looks idle is chosen by a few routers before they hear of each
+/// other, not by hundreds. Since the subset is drawn from the candidates, one that can't serve is replaced by the next.
+/// Engines that have the prefix are weighed whether they are in it or not.
 #[derive(Debug, Clone, Copy)]
 pub struct Subset {
+    routers: usize,
     /// ms; what the last engine of the own order costs more than the first
-    pub spread_ms: f64,
+    spread_ms: f64,
     /// a connection that idled for longer is not used again
     pub longest_idle: Duration,
 }
@@ -48,7 +51,20 @@
     pub fn among(routers: usize, longest_idle: Duration) -> Subset {
         let others = routers.saturating_sub(1) as f64;
         let crowd = others / (others + constants::SUBSET_HALF_ROUTERS);
-        Subset { spread_ms: constants::SUBSET_SPREAD_MS * crowd, longest_idle }
+        Subset { routers, spread_ms: constants::SUBSET_SPREAD_MS * crowd, longest_idle }
+    }
+
+    /// How many of so many candidates are in it.
+    pub fn size(&self, candidates: usize) -> usize {
+        let share = candidates * constants::SUBSET_ROUTERS;
+        share.div_ceil(self.routers.max(1)).max(constants::SUBSET_ENGINES_LEAST).min(candidates)
+    }
+
+    /// The distance of the last candidate that is in it.
+    pub fn border(&self, mut distances: Vec<f64>) -> f64 {
+        let Some(last) = self.size(distances.len()).checked_sub(1) else { return 0.0 };
+        let (_, border, _) = distances.select_nth_unstable_by(last, f64::total_cmp);
+        *border
     }
 
     /// What an engine at this distance costs, with or without an idle connection that is fit.
