A router's endpoints are made anew only for what is new; a relay announces in one place

Cause: each of five controllers sends the same change of an engine, and each made a router build its table of engines again; a relay told its readers both of findings and of entries, up to eight times a second. Change: as the title says.

--- a/crates/control-plane/src/index_owner/relay.rs
+++ b/crates/control-plane/src/index_owner/relay.rs
@@ -39,8 +39,8 @@
     published: Mutex<Option<Arc<PublishedIndex>>>,
     /// The newest head of the owner that came.
     upstream: watch::Sender<Option<RingHead>>,
-    /// Wakes the task that tells readers of findings.
-    found: Notify,
+    /// Wakes the task that tells readers of what is new.
+    moved: Notify,
 }
 
 impl RingRelay {
@@ -89,7 +89,7 @@
         let Some(published) = self.relay.published() else { return };
         published.index.lock().record_found(&update.snapshot);
         published.commit(update.entries.into_iter().filter_map(|entry| entry.what));
-        self.announce_relay(&published);
+        self.relay.moved.notify_one();
     }
 
     /// A router near this relay has reported what its requests leave cached: the other routers here learn it at once, and
@@ -97,7 +97,7 @@
     pub fn relay_found(&self, found: CachedPrefixes) {
         if let Some(published) = self.relay.published() {
             published.index.lock().record_found(&found.entries);
-            self.relay.found.notify_one();
+            self.relay.moved.notify_one();
         }
         let owner = self.relay.upstream.borrow().as_ref().map(|head| head.owner.clone());
         if let Some(link) = owner.and_then(|owner| self.parts.link_to(&owner)) {
@@ -163,10 +163,10 @@
     }
 }
 
-/// Tells readers what routers near this relay have found, a few times a second at the most.
+/// Tells readers that the relay's ring or findings have moved on, a few times a second at the most.
 pub async fn run_relay_announcements(ownership: Arc<IndexOwnership>) {
     loop {
-        ownership.relay.found.notified().await;
+        ownership.relay.moved.notified().await;
         if let Some(published) = ownership.relay.published() {
             ownership.announce_relay(&published);
         }
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -154,10 +154,12 @@
 
     fn update_engine(&self, update: &Engine) {
         let current = self.engines.read().get(&update.id).cloned();
-        self.endpoints.stale();
         match current {
             Some(engine) => {
-                engine.update(update);
+                // each of several controllers sends the same
+                if engine.update(update) {
+                    self.endpoints.stale();
+                }
                 if update.state() == EngineState::Deregistered {
                     self.prefix_view.remove_holder(&update.id);
                 }
@@ -165,6 +167,7 @@
             None => {
                 if let Some(engine) = EngineHandle::new(update) {
                     self.engines.write().insert(update.id.clone(), Arc::new(engine));
+                    self.endpoints.stale();
                 }
             }
         }
--- a/crates/data-plane/src/pool/engine.rs
+++ b/crates/data-plane/src/pool/engine.rs
@@ -135,18 +135,19 @@
         })
     }
 
-    /// Takes in what the controllers know of it.
-    pub fn update(&self, state: &Engine) {
-        let mut n = self.state.write();
-        let before = (n.drain_seq, n.update_seq);
-        fleet_core::fleet::merge(&mut n, state);
-        if (n.drain_seq, n.update_seq) != before {
+    /// Takes in what the controllers know of it; whether anything but the number of its call is new.
+    pub fn update(&self, state: &Engine) -> bool {
+        let mut known = self.state.write();
+        let before = (known.drain_seq, known.update_seq);
+        let is_changed = fleet_core::fleet::merge(&mut known, state);
+        if (known.drain_seq, known.update_seq) != before {
             *self.marked_at.lock() = Instant::now();
         }
-        drop(n);
+        drop(known);
         if state.state() == EngineState::Deregistered {
             self.work().idle.clear();
         }
+        is_changed
     }
 
     /// States of the roll-out count only so long: who set them may have failed.
