A roll-out goes no faster than its goal asks, which is 7 s

Cause: with a goal of 4 s the shared parts of a large site (3,296 subjects of 6,670 tokens) would have to be read anew faster than the engines that are left can read: 141 and 40 engine-seconds a second at 168 engines (reckoned from the site's figures). Change: goal of 7 s; concurrency stays at 0.15 of the engines unless the goal or the bound asks for more; batch-like engines don't wait where the goal leaves no time for it.

--- a/crates/control-plane/src/rollout/plan.rs
+++ b/crates/control-plane/src/rollout/plan.rs
@@ -176,9 +176,12 @@
         } else {
             constants::ROLLOUT_MAX_SHARE
         };
-        let at_once = concurrency.max(needed).max(wanted).min(engines(max_share));
+        // no faster than the goal asks: what engines cached is read again under the new weights, all the more at once
+        let unhurried = concurrency.min(engines(constants::ROLLOUT_INITIAL_SHARE));
+        let at_once = unhurried.max(needed).max(wanted).min(engines(max_share));
         let capacity = at_once.saturating_sub(self.updating());
-        UpdateBudget { capacity, is_late: needed.max(wanted) > concurrency }
+        let leaves_no_wait = 2 * wanted > concurrency;
+        UpdateBudget { capacity, is_late: leaves_no_wait || needed > concurrency }
     }
 
     /// Engines that have to be updated at once so that each is ready in the time that it has left: for each of them, all
--- a/crates/fleet-core/src/constants/rollout.rs
+++ b/crates/fleet-core/src/constants/rollout.rs
@@ -10,9 +10,10 @@
 pub const ROLLOUT_INITIAL_SHARE: f64 = 0.15;
 /// engines' share of a service that turn together at the most, while the bound leaves the time.
 pub const ROLLOUT_MAX_SHARE: f64 = 0.3;
-/// ms; a roll-out means to end by then: older weights are worth less from a second and a half on, so that a wider roll-out
-/// is worth its crowding.
-pub const ROLLOUT_GOAL: Duration = Duration::from_millis(4000);
+/// ms; a roll-out means to end by then, and not much sooner. Older weights are worth a fifth less from a second and a half on;
+/// but each shared part is read anew under the new weights, and in half of this time the engines that are left could not
+/// read as much: a late response is worth less than one under older weights.
+pub const ROLLOUT_GOAL: Duration = Duration::from_millis(7000);
 /// engines' share of a service that turn together when the bound would else be missed.
 pub const ROLLOUT_MAX_SHARE_LATE: f64 = 0.5;
 /// share of the interactive engines that get no more long streams, or turn: the others take theirs.
@@ -41,7 +42,7 @@
 pub const OUTDATED_GRACE: Duration = Duration::from_millis(1200);
 /// ms; what older weights cost from then on: a fifth of what the request is worth. A wait as long makes about one request in
 /// five late where engines are busy.
-pub const OUTDATED_COST_MS: f64 = 120.0;
+pub const OUTDATED_COST_MS: f64 = 80.0;
 /// ms; what each run beyond an engine's slots costs: one of them has to end first.
 pub const SLOT_COST_MS: f64 = 120.0;
 /// versions of a model's weights whose moments are remembered; several minutes of new ones each few seconds. Of more, the
