Leaf functions of the data plane take what they need

Change: metrics, links, candidates, version cut-off, passive health, paces and failures take the view, the settings, the counters or the logger; the failure of a connection is recorded in one place. No change of behaviour.

--- a/crates/data-plane/src/fleet_view/config_fetch.rs
+++ b/crates/data-plane/src/fleet_view/config_fetch.rs
@@ -112,10 +112,9 @@
     }
 
     /// The links take turns, from a start that is drawn for each router.
-    fn next_link(&mut self, router: &Router) -> Option<Arc<Link>> {
-        let links = router.fleet_view.links_up();
+    fn next_link(&mut self, links: Vec<Arc<Link>>, random: u64) -> Option<Arc<Link>> {
         if self.failures == 0 {
-            self.next_index = router.random() as usize;
+            self.next_index = random as usize;
         }
         let at = self.next_index.checked_rem(links.len())?;
         self.next_index = self.next_index.wrapping_add(1);
@@ -125,7 +124,8 @@
     /// One call, and what it gave in force.
     async fn fetch(&mut self, router: &Arc<Router>) -> Result<(), FetchError> {
         let begun = Instant::now();
-        let link = self.next_link(router).ok_or(FetchError::NoLink)?;
+        let links = router.fleet_view.links_up();
+        let link = self.next_link(links, router.random()).ok_or(FetchError::NoLink)?;
         let answer = link.call(Body::ConfigRequest(self.request()), self.limit()).await?;
         let Body::ConfigResponse(response) = answer else {
             return Err(FetchError::Link(LinkError::UnexpectedAnswer));
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -1,9 +1,11 @@
 //! Links to the controllers: updates come in, heartbeats go out.
 
+use super::FleetView;
 use crate::Router;
 use fleet_core::constants;
 use fleet_core::link::Link;
 use fleet_core::log::Event;
+use fleet_core::settings::Settings;
 use fleet_core::wire::{Body, FleetUpdate, RouterHeartbeat};
 use hashbrown::HashSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -18,30 +20,30 @@
     let mut addresses: HashSet<Ipv4Addr> =
         membership.members.iter().filter_map(|member| member.addr()).collect();
     drop(membership);
-    if !is_any_linked(router, &addresses) {
-        addresses.extend(seeds(router));
+    let settings = router.settings();
+    if !is_any_linked(&router.fleet_view, &addresses) {
+        addresses.extend(seeds(&settings));
     }
-    addresses.extend(own_machine(router));
+    addresses.extend(own_machine(&settings));
     addresses
 }
 
-fn is_any_linked(router: &Router, addresses: &HashSet<Ipv4Addr>) -> bool {
-    let links = router.fleet_view.links.lock();
+fn is_any_linked(view: &FleetView, addresses: &HashSet<Ipv4Addr>) -> bool {
+    let links = view.links.lock();
     links.iter().any(|(ip, link)| addresses.contains(ip) && link.is_up())
 }
 
-fn seeds(router: &Router) -> Vec<Ipv4Addr> {
+fn seeds(settings: &Settings) -> Vec<Ipv4Addr> {
     let ipv4 = |seed: &SocketAddr| match seed.ip() {
         IpAddr::V4(ip) => Some(ip),
         IpAddr::V6(_) => None,
     };
-    router.settings().seeds.iter().filter_map(ipv4).collect()
+    settings.seeds.iter().filter_map(ipv4).collect()
 }
 
 /// The controller of this machine, if there is one: also where it is no member, it ends after this router only if it
 /// is linked with it.
-fn own_machine(router: &Router) -> Option<Ipv4Addr> {
-    let settings = router.settings();
+fn own_machine(settings: &Settings) -> Option<Ipv4Addr> {
     settings.counted.then_some(settings.ip)
 }
 
@@ -169,7 +171,7 @@
 fn apply(router: &Router, body: Body) {
     match body {
         Body::FleetUpdate(update) => {
-            log_new_targets(router, &update);
+            log_new_targets(&router.log, &router.fleet_view, &update);
             router.fleet_view.apply(&update);
         }
         Body::LoadReport(loads) => router.fleet_view.update_loads(&loads),
@@ -178,11 +180,11 @@
 }
 
 /// Says when this router learned of target weights that are newer than the ones it knows.
-fn log_new_targets(router: &Router, update: &FleetUpdate) {
+fn log_new_targets(log: &slog::Logger, view: &FleetView, update: &FleetUpdate) {
     for weights in &update.weights {
-        let known = router.fleet_view.target_version(&weights.model).unwrap_or(0);
+        let known = view.target_version(&weights.model).unwrap_or(0);
         if weights.version > known {
-            fleet_core::log_event!(router.log, Event::TargetVersionLearned, "model" => &weights.model,
+            fleet_core::log_event!(log, Event::TargetVersionLearned, "model" => &weights.model,
                 "version" => weights.version, "age_ms" => weights.age_ms);
         }
     }
--- a/crates/data-plane/src/load_balancer/candidates.rs
+++ b/crates/data-plane/src/load_balancer/candidates.rs
@@ -2,12 +2,13 @@
 
 use super::cost;
 use super::prompt::Prompt;
-use crate::Router;
+use crate::fleet_view::FleetView;
 use crate::fleet_view::endpoints::{Endpoint, EndpointSet};
 use crate::fleet_view::version_bound::VersionBound;
 use crate::pool::Health;
 use fleet_core::fleet;
 use fleet_core::wire::EngineState;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// An engine that may run the request, under these weights.
@@ -44,20 +45,11 @@
 
 /// Engines that may run the request; those that are likely dead only if there are no others.
 pub fn candidates(
-    router: &Router,
+    weights: &WantedWeights<'_>,
     endpoint_set: &EndpointSet,
-    prompt: &Prompt,
     attempted: &[String],
     now: Instant,
 ) -> Vec<Candidate> {
-    let settings = router.settings();
-    let weights = WantedWeights {
-        model: prompt.model.as_deref(),
-        bound: prompt
-            .model
-            .as_deref()
-            .map(|model| router.fleet_view.version_bound(model, settings.bounds.version)),
-    };
     let mut found = Vec::with_capacity(endpoint_set.endpoints.len());
     for (number, endpoint) in endpoint_set.endpoints.iter().enumerate() {
         if endpoint.state.state() != EngineState::Ready || attempted.contains(&endpoint.engine.id) {
@@ -77,13 +69,20 @@
 }
 
 /// The weights that a request wants, and how long older ones may serve it.
-struct WantedWeights<'a> {
+pub struct WantedWeights<'a> {
     model: Option<&'a str>,
     /// Of the model; none without one.
     bound: Option<VersionBound>,
 }
 
-impl WantedWeights<'_> {
+impl<'a> WantedWeights<'a> {
+    /// Of the prompt's model, of which older versions serve until `version_bound` after a newer one was named.
+    pub fn new(view: &FleetView, prompt: &'a Prompt, version_bound: Duration) -> Self {
+        let model = prompt.model.as_deref();
+        let bound = model.map(|model| view.version_bound(model, version_bound));
+        WantedWeights { model, bound }
+    }
+
     /// The engine, if its weights allow it.
     fn candidate(&self, number: usize, endpoint: &Endpoint, now: Instant) -> Option<Candidate> {
         let target_version = self.bound.as_ref().and_then(VersionBound::target_version);
--- a/crates/data-plane/src/load_balancer/mod.rs
+++ b/crates/data-plane/src/load_balancer/mod.rs
@@ -11,11 +11,12 @@
 pub mod prompt;
 pub mod request_profile;
 
-use crate::Router;
+use crate::fleet_view::FleetView;
 use crate::fleet_view::endpoints::{Endpoint, Viewpoint};
 use crate::fleet_view::routing_table::{Table, Tenant};
 use crate::pool::EngineHandle;
-use candidates::Candidate;
+use crate::{Counters, Router};
+use candidates::{Candidate, WantedWeights};
 use cost::{CachedTokens, Cost};
 use fleet_core::constants;
 use kv_transfer::Source;
@@ -71,7 +72,8 @@
     let index = router.fleet_view.prefix_view.current_index();
     let viewpoint = Viewpoint { zone: &router.node.zone, router: &router.node.name };
     let endpoint_set = router.fleet_view.endpoints_of(service, viewpoint);
-    let candidates = candidates::candidates(router, &endpoint_set, prompt, attempted, now);
+    let weights = WantedWeights::new(&router.fleet_view, prompt, router.settings().bounds.version);
+    let candidates = candidates::candidates(&weights, &endpoint_set, attempted, now);
     if candidates.is_empty() {
         return Err(NoEndpoint::Unknown);
     }
@@ -85,18 +87,18 @@
         prefix_caches: prefix_cache::prefix_caches(&context, &candidates, &isolation),
         affinity_target: affinity_target(&context, &candidates),
         newest: candidates.iter().filter_map(|candidate| candidate.version).max(),
-        outdated_ms: outdated_ms(router, prompt, now),
+        outdated_ms: outdated_ms(&router.fleet_view, prompt, now),
         border: border(&context, &candidates),
         context,
     };
     let best = selection.best(&candidates)?;
-    Ok(selection.choose(router, &best))
+    Ok(selection.choose(&router.counters, &best))
 }
 
 /// What older weights cost now: nothing while a version has just been named, or none was.
-fn outdated_ms(router: &Router, prompt: &Prompt, now: Instant) -> f64 {
+fn outdated_ms(view: &FleetView, prompt: &Prompt, now: Instant) -> f64 {
     let model = prompt.model.as_deref();
-    let since = model.and_then(|model| router.fleet_view.target_named_at(model));
+    let since = model.and_then(|model| view.target_named_at(model));
     let is_priced = since.is_some_and(|since| now >= since + constants::OUTDATED_GRACE);
     if is_priced { constants::OUTDATED_COST_MS } else { 0.0 }
 }
@@ -210,13 +212,13 @@
         Best { candidate, cost, source }
     }
 
-    fn choose(&self, router: &Router, best: &Best) -> Choice {
+    fn choose(&self, counters: &Counters, best: &Best) -> Choice {
         let prefix_cache = self.prefix_cache(best.candidate);
         let chosen = self.choose_source(best);
         let sink = prefix_cache.and_then(|prefix_cache| {
             kv_transfer::sink(&self.context.request, &prefix_cache.sources)
         });
-        self.count(router, best, chosen.is_some(), sink.is_some());
+        self.count(counters, best, chosen.is_some(), sink.is_some());
         let (source, source_engine) = chosen.unzip();
         Choice {
             engine: self.endpoint(best.candidate).engine.clone(),
@@ -246,8 +248,8 @@
         kv_transfer::guess(&self.context.request, self.cached(best.candidate), affinity_target)
     }
 
-    fn count(&self, router: &Router, best: &Best, asks: bool, sinks: bool) {
-        let (counters, prompt) = (&router.counters, self.context.request.prompt);
+    fn count(&self, counters: &Counters, best: &Best, asks: bool, sinks: bool) {
+        let prompt = self.context.request.prompt;
         let prefill_tokens = best.cost.prefill_tokens;
         let cached = prompt.tokens().saturating_sub(prefill_tokens);
         let stored = self
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -1,6 +1,7 @@
 //! What a router shows of itself as metrics: its counters, and the state that explains them.
 
-use crate::Router;
+use crate::fleet_view::FleetView;
+use crate::{Counters, Router};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -8,16 +9,15 @@
 
 impl Source for Router {
     fn write(&self, exposition: &mut Exposition<'_>) -> fmt::Result {
-        write_counters(self, exposition)?;
+        write_counters(&self.counters, exposition)?;
         write_requests(self, exposition)?;
-        write_configuration(self, exposition)?;
-        write_targets(self, exposition)?;
-        write_engines(self, exposition)
+        write_configuration(&self.fleet_view, exposition)?;
+        write_targets(&self.fleet_view, exposition)?;
+        write_engines(&self.fleet_view, exposition)
     }
 }
 
-fn write_counters(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
-    let counters = &router.counters;
+fn write_counters(counters: &Counters, exposition: &mut Exposition<'_>) -> fmt::Result {
     let all: [(&str, &str, &AtomicU64); 16] = [
         ("requests", "Requests with a route and a service", &counters.requests),
         ("responses", "Responses of engines that have begun", &counters.responses),
@@ -68,8 +68,7 @@
     exposition.gauge("client_connections", "Open connections of clients", open)
 }
 
-fn write_configuration(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
-    let view = &router.fleet_view;
+fn write_configuration(view: &FleetView, exposition: &mut Exposition<'_>) -> fmt::Result {
     let version = view.routing_table().map_or(0, |table| table.version);
     let links = view.links_up().len() as f64;
     exposition.gauge("config_version", "Configuration in force", version as f64)?;
@@ -77,8 +76,8 @@
     exposition.gauge("routers", "Routers that are alive", view.routers() as f64)
 }
 
-fn write_targets(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
-    let targets = router.fleet_view.targets();
+fn write_targets(view: &FleetView, exposition: &mut Exposition<'_>) -> fmt::Result {
+    let targets = view.targets();
     let series: Vec<_> = targets
         .iter()
         .flat_map(|(model, targets)| targets.all().iter().map(move |target| (model, target)))
@@ -93,9 +92,9 @@
     exposition.gauges("target_weights_age_seconds", help, series)
 }
 
-fn write_engines(router: &Router, exposition: &mut Exposition<'_>) -> fmt::Result {
+fn write_engines(view: &FleetView, exposition: &mut Exposition<'_>) -> fmt::Result {
     let mut counts: BTreeMap<(String, u64), usize> = BTreeMap::new();
-    for engine in router.fleet_view.engines.read().values() {
+    for engine in view.engines.read().values() {
         let state = engine.state();
         if state.state() != fleet_core::wire::EngineState::Ready {
             continue;
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -6,6 +6,7 @@
 use super::send_load::SendLoad;
 use super::stage::{Accepted, ClientRequest, Dispatched, Responding};
 use crate::Router;
+use crate::fleet_view::FleetView;
 use crate::fleet_view::routing_table::Repeat;
 use crate::load_balancer::{self, Choice};
 use crate::pool::connection::{
@@ -18,6 +19,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// An engine, and a connection to it.
@@ -63,7 +65,7 @@
         };
         let checkout = Checkout {
             service: &request.service,
-            share: connection_share(router, request),
+            share: connection_share(&router.fleet_view, request),
             repeatable: request.repeat != Repeat::Never,
         };
         let checking_out = connection::checkout(router, &choice.engine, checkout);
@@ -71,7 +73,11 @@
             Ok(Ok(connection)) => return Ok((SelectedEngine { choice, connection }, accepted)),
             Ok(Err(error)) => {
                 if error != ConnectionError::Full {
-                    record_connection_failure(router, &choice, &error.to_string());
+                    passive_health::record_connection_failure(
+                        &router.log,
+                        &choice.engine,
+                        &error.to_string(),
+                    );
                 }
                 accepted.avoid(&choice.engine.id);
             }
@@ -87,9 +93,9 @@
 }
 
 /// This router's share of the connections that an engine accepts from all callers.
-fn connection_share(router: &Router, request: &ClientRequest) -> u32 {
+fn connection_share(view: &FleetView, request: &ClientRequest) -> u32 {
     let most = request.routing_table.service(&request.service).map_or(0, |s| s.max_conns) as usize;
-    let routers = router.fleet_view.routers() + constants::BUDGET_SPARES;
+    let routers = view.routers() + constants::BUDGET_SPARES;
     (most / routers).max(constants::CONNECTIONS_LEAST) as u32
 }
 
@@ -113,7 +119,8 @@
     let request = accepted.request();
     let interactive = request.routing_table.is_interactive(&request.route);
     let load = SendLoad::start(&choice, request.prompt.load(), interactive);
-    let cutoff = version_cutoff(router, request, &choice);
+    let version_bound = router.settings().bounds.version;
+    let cutoff = version_cutoff(&router.fleet_view, request, &choice, version_bound);
     if cutoff.is_some() {
         router.counters.outdated_dispatches.fetch_add(1, Ordering::Relaxed);
     }
@@ -134,10 +141,14 @@
 }
 
 /// When a dispatch to an engine with older weights is taken back if it has no response; none for the newest ones.
-fn version_cutoff(router: &Router, request: &ClientRequest, choice: &Choice) -> Option<Instant> {
+fn version_cutoff(
+    view: &FleetView,
+    request: &ClientRequest,
+    choice: &Choice,
+    version_bound: Duration,
+) -> Option<Instant> {
     let model = request.prompt.model.as_deref()?;
-    let bound = router.fleet_view.version_bound(model, router.settings().bounds.version);
-    bound.cutoff_of(choice.version?)
+    view.version_bound(model, version_bound).cutoff_of(choice.version?)
 }
 
 /// A dispatch in flight.
@@ -150,18 +161,22 @@
 }
 
 impl Send {
+    fn record_connection_failure(&self, router: &Router, why: &str) {
+        passive_health::record_connection_failure(&router.log, &self.choice.engine, why);
+    }
+
     fn failed(self, router: &Router, dispatched: Dispatched, error: SendError) -> Outcome {
         match error {
             SendError::NotSent(proof) => {
                 let mut accepted = dispatched.not_sent(proof);
                 if self.first {
-                    record_connection_failure(router, &self.choice, "closed a new connection");
+                    self.record_connection_failure(router, "closed a new connection");
                     accepted.avoid(&self.choice.engine.id);
                 }
                 Outcome::NotSent(accepted)
             }
             SendError::Uncertain => {
-                record_connection_failure(router, &self.choice, "no answer");
+                self.record_connection_failure(router, "no answer");
                 Outcome::Uncertain(dispatched)
             }
             SendError::IdleReset => {
@@ -184,7 +199,7 @@
         let (engine, status) = (&self.choice.engine, head.status);
         if head.headers.get(headers::ATTEMPT_ID) == Some(&request.attempt) {
             let model = request.prompt.model.as_deref();
-            passive_health::record_engine_report(router, engine, model, &head.headers);
+            passive_health::record_engine_report(&router.fleet_view, engine, model, &head.headers);
         }
         let sent = SentRequest {
             attempt: &request.attempt,
@@ -268,9 +283,3 @@
         }
     });
 }
-
-/// Ejects an engine that broke off or accepted no connection.
-fn record_connection_failure(router: &Router, choice: &Choice, why: &str) {
-    choice.engine.record_failure(Instant::now());
-    fleet_core::log_event!(router.log, Event::EngineError, "id" => &choice.engine.id, "why" => why);
-}
--- a/crates/data-plane/src/proxy/passive_health.rs
+++ b/crates/data-plane/src/proxy/passive_health.rs
@@ -2,9 +2,10 @@
 
 use super::headers;
 use super::stage::ClientRequest;
-use crate::Router;
+use crate::fleet_view::FleetView;
 use crate::load_balancer::Choice;
 use crate::pool::{EngineHandle, ReportedLoad};
+use crate::{Counters, Router};
 use fleet_core::log::Event;
 use http::{HeaderMap, StatusCode};
 use std::sync::atomic::Ordering;
@@ -13,7 +14,7 @@
 
 /// The load and the weights that an engine names beside any answer.
 pub fn record_engine_report(
-    router: &Router,
+    view: &FleetView,
     engine: &EngineHandle,
     model: Option<&str>,
     head: &HeaderMap,
@@ -25,7 +26,7 @@
     let version = headers::text(head, &headers::WEIGHT_VERSIONS);
     let version = version.and_then(|text| text.trim().parse().ok());
     if let (Some(model), Some(version)) = (model, version) {
-        router.fleet_view.saw_weights(engine, model, version);
+        view.saw_weights(engine, model, version);
     }
 }
 
@@ -42,21 +43,26 @@
     }
     router.counters.responses.fetch_add(1, Ordering::Relaxed);
     if request.prompt.is_prefill_heavy() {
-        count_wait(router, &choice.engine, wait);
+        count_wait(&router.log, &router.counters, &choice.engine, wait);
     }
     if let Some(salt) = choice.salt.as_ref().filter(|_| status.is_success()) {
         router.fleet_view.prefix_view.sent(&choice.engine.id, salt, &request.prompt.pairs());
     }
 }
 
+/// Ejects an engine that broke off or accepted no connection.
+pub fn record_connection_failure(log: &slog::Logger, engine: &EngineHandle, why: &str) {
+    engine.record_failure(Instant::now());
+    fleet_core::log_event!(log, Event::EngineError, "id" => &engine.id, "why" => why);
+}
+
 /// Sets the first waits at a newcomer against those at all engines.
-fn count_wait(router: &Router, engine: &EngineHandle, wait: Duration) {
-    let counters = &router.counters;
+fn count_wait(log: &slog::Logger, counters: &Counters, engine: &EngineHandle, wait: Duration) {
     let answers = counters.prefill_heavy_answers.fetch_add(1, Ordering::Relaxed) + 1;
     let wait_us = wait.as_micros() as u64;
     let all_us = counters.prefill_heavy_wait_us.fetch_add(wait_us, Ordering::Relaxed) + wait_us;
     if let Some(own) = engine.first_waits(wait) {
-        fleet_core::log_event!(router.log, Event::EngineWarmedUp, "id" => &engine.id,
+        fleet_core::log_event!(log, Event::EngineWarmedUp, "id" => &engine.id,
             "own_ms" => own.as_millis() as u64, "all_ms" => all_us / answers / 1000);
     }
 }
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -3,13 +3,13 @@
 use super::answer::{BodyChunk, Out};
 use super::dispatch::{self, Outcome};
 use super::events::EventSplitter;
-use super::headers;
 use super::stage::{ClientRequest, Responding};
+use super::stream_pace::StreamPaces;
+use super::{headers, passive_health};
 use crate::Router;
 use crate::fleet_view::routing_table::Repeat;
 use bytes::Bytes;
 use fleet_core::constants;
-use fleet_core::log::Event;
 use http::{Response, header};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -17,7 +17,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+
+/// Why the engine of a broken stream is ejected, as the log says it.
+const STREAM_BROKEN: &str = "stream broken";
 
 /// How a body ended.
 enum BodyEnd {
@@ -73,11 +75,14 @@
     let passing = pass(&mut responding.body, Some, chunks);
     match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::PastDeadline) {
         BodyEnd::Complete => {
-            record_pace(router, &responding.request);
+            record_pace(&router.stream_paces, &responding.request);
             responding.connection.end();
             let _ = chunks.send(BodyChunk::End).await;
         }
-        BodyEnd::Broken => record_connection_failure(router, &responding),
+        BodyEnd::Broken => {
+            let engine = &responding.load.engine;
+            passive_health::record_connection_failure(&router.log, engine, STREAM_BROKEN);
+        }
         BodyEnd::Abandoned => count(&router.counters.abandoned),
         BodyEnd::PastDeadline => count(&router.counters.past_deadline),
     }
@@ -95,7 +100,7 @@
         let passing = pass(&mut responding.body, |bytes| splitter.push(&bytes), chunks);
         match tokio::time::timeout_at(deadline, passing).await.unwrap_or(BodyEnd::PastDeadline) {
             BodyEnd::Complete => {
-                record_pace(router, &responding.request);
+                record_pace(&router.stream_paces, &responding.request);
                 responding.connection.end();
                 if let Some(remainder) = splitter.remainder() {
                     let _ = chunks.send(BodyChunk::Data(remainder)).await;
@@ -105,7 +110,10 @@
             }
             BodyEnd::Abandoned => return count(&router.counters.abandoned),
             BodyEnd::PastDeadline => return count(&router.counters.past_deadline),
-            BodyEnd::Broken => record_connection_failure(router, &responding),
+            BodyEnd::Broken => {
+                let engine = &responding.load.engine;
+                passive_health::record_connection_failure(&router.log, engine, STREAM_BROKEN);
+            }
         }
         splitter.drop_half();
         let Some(next) = resume(router, responding, splitter.last_id()).await else { return };
@@ -115,9 +123,9 @@
 }
 
 /// Takes in how long a complete response took.
-fn record_pace(router: &Router, request: &ClientRequest) {
+fn record_pace(paces: &StreamPaces, request: &ClientRequest) {
     let took = request.accepted_at.elapsed();
-    router.stream_paces.record(&request.service, request.prompt.put_out, took);
+    paces.record(&request.service, request.prompt.put_out, took);
 }
 
 fn count(counter: &AtomicU64) {
@@ -167,9 +175,3 @@
         };
     }
 }
-
-fn record_connection_failure(router: &Router, responding: &Responding) {
-    let engine = &responding.load.engine;
-    engine.record_failure(Instant::now());
-    fleet_core::log_event!(router.log, Event::EngineError, "id" => &engine.id, "why" => "stream broken");
-}
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -9,10 +9,10 @@
 use super::in_flight::InFlightGuard;
 use super::response_check::{NotExecuted, RelayableHead};
 use super::send_load::SendLoad;
-use crate::Router;
 use crate::fleet_view::routing_table::{Repeat, Table, Tenant};
 use crate::load_balancer::prompt::Prompt;
 use crate::pool::connection::{NotSent, Streaming};
+use crate::{Counters, Router};
 use bytes::Bytes;
 use fleet_core::configuration::Route;
 use fleet_core::constants;
@@ -142,7 +142,7 @@
     /// No engine takes it: refused, unless one may have run it.
     pub fn reject(self, router: &Router) -> Response<Out> {
         if self.may_have_run {
-            return fail(router, Failure::BadGateway);
+            return fail(&router.log, &router.counters, Failure::BadGateway);
         }
         router.counters.rejected.fetch_add(1, Ordering::Relaxed);
         answer::refusal()
@@ -187,7 +187,7 @@
 
     /// Ends it without a promise.
     pub fn fail(self, router: &Router, failure: Failure) -> Response<Out> {
-        fail(router, failure)
+        fail(&router.log, &router.counters, failure)
     }
 
     /// Its answer has begun.
@@ -227,9 +227,9 @@
     }
 }
 
-fn fail(router: &Router, failure: Failure) -> Response<Out> {
+fn fail(log: &slog::Logger, counters: &Counters, failure: Failure) -> Response<Out> {
     let status = failure.status();
-    router.counters.failed.fetch_add(1, Ordering::Relaxed);
-    fleet_core::log_event!(router.log, Event::DispatchFailed, "status" => status.as_u16());
+    counters.failed.fetch_add(1, Ordering::Relaxed);
+    fleet_core::log_event!(log, Event::DispatchFailed, "status" => status.as_u16());
     answer::empty(status)
 }
