--- a/review/standin/src/bin/weights.rs
+++ b/review/standin/src/bin/weights.rs
@@ -47,7 +47,7 @@
         Manner {
             slots: SLOTS,
             queue: 3 * SLOTS,
-            events: if begin { 28 } else { 24 },
+            events: 28,
             pause: Duration::from_millis(390),
             drops: !begin,
             whole: begin,
