A router that ends answers what waits at engines, with no more than is known

The client of an unsafe request learned nothing.

Cause: the end of the drain was a bound on the process alone. Waits for a connection, for the head of a response and for another engine ended by the request's own deadline and never looked at it.

Change: `shutdown.rs` has the phases of the end, which only move forward. In the last one, 0.6 s before graceS is over, such a wait ends: 502 with `Connection: close` where an engine may have the request, 503 with `Retry-After: 0` where none has. A request that is read whole after connections were closed is refused unsent; a connection counts before its task first runs; a graceS below the time of two missed probes is kept. Counter `failed_at_end_total`, field `answered` of event 312.

--- a/crates/data-plane/src/counters.rs
+++ b/crates/data-plane/src/counters.rs
@@ -17,6 +17,8 @@
     pub rejected_at_end: AtomicU64,
     /// Requests that were sent and got no answer of an engine.
     pub failed: AtomicU64,
+    /// Those of them that waited at an engine when this router had to end.
+    pub failed_at_end: AtomicU64,
     /// Dispatches to engines with older weights than the target.
     pub outdated_dispatches: AtomicU64,
     /// Dispatches to engines with older weights that were taken back before the bound.
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -10,7 +10,7 @@
 //! 3. [`pool`]: connections to engines, and what is known of each engine
 //! 4. [`retry_budget`]: how many requests may go to a second engine
 //! 5. [`fleet_view`]: what controllers send, and the configuration in force
-//! 6. [`runtime`]: start and end; [`counters`] and `metrics`: what it shows of itself
+//! 6. [`runtime`]: start and end; [`shutdown`]: the phases of the end; [`counters`] and `metrics`: what it shows of itself
 
 // A process that carries traffic does not panic for a value that is not there; tests may.
 #![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::print_stdout))]
@@ -23,12 +23,14 @@
 pub mod proxy;
 pub mod retry_budget;
 pub mod runtime;
+pub mod shutdown;
 
 pub use counters::Counters;
 pub use runtime::{RouterError, run};
 
 use fleet_core::log::Event;
 use fleet_core::random::RandomSource;
+use shutdown::Phase;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
@@ -53,15 +55,14 @@
     pub started: tokio::time::Instant,
     /// The readiness that was logged last.
     ready: AtomicBool,
-    /// When the process ends; set once it is asked to.
-    ends_at: std::sync::OnceLock<tokio::time::Instant>,
+    /// How far its end has come.
+    pub shutdown: shutdown::Shutdown,
     /// How long responses take.
     pub stream_paces: proxy::stream_pace::StreamPaces,
     /// Open connections of clients.
     pub open: AtomicUsize,
     /// Requests accepted and not yet answered completely.
     pub in_flight: Arc<proxy::in_flight::InFlight>,
-    closing: tokio::sync::watch::Sender<bool>,
     random: RandomSource,
 }
 
@@ -77,11 +78,10 @@
             counters: Counters::default(),
             started: tokio::time::Instant::now(),
             ready: AtomicBool::new(false),
-            ends_at: std::sync::OnceLock::new(),
+            shutdown: shutdown::Shutdown::default(),
             stream_paces: proxy::stream_pace::StreamPaces::default(),
             open: AtomicUsize::new(0),
             in_flight: Arc::default(),
-            closing: tokio::sync::watch::channel(false).0,
             settings: parking_lot::RwLock::new(Arc::new(settings)),
             node,
             log,
@@ -100,21 +100,15 @@
 
     /// Whether this router was asked to end.
     pub fn is_shutting_down(&self) -> bool {
-        self.ends_at.get().is_some()
-    }
-
-    /// Asks this router to end: it is unready from now on, and ends at this moment at the latest.
-    pub fn begin_shutdown(&self, ends_at: tokio::time::Instant) {
-        // asked a second time, it still ends when it was first told to
-        let _ = self.ends_at.set(ends_at);
+        self.shutdown.phase() > Phase::Serving
     }
 
     /// Whether a request that puts out so many tokens is expected to be complete before this router ends. True while
-    /// it is not known when that is, or how long responses take.
+    /// it is not known when that is, or how long responses take, unless the router closes its connections already.
     pub fn can_finish(&self, service: &str, tokens: u64) -> bool {
-        let Some(ends_at) = self.ends_at.get() else { return true };
+        let Some(ends_at) = self.shutdown.ends_at() else { return true };
         let expected = self.stream_paces.expected(service, tokens).unwrap_or_default();
-        tokio::time::Instant::now() + expected <= *ends_at
+        self.shutdown.phase() < Phase::Closing && tokio::time::Instant::now() + expected <= ends_at
     }
 
     /// Whether clients may come: a configuration is in force, and the router is not shutting down.
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -18,7 +18,7 @@
 }
 
 fn write_counters(counters: &Counters, exposition: &mut Exposition<'_>) -> fmt::Result {
-    let all: [(&str, &str, &AtomicU64); 16] = [
+    let all: [(&str, &str, &AtomicU64); 17] = [
         ("requests", "Requests with a route and a service", &counters.requests),
         ("responses", "Responses of engines that have begun", &counters.responses),
         ("rejected", "Requests rejected before any engine ran them", &counters.rejected),
@@ -28,6 +28,11 @@
             &counters.rejected_at_end,
         ),
         ("failed", "Requests that were dispatched and got no response", &counters.failed),
+        (
+            "failed_at_end",
+            "Dispatched requests that had no response when this router had to end",
+            &counters.failed_at_end,
+        ),
         ("resumed", "Streams that went on at another engine", &counters.resumed),
         ("retries", "Retries", &counters.retries),
         ("engine_connections", "New connections to engines", &counters.connections),
--- a/crates/data-plane/src/proxy/answer.rs
+++ b/crates/data-plane/src/proxy/answer.rs
@@ -106,16 +106,26 @@
     BadGateway,
     /// no answer before the deadline
     GatewayTimeout,
+    /// no answer before this router ends
+    ShuttingDown,
 }
 
 impl Failure {
     /// The status that the client gets.
     pub fn status(self) -> StatusCode {
         match self {
-            Failure::BadGateway => StatusCode::BAD_GATEWAY,
+            Failure::BadGateway | Failure::ShuttingDown => StatusCode::BAD_GATEWAY,
             Failure::GatewayTimeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
+
+    /// The answer to the client.
+    pub fn write(self) -> Response<Out> {
+        match self {
+            Failure::BadGateway | Failure::GatewayTimeout => empty(self.status()),
+            Failure::ShuttingDown => closing(self.status()),
+        }
+    }
 }
 
 /// An answer of our own, with no body.
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::pool::connection::{
     self, Checkout, ConnectionError, PooledConnection, SendError, Sent, Streaming,
 };
+use crate::shutdown::Phase;
 use fleet_core::constants;
 use fleet_core::log::Event;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -40,18 +41,22 @@
     Uncertain(Dispatched),
     /// The engine may have run the request, and the deadline has passed.
     DeadlineExceeded(Dispatched),
+    /// The engine may have run the request, and this router ends before there is a response.
+    RouterEnding(Dispatched),
 }
 
 /// Finds an engine and a connection to it.
 ///
 /// # Errors
 ///
-/// Gives the request back where the deadline came first; it was sent to nobody.
+/// Gives the request back where the deadline or the end of this router came first; no further byte of it was sent.
 pub async fn find_engine(
     router: &Router,
     mut accepted: Accepted,
 ) -> Result<(SelectedEngine, Accepted), Accepted> {
-    while Instant::now() < latest_send(accepted.request()) {
+    while Instant::now() < latest_send(accepted.request())
+        && router.shutdown.phase() < Phase::Answering
+    {
         let request = accepted.request();
         let Ok(choice) = load_balancer::choose_engine(
             router,
@@ -69,7 +74,7 @@
             repeatable: request.repeat != Repeat::Never,
         };
         let checking_out = connection::checkout(router, &choice.engine, checkout);
-        match tokio::time::timeout_at(latest_send(request), checking_out).await {
+        match until_due(router, latest_send(request), checking_out).await {
             Ok(Ok(connection)) => return Ok((SelectedEngine { choice, connection }, accepted)),
             Ok(Err(error)) => {
                 if error != ConnectionError::Full {
@@ -87,6 +92,27 @@
     Err(accepted)
 }
 
+/// Why a step was given up.
+enum Overdue {
+    /// Its time is over.
+    TimedOut,
+    /// This router ends, and has to answer what it has.
+    RouterEnding,
+}
+
+/// Runs a step until its time is over or this router has to answer; a step that is complete by then counts.
+async fn until_due<F: Future>(
+    router: &Router,
+    latest: Instant,
+    step: F,
+) -> Result<F::Output, Overdue> {
+    tokio::select! {
+        biased;
+        result = tokio::time::timeout_at(latest, step) => result.map_err(|_| Overdue::TimedOut),
+        () = router.shutdown.reached(Phase::Answering) => Err(Overdue::RouterEnding),
+    }
+}
+
 /// After this no response could reach the client in time.
 fn latest_send(request: &ClientRequest) -> Instant {
     request.deadline - constants::DEADLINE_MARGIN
@@ -128,15 +154,16 @@
     let send = Send { choice, load, at: Instant::now(), first: connection.is_new() };
     let latest = latest_send(dispatched.request());
     let cutoff = cutoff.filter(|cutoff| *cutoff < latest);
-    match tokio::time::timeout_at(cutoff.unwrap_or(latest), connection.send(outgoing)).await {
+    // the connection of a send that is given up is closed, and with it goes what still waits at the engine
+    match until_due(router, cutoff.unwrap_or(latest), connection.send(outgoing)).await {
         Ok(Ok((connection, response))) => send.answered(router, dispatched, connection, response),
         Ok(Err(error)) => send.failed(router, dispatched, error),
-        // the connection is closed, and with it goes what still waits at the engine
-        Err(_) if cutoff.is_some() => {
+        Err(Overdue::RouterEnding) => Outcome::RouterEnding(dispatched),
+        Err(Overdue::TimedOut) if cutoff.is_some() => {
             router.counters.version_cutoffs.fetch_add(1, Ordering::Relaxed);
             Outcome::Uncertain(dispatched)
         }
-        Err(_) => Outcome::DeadlineExceeded(dispatched),
+        Err(Overdue::TimedOut) => Outcome::DeadlineExceeded(dispatched),
     }
 }
 
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -27,6 +27,7 @@
 pub mod stream_pace;
 
 use crate::Router;
+use crate::shutdown::Phase;
 use answer::Out;
 use fleet_core::constants;
 use std::convert::Infallible;
@@ -44,28 +45,26 @@
         if fleet_core::link::set_socket_options(&s).is_err() {
             continue;
         }
-        let router = router.clone();
-        tokio::spawn(async move {
-            let _open = OpenConnection::new(&router);
-            serve_client(&router, s).await;
-        });
+        // Counted before its task first runs, so that a router that ends at this moment waits for it.
+        let open = OpenConnection::new(router.clone());
+        tokio::spawn(async move { serve_client(&open.router, s).await });
     }
 }
 
 /// A client's connection, counted for as long as this lives, also where its task ends by a panic: a router that shuts down
 /// waits until none is left.
-struct OpenConnection<'a> {
-    router: &'a Router,
+struct OpenConnection {
+    router: Arc<Router>,
 }
 
-impl<'a> OpenConnection<'a> {
-    fn new(router: &'a Router) -> OpenConnection<'a> {
+impl OpenConnection {
+    fn new(router: Arc<Router>) -> OpenConnection {
         router.open.fetch_add(1, Ordering::Relaxed);
         OpenConnection { router }
     }
 }
 
-impl Drop for OpenConnection<'_> {
+impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.router.open.fetch_sub(1, Ordering::Relaxed);
     }
@@ -84,10 +83,9 @@
         .max_buf_size(limits.max_header_bytes.max(8192))
         .serve_connection(hyper_util::rt::TokioIo::new(s), service);
     tokio::pin!(conn);
-    let mut closing = router.closing.subscribe();
     tokio::select! {
         _ = conn.as_mut() => return,
-        _ = closing.wait_for(|c| *c) => conn.as_mut().graceful_shutdown(),
+        () = router.shutdown.reached(Phase::Closing) => conn.as_mut().graceful_shutdown(),
     }
     let _ = conn.await;
 }
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -168,7 +168,7 @@
             Outcome::NotSent(accepted) => accepted,
             Outcome::NotExecuted(accepted) => accepted.retry(router).ok()?,
             Outcome::Uncertain(dispatched) => dispatched.retry(router).ok()?,
-            Outcome::DeadlineExceeded(_) => return None,
+            Outcome::DeadlineExceeded(_) | Outcome::RouterEnding(_) => return None,
             Outcome::Responding(next) if next.head.status().is_success() => return Some(*next),
             Outcome::Responding(next) if next.is_retryable() => next.retry(router).ok()?,
             Outcome::Responding(_) => return None,
--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -139,6 +139,10 @@
         Outcome::DeadlineExceeded(dispatched) => {
             Err(dispatched.fail(router, Failure::GatewayTimeout))
         }
+        Outcome::RouterEnding(dispatched) => {
+            router.counters.failed_at_end.fetch_add(1, Ordering::Relaxed);
+            Err(dispatched.fail(router, Failure::ShuttingDown))
+        }
         Outcome::Responding(responding) if responding.is_retryable() => {
             responding.retry(router).map_err(|responding| relay::relay(router, *responding))
         }
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -4,7 +4,7 @@
 //! and `Accepted` can only be had back from `Dispatched` by a proof that the engine has not run the
 //! request, or for a request that may run twice; such a one remembers that it may have run.
 
-use super::answer::{self, Failure, Out};
+use super::answer::{self, Failure, Out, Rejection};
 use super::headers;
 use super::in_flight::InFlightGuard;
 use super::response_check::{NotExecuted, RelayableHead};
@@ -12,6 +12,7 @@
 use crate::fleet_view::routing_table::{Repeat, Table, Tenant};
 use crate::load_balancer::prompt::Prompt;
 use crate::pool::connection::{NotSent, Streaming};
+use crate::shutdown::Phase;
 use crate::{Counters, Router};
 use bytes::Bytes;
 use fleet_core::configuration::Route;
@@ -144,6 +145,10 @@
         if self.may_have_run {
             return fail(&router.log, &router.counters, Failure::BadGateway);
         }
+        if router.shutdown.phase() == Phase::Answering {
+            router.counters.rejected_at_end.fetch_add(1, Ordering::Relaxed);
+            return Rejection::ShuttingDown.write();
+        }
         router.counters.rejected.fetch_add(1, Ordering::Relaxed);
         answer::refusal()
     }
@@ -231,5 +236,5 @@
     let status = failure.status();
     counters.failed.fetch_add(1, Ordering::Relaxed);
     fleet_core::log_event!(log, Event::DispatchFailed, "status" => status.as_u16());
-    answer::empty(status)
+    failure.write()
 }
--- a/crates/data-plane/src/runtime.rs
+++ b/crates/data-plane/src/runtime.rs
@@ -1,5 +1,6 @@
 //! A router's life: how it starts, and how it ends.
 
+use crate::shutdown::Phase;
 use crate::{Router, fleet_view, pool, proxy};
 use fleet_core::constants;
 use fleet_core::log::Event;
@@ -59,7 +60,8 @@
     fleet_core::log_event!(log, Event::Stopping);
     leave(&router, accepting).await;
     fleet_core::log_event!(log, Event::DrainEnded,
-        "cut" => router.in_flight.all(), "cut_new" => router.in_flight.accepted_late());
+        "cut" => router.in_flight.all(), "cut_new" => router.in_flight.accepted_late(),
+        "answered" => router.counters.failed_at_end.load(Ordering::Relaxed));
     router.log_counters();
     for task in tasks {
         task.abort();
@@ -67,15 +69,24 @@
     Ok(())
 }
 
-/// Unready at once, serving until the platform has noticed, then only what runs.
+/// Unready at once, serving until the platform has noticed, then only what runs, and at last answers to what still waits.
 async fn leave(router: &Arc<Router>, accepting: tokio::task::JoinHandle<()>) {
-    let end =
-        Instant::now() + router.settings().bounds.grace.saturating_sub(constants::GRACE_MARGIN);
-    router.begin_shutdown(end);
-    tokio::time::sleep(constants::PROBES_MISSED).await;
+    let begun = Instant::now();
+    let grace = router.settings().bounds.grace;
+    let end = begun + grace.saturating_sub(constants::GRACE_MARGIN);
+    let answers_due = begun + grace.saturating_sub(constants::ANSWERS_DUE_MARGIN);
+    router.shutdown.begin(end);
+    tokio::time::sleep_until(answers_due.min(begun + constants::PROBES_MISSED)).await;
     accepting.abort();
-    router.closing.send_replace(true);
-    while router.open.load(Ordering::Relaxed) > 0 && Instant::now() < end {
-        tokio::time::sleep(constants::ROLLOUT_INTERVAL).await;
+    router.shutdown.advance(Phase::Closing);
+    wait_for_connections(router, answers_due).await;
+    router.shutdown.advance(Phase::Answering);
+    wait_for_connections(router, end).await;
+}
+
+/// Returns once no client has a connection, at this moment at the latest.
+async fn wait_for_connections(router: &Router, until: Instant) {
+    while router.open.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        tokio::time::sleep(constants::DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/crates/fleet-core/src/constants/process.rs
+++ b/crates/fleet-core/src/constants/process.rs
@@ -6,6 +6,10 @@
 pub const PROBES_MISSED: Duration = Duration::from_millis(2600);
 /// ms; a process ends this long before its grace does.
 pub const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// ms; a router answers what still waits this long before its grace ends: the answers are on their way when it ends.
+pub const ANSWERS_DUE_MARGIN: Duration = Duration::from_millis(600);
+/// ms; a router that ends looks this often whether a client still has a connection.
+pub const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// ms; a controller waits for its machine's router until this long before its grace ends: the router has ended by then, and
 /// closing its own server takes less.
 pub const CONTROLLER_GRACE_MARGIN: Duration = Duration::from_millis(280);
