Acknowledged departures of engines are recorded by a majority, and outlive every memory

Cause: what engines say was in the memory of a majority only. The simulation had kills of all and the check, but its engines fell silent after their drain and no heartbeat came late.

A drain or a deregistration is acknowledged once it is a record of the register `departures` as well; a heartbeat up to the record's call is taken for what the record says. Records go in batches, are numbered, and are forgotten after 300 s of knowing them or behind 1,024 later ones. What is known of an engine changes in one step under the lock of the cluster state. A deregistered engine that sent no heartbeat is forgotten too.

--- a/crates/control-plane/src/cluster_state_tests.rs
+++ b/crates/control-plane/src/cluster_state_tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `cluster_state`.
 
 use super::*;
+use fleet_core::wire::{Departure, EngineState};
 use std::time::Duration;
 
 fn weights(version: u64) -> StateChange {
@@ -27,3 +28,54 @@
     assert_eq!(delta.map(|update| told(&update)), Some(expected));
     assert_eq!(store.read(|state| state.target_version("m")), 3);
 }
+
+fn engine(call: u64, state: EngineState) -> Engine {
+    let mut engine = Engine { id: "e1".into(), call, ..Default::default() };
+    engine.set_state(state);
+    engine
+}
+
+fn drained_at(call: u64) -> DeparturesValue {
+    let state = EngineState::Draining as i32;
+    let departure = Departure { engine: "e1".into(), call, state, number: 1 };
+    DeparturesValue { recorded: 1, departures: vec![departure] }
+}
+
+/// Routers take the state of a later call alone: a correction at the same call would not reach them.
+#[test]
+fn a_departure_that_is_learned_late_corrects_the_engine_at_routers_too() {
+    let store = ClusterStateStore::new();
+    let late = engine(6, EngineState::Ready);
+    store.merge_engine(late.clone());
+    let (position, _) = store.update_since(None);
+    store.learn_departures(&drained_at(7));
+    let (_, update) = store.update_since(Some(position));
+    let corrected = update.unwrap().engines.remove(0);
+    let mut at_router = late;
+    assert!(fleet_core::fleet::merge(&mut at_router, &corrected));
+    assert_eq!(at_router.state(), EngineState::Draining);
+}
+
+#[test]
+fn a_change_of_an_engine_undoes_nothing_that_came_meanwhile() {
+    let store = ClusterStateStore::new();
+    store.merge_engine(engine(6, EngineState::Ready));
+    store.merge_engine(engine(7, EngineState::Draining));
+    let changed = store.change_engine("e1", |engine| engine.heartbeat_missed = true);
+    assert_eq!(
+        changed.map(|engine| (engine.call, engine.state())),
+        Some((7, EngineState::Draining))
+    );
+    assert_eq!(store.change_engine("unknown", |_| ()), None);
+}
+
+#[test]
+fn a_drain_that_an_engine_ended_by_a_later_call_is_not_brought_back_by_its_record() {
+    let store = ClusterStateStore::new();
+    store.merge_engine(engine(8, EngineState::Ready));
+    store.learn_departures(&drained_at(7));
+    assert_eq!(
+        store.merge_engine(engine(9, EngineState::Ready)).engine.state(),
+        EngineState::Ready
+    );
+}
--- a/crates/control-plane/src/consensus/anti_entropy.rs
+++ b/crates/control-plane/src/consensus/anti_entropy.rs
@@ -11,7 +11,7 @@
 use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{
-    Ballot, Body, ChangeKind, CommitNotice, ConfigValue, Membership, WeightsValue,
+    Ballot, Body, ChangeKind, CommitNotice, ConfigValue, DeparturesValue, Membership, WeightsValue,
 };
 use prost::Message;
 use std::collections::BTreeMap;
@@ -46,6 +46,11 @@
         if let Some(model) = state_machine::model_of(key) {
             self.learn_weights(model, value);
         }
+        if key == state_machine::DEPARTURES
+            && let Ok(departures) = DeparturesValue::decode(value.clone())
+        {
+            self.cluster_state.learn_departures(&departures);
+        }
         if key == state_machine::MEMBERSHIP
             && let Ok(membership) = Membership::decode(value.clone())
         {
--- a/crates/control-plane/src/consensus/forward.rs
+++ b/crates/control-plane/src/consensus/forward.rs
@@ -12,6 +12,7 @@
 fn value_bytes(change: &ChangeKind) -> usize {
     match change {
         ChangeKind::Replace(r) => r.packed.len(),
+        ChangeKind::RecordDepartures(_) => constants::DEPARTURES_VALUE_BYTES,
         ChangeKind::Name(_) | ChangeKind::Raise(_) | ChangeKind::Confirm(_) => 0,
     }
 }
--- a/crates/control-plane/src/consensus/mod.rs
+++ b/crates/control-plane/src/consensus/mod.rs
@@ -9,7 +9,7 @@
 //! | [`acceptor`] | the vote: what was promised and accepted, and what has to be on disk before an answer | yes |
 //! | [`round`], [`proposer`] | counting votes; preparing a ballot, completing what was open, proposing | yes |
 //! | [`election`] | when a key may be taken from its owner | yes |
-//! | [`state_machine`], [`config_history`] | what a value is and what a change makes of it | yes |
+//! | [`state_machine`], [`config_history`], [`departure_records`] | what a value is and what a change makes of it | yes |
 //! | [`quorum_status`] | what the voters of a membership hold, from their answers | yes |
 //! | [`key_owner`] | the keys that this node owns, and changes to them | |
 //! | `campaign` | taking a key from an owner that has timed out | |
@@ -27,6 +27,7 @@
 pub mod anti_entropy;
 mod campaign;
 pub mod config_history;
+pub mod departure_records;
 pub mod election;
 pub mod forward;
 pub mod key_owner;
--- a/crates/control-plane/src/consensus/state_machine.rs
+++ b/crates/control-plane/src/consensus/state_machine.rs
@@ -1,13 +1,14 @@
 //! What each key holds, and the rules of changing it.
 
 use super::config_history::{CommittedConfig, CommittedHistory, Lookup};
+use super::departure_records;
 use fleet_core::configuration::{ConfigError, Configuration};
 use fleet_core::constants;
 use fleet_core::digest::BodyDigest;
 use fleet_core::packing::unpack;
 use fleet_core::wire::{
-    ChangeKind, ChangeResponse, ConfigValue, LeaseValue, Outcome, RaiseFencingToken, ReplaceConfig,
-    WeightsValue,
+    ChangeKind, ChangeResponse, ConfigValue, DeparturesValue, LeaseValue, Outcome,
+    RaiseFencingToken, RecordDepartures, ReplaceConfig, WeightsValue,
 };
 use prost::Message;
 
@@ -16,6 +17,9 @@
 /// Key of the membership of the controllers.
 pub const MEMBERSHIP: &str = "membership";
 
+/// Key of the engines whose drain or deregistration was acknowledged.
+pub const DEPARTURES: &str = "departures";
+
 /// Key of the weights named for a model.
 pub fn weights_key(model: &str) -> String {
     format!("weights/{model}")
@@ -38,6 +42,7 @@
         ChangeKind::Name(n) => weights_key(&n.model),
         ChangeKind::Raise(r) => lease_key(&r.lease_name),
         ChangeKind::Confirm(key) => key.clone(),
+        ChangeKind::RecordDepartures(_) => DEPARTURES.to_owned(),
     }
 }
 
@@ -73,7 +78,17 @@
         }
         ChangeKind::Raise(r) => raise(r, now),
         ChangeKind::Confirm(_) => Decision::Answer(answer(Outcome::Done, 0)),
+        ChangeKind::RecordDepartures(request) => record_departures(request, now),
+    }
+}
+
+fn record_departures(request: &RecordDepartures, now: &[u8]) -> Decision {
+    let mut value = DeparturesValue::decode(now).unwrap_or_default();
+    if departure_records::record(&mut value, request) {
+        let recorded = answer(Outcome::Done, value.recorded);
+        return Decision::Write(value.encode_to_vec().into(), recorded);
     }
+    Decision::Answer(answer(Outcome::Done, value.recorded))
 }
 
 /// A new fencing token for a new raise, the same one for the same raise. The answer names the node that may have
--- /dev/null
+++ b/crates/control-plane/src/engines/departures_tests.rs
@@ -0,0 +1,82 @@
+use super::Departures;
+use fleet_core::constants::DEPARTURE_RETENTION;
+use fleet_core::wire::{Departure, DeparturesValue, Engine, EngineState};
+use std::time::Duration;
+
+fn departure(call: u64, state: EngineState) -> Departure {
+    Departure { engine: "e1".to_owned(), call, state: state as i32, number: 1 }
+}
+
+fn engine(call: u64, state: EngineState) -> Engine {
+    let mut engine = Engine { id: "e1".to_owned(), call, ..Default::default() };
+    engine.set_state(state);
+    engine
+}
+
+fn learned(call: u64, state: EngineState) -> Departures {
+    let mut departures = Departures::default();
+    let value = DeparturesValue { recorded: 1, departures: vec![departure(call, state)] };
+    departures.learn(&value, |_| false);
+    departures
+}
+
+/// What becomes of an update of an engine whose departure is recorded.
+fn applied(departures: &mut Departures, call: u64, state: EngineState) -> (u64, EngineState) {
+    let mut update = engine(call, state);
+    departures.apply(&mut update);
+    (update.call, update.state())
+}
+
+#[test]
+fn a_heartbeat_from_before_a_recorded_drain_is_taken_for_the_drain() {
+    use EngineState::{Draining, Ready};
+    let mut departures = learned(7, Draining);
+    assert_eq!(applied(&mut departures, 6, Ready), (7, Draining));
+    assert_eq!(applied(&mut departures, 8, Draining), (8, Draining));
+    assert_eq!(applied(&mut departures, 9, Ready), (9, Ready), "a later call may end the drain");
+    assert!(!departures.is_leaving(&engine(10, Draining)), "the next drain is recorded anew");
+}
+
+#[test]
+fn nothing_comes_after_a_recorded_deregistration() {
+    use EngineState::{Deregistered, Draining, Ready};
+    let mut departures = learned(1, Deregistered);
+    for (call, state) in [(0, Ready), (5, Ready), (6, Draining)] {
+        assert_eq!(applied(&mut departures, call, state).1, Deregistered, "{call} {state:?}");
+    }
+    assert!(departures.is_leaving(&engine(9, Deregistered)));
+}
+
+#[test]
+fn a_drain_that_goes_on_needs_no_record_of_each_call_and_the_deregistration_one_more() {
+    let departures = learned(7, EngineState::Draining);
+    assert!(departures.is_leaving(&engine(8, EngineState::Draining)));
+    assert!(!departures.is_leaving(&engine(9, EngineState::Deregistered)));
+    assert!(!departures.is_recorded(&departure(8, EngineState::Draining)));
+}
+
+#[test]
+fn a_drain_that_the_engine_has_ended_since_is_not_learned_again() {
+    let mut departures = Departures::default();
+    let record = departure(7, EngineState::Draining);
+    let value = DeparturesValue { recorded: 1, departures: vec![record] };
+    departures
+        .learn(&value, |departure| super::is_resumed(&engine(8, EngineState::Ready), departure));
+    assert!(!departures.is_leaving(&engine(9, EngineState::Draining)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn records_may_be_forgotten_once_they_have_been_known_for_the_retention() {
+    let mut departures = Departures::default();
+    let value = |recorded| DeparturesValue { recorded, departures: Vec::new() };
+    departures.learn(&value(4), |_| false);
+    tokio::time::advance(DEPARTURE_RETENTION).await;
+    departures.learn(&value(4), |_| false);
+    departures.learn(&value(6), |_| false);
+    assert_eq!(departures.forget_through(), 0, "not yet for longer than that");
+    tokio::time::advance(Duration::from_millis(1)).await;
+    assert_eq!(departures.forget_through(), 4, "later ones are younger");
+    tokio::time::advance(DEPARTURE_RETENTION).await;
+    assert_eq!(departures.forget_through(), 6);
+    assert_eq!(departures.forget_through(), 6, "it stays");
+}
--- a/crates/control-plane/src/engines/registry.rs
+++ b/crates/control-plane/src/engines/registry.rs
@@ -1,9 +1,11 @@
 //! The engines by instance, rebuilt from their heartbeats after each start.
 //!
 //! The highest call number of an instance wins, and deregistration is final. A routine heartbeat reaches the other
-//! controllers in batches; that an engine drains or is deregistered is acknowledged only once a majority has it.
+//! controllers in batches; that an engine drains or is deregistered is acknowledged only once a majority has it, in memory for
+//! the routers' sake and on disk for the time after a restart of all.
 
-use crate::cluster_state::{ClusterStateStore, StateChange};
+use super::departure_recorder::DepartureRecorder;
+use crate::cluster_state::ClusterStateStore;
 use crate::consensus::Consensus;
 use crate::membership::peer_links::PeerLinks;
 use crate::process::Process;
@@ -34,6 +36,7 @@
     consensus: Arc<Consensus>,
     links: Arc<PeerLinks>,
     cluster_state: Arc<ClusterStateStore>,
+    departures: DepartureRecorder,
     last_heartbeat: Mutex<HashMap<String, Instant>>,
     /// Engines that go with the next batch.
     outbox: Mutex<BTreeMap<String, Engine>>,
@@ -48,6 +51,7 @@
         cluster_state: Arc<ClusterStateStore>,
     ) -> EngineRegistry {
         EngineRegistry {
+            departures: DepartureRecorder::new(consensus.clone(), cluster_state.clone()),
             process,
             consensus,
             links,
@@ -67,32 +71,19 @@
         self.cluster_state.read(|state| state.engines.get(id).cloned())
     }
 
-    /// Takes in the state of an engine.
-    pub fn record_heartbeat(&self, update: Engine, source: HeartbeatSource) {
-        let current = self.get(&update.id);
-        let is_newer = current.as_ref().is_none_or(|engine| update.call > engine.call);
-        if is_newer && update.state() != EngineState::Deregistered {
-            self.last_heartbeat.lock().insert(update.id.clone(), Instant::now());
+    /// Takes in the state of an engine; gives what is known of it now.
+    pub fn record_heartbeat(&self, update: Engine, source: HeartbeatSource) -> Engine {
+        let merged = self.cluster_state.merge_engine(update);
+        if merged.is_newer {
+            self.last_heartbeat.lock().insert(merged.engine.id.clone(), Instant::now());
         }
-        if is_newer && source == HeartbeatSource::Engine {
-            self.outbox.lock().insert(update.id.clone(), update.clone());
+        if merged.is_newer && source == HeartbeatSource::Engine {
+            self.outbox.lock().insert(merged.engine.id.clone(), merged.engine.clone());
         }
-        let (merged, is_changed) = match current {
-            None => (update, true),
-            Some(mut engine) => {
-                let is_changed = fleet_core::fleet::merge(&mut engine, &update);
-                (engine, is_changed)
-            }
-        };
-        if is_changed {
-            self.log_state(&merged);
-            self.cluster_state.append(StateChange::Engine(merged));
-        } else if is_newer {
-            // Routers need no update for a call number alone.
-            self.cluster_state.amend(|state| {
-                state.engines.insert(merged.id.clone(), merged);
-            });
+        if merged.is_changed {
+            self.log_state(&merged.engine);
         }
+        merged.engine
     }
 
     fn log_state(&self, engine: &Engine) {
@@ -113,6 +104,14 @@
             .read(|state| state.engines.values().filter(is_shareable).cloned().collect())
     }
 
+    /// Tells a majority that an engine leaves, and has it recorded there; whether both are certain now.
+    pub async fn record_departure(&self, engine: Engine) -> bool {
+        let recording = self.departures.record(&engine);
+        let (is_recorded, is_replicated) =
+            tokio::join!(recording, self.replicate_now(engine.clone()));
+        is_recorded && is_replicated
+    }
+
     /// Sends an engine's state to the other voters at once; whether a majority has it now.
     pub async fn replicate_now(&self, engine: Engine) -> bool {
         self.outbox.lock().remove(&engine.id);
@@ -153,17 +152,17 @@
         let engines: Vec<Engine> =
             self.cluster_state.read(|state| state.engines.values().cloned().collect());
         for engine in engines {
-            let age = self.last_heartbeat.lock().get(&engine.id).map(|last| now - *last);
+            let age = now - *self.last_heartbeat.lock().entry_ref(&engine.id).or_insert(now);
             if engine.state() == EngineState::Deregistered {
                 self.forget_if_old(&engine.id, age);
             } else {
-                self.mark_missed(engine, age.is_none_or(|age| age > timeout));
+                self.mark_missed(&engine, age > timeout);
             }
         }
     }
 
-    fn forget_if_old(&self, id: &str, age: Option<Duration>) {
-        if age.is_some_and(|age| age > constants::TOMBSTONE) {
+    fn forget_if_old(&self, id: &str, age: Duration) {
+        if age > constants::DEPARTURE_RETENTION {
             self.last_heartbeat.lock().remove(id);
             self.cluster_state.amend(|state| {
                 state.engines.remove(id);
@@ -171,15 +170,14 @@
         }
     }
 
-    fn mark_missed(&self, mut engine: Engine, is_missed: bool) {
+    fn mark_missed(&self, engine: &Engine, is_missed: bool) {
         if is_missed == engine.heartbeat_missed {
             return;
         }
-        engine.heartbeat_missed = is_missed;
         if is_missed {
             fleet_core::log_event!(self.process.log, Event::EngineHeartbeatMissed, "id" => &engine.id);
         }
-        self.cluster_state.append(StateChange::Engine(engine));
+        self.cluster_state.change_engine(&engine.id, |engine| engine.heartbeat_missed = is_missed);
     }
 }
 
--- a/crates/control-plane/src/rollout/mod.rs
+++ b/crates/control-plane/src/rollout/mod.rs
@@ -15,7 +15,7 @@
 pub mod plan;
 pub mod status;
 
-use crate::cluster_state::{ClusterStateStore, StateChange};
+use crate::cluster_state::ClusterStateStore;
 use crate::engines::client::EngineClient;
 use crate::engines::registry::EngineRegistry;
 use crate::leases::{LeaseManager, ROLLOUT_LEASE};
@@ -306,9 +306,6 @@
 
 /// Changes what is known of an engine, here and at a majority of the controllers.
 async fn publish_update_state(rollout: &Arc<Rollout>, id: &str, change: impl FnOnce(&mut Engine)) {
-    let engine = rollout.registry.get(id);
-    let Some(mut engine) = engine else { return };
-    change(&mut engine);
-    rollout.cluster_state.append(StateChange::Engine(engine.clone()));
+    let Some(engine) = rollout.cluster_state.change_engine(id, change) else { return };
     rollout.registry.replicate_now(engine).await;
 }
--- a/crates/control-plane/src/service/instances.rs
+++ b/crates/control-plane/src/service/instances.rs
@@ -3,6 +3,7 @@
 use super::{Rejection, require_contact};
 use crate::engines::registry::{EngineRegistry, HeartbeatSource};
 use bytes::Bytes;
+use fleet_core::constants;
 use fleet_core::wire::{Engine, EngineState, Weights};
 use std::sync::Arc;
 
@@ -81,20 +82,28 @@
     if heartbeat.address.parse::<std::net::SocketAddr>().is_err() {
         return Err(malformed("address: not an address with a port"));
     }
+    check_id(&id)?;
     let draining = heartbeat.state == State::Draining;
     // also out of contact: routers that reach only this node need to hear of it
-    registry.record_heartbeat(heartbeat.into_engine(id.clone()), HeartbeatSource::Engine);
+    let engine = registry.record_heartbeat(heartbeat.into_engine(id), HeartbeatSource::Engine);
     require_contact(registry.consensus())?;
     if draining {
-        replicated(registry, &id).await?;
+        record_departure(registry, engine).await?;
     }
     Ok(())
 }
 
-/// Acknowledged only when a majority of the controllers has it.
-async fn replicated(registry: &Arc<EngineRegistry>, id: &str) -> Result<(), Rejection> {
-    let Some(engine) = registry.get(id) else { return Ok(()) };
-    if registry.replicate_now(engine).await {
+fn check_id(id: &str) -> Result<(), Rejection> {
+    if id.len() <= constants::ENGINE_ID_MAX_BYTES {
+        return Ok(());
+    }
+    Err(malformed("id: too long"))
+}
+
+/// Acknowledged only when a majority of the controllers has it, in memory and on disk.
+async fn record_departure(registry: &Arc<EngineRegistry>, engine: Engine) -> Result<(), Rejection> {
+    // a drain that comes late, behind a call that says that the engine is ready
+    if engine.state() == EngineState::Ready || registry.record_departure(engine).await {
         return Ok(());
     }
     Err(Rejection::unavailable("no_majority", "not told to a majority"))
@@ -115,12 +124,13 @@
     } else {
         serde_json::from_slice(&body).map_err(malformed)?
     };
+    check_id(&id)?;
     let current = registry.get(&id);
     let call = current.as_ref().map_or(0, |e| e.call);
-    let mut engine = current.unwrap_or_else(|| Engine { id: id.clone(), ..Default::default() });
+    let mut engine = current.unwrap_or_else(|| Engine { id, ..Default::default() });
     engine.call = call.max(deregister_body.call_seq.unwrap_or(call + 1));
     engine.set_state(EngineState::Deregistered);
-    registry.record_heartbeat(engine, HeartbeatSource::Engine);
+    let engine = registry.record_heartbeat(engine, HeartbeatSource::Engine);
     require_contact(registry.consensus())?;
-    replicated(registry, &id).await
+    record_departure(registry, engine).await
 }
--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -1,6 +1,8 @@
 //! Three real controllers in one process: what an operator puts in force is read at each of them,
 //! also over a crash and a restart, and a seed gives the same run again.
 
+#[path = "cluster/departures.rs"]
+mod departures;
 mod harness;
 #[path = "cluster/hung_disk.rs"]
 mod hung_disk;
--- a/crates/data-plane/src/pool/mod.rs
+++ b/crates/data-plane/src/pool/mod.rs
@@ -28,7 +28,7 @@
             }
         }
         let old: Vec<String> = deregistered
-            .extract_if(|_, at| now.duration_since(*at) > constants::TOMBSTONE)
+            .extract_if(|_, at| now.duration_since(*at) > constants::DEPARTURE_RETENTION)
             .map(|(id, _)| id)
             .collect();
         let mut handles = router.fleet_view.engines.write();
--- a/crates/fleet-core/src/change_log.rs
+++ b/crates/fleet-core/src/change_log.rs
@@ -35,8 +35,8 @@
     }
 
     /// Changes the view by what no reader of the events has to hear of.
-    pub fn amend(&mut self, change: impl FnOnce(&mut V)) {
-        change(&mut self.view);
+    pub fn amend<T>(&mut self, change: impl FnOnce(&mut V) -> T) -> T {
+        change(&mut self.view)
     }
 
     /// The view of all events so far.
--- a/crates/fleet-core/src/constants/engines.rs
+++ b/crates/fleet-core/src/constants/engines.rs
@@ -10,8 +10,14 @@
 pub const HEARTBEAT_SHARE_TIMEOUT: Duration = Duration::from_millis(700);
 /// heartbeats; an engine that missed so many is suspected.
 pub const MISSED_HEARTBEATS: f64 = 3.5;
-/// s; a deregistered instance is remembered this long so that no late call brings it back.
-pub const TOMBSTONE: Duration = Duration::from_secs(300);
+/// s; the departure of an instance is remembered this long at least, so that no late call brings it back.
+pub const DEPARTURE_RETENTION: Duration = Duration::from_secs(300);
+/// records; departures that are kept at the most: a whole fleet leaves within the retention, and some more.
+pub const DEPARTURES_CAPACITY: usize = 1024;
+/// bytes; a value with that many records of ids of a dozen characters.
+pub const DEPARTURES_VALUE_BYTES: usize = DEPARTURES_CAPACITY * 26;
+/// bytes; an id of an engine is at most this long, so that the records of departures are bounded.
+pub const ENGINE_ID_MAX_BYTES: usize = 128;
 /// ms; an engine under order is asked for its report this often.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// s; an order that the engine doesn't report to be under way is given up and looked at anew.
--- a/crates/fleet-core/src/wire/changes.rs
+++ b/crates/fleet-core/src/wire/changes.rs
@@ -59,6 +59,34 @@
     pub version: u64,
 }
 
+/// What the key `departures` holds: engines whose drain or deregistration was acknowledged, the oldest record first.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct DeparturesValue {
+    /// Departures recorded so far; the number of the newest record.
+    #[prost(uint64, tag = "1")]
+    pub recorded: u64,
+    /// The records that are kept, one for each engine, with rising numbers.
+    #[prost(message, repeated, tag = "2")]
+    pub departures: Vec<Departure>,
+}
+
+/// An engine that is draining or was deregistered.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Departure {
+    /// The instance's id.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Number of the engine's call that said so: calls up to this one can't make it ready again.
+    #[prost(uint64, tag = "2")]
+    pub call: u64,
+    /// A [`super::EngineState`]; never `Ready`.
+    #[prost(enumeration = "super::EngineState", tag = "3")]
+    pub state: i32,
+    /// Number of the record; 0 in a request to record it.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+}
+
 /// What the key `lease_name/NAME` holds.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct LeaseValue {
@@ -92,7 +120,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ChangeRequest {
     /// What to change; a change of a kind unknown to the receiver is not answered.
-    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 6")]
     pub kind: Option<ChangeKind>,
     /// How often it was passed on already.
     #[prost(uint32, tag = "5")]
@@ -114,6 +142,9 @@
     /// Changes nothing: asks the key's owner to complete what is open and to prove its value current.
     #[prost(string, tag = "4")]
     Confirm(String),
+    /// Records that engines leave.
+    #[prost(message, tag = "6")]
+    RecordDepartures(RecordDepartures),
 }
 
 /// Replaces the configuration `base` by a newer one.
@@ -130,6 +161,18 @@
     pub packed: bytes::Bytes,
 }
 
+/// Records that engines leave. One that is recorded already, at this call or a later one, changes nothing.
+#[derive(Clone, PartialEq, Message)]
+pub struct RecordDepartures {
+    /// The engines.
+    #[prost(message, repeated, tag = "1")]
+    pub departures: Vec<Departure>,
+    /// Records with this number or a lower one may be forgotten: the sender has known them for longer than a call of
+    /// an engine can be late.
+    #[prost(uint64, tag = "2")]
+    pub forget_through: u64,
+}
+
 /// Names the version to which the engines of a model are to be brought.
 #[derive(Clone, PartialEq, Message)]
 pub struct SetTargetVersion {
--- a/crates/fleet-core/tests/wire_format.rs
+++ b/crates/fleet-core/tests/wire_format.rs
@@ -170,11 +170,13 @@
         id: raise_id(),
         acts: true,
     };
+    let departures = RecordDepartures { departures: vec![departure(0)], forget_through: 8 };
     vec![
         ("13-replace", change(ChangeKind::Replace(replace))),
         ("13-name", change(ChangeKind::Name(SetTargetVersion { model: "m".into(), version: 2 }))),
         ("13-raise", change(ChangeKind::Raise(raise))),
         ("13-confirm", change(ChangeKind::Confirm("config".into()))),
+        ("13-departures", change(ChangeKind::RecordDepartures(departures))),
         ("14-unknown", changed(Outcome::Unknown)),
         ("14-done", changed(Outcome::Done)),
         ("14-stale", changed(Outcome::Stale)),
@@ -183,6 +185,10 @@
     ]
 }
 
+fn departure(number: u64) -> Departure {
+    Departure { engine: "e1".into(), call: 5, state: EngineState::Draining as i32, number }
+}
+
 /// Leases, engines, routers and what is pushed to these.
 fn fleet_bodies() -> Vec<(&'static str, Body)> {
     let handshake = Handshake {
@@ -291,11 +297,13 @@
         acting: "n2".into(),
         raise: Some(raise_id()),
     };
+    let departures = DeparturesValue { recorded: 9, departures: vec![departure(9)] };
     let delta_op = DeltaOp { from: 1, length: 2, insert: vec![3] };
     vec![
         ("value-config", config.encode_to_vec()),
         ("value-weights", WeightsValue { version: 3 }.encode_to_vec()),
         ("value-duty", lease_name.encode_to_vec()),
+        ("value-departures", departures.encode_to_vec()),
         ("value-membership", membership().encode_to_vec()),
         ("value-delta", ConfigDelta { ops: vec![delta_op] }.encode_to_vec()),
     ]
--- a/crates/simulation/src/constants.rs
+++ b/crates/simulation/src/constants.rs
@@ -56,6 +56,10 @@
 pub const START_SPREAD_MS: u64 = 300;
 /// ms; the pause between two heartbeats of an engine.
 pub const HEARTBEAT_MS: u64 = 1000;
+/// of 100; heartbeats of engines that come late.
+pub const LATE_IN_100: u64 = 30;
+/// ms; a late heartbeat comes within this time.
+pub const LATE_HEARTBEAT_MS: u64 = 10_000;
 /// ms; the longest time until an engine begins to drain.
 pub const DRAIN_WITHIN_MS: u64 = 30_000;
 /// s; a reader tries so long for the last read at one node.
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -74,7 +74,7 @@
     history
 }
 
-type Engines = Vec<tokio::task::JoinHandle<Option<engine_workload::Drained>>>;
+type Engines = Vec<tokio::task::JoinHandle<Option<engine_workload::Departed>>>;
 
 fn spawn_workloads(world: &Arc<World>) -> (Vec<tokio::task::JoinHandle<()>>, Engines) {
     let mut workloads = vec![
@@ -105,8 +105,8 @@
     let final_state = sampler::catch_up(world);
     world.history.lock().caught_up = final_state;
     for engine in engines {
-        if let Ok(Some(drained)) = engine.await {
-            let observation = engine_workload::inspect(world, &drained);
+        if let Ok(Some(departed)) = engine.await {
+            let observation = engine_workload::inspect(world, &departed);
             world.history.lock().drains.extend(observation);
         }
     }
--- a/crates/simulation/tests/seeds.rs
+++ b/crates/simulation/tests/seeds.rs
@@ -28,6 +28,14 @@
     assert_clean(Point::SecondLoss, [200, 201, 202, 203]);
 }
 
+/// Guards against DRAIN: an acknowledged drain or deregistration was forgotten when all controllers were killed or lost
+/// power, and a heartbeat from before it made the engine ready again.
+#[test]
+fn acknowledged_departures_outlive_the_loss_of_all_controllers() {
+    assert_clean(Point::SecondLoss, [1, 3, 6, 14]);
+    assert_clean(Point::Hundreds, [7, 9]);
+}
+
 #[test]
 fn hundreds_of_changes() {
     assert_clean(Point::Hundreds, [200]);
