--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,101 @@
+//! Clients: each uses a connection for one request after the other until it is closed.
+
+use crate::constants;
+use crate::history::{Ending, Kind, Recorder, Request};
+use crate::http::{ReadError, Reader};
+use crate::machine::Machine;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// One client.
+pub struct Client {
+    /// Its number.
+    pub number: usize,
+    /// The machines that it may be handed to.
+    pub machines: Arc<Vec<Arc<Machine>>>,
+    /// Where its requests are recorded.
+    pub recorder: Arc<Recorder>,
+    /// Turns true once it is to send no more.
+    pub ends: Arc<AtomicBool>,
+}
+
+impl Client {
+    /// Sends requests until it is to end; returns behind the last response.
+    pub async fn run(self, mut rng: fastrand::Rng) {
+        let mut sent = 0;
+        while !self.ends.load(Ordering::SeqCst) {
+            let machine = &self.machines[rng.usize(0..self.machines.len())];
+            match TcpStream::connect(machine.front()).await {
+                Ok(connection) => {
+                    self.use_up(connection, machine.number(), &mut sent, &mut rng).await;
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(rng.u64(20..100))).await,
+            }
+        }
+    }
+
+    /// One request after the other, until the connection is closed.
+    async fn use_up(
+        &self,
+        connection: TcpStream,
+        machine: usize,
+        sent: &mut usize,
+        rng: &mut fastrand::Rng,
+    ) {
+        let (read, mut write) = connection.into_split();
+        let mut reader = Reader::new(read);
+        while !self.ends.load(Ordering::SeqCst) {
+            *sent += 1;
+            let attempt = format!("c{}-{sent}", self.number);
+            let kind = Kind::EVERY[rng.usize(0..Kind::EVERY.len())];
+            let request = request(kind, queue_ms(rng), &attempt);
+            if write.write_all(request.as_bytes()).await.is_err() {
+                return;
+            }
+            let sent_at = self.recorder.now();
+            let (ending, closes) = end_of(&mut reader).await;
+            let is_open = matches!(ending, Ending::Answered { .. }) && !closes;
+            let ended = self.recorder.now();
+            let request = Request { attempt, kind, machine, sent: sent_at, ended, ending };
+            self.recorder.add(|history| history.requests.push(request));
+            if !is_open {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(rng.u64(0..60))).await;
+        }
+    }
+}
+
+/// How a request ended, and whether the response says that the connection closes.
+async fn end_of<R: tokio::io::AsyncRead + Unpin>(reader: &mut Reader<R>) -> (Ending, bool) {
+    match tokio::time::timeout(constants::CLIENT_TIMEOUT, reader.message()).await {
+        Ok(Ok(message)) => {
+            let body = String::from_utf8_lossy(&message.body).into_owned();
+            let closes = message.header("connection") == Some("close");
+            (Ending::Answered { status: message.status(), body }, closes)
+        }
+        Ok(Err(error)) => (Ending::Closed(error), error != ReadError::Malformed),
+        Err(_) => (Ending::TimedOut, true),
+    }
+}
+
+/// Most requests are short; a few wait for longer than a router has to end.
+fn queue_ms(rng: &mut fastrand::Rng) -> u64 {
+    match rng.u8(0..100) {
+        0..85 => rng.u64(1..30),
+        85..95 => rng.u64(300..2000),
+        _ => rng.u64(2000..constants::QUEUE_MAX.as_millis() as u64),
+    }
+}
+
+fn request(kind: Kind, queue_ms: u64, attempt: &str) -> String {
+    format!(
+        "POST /{}/{queue_ms} HTTP/1.1\r\nHost: {}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {}\r\nContent-Length: 2\r\n\r\nhi",
+        kind.path(),
+        constants::HOST,
+        constants::DEADLINE_MS
+    )
+}
--- /dev/null
+++ b/crates/soak/src/engine.rs
@@ -0,0 +1,173 @@
+//! Stand-in engines.
+//!
+//! An engine leaves each request in its queue for as long as the path says, drops it there once its connection closes,
+//! and then runs it. It serves on after its departure, so that a request which comes too late is seen.
+
+use crate::constants;
+use crate::history::{Departure, EngineEvent, Kind, Recorder};
+use crate::http::{self, Message, Reader};
+use crate::machine::Site;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// How an engine announces its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Announcement {
+    /// By heartbeats that say so.
+    Drain,
+    /// By a deregistration alone.
+    Deregister,
+}
+
+/// One engine.
+pub struct Engine {
+    id: String,
+    address: SocketAddr,
+    recorder: Arc<Recorder>,
+    controls: Vec<SocketAddr>,
+    calls: AtomicU64,
+    leaves: AtomicBool,
+}
+
+impl Engine {
+    /// An engine that serves.
+    ///
+    /// # Errors
+    ///
+    /// Its address can't be listened at.
+    pub async fn start(number: usize, site: &Site) -> std::io::Result<Arc<Engine>> {
+        let address = site.engine(number);
+        let listener = TcpListener::bind(address).await?;
+        let engine = Arc::new(Engine {
+            id: format!("i-{number:08x}"),
+            address,
+            recorder: site.recorder.clone(),
+            controls: site.controls(),
+            calls: AtomicU64::new(0),
+            leaves: AtomicBool::new(false),
+        });
+        let serving = engine.clone();
+        tokio::spawn(async move {
+            while let Ok((connection, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(connection));
+            }
+        });
+        Ok(engine)
+    }
+
+    async fn serve(self: Arc<Engine>, connection: TcpStream) {
+        let (read, mut write) = connection.into_split();
+        let mut reader = Reader::new(read);
+        while let Ok(request) = reader.message().await {
+            let attempt = request.header("x-attempt-id").unwrap_or("").to_owned();
+            self.recorder.add(|history| history.arrivals.push(self.event(&attempt)));
+            let queued = Duration::from_millis(queue_ms(&request));
+            tokio::select! {
+                () = tokio::time::sleep(queued) => {}
+                // dropped with its connection
+                () = reader.disturbed() => return,
+            }
+            self.recorder.add(|history| history.begun.push(self.event(&attempt)));
+            if self.respond(&mut write, &request, &attempt).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn event(&self, attempt: &str) -> EngineEvent {
+        let at = self.recorder.now();
+        EngineEvent { attempt: attempt.to_owned(), engine: self.id.clone(), at }
+    }
+
+    async fn respond(
+        &self,
+        write: &mut tokio::net::tcp::OwnedWriteHalf,
+        request: &Message,
+        attempt: &str,
+    ) -> std::io::Result<()> {
+        let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: s\r\n");
+        if !request.path().contains(Kind::Stream.path()) {
+            let body = format!("{attempt} {}", self.id);
+            let length = body.len();
+            let answer = format!("{head}Content-Length: {length}\r\n\r\n{body}");
+            return write.write_all(answer.as_bytes()).await;
+        }
+        let head =
+            format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        write.write_all(head.as_bytes()).await?;
+        for number in 1..=constants::STREAM_EVENTS {
+            let event = format!("id: {number}\ndata: {attempt} {}\n\n", self.id);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            write.write_all(chunk.as_bytes()).await?;
+            tokio::time::sleep(constants::EVENT_INTERVAL).await;
+        }
+        write.write_all(b"0\r\n\r\n").await
+    }
+
+    /// Sends heartbeats until the engine leaves; some come late.
+    pub async fn send_heartbeats(self: Arc<Engine>, mut rng: fastrand::Rng) {
+        while !self.leaves.load(Ordering::SeqCst) {
+            let call = self.next_call();
+            let controller = self.controls[rng.usize(0..self.controls.len())];
+            let late = rng.u8(0..5) == 0;
+            let engine = self.clone();
+            let longest = constants::LATE_HEARTBEAT.as_millis() as u64;
+            let delay =
+                if late { Duration::from_millis(rng.u64(1000..longest)) } else { Duration::ZERO };
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                engine.heartbeat(controller, "ready", call).await;
+            });
+            tokio::time::sleep(constants::HEARTBEAT).await;
+        }
+    }
+
+    /// Leaves: calls one controller after the other until one acknowledges it.
+    pub async fn leave(&self, announcement: Announcement, mut rng: fastrand::Rng) {
+        self.leaves.store(true, Ordering::SeqCst);
+        loop {
+            let call = self.next_call();
+            let controller = self.controls[rng.usize(0..self.controls.len())];
+            let is_acknowledged = match announcement {
+                Announcement::Drain => self.heartbeat(controller, "draining", call).await,
+                Announcement::Deregister => self.deregister(controller, call).await,
+            };
+            if is_acknowledged {
+                let acknowledged = self.recorder.now();
+                let departure = Departure { engine: self.id.clone(), acknowledged };
+                return self.recorder.add(|history| history.departures.push(departure));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    fn next_call(&self) -> u64 {
+        self.calls.fetch_add(1, Ordering::SeqCst) + 1
+    }
+
+    async fn heartbeat(&self, controller: SocketAddr, state: &str, call: u64) -> bool {
+        let body = serde_json::json!({"service": constants::SERVICE, "address": self.address.to_string(),
+            "zone": "z1", "revision": "v1", "slots": 64, "state": state, "coldLeftMs": 0, "models": [],
+            "callSeq": call});
+        self.call(controller, "Heartbeat", &body.to_string()).await
+    }
+
+    async fn deregister(&self, controller: SocketAddr, call: u64) -> bool {
+        self.call(controller, "Deregister", &format!("{{\"callSeq\":{call}}}")).await
+    }
+
+    async fn call(&self, controller: SocketAddr, name: &str, body: &str) -> bool {
+        let head = format!("POST /anisedyke/Instances.{name}/{} HTTP/1.1\r\n", self.id);
+        let answer = http::call(controller, &head, body, constants::CALLER_TIMEOUT).await;
+        answer.is_some_and(|answer| answer.status() == 200)
+    }
+}
+
+/// The last part of a path: how long the request waits in the queue.
+fn queue_ms(request: &Message) -> u64 {
+    request.path().rsplit('/').next().and_then(|part| part.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/soak/src/http.rs
@@ -0,0 +1,148 @@
+//! As much HTTP/1.1 as the stand-ins need.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A message that came whole.
+#[derive(Debug, Clone)]
+pub struct Message {
+    /// Start line and headers.
+    pub head: String,
+    /// The body, without its framing.
+    pub body: Vec<u8>,
+}
+
+/// Why a message did not come whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum ReadError {
+    /// the connection ended before its first byte
+    ClosedBefore,
+    /// the connection ended within the message
+    ClosedWithin,
+    /// the bytes are no message
+    Malformed,
+}
+
+impl Message {
+    /// The status of a response; 0 if there is none.
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+
+    /// The path of a request.
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or("")
+    }
+
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+}
+
+/// Reads messages from a connection, and keeps what came behind one.
+pub struct Reader<R> {
+    stream: R,
+    buffer: Vec<u8>,
+}
+
+impl<R: AsyncRead + Unpin> Reader<R> {
+    /// A reader of a new connection.
+    pub fn new(stream: R) -> Reader<R> {
+        Reader { stream, buffer: Vec::new() }
+    }
+
+    /// The next message, whole.
+    ///
+    /// # Errors
+    ///
+    /// The connection ended, or the bytes are no message.
+    pub async fn message(&mut self) -> Result<Message, ReadError> {
+        let head_end = self.until_contains(b"\r\n\r\n").await? + 4;
+        let head: Vec<u8> = self.buffer.drain(..head_end).collect();
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let body = if header(&head, "transfer-encoding").is_some() {
+            self.chunks().await.map_err(within)?
+        } else {
+            let length = header(&head, "content-length").map_or(Ok(0), str::parse::<usize>);
+            let length = length.map_err(|_| ReadError::Malformed)?;
+            self.until_holds(length).await.map_err(within)?;
+            self.buffer.drain(..length).collect()
+        };
+        Ok(Message { head, body })
+    }
+
+    /// Waits until the other side closes or sends something.
+    ///
+    /// # Cancel safety
+    ///
+    /// Nothing that came is lost.
+    pub async fn disturbed(&mut self) {
+        let _ = self.more().await;
+    }
+
+    async fn chunks(&mut self) -> Result<Vec<u8>, ReadError> {
+        let mut body = Vec::new();
+        loop {
+            let line_end = self.until_contains(b"\r\n").await?;
+            let line: Vec<u8> = self.buffer.drain(..line_end + 2).collect();
+            let size = String::from_utf8_lossy(&line[..line_end]).into_owned();
+            let size = usize::from_str_radix(&size, 16).map_err(|_| ReadError::Malformed)?;
+            self.until_holds(size + 2).await?;
+            body.extend(self.buffer.drain(..size));
+            self.buffer.drain(..2);
+            if size == 0 {
+                return Ok(body);
+            }
+        }
+    }
+
+    async fn until_contains(&mut self, wanted: &[u8]) -> Result<usize, ReadError> {
+        loop {
+            if let Some(at) = self.buffer.windows(wanted.len()).position(|w| w == wanted) {
+                return Ok(at);
+            }
+            self.more().await?;
+        }
+    }
+
+    async fn until_holds(&mut self, bytes: usize) -> Result<(), ReadError> {
+        while self.buffer.len() < bytes {
+            self.more().await?;
+        }
+        Ok(())
+    }
+
+    async fn more(&mut self) -> Result<(), ReadError> {
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(read) if read > 0 => Ok(()),
+            _ if self.buffer.is_empty() => Err(ReadError::ClosedBefore),
+            _ => Err(ReadError::ClosedWithin),
+        }
+    }
+}
+
+fn within(error: ReadError) -> ReadError {
+    if error == ReadError::ClosedBefore { ReadError::ClosedWithin } else { error }
+}
+
+/// One call on a connection of its own; none where no whole response came in time.
+pub async fn call(to: SocketAddr, head: &str, body: &str, timeout: Duration) -> Option<Message> {
+    let calling = async {
+        let mut stream = TcpStream::connect(to).await.ok()?;
+        let length = body.len();
+        let request = format!(
+            "{head}Host: control\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        stream.write_all(request.as_bytes()).await.ok()?;
+        Reader::new(stream).message().await.ok()
+    };
+    tokio::time::timeout(timeout, calling).await.ok().flatten()
+}
