--- a/crates/fleet-core/src/program.rs
+++ b/crates/fleet-core/src/program.rs
@@ -5,6 +5,7 @@
 use crate::settings::{Settings, SettingsError};
 use gumdrop::Options;
 use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
 
 #[derive(Debug, Options)]
 struct CommandLine {
@@ -172,18 +173,18 @@
     needs: fn(&Settings) -> Vec<&'static str>,
     log: slog::Logger,
 ) -> Watched {
-    use tokio::signal::unix::{SignalKind, signal};
     let (stop, stopped) = tokio::sync::watch::channel(false);
     let (changed, reread) = tokio::sync::mpsc::channel(1);
     let mut rereader = Rereader { path, needs, current: first, last_error: String::new(), log };
+    // before anything is served: until then a signal ends the process at once
+    let (Ok(mut terminate), Ok(mut hangup), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::hangup()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return (stopped, reread);
+    };
     tokio::spawn(async move {
-        let (Ok(mut terminate), Ok(mut hangup), Ok(mut interrupt)) = (
-            signal(SignalKind::terminate()),
-            signal(SignalKind::hangup()),
-            signal(SignalKind::interrupt()),
-        ) else {
-            return;
-        };
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
