Changes of an engine's state have a module of their own

Cause: `cluster_state.rs` had grown by what the departures of engines need.

Change: `cluster_state/engine_updates.rs` holds the changes that are one step under the lock of the store; no behaviour changes.

--- a/crates/control-plane/src/cluster_state_tests.rs
+++ b/crates/control-plane/src/cluster_state_tests.rs
@@ -1,7 +1,7 @@
 //! Tests of `cluster_state`.
 
 use super::*;
-use fleet_core::wire::{Departure, EngineState};
+use fleet_core::wire::{Departure, DeparturesValue, EngineState};
 use std::time::Duration;
 
 fn weights(version: u64) -> StateChange {
