Three simplifications found by reading the change again

Cause: the phase of a router's end wrote out the default that its fields have; what follows from learned departures gathered all engines in a list first; two checks of the soak had the same filter for events of a request's router.

Change: `Shutdown` derives its default; `learn_departures` takes one engine at a time; `router_events` serves both checks. No behaviour, bound or assertion changes.

--- a/crates/control-plane/src/cluster_state/engine_updates.rs
+++ b/crates/control-plane/src/cluster_state/engine_updates.rs
@@ -63,11 +63,9 @@
                 engine.is_some_and(|engine| departures::is_resumed(engine, departure))
             });
         });
-        let mut departed: Vec<Engine> = Vec::new();
         for departure in &value.departures {
-            departed.extend(log.view().engines.get(&departure.engine).cloned());
-        }
-        for mut engine in departed {
+            let known = log.view().engines.get(&departure.engine).cloned();
+            let Some(mut engine) = known else { continue };
             let before = engine.state;
             log.amend(|state| state.departures.apply(&mut engine));
             if engine.state != before {
--- a/crates/data-plane/src/shutdown.rs
+++ b/crates/data-plane/src/shutdown.rs
@@ -23,19 +23,13 @@
 }
 
 /// The phase of one router, and the moment at which it ends.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Shutdown {
     phase: watch::Sender<Phase>,
     /// Set before the phase is `Draining`.
     ends_at: OnceLock<Instant>,
 }
 
-impl Default for Shutdown {
-    fn default() -> Shutdown {
-        Shutdown { phase: watch::channel(Phase::Serving).0, ends_at: OnceLock::new() }
-    }
-}
-
 impl Shutdown {
     /// Begins to drain; the process ends at this moment at the latest. Asked a second time, it ends when it was first
     /// told to.
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,7 +1,7 @@
 //! What must hold of a history.
 
 use crate::constants;
-use crate::history::{Action, At, Ending, History, Kind, Program, Request};
+use crate::history::{Action, At, Ending, History, Kind, ProcessEvent, Program, Request};
 use crate::http::ReadError;
 use std::collections::{HashMap, HashSet};
 
@@ -105,25 +105,32 @@
     }
 }
 
+/// When this was done to the router that had the request.
+fn router_events<'a>(
+    request: &'a Request,
+    history: &'a History,
+    action: Action,
+) -> impl Iterator<Item = At> + 'a {
+    let is_wanted = move |event: &&ProcessEvent| {
+        event.machine == request.machine
+            && event.program == Program::Router
+            && event.action == action
+    };
+    history.processes.iter().filter(is_wanted).map(|event| event.at)
+}
+
 /// Whether the router was killed while it had the request.
 fn was_killed(request: &Request, history: &History) -> bool {
-    history.processes.iter().any(|event| {
-        let is_its_router = event.machine == request.machine && event.program == Program::Router;
-        is_its_router
-            && event.action == Action::Killed
-            && (request.sent..=request.ended).contains(&event.at)
-    })
+    let span = request.sent..=request.ended;
+    router_events(request, history, Action::Killed).any(|at| span.contains(&at))
 }
 
 /// A response that had begun, of a request that came early enough, when the grace period of its router was nearly over.
 fn is_cut_at_the_end(request: &Request, history: &History) -> bool {
     let last_sixth = constants::GRACE * 5 / 6;
-    history.processes.iter().any(|event| {
-        let is_its_router = event.machine == request.machine && event.program == Program::Router;
-        is_its_router
-            && event.action == Action::Terminated
-            && request.sent <= event.at + constants::LATE_AFTER_SIGTERM
-            && request.ended >= event.at + last_sixth
+    router_events(request, history, Action::Terminated).any(|terminated| {
+        request.sent <= terminated + constants::LATE_AFTER_SIGTERM
+            && request.ended >= terminated + last_sixth
     })
 }
 
