Metrics tell the memory of a process and the received bytes that it keeps, by place

Change: ByteBudget accounts for bytes by place, without a limit yet; both programs tell it with VmRSS and VmHWM; truncated bodies are counted. Measured: tests of fleet-core, telemetry, control-plane, and the new test of data-plane pass; the counter's test fails without the increment by reading.

--- a/crates/control-plane/src/engines/client.rs
+++ b/crates/control-plane/src/engines/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for engines, the KV store and controllers, with one persistent connection per client.
 
+use fleet_core::byte_budget::ByteBudget;
 use fleet_core::constants;
 use fleet_core::transport::{Tcp, Transport, TransportError};
 use http_body_util::BodyExt;
@@ -66,6 +67,7 @@
     remote: SocketAddr,
     connection: Option<Connection>,
     max_response_bytes: usize,
+    response_budget: Arc<ByteBudget>,
 }
 
 /// A complete response.
@@ -96,6 +98,7 @@
             remote,
             connection: None,
             max_response_bytes: constants::FRAME_MAX_BYTES,
+            response_budget: ByteBudget::new(usize::MAX),
         }
     }
 
@@ -104,6 +107,11 @@
         HttpClient { max_response_bytes, ..self }
     }
 
+    /// Counts the bodies that are being received in a budget that other clients share.
+    pub fn with_response_budget(self, response_budget: Arc<ByteBudget>) -> Self {
+        HttpClient { response_budget, ..self }
+    }
+
     /// Opens a connection for [`HttpClient::send`], unless one is open already.
     ///
     /// # Errors
@@ -186,13 +194,27 @@
         let status = response.status();
         let location = response.headers().get(http::header::LOCATION);
         let location = location.and_then(|value| value.to_str().ok()).map(str::to_owned);
-        let body = http_body_util::Limited::new(response.into_body(), self.max_response_bytes);
-        let body = body.collect().await.map_err(|error| {
-            let is_too_large = error.is::<http_body_util::LengthLimitError>();
-            if is_too_large { CallError::InvalidMessage } else { CallError::ConnectionLost }
-        })?;
+        let body = self.receive_body(response.into_body()).await?;
         self.connection = Some(connection);
-        Ok(HttpResponse { status, body: body.to_bytes(), location })
+        Ok(HttpResponse { status, body, location })
+    }
+
+    async fn receive_body(
+        &self,
+        mut incoming: hyper::body::Incoming,
+    ) -> Result<bytes::Bytes, CallError> {
+        let mut reservation = self.response_budget.reservation();
+        let mut body = bytes::BytesMut::new();
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| CallError::ConnectionLost)?;
+            let Ok(data) = frame.into_data() else { continue };
+            let length = body.len() + data.len();
+            if length > self.max_response_bytes || !reservation.resize(length) {
+                return Err(CallError::InvalidMessage);
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
     }
 }
 
--- a/crates/control-plane/src/index_owner/mod.rs
+++ b/crates/control-plane/src/index_owner/mod.rs
@@ -221,6 +221,7 @@
 
     fn client(&self, address: SocketAddr) -> HttpClient {
         HttpClient::with_transport(self.transport.clone(), self.process.node.ip, address)
+            .with_response_budget(self.process.response_budget.clone())
     }
 }
 
--- a/crates/control-plane/src/metrics.rs
+++ b/crates/control-plane/src/metrics.rs
@@ -11,7 +11,8 @@
     fn write(&self, writer: &mut MetricsWriter<'_>) -> fmt::Result {
         write_consensus(self, writer)?;
         write_leases(self, writer)?;
-        write_rollout(self, writer)
+        write_rollout(self, writer)?;
+        telemetry::write_memory(&[("responses", &self.process().response_budget)], writer)
     }
 }
 
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -3,6 +3,7 @@
 //! It is built once, before any component, and holds none of the replicated state: only the identity of the process,
 //! its log, the current settings, the random number generator, and the shutdown signal.
 
+use fleet_core::byte_budget::ByteBudget;
 use fleet_core::node::Node;
 use fleet_core::random::RandomSource;
 use fleet_core::settings::Settings;
@@ -19,6 +20,8 @@
     pub log: slog::Logger,
     /// Start time of the process.
     pub started: Instant,
+    /// Covers the bodies of responses that this controller is receiving.
+    pub response_budget: Arc<ByteBudget>,
     settings: parking_lot::RwLock<Arc<Settings>>,
     random: RandomSource,
     shutting_down: watch::Sender<bool>,
@@ -32,6 +35,7 @@
             node,
             log,
             started: Instant::now(),
+            response_budget: ByteBudget::new(usize::MAX),
             settings: parking_lot::RwLock::new(Arc::new(settings)),
             shutting_down: watch::channel(false).0,
         }
--- a/crates/control-plane/src/rollout/mod.rs
+++ b/crates/control-plane/src/rollout/mod.rs
@@ -252,7 +252,8 @@
     let engine = &engine.ok_or(OrderError::UnknownEngine)?;
     let address = engine.address.parse().map_err(|_| OrderError::UnknownEngine)?;
     let transport = rollout.transport.clone();
-    let mut client = HttpClient::with_transport(transport, rollout.process.node.ip, address);
+    let mut client = HttpClient::with_transport(transport, rollout.process.node.ip, address)
+        .with_response_budget(rollout.process.response_budget.clone());
     publish_update_state(rollout, &engine.id, set_updating).await;
     tokio::time::sleep(constants::UPDATE_NOTICE_DELAY).await;
     let (model, version) = (target.model.as_str(), target.version);
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -11,8 +11,8 @@
 //! 3. [`pool`]: connections to engines, and the state that is kept for each engine
 //! 4. [`retry_budget`]: limits how many requests may be sent to a second engine
 //! 5. [`fleet_view`]: what controllers send, and the configuration in force
-//! 6. [`runtime`]: startup and shutdown; [`shutdown`]: the phases of a shutdown; [`counters`] and `metrics`: what the
-//!    router reports about itself
+//! 6. [`runtime`]: startup and shutdown; [`shutdown`]: the phases of a shutdown; [`memory`]: budgets of the bytes
+//!    that are kept; [`counters`] and `metrics`: what the router reports about itself
 
 // A process that carries traffic must not panic on a missing value; tests may.
 #![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::print_stdout))]
@@ -20,6 +20,7 @@
 pub mod counters;
 pub mod fleet_view;
 pub mod load_balancer;
+pub mod memory;
 mod metrics;
 pub mod pool;
 pub mod proxy;
@@ -52,6 +53,8 @@
     pub budgets: retry_budget::Budgets,
     /// Estimates of how long engines keep idle connections, by service.
     pub idle_timeouts: pool::idle_timeout::IdleTimeouts,
+    /// Budgets of the received bytes that are kept.
+    pub memory: memory::MemoryBudgets,
     /// Event counts that are logged and exported as metrics.
     pub counters: Counters,
     /// When this state was created.
@@ -78,6 +81,7 @@
             fleet_view: fleet_view::FleetView::new(),
             budgets: retry_budget::Budgets::default(),
             idle_timeouts: pool::idle_timeout::IdleTimeouts::default(),
+            memory: memory::MemoryBudgets::default(),
             counters: Counters::default(),
             started: tokio::time::Instant::now(),
             logged_ready: AtomicBool::new(false),
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -13,7 +13,8 @@
         write_requests(self, writer)?;
         write_configuration(&self.fleet_view, writer)?;
         write_targets(&self.fleet_view, writer)?;
-        write_engines(&self.fleet_view, writer)
+        write_engines(&self.fleet_view, writer)?;
+        telemetry::write_memory(&self.memory.places(), writer)
     }
 }
 
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -254,7 +254,7 @@
                 if status == StatusCode::MISDIRECTED_REQUEST {
                     router.counters.version_mismatches.fetch_add(1, Ordering::Relaxed);
                 }
-                drain_rejection_body(connection, body);
+                drain_rejection_body(router, connection, body);
                 Outcome::NotExecuted(dispatched.not_executed(proof))
             }
             Verdict::Invalid(error) => {
@@ -315,13 +315,27 @@
 
 /// Reads the body of a rejection in a task of its own, limited by a timeout, only so that the connection can be
 /// reused.
-fn drain_rejection_body(connection: RespondingConnection, body: Incoming) {
+fn drain_rejection_body(router: &Router, connection: RespondingConnection, mut body: Incoming) {
     if body.is_end_stream() {
         return connection.release();
     }
+    let mut reservation = router.memory.rejection_bodies.reservation();
     tokio::spawn(async move {
-        let body = tokio::time::timeout(constants::REJECTION_BODY_TIMEOUT, body.collect());
-        if matches!(body.await, Ok(Ok(_))) {
+        let mut chunks = Vec::new();
+        let reading = async {
+            let mut length = 0;
+            while let Some(frame) = body.frame().await {
+                let Ok(frame) = frame else { return false };
+                length += frame.data_ref().map_or(0, bytes::Bytes::len);
+                chunks.push(frame);
+                let _ = reservation.resize(length);
+            }
+            true
+        };
+        if matches!(
+            tokio::time::timeout(constants::REJECTION_BODY_TIMEOUT, reading).await,
+            Ok(true)
+        ) {
             connection.release();
         }
     });
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -79,10 +79,7 @@
             responding.connection.release();
             let _ = chunks.send(BodyChunk::End).await;
         }
-        BodyEnd::Truncated => {
-            let engine = &responding.load.engine;
-            passive_health::record_connection_failure(&router.log, engine, RESPONSE_TRUNCATED);
-        }
+        BodyEnd::Truncated => record_truncation(router, &responding),
         BodyEnd::ClientDisconnected => increment(&router.counters.responses_abandoned),
         BodyEnd::PastDeadline => increment(&router.counters.responses_past_deadline),
     }
@@ -94,7 +91,10 @@
     mut responding: Responding,
     chunks: &mpsc::Sender<BodyChunk>,
 ) {
-    let mut splitter = EventSplitter::starting_after(responding.request.last_event_id());
+    let mut splitter = EventSplitter::new(
+        responding.request.last_event_id(),
+        router.memory.partial_events.reservation(),
+    );
     loop {
         let deadline = responding.request.deadline;
         let forwarding = forward_body(&mut responding.body, |bytes| splitter.push(&bytes), chunks);
@@ -110,10 +110,7 @@
             }
             BodyEnd::ClientDisconnected => return increment(&router.counters.responses_abandoned),
             BodyEnd::PastDeadline => return increment(&router.counters.responses_past_deadline),
-            BodyEnd::Truncated => {
-                let engine = &responding.load.engine;
-                passive_health::record_connection_failure(&router.log, engine, RESPONSE_TRUNCATED);
-            }
+            BodyEnd::Truncated => record_truncation(router, &responding),
         }
         splitter.discard_partial();
         let Some(next) = resume(router, responding, splitter.last_id()).await else { return };
@@ -122,6 +119,13 @@
     }
 }
 
+/// Counts a body that the engine truncated, and ejects the engine.
+fn record_truncation(router: &Router, responding: &Responding) {
+    increment(&router.counters.responses_broken_by_engine);
+    let engine = &responding.load.engine;
+    passive_health::record_connection_failure(&router.log, engine, RESPONSE_TRUNCATED);
+}
+
 /// Records the time that a complete response took.
 fn record_response_time(response_times: &ResponseTimes, request: &ClientRequest) {
     let duration = request.accepted_at.elapsed();
--- a/crates/data-plane/tests/engines/main.rs
+++ b/crates/data-plane/tests/engines/main.rs
@@ -3,6 +3,7 @@
 mod draining;
 mod harness;
 mod idle_connections;
+mod limits;
 mod outdated_weights;
 mod rejections;
 mod responses;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,7 +5,9 @@
 //! scrapes; [`MetricsWriter`] is the writer that a source gets.
 
 mod exposition;
+mod memory;
 mod server;
 
 pub use exposition::{Labels, MetricsSource, MetricsWriter, render};
+pub use memory::{Place, write_memory};
 pub use server::{METRICS_PATH, serve};
