--- a/crates/router/tests/whole/main.rs
+++ b/crates/router/tests/whole/main.rs
@@ -1,6 +1,8 @@
 //! A controller, a router and a stub engine on loopback: the path of a request, and the configuration that is kept on
 //! disk.
 
+mod endless_responses;
+mod process;
 mod stopping;
 mod support;
 
--- a/crates/router/tests/whole/stopping.rs
+++ b/crates/router/tests/whole/stopping.rs
@@ -1,8 +1,8 @@
 //! A router process that gets SIGTERM: every request that it has forwarded to an engine is answered before it exits.
 
+use super::process::RouterProcess;
 use super::support::{RunningProgram, TestNode, call, get, post, replace, wait_for_status};
 use std::net::SocketAddr;
-use std::process::{Child, Command};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,41 +15,6 @@
 /// Path segment of requests for which the engine starts a stream and never ends it.
 const ENDLESS: &str = "endless";
 
-/// A router in a process of its own, as in production. Killed on drop, so that a failed test leaves no process behind.
-struct RouterProcess(Child);
-
-impl RouterProcess {
-    fn start(node: &TestNode, grace_seconds: u64) -> RouterProcess {
-        let settings = node.data_dir.join("router.conf");
-        std::fs::create_dir_all(&node.data_dir).unwrap();
-        let bounds = format!("bounds.graceS={grace_seconds}\n");
-        std::fs::write(&settings, node.settings_text(false) + &bounds).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_router"));
-        command
-            .arg("--settings")
-            .arg(settings)
-            .stdout(std::process::Stdio::null())
-            .stderr(std::process::Stdio::null());
-        RouterProcess(command.spawn().unwrap())
-    }
-
-    fn terminate(&self) {
-        let pid = rustix::process::Pid::from_child(&self.0);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
-    }
-
-    async fn exit(mut self) -> std::process::ExitStatus {
-        tokio::task::spawn_blocking(move || self.0.wait().unwrap()).await.unwrap()
-    }
-}
-
-impl Drop for RouterProcess {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 /// A stub engine that answers, queues the request or starts an endless stream, depending on the path.
 struct StubEngine {
     address: SocketAddr,
