A partial event that is too large is relayed as it arrives, and not kept

Callers saw: the requests of all clients of a machine ended, since its router ran out of memory. Cause: the router kept a stream that may be resumed until the end of its event, without a bound; a faulty engine never ended one. Change: at most 256 KiB of an event are kept, and 8 MiB over all streams. What is larger is relayed as it comes, so that an answer of any length is still whole; such a stream is not resumed, since a part of its event has been relayed already.

--- a/crates/data-plane/src/memory.rs
+++ b/crates/data-plane/src/memory.rs
@@ -1,6 +1,7 @@
 //! Budgets of the bytes that engines make this router keep.
 
 use fleet_core::byte_budget::ByteBudget;
+use fleet_core::constants;
 use std::sync::Arc;
 use telemetry::Place;
 
@@ -15,7 +16,7 @@
 impl Default for MemoryBudgets {
     fn default() -> Self {
         MemoryBudgets {
-            partial_events: ByteBudget::new(usize::MAX),
+            partial_events: ByteBudget::new(constants::PARTIAL_EVENTS_BUDGET_BYTES),
             rejection_bodies: ByteBudget::new(usize::MAX),
         }
     }
--- a/crates/data-plane/src/proxy/events.rs
+++ b/crates/data-plane/src/proxy/events.rs
@@ -1,13 +1,19 @@
 //! Splits a server-sent event stream at event boundaries, so that it can be resumed after the last complete event.
+//!
+//! Only a partial event is kept. One that is too large to be kept is relayed as it arrives; its stream can't be resumed
+//! any more.
 
 use bytes::{Bytes, BytesMut};
 use fleet_core::byte_budget::Reservation;
+use fleet_core::constants;
 
 /// Splits a stream into complete events, and keeps the id of the last one.
 pub struct EventSplitter {
     buffered: BytesMut,
-    /// Covers `buffered`.
+    /// Covers `buffered`, which is at most [`constants::PARTIAL_EVENT_MAX_BYTES`] long.
     reservation: Reservation,
+    /// False once a part of an event was relayed; `buffered` is empty from then on.
+    is_resumable: bool,
     last_id: Option<String>,
 }
 
@@ -15,25 +21,54 @@
     /// Starts with a stream that is resumed after the event `last_id`, if there is one. A partial event is kept under
     /// `reservation`.
     pub fn new(last_id: Option<String>, reservation: Reservation) -> Self {
-        EventSplitter { buffered: BytesMut::new(), reservation, last_id }
+        EventSplitter { buffered: BytesMut::new(), reservation, is_resumable: true, last_id }
     }
 
-    /// Adds received bytes and returns all events that are complete now.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    /// Adds received bytes and returns those that can be relayed now: all events that are complete, or all bytes once
+    /// the stream can't be resumed any more.
+    pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        if !self.is_resumable {
+            return Some(bytes);
+        }
         let search_start = self.buffered.len().saturating_sub(1);
-        self.buffered.extend_from_slice(bytes);
-        let end = self.buffered[search_start..].windows(2).rposition(|w| w == b"\n\n");
-        let complete = end.map(|end| self.buffered.split_to(end + search_start + 2).freeze());
-        let _ = self.reservation.resize(self.buffered.len());
-        let complete = complete?;
-        for line in complete.split(|c| *c == b'\n') {
+        self.buffered.extend_from_slice(&bytes);
+        let boundary = self.buffered[search_start..].windows(2).rposition(|w| w == b"\n\n");
+        let complete_len = boundary.map_or(0, |at| search_start + at + 2);
+        if !self.keep(self.buffered.len() - complete_len) {
+            self.is_resumable = false;
+            return Some(self.buffered.split().freeze());
+        }
+        if complete_len == 0 {
+            return None;
+        }
+        let complete = self.buffered.split_to(complete_len).freeze();
+        self.record_last_id(&complete);
+        Some(complete)
+    }
+
+    /// Reserves the memory of a partial event; false if it is too large to be kept.
+    fn keep(&mut self, partial_len: usize) -> bool {
+        let is_kept = partial_len <= constants::PARTIAL_EVENT_MAX_BYTES
+            && self.reservation.resize(partial_len);
+        if !is_kept {
+            self.reservation.clear();
+        }
+        is_kept
+    }
+
+    fn record_last_id(&mut self, events: &[u8]) {
+        for line in events.split(|c| *c == b'\n') {
             if let Some(id) = line.strip_prefix(b"id:")
                 && let Ok(id) = std::str::from_utf8(id)
             {
                 self.last_id = Some(id.trim().to_owned());
             }
         }
-        Some(complete)
+    }
+
+    /// Whether the stream can go on at another engine after the last complete event.
+    pub fn is_resumable(&self) -> bool {
+        self.is_resumable
     }
 
     /// Discards a partial event, as after a truncated response; it is received again when the stream is resumed.
--- a/crates/data-plane/src/proxy/events_tests.rs
+++ b/crates/data-plane/src/proxy/events_tests.rs
@@ -8,15 +8,70 @@
 #[test]
 fn partial_event_is_withheld_until_complete() {
     let mut splitter = splitter();
-    assert_eq!(splitter.push(b"id: 1\ndata: a\n").as_deref(), None);
-    assert_eq!(splitter.push(b"\nid: 2\nda").as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(splitter.push(Bytes::from_static(b"id: 1\ndata: a\n")).as_deref(), None);
+    assert_eq!(
+        splitter.push(Bytes::from_static(b"\nid: 2\nda")).as_deref(),
+        Some(&b"id: 1\ndata: a\n\n"[..])
+    );
     assert_eq!(splitter.last_id(), Some("1"));
     splitter.discard_partial();
-    assert_eq!(splitter.push(b"id:2\ndata: b\n\n").as_deref(), Some(&b"id:2\ndata: b\n\n"[..]));
+    assert_eq!(
+        splitter.push(Bytes::from_static(b"id:2\ndata: b\n\n")).as_deref(),
+        Some(&b"id:2\ndata: b\n\n"[..])
+    );
     assert_eq!(splitter.last_id(), Some("2"));
     assert!(splitter.remainder().is_none());
 }
 
+/// Splits `text` at every `step` bytes; returns what was relayed, with the remainder.
+fn relay(splitter: &mut EventSplitter, text: &[u8], step: usize) -> Vec<u8> {
+    let mut relayed = Vec::new();
+    for part in text.chunks(step) {
+        relayed.extend(splitter.push(Bytes::copy_from_slice(part)).into_iter().flatten());
+    }
+    relayed.extend(splitter.remainder().into_iter().flatten());
+    relayed
+}
+
+/// An event of any length is relayed whole, also if it is too large to be kept.
+#[test]
+fn event_that_is_too_large_to_be_kept_is_relayed_as_it_arrives() {
+    let data = "x".repeat(3 * constants::PARTIAL_EVENT_MAX_BYTES);
+    let text = format!("id: 1\ndata: a\n\nid: 2\ndata: {data}\n\nid: 3\ndata: c\n\nid: 4");
+    let budget = ByteBudget::new(usize::MAX);
+    for step in [1, 1000, constants::PARTIAL_EVENT_MAX_BYTES * 2] {
+        let mut splitter = EventSplitter::new(None, budget.reservation());
+        assert_eq!(relay(&mut splitter, text.as_bytes(), step), text.as_bytes());
+        assert!(!splitter.is_resumable());
+    }
+    assert!(budget.usage().peak <= constants::PARTIAL_EVENT_MAX_BYTES);
+    assert_eq!(budget.usage().reserved, 0);
+}
+
+#[test]
+fn partial_event_within_the_limit_leaves_the_stream_resumable() {
+    let text = format!("id: 1\ndata: {}", "x".repeat(constants::PARTIAL_EVENT_MAX_BYTES - 12));
+    let mut splitter = splitter();
+    assert_eq!(splitter.push(Bytes::from(text.clone().into_bytes())), None);
+    assert!(splitter.is_resumable());
+    let end = splitter.push(Bytes::from_static(b"\n\nid: 2")).unwrap();
+    assert_eq!(end.len(), text.len() + 2);
+    assert_eq!(splitter.last_id(), Some("1"));
+}
+
+#[test]
+fn full_budget_lets_a_stream_pass_unkept_and_leaves_the_others_alone() {
+    let budget = ByteBudget::new(20);
+    let mut first = EventSplitter::new(None, budget.reservation());
+    let mut second = EventSplitter::new(None, budget.reservation());
+    assert_eq!(first.push(Bytes::from_static(b"data: 0123456789")), None);
+    let passed = second.push(Bytes::from_static(b"data: 0123456789"));
+    assert_eq!(passed.as_deref(), Some(&b"data: 0123456789"[..]));
+    assert!(!second.is_resumable() && first.is_resumable());
+    assert!(first.push(Bytes::from_static(b"\n\n")).is_some());
+    assert_eq!(budget.usage().reserved, 0);
+}
+
 proptest::proptest! {
     #[test]
     fn splitting_anywhere_neither_loses_nor_repeats_events(cuts in proptest::collection::vec(1usize..9, 1..40)) {
@@ -24,7 +79,7 @@
         let (mut splitter, mut received, mut at) = (splitter(), Vec::new(), 0);
         for len in cuts {
             let end = (at + len).min(text.len());
-            if let Some(events) = splitter.push(&text.as_bytes()[at..end]) {
+            if let Some(events) = splitter.push(Bytes::copy_from_slice(&text.as_bytes()[at..end])) {
                 proptest::prop_assert!(events.ends_with(b"\n\n"));
                 received.extend_from_slice(&events);
             }
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -97,7 +97,7 @@
     );
     loop {
         let deadline = responding.request.deadline;
-        let forwarding = forward_body(&mut responding.body, |bytes| splitter.push(&bytes), chunks);
+        let forwarding = forward_body(&mut responding.body, |bytes| splitter.push(bytes), chunks);
         match tokio::time::timeout_at(deadline, forwarding).await.unwrap_or(BodyEnd::PastDeadline) {
             BodyEnd::Complete => {
                 record_response_time(&router.response_times, &responding.request);
@@ -112,6 +112,9 @@
             BodyEnd::PastDeadline => return increment(&router.counters.responses_past_deadline),
             BodyEnd::Truncated => record_truncation(router, &responding),
         }
+        if !splitter.is_resumable() {
+            return;
+        }
         splitter.discard_partial();
         let Some(next) = resume(router, responding, splitter.last_id()).await else { return };
         router.counters.resumed.fetch_add(1, Ordering::Relaxed);
--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -1,6 +1,9 @@
 //! What an engine makes the router keep: bounds, and how it shows.
 
-use super::harness::{AfterResponse, Fleet, StubEngine, chunk, event, stream_head, wait_until};
+use super::harness::{
+    AfterResponse, Fleet, StubEngine, chunk, event, request, stream_head, wait_until,
+};
+use fleet_core::constants;
 use std::sync::atomic::Ordering;
 
 #[tokio::test]
@@ -11,8 +14,7 @@
     })
     .await;
     let fleet = Fleet::start(&[&engine]).await;
-    let response =
-        fleet.send_raw_until_close(super::harness::request("/on/x", "").as_bytes()).await;
+    let response = fleet.send_raw_until_close(request("/on/x", "").as_bytes()).await;
     assert!(response.contains("data: x1") && !response.contains("part"), "{response}");
     let counters = &fleet.router.counters;
     wait_until(|| counters.responses_broken_by_engine.load(Ordering::Relaxed) > 0).await;
@@ -20,3 +22,28 @@
     wait_until(|| usage().reserved == 0).await;
     assert_eq!(usage().peak, "id: 2\ndata: part".len());
 }
+
+/// An event that is too large to be kept, and an engine that breaks off after it.
+#[tokio::test]
+async fn a_stream_with_a_too_large_event_is_relayed_whole_and_not_resumed() {
+    let large = format!("id: 2\ndata: {}\n\n", "x".repeat(3 * constants::PARTIAL_EVENT_MAX_BYTES));
+    let text = large.clone();
+    let engine = StubEngine::start("e1", move |number, received| {
+        let start = format!("{}{}{}", stream_head(received, ""), chunk(&event(1)), chunk(&text));
+        match number {
+            1 => (format!("{start}0\r\n\r\n").into_bytes(), AfterResponse::KeepOpen),
+            _ => (start.into_bytes(), AfterResponse::Close),
+        }
+    })
+    .await;
+    let fleet = Fleet::start(&[&engine]).await;
+    let text = |response: &str| {
+        response.split("\r\n").filter(|line| line.contains(['x', '\n'])).collect::<String>()
+    };
+    let whole = fleet.send("/on/x", "").await;
+    assert!(whole.ends_with("0\r\n\r\n"));
+    assert!(text(&whole).contains(&large), "{} bytes", whole.len());
+    let broken = fleet.send_raw_until_close(request("/on/x", "").as_bytes()).await;
+    assert!(text(&broken).contains(&large) && !broken.ends_with("0\r\n\r\n"));
+    assert_eq!(engine.received_count(), 2, "resuming would repeat a part of the event");
+}
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -32,6 +32,10 @@
 /// Number of body chunks, of one event each, that are read ahead of the client, so that slow clients slow down the
 /// engine.
 pub const RESPONSE_QUEUE_CHUNKS: usize = 4;
+/// Largest partial event of a resumable stream that is kept, in bytes; events are a few hundred bytes long.
+pub const PARTIAL_EVENT_MAX_BYTES: usize = 256 << 10;
+/// Limit on the partial events of all streams together, in bytes.
+pub const PARTIAL_EVENTS_BUDGET_BYTES: usize = 8 << 20;
 /// An idle connection is closed after this time, before engines usually close it.
 pub const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which a request that must not be retried uses another connection, until a safe idle time has been
