The body of a rejection is discarded as it is read, and at most 64 KiB of it

Callers saw: nothing by itself; beside other floods their router had less left. Cause: the body of a rejection was collected for 50 ms, whatever its length, only so that its connection could be reused. Change: proxy/rejection_body.rs reads and keeps nothing; a body over 64 KiB ends the connection and ejects the engine.

--- a/crates/data-plane/src/memory.rs
+++ b/crates/data-plane/src/memory.rs
@@ -1,4 +1,4 @@
-//! Budgets of the bytes that engines make this router keep.
+//! Budgets of the bytes that other processes make this router keep.
 
 use fleet_core::byte_budget::ByteBudget;
 use fleet_core::constants;
@@ -9,22 +9,17 @@
 pub struct MemoryBudgets {
     /// Partial events of streams that may be resumed.
     pub partial_events: Arc<ByteBudget>,
-    /// Bodies of rejections, which are read only so that the connection can be reused.
-    pub rejection_bodies: Arc<ByteBudget>,
 }
 
 impl Default for MemoryBudgets {
     fn default() -> Self {
-        MemoryBudgets {
-            partial_events: ByteBudget::new(constants::PARTIAL_EVENTS_BUDGET_BYTES),
-            rejection_bodies: ByteBudget::new(usize::MAX),
-        }
+        MemoryBudgets { partial_events: ByteBudget::new(constants::PARTIAL_EVENTS_BUDGET_BYTES) }
     }
 }
 
 impl MemoryBudgets {
     /// All places, as named in the metrics.
-    pub fn places(&self) -> [Place<'_>; 2] {
-        [("partial_events", &self.partial_events), ("rejection_bodies", &self.rejection_bodies)]
+    pub fn places(&self) -> [Place<'_>; 1] {
+        [("partial_events", &self.partial_events)]
     }
 }
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -2,9 +2,9 @@
 
 use super::dispatch_load::DispatchLoad;
 use super::headers;
-use super::passive_health;
 use super::response_check::{self, SentRequest, Verdict};
 use super::stage::{Accepted, ClientRequest, Dispatched, Responding};
+use super::{passive_health, rejection_body};
 use crate::Router;
 use crate::fleet_view::FleetView;
 use crate::fleet_view::routing_table::RetryMode;
@@ -17,8 +17,6 @@
 use fleet_core::constants;
 use fleet_core::log::Event;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body::Body;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -254,7 +252,7 @@
                 if status == StatusCode::MISDIRECTED_REQUEST {
                     router.counters.version_mismatches.fetch_add(1, Ordering::Relaxed);
                 }
-                drain_rejection_body(router, connection, body);
+                rejection_body::discard(&router.log, engine.clone(), connection, body);
                 Outcome::NotExecuted(dispatched.not_executed(proof))
             }
             Verdict::Invalid(error) => {
@@ -312,31 +310,3 @@
     }
     Some(outgoing)
 }
-
-/// Reads the body of a rejection in a task of its own, limited by a timeout, only so that the connection can be
-/// reused.
-fn drain_rejection_body(router: &Router, connection: RespondingConnection, mut body: Incoming) {
-    if body.is_end_stream() {
-        return connection.release();
-    }
-    let mut reservation = router.memory.rejection_bodies.reservation();
-    tokio::spawn(async move {
-        let mut chunks = Vec::new();
-        let reading = async {
-            let mut length = 0;
-            while let Some(frame) = body.frame().await {
-                let Ok(frame) = frame else { return false };
-                length += frame.data_ref().map_or(0, bytes::Bytes::len);
-                chunks.push(frame);
-                let _ = reservation.resize(length);
-            }
-            true
-        };
-        if matches!(
-            tokio::time::timeout(constants::REJECTION_BODY_TIMEOUT, reading).await,
-            Ok(true)
-        ) {
-            connection.release();
-        }
-    });
-}
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 //! | [`response_check`] | validates the head of an engine's response |
 //! | [`relay`] | passes the body on, and resumes a broken stream |
 //! | [`response`] | response bodies, and responses that the router itself makes |
+//! | [`rejection_body`] | discards the body of a rejection, so that the connection can be reused |
 //! | [`response_time`] | estimates response times, for a router that shuts down |
 //! | [`in_flight`] | counts the requests whose response is not complete |
 //!
@@ -19,6 +20,7 @@
 pub mod headers;
 pub mod in_flight;
 pub mod passive_health;
+pub mod rejection_body;
 pub mod relay;
 pub mod request;
 pub mod response;
--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -1,7 +1,8 @@
 //! What an engine makes the router keep: bounds, and how it shows.
 
 use super::harness::{
-    AfterResponse, Fleet, StubEngine, chunk, event, request, stream_head, wait_until,
+    AfterResponse, Fleet, StubEngine, chunk, event, request, sealed_head, status, stream_head,
+    wait_until,
 };
 use fleet_core::constants;
 use std::sync::atomic::Ordering;
@@ -47,3 +48,31 @@
     assert!(text(&broken).contains(&large) && !broken.ends_with("0\r\n\r\n"));
     assert_eq!(engine.received_count(), 2, "resuming would repeat a part of the event");
 }
+
+/// A rejection whose body is longer than any explanation.
+#[tokio::test]
+async fn an_engine_with_a_too_long_rejection_body_is_ejected_and_its_connection_not_reused() {
+    for (length, is_ejected) in [
+        (constants::REJECTION_BODY_MAX_BYTES, false),
+        (constants::REJECTION_BODY_MAX_BYTES + 1, true),
+    ] {
+        let body = vec![b'x'; length];
+        let engine = StubEngine::start("e1", move |_, received| {
+            let length = format!("X-Not-Executed: 1\r\nContent-Length: {length}\r\n");
+            let head = sealed_head(received, "503 Full", &length);
+            ([head.into_bytes(), body.clone()].concat(), AfterResponse::KeepOpen)
+        })
+        .await;
+        let fleet = Fleet::start(&[&engine]).await;
+        assert_eq!(status(&fleet.send("/once/x", "").await), 503);
+        let handle = fleet.router.fleet_view.engines.read()["e1"].clone();
+        let idle = || {
+            let now = tokio::time::Instant::now();
+            handle.activity().has_idle_connection(now, std::time::Duration::MAX)
+        };
+        let is_decided = || idle() || handle.is_ejected(tokio::time::Instant::now());
+        wait_until(is_decided).await;
+        assert_eq!(handle.is_ejected(tokio::time::Instant::now()), is_ejected, "{length}");
+        assert_eq!(idle(), !is_ejected, "{length}");
+    }
+}
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -29,6 +29,8 @@
 pub const MIN_CONNECTIONS: usize = 2;
 /// How long the remaining body of a rejected request is read so that its connection can be reused.
 pub const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+/// A longer rejection body, in bytes, is not read to its end; its connection is closed and the engine is ejected.
+pub const REJECTION_BODY_MAX_BYTES: usize = 64 << 10;
 /// Number of body chunks, of one event each, that are read ahead of the client, so that slow clients slow down the
 /// engine.
 pub const RESPONSE_QUEUE_CHUNKS: usize = 4;
