An engine that sends bytes without a response is cut off after 128 KiB and ejected

Callers saw: their request at such an engine ended at its deadline with 504, while interim responses or the size of a chunk took the router's processor; on a connection that had been idle the failure counted as the engine's idle timeout: it was not ejected, and all idle connections were closed. Cause: hyper bounds a head and keeps nothing of its framing, but reads framing and interim responses for as long as they come; the kind of the failure was not looked at. Change: pool/engine_stream.rs counts what arrives while a response makes no progress; what is malformed ejects, whatever connection it came on. A long response to a slow client stays whole.

--- a/crates/data-plane/src/pool/connection.rs
+++ b/crates/data-plane/src/pool/connection.rs
@@ -2,16 +2,15 @@
 //! and [`RespondingConnection`]; then it is idle again, or closed by being dropped.
 
 use super::EngineHandle;
+use super::engine_stream::{EngineBody, EngineStream, IdleBytes};
 use super::idle_timeout::IdleTimeout;
 use crate::Router;
 use fleet_core::constants;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// The body of an outgoing request, in one piece.
@@ -41,6 +40,8 @@
     Uncertain,
     /// a reused idle connection was reset, perhaps closed by the engine before; the request may have run
     IdleReset,
+    /// the engine sent bytes that are no response; the request may have run
+    Malformed,
 }
 
 /// Counts an open connection to an engine until dropped.
@@ -58,6 +59,7 @@
 
 struct EngineConnection {
     sender: SendRequest<RequestBody>,
+    idle_bytes: Arc<IdleBytes>,
     permit: ConnectionPermit,
     idle_since: Arc<IdleSince>,
     idle_timeout: Arc<IdleTimeout>,
@@ -153,16 +155,17 @@
         .await
         .map_err(ConnectionError::Connect)?;
     router.counters.engine_connections.fetch_add(1, Ordering::Relaxed);
+    let idle_bytes = Arc::<IdleBytes>::default();
     let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
         .max_buf_size(constants::ENGINE_READ_BUFFER)
-        .handshake(TokioIo::new(io))
+        .handshake(TokioIo::new(EngineStream::new(io, idle_bytes.clone())))
         .await
         .map_err(|_| ConnectionError::Closed)?;
     let idle_since = Arc::<IdleSince>::default();
     tokio::spawn(drive_connection(connection, idle_since.clone(), engine.clone()));
     sender.ready().await.map_err(|_| ConnectionError::Closed)?;
     Ok(PooledConnection {
-        inner: EngineConnection { sender, permit, idle_since, idle_timeout },
+        inner: EngineConnection { sender, idle_bytes, permit, idle_since, idle_timeout },
         idle_time: None,
     })
 }
@@ -184,7 +187,7 @@
 
 /// Drives the connection's I/O, and records if the engine closed it while it was idle.
 async fn drive_connection(
-    connection: Connection<TokioIo<TcpStream>, RequestBody>,
+    connection: Connection<TokioIo<EngineStream>, RequestBody>,
     idle_since: Arc<IdleSince>,
     engine: Arc<EngineHandle>,
 ) {
@@ -209,20 +212,25 @@
     pub async fn send(
         mut self,
         request: http::Request<RequestBody>,
-    ) -> Result<(RespondingConnection, http::Response<Incoming>), SendError> {
+    ) -> Result<(RespondingConnection, http::Response<EngineBody>), SendError> {
         if self.inner.sender.ready().await.is_err() {
             return Err(SendError::NotSent(NotSent(())));
         }
+        self.inner.idle_bytes.reset();
         match self.inner.sender.try_send_request(request).await {
             Ok(response) => {
                 if let Some(idle_time) = self.idle_time {
                     self.inner.idle_timeout.record_reuse(idle_time, Instant::now());
                 }
+                self.inner.idle_bytes.reset();
                 let idle_limit = keep_alive_limit(response.headers());
+                let idle_bytes = self.inner.idle_bytes.clone();
+                let response = response.map(|body| EngineBody::new(body, idle_bytes));
                 Ok((RespondingConnection { inner: self.inner, idle_limit }, response))
             }
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(SendError::NotSent(NotSent(()))),
+                None if is_malformed(error.error()) => Err(SendError::Malformed),
                 None => Err(self.uncertain_send_error()),
             },
         }
@@ -243,6 +251,14 @@
     }
 }
 
+/// Whether the engine sent bytes that are no response, or too many before a response head was complete.
+fn is_malformed(error: &hyper::Error) -> bool {
+    let cause = std::error::Error::source(error).and_then(|cause| cause.downcast_ref());
+    error.is_parse()
+        || cause
+            .is_some_and(|cause: &std::io::Error| cause.kind() == std::io::ErrorKind::InvalidData)
+}
+
 /// How long the connection may be idle by the response headers, with a margin; `None` if the engine closes it.
 fn keep_alive_limit(headers: &http::HeaderMap) -> Option<Duration> {
     let text =
--- a/crates/data-plane/src/pool/mod.rs
+++ b/crates/data-plane/src/pool/mod.rs
@@ -2,14 +2,16 @@
 //!
 //! An [`EngineHandle`] exists as long as its engine is known. It keeps its load and its idle connections under one
 //! lock, and no two of these locks are held together. A connection is checked out for one request ([`connection`]),
-//! and returns to the pool after a response whose end could be verified. [`idle_timeout`] estimates how long engines
-//! keep idle connections.
+//! and returns to the pool after a response whose end could be verified. [`engine_stream`] limits the
+//! bytes that are no response, and [`idle_timeout`] estimates how long engines keep idle connections.
 
 pub mod connection;
 pub mod engine;
+pub mod engine_stream;
 pub mod idle_timeout;
 
 pub use engine::{EngineActivity, EngineHandle, Health, ReportedLoad};
+pub use engine_stream::EngineBody;
 
 use fleet_core::constants;
 use fleet_core::wire::EngineState;
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::fleet_view::FleetView;
 use crate::fleet_view::routing_table::RetryMode;
 use crate::load_balancer::{self, Choice};
+use crate::pool::EngineBody;
 use crate::pool::connection::{
     self, CheckoutOptions, ConnectionError, PooledConnection, RequestBody, RespondingConnection,
     SendError,
@@ -17,7 +18,6 @@
 use fleet_core::constants;
 use fleet_core::log::Event;
 use http::{HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -219,6 +219,10 @@
                 self.record_connection_failure(router, "connection closed without a response");
                 Outcome::Uncertain(dispatched)
             }
+            SendError::Malformed => {
+                self.record_connection_failure(router, "sent bytes that are no response");
+                Outcome::Uncertain(dispatched)
+            }
             SendError::IdleReset => {
                 router.counters.idle_resets.fetch_add(1, Ordering::Relaxed);
                 Outcome::Uncertain(dispatched.idle_reset())
@@ -232,7 +236,7 @@
         router: &Router,
         dispatched: Dispatched,
         connection: RespondingConnection,
-        response: Response<Incoming>,
+        response: Response<EngineBody>,
     ) -> Outcome {
         let (head, body) = response.into_parts();
         let request = dispatched.request();
--- a/crates/data-plane/src/proxy/rejection_body.rs
+++ b/crates/data-plane/src/proxy/rejection_body.rs
@@ -1,12 +1,11 @@
 //! Reads the body of a rejection, only so that its connection can be reused.
 
 use super::passive_health;
-use crate::pool::EngineHandle;
 use crate::pool::connection::RespondingConnection;
+use crate::pool::{EngineBody, EngineHandle};
 use fleet_core::constants;
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::sync::Arc;
 
 /// How reading a body ended.
@@ -25,7 +24,7 @@
     log: &slog::Logger,
     engine: Arc<EngineHandle>,
     connection: RespondingConnection,
-    body: Incoming,
+    body: EngineBody,
 ) {
     if body.is_end_stream() {
         return connection.release();
@@ -43,7 +42,7 @@
     });
 }
 
-async fn read(mut body: Incoming) -> Discarded {
+async fn read(mut body: EngineBody) -> Discarded {
     let mut length = 0;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return Discarded::Incomplete };
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -8,12 +8,12 @@
 use super::{headers, passive_health};
 use crate::Router;
 use crate::fleet_view::routing_table::RetryMode;
+use crate::pool::EngineBody;
 use bytes::Bytes;
 use fleet_core::constants;
 use http::{Response, header};
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::mpsc;
@@ -141,7 +141,7 @@
 
 /// Forwards what `split` returns for each received chunk.
 async fn forward_body(
-    body: &mut Incoming,
+    body: &mut EngineBody,
     mut split: impl FnMut(Bytes) -> Option<Bytes>,
     chunks: &mpsc::Sender<BodyChunk>,
 ) -> BodyEnd {
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -11,6 +11,7 @@
 use super::response_check::{NotExecuted, RelayableHead};
 use crate::fleet_view::routing_table::{RetryMode, RoutingTable, Tenant};
 use crate::load_balancer::prompt::Prompt;
+use crate::pool::EngineBody;
 use crate::pool::connection::{NotSent, RespondingConnection};
 use crate::shutdown::Phase;
 use crate::{Counters, Router};
@@ -19,7 +20,6 @@
 use fleet_core::constants;
 use fleet_core::log::Event;
 use http::{HeaderMap, HeaderValue, Response};
-use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use tokio::time::Instant;
@@ -105,7 +105,7 @@
     /// The validated response head.
     pub head: RelayableHead,
     /// The response body, as it arrives.
-    pub body: Incoming,
+    pub body: EngineBody,
 }
 
 impl Accepted {
@@ -203,7 +203,7 @@
         load: DispatchLoad,
         connection: RespondingConnection,
         head: RelayableHead,
-        body: Incoming,
+        body: EngineBody,
     ) -> Responding {
         Responding { request: self.request, load, connection, head, body }
     }
--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -1,11 +1,12 @@
 //! What an engine makes the router keep: bounds, and how it shows.
 
 use super::harness::{
-    AfterResponse, Fleet, StubEngine, chunk, event, request, sealed_head, status, stream_head,
-    wait_until,
+    AfterResponse, Fleet, StubEngine, advance_time, chunk, complete_stream, event, request,
+    sealed_head, status, stream_head, wait_until,
 };
 use fleet_core::constants;
 use std::sync::atomic::Ordering;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[tokio::test]
 async fn a_truncated_response_is_counted_and_its_partial_event_given_back() {
@@ -76,3 +77,80 @@
         assert_eq!(idle(), !is_ejected, "{length}");
     }
 }
+
+/// Bytes that are no response, on a new connection and on one that was idle for so long that its engine might have
+/// closed it.
+#[tokio::test]
+async fn an_engine_that_sends_no_response_is_ejected_whatever_connection_it_used() {
+    let floods: [(&str, Vec<u8>); 4] = [
+        ("interim responses", b"HTTP/1.1 100 Continue\r\n\r\n".repeat(20_000)),
+        ("field without end", [&b"HTTP/1.1 200 OK\r\nX-Fill: "[..], &[b'x'; 1 << 19]].concat()),
+        ("garbage", vec![b'x'; 1 << 19]),
+        ("line ends", b"\r\n".repeat(1 << 18)),
+    ];
+    for (name, flood) in floods {
+        for sound_responses in [0, 1] {
+            let flood = flood.clone();
+            let engine = StubEngine::start("e1", move |number, received| {
+                if number <= sound_responses {
+                    return (complete_stream(received, 1..=1), AfterResponse::KeepOpen);
+                }
+                (flood.clone(), AfterResponse::KeepOpen)
+            })
+            .await;
+            let fleet = Fleet::start(&[&engine]).await;
+            for _ in 0..sound_responses {
+                assert_eq!(status(&fleet.send("/twice/x", "").await), 200);
+                advance_time(constants::IDLE_TIMEOUT_MIN * 2).await;
+            }
+            assert_eq!(status(&fleet.send("/twice/x", "").await), 502, "{name}");
+            let handle = fleet.router.fleet_view.engines.read()["e1"].clone();
+            assert!(handle.is_ejected(tokio::time::Instant::now()), "{name}, {sound_responses}");
+            assert_eq!(fleet.router.counters.idle_resets.load(Ordering::Relaxed), 0, "{name}");
+        }
+    }
+}
+
+/// The size of a chunk, and chunk extensions, may be long but not endless.
+#[tokio::test]
+async fn framing_without_end_truncates_the_response_and_ejects_the_engine() {
+    for flood in [vec![b'0'; 1 << 19], [&b"1;"[..], &[b'x'; 1 << 19]].concat()] {
+        let engine = StubEngine::start("e1", move |_, received| {
+            let head = stream_head(received, "") + &chunk(&event(1));
+            ([head.as_bytes(), &flood[..]].concat(), AfterResponse::KeepOpen)
+        })
+        .await;
+        let fleet = Fleet::start(&[&engine]).await;
+        let response = fleet.send_raw_until_close(request("/once/x", "").as_bytes()).await;
+        assert_eq!(status(&response), 200);
+        assert!(!response.ends_with("0\r\n\r\n"));
+        let handle = fleet.router.fleet_view.engines.read()["e1"].clone();
+        assert!(handle.is_ejected(tokio::time::Instant::now()));
+    }
+}
+
+/// What is read ahead of a client that doesn't read is progress: its response is whole once it reads.
+#[tokio::test]
+async fn a_long_response_to_a_slow_client_is_relayed_whole() {
+    let body_chunk = "x".repeat(100_000);
+    let text = body_chunk.clone();
+    let engine = StubEngine::start("e1", move |_, received| {
+        let chunks = chunk(&text).repeat(40);
+        let head = stream_head(received, "");
+        ([head.as_bytes(), chunks.as_bytes(), b"0\r\n\r\n"].concat(), AfterResponse::KeepOpen)
+    })
+    .await;
+    let fleet = Fleet::start(&[&engine]).await;
+    let mut client = fleet.connect().await;
+    client.write_all(request("/once/x", "").as_bytes()).await.unwrap();
+    client.readable().await.unwrap();
+    for _ in 0..2000 {
+        tokio::task::yield_now().await;
+    }
+    let mut response = Vec::new();
+    while !response.ends_with(b"0\r\n\r\n") {
+        assert_ne!(client.read_buf(&mut response).await.unwrap(), 0, "{} bytes", response.len());
+    }
+    let relayed = response.iter().filter(|byte| **byte == b'x').count();
+    assert!(relayed >= 40 * body_chunk.len());
+}
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -57,6 +57,9 @@
 pub const IDLE_TIMEOUT_MAX_DOUBLINGS: f64 = 16.0;
 /// Read buffer for an engine's response, in bytes: a few events of a stream.
 pub const ENGINE_READ_BUFFER: usize = 32 << 10;
+/// Largest number of bytes that an engine may send while its response makes no progress. Covers a head, and what is read
+/// ahead of a slow client.
+pub const IDLE_BYTES_MAX: usize = 4 * ENGINE_READ_BUFFER;
 /// Prefill rate of an engine, in tokens per ms, until it has been measured.
 pub const PREFILL_TOKENS_PER_MS: f64 = 35.0;
 /// Cost, in ms, that one more running request adds to the others.
