An engine whose responses answer nothing three times in a row is ejected

Callers saw: an engine that answers at once with something that is no answer to the request stays the least loaded, and draws more requests that fail. Change: three in a row eject it as a broken connection does; rejections without proof don't count, since such an engine is alive and full. Evidence: new test; without the change nothing ejects there.

--- a/crates/data-plane/src/pool/engine.rs
+++ b/crates/data-plane/src/pool/engine.rs
@@ -65,6 +65,8 @@
     ejected_until: Option<Instant>,
     /// Length of the last ejection; zero once the engine responds.
     ejection_time: Duration,
+    /// Invalid responses since the last valid one.
+    invalid_responses: u32,
     /// For an engine that has just started: number of responses to prefill-heavy requests, and the sum of their
     /// latencies.
     warm_up_latencies: (u64, Duration),
@@ -235,9 +237,18 @@
         let mut activity = self.activity();
         activity.ejection_time = Duration::ZERO;
         activity.ejected_until = None;
+        activity.invalid_responses = 0;
         activity.suspected_idle_close.take()
     }
 
+    /// Records a response that was no answer to its request; true if there were so many in a row that the engine is to be
+    /// ejected.
+    pub fn record_invalid_response(&self) -> bool {
+        let mut activity = self.activity();
+        activity.invalid_responses += 1;
+        activity.invalid_responses >= constants::MAX_INVALID_RESPONSES
+    }
+
     /// Records that it closed a connection after `idle_time`. Ignored if the connection was hardly idle, so that the
     /// engine's failure is the likely cause, and for an engine that is not ready, which closes its connections
     /// because it exits.
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -16,7 +16,6 @@
 };
 use crate::shutdown::Phase;
 use fleet_core::constants;
-use fleet_core::log::Event;
 use http::{HeaderValue, Request, Response, StatusCode};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -260,8 +259,7 @@
                 Outcome::NotExecuted(dispatched.not_executed(proof))
             }
             Verdict::Invalid(error) => {
-                fleet_core::log_event!(router.log, Event::ResponseRejected, "id" => &engine.id,
-                    "status" => status.as_u16(), "why" => error.to_string());
+                passive_health::record_invalid_response(&router.log, engine, status, error);
                 Outcome::Uncertain(dispatched)
             }
             Verdict::Relay(head) => {
--- a/crates/data-plane/src/proxy/passive_health.rs
+++ b/crates/data-plane/src/proxy/passive_health.rs
@@ -1,6 +1,7 @@
 //! Passive health checks: what responses and connection failures show about an engine.
 
 use super::headers;
+use super::response_check::InvalidResponse;
 use super::stage::ClientRequest;
 use crate::fleet_view::FleetView;
 use crate::load_balancer::Choice;
@@ -65,6 +66,22 @@
     fleet_core::log_event!(log, Event::EngineError, "id" => &engine.id, "why" => reason);
 }
 
+/// Logs a response that is not relayed, and ejects an engine that sends several in a row. A rejection without proof is
+/// not counted: the engine is alive and says that it is full.
+pub fn record_invalid_response(
+    log: &slog::Logger,
+    engine: &EngineHandle,
+    status: StatusCode,
+    error: InvalidResponse,
+) {
+    fleet_core::log_event!(log, Event::ResponseRejected, "id" => &engine.id,
+        "status" => status.as_u16(), "why" => error.to_string());
+    let is_counted = error != InvalidResponse::UnprovenRejection;
+    if is_counted && engine.record_invalid_response() {
+        record_connection_failure(log, engine, "invalid responses in a row");
+    }
+}
+
 /// Logs how an engine's first response times after its start compare with the mean of all engines.
 fn record_prefill_heavy_latency(
     log: &slog::Logger,
--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -154,3 +154,30 @@
     let relayed = response.iter().filter(|byte| **byte == b'x').count();
     assert!(relayed >= 40 * body_chunk.len());
 }
+
+/// Valid HTTP that answers no request, or says that the engine is full without proof.
+#[tokio::test]
+async fn an_engine_is_ejected_after_several_responses_that_answer_nothing() {
+    let unsealed = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let unproven = "HTTP/1.1 503 Full\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n";
+    for (response, is_faulty) in [(unsealed, true), (unproven, false)] {
+        let engine = StubEngine::start("e1", move |number, received| {
+            let is_sound = number == constants::MAX_INVALID_RESPONSES as usize;
+            if is_sound {
+                return (complete_stream(received, 1..=1), AfterResponse::KeepOpen);
+            }
+            (response.as_bytes().to_vec(), AfterResponse::KeepOpen)
+        })
+        .await;
+        let fleet = Fleet::start(&[&engine]).await;
+        let handle = fleet.router.fleet_view.engines.read()["e1"].clone();
+        for number in 1..2 * constants::MAX_INVALID_RESPONSES {
+            assert!(!handle.is_ejected(tokio::time::Instant::now()), "a sound one was in between");
+            let expected = if number == constants::MAX_INVALID_RESPONSES { 200 } else { 502 };
+            assert_eq!(status(&fleet.send("/once/x", "").await), expected);
+        }
+        assert!(!handle.is_ejected(tokio::time::Instant::now()));
+        assert_eq!(status(&fleet.send("/once/x", "").await), 502);
+        assert_eq!(handle.is_ejected(tokio::time::Instant::now()), is_faulty);
+    }
+}
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -125,6 +125,9 @@
 pub const AFFINITY_HIT_RATE: f64 = 0.8;
 /// An engine that broke a connection is ejected for this long; doubles.
 pub const BASE_EJECTION_TIME: Duration = Duration::from_millis(400);
+/// An engine is ejected after this many responses in a row that were no answers to their requests; one alone may be an
+/// answer that came late.
+pub const MAX_INVALID_RESPONSES: u32 = 3;
 /// Maximum ejection time.
 pub const MAX_EJECTION_TIME: Duration = Duration::from_millis(3200);
 /// A response to a client is sent this long before its deadline.
