An engine is ejected while its body goes on without an end; large bodies take turns

Callers saw: an engine with valid heads and bodies without an end drew new requests until their deadlines, since each head cleared its failures; beside many such bodies other responses waited. Cause: only a connection that broke counted against an engine. Change: proxy/body_progress.rs measures a stream since its last complete event and another body as a whole. Over 8 MiB ejects: at once for an event, at the deadline for a body. The response is relayed on, since an answer may have any length; only a complete body clears such an engine. Beyond 256 KiB a response yields to all other tasks before each part. Evidence: new tests of both; without the change nothing ejects there.

--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -69,6 +69,8 @@
     pub open_connections: AtomicUsize,
     /// Requests accepted whose response is not yet complete.
     pub in_flight: Arc<proxy::in_flight::InFlight>,
+    /// Held for each part of a large body that is relayed, so that such bodies take turns.
+    pub bulk_turn: tokio::sync::Semaphore,
     random: RandomSource,
 }
 
@@ -89,6 +91,7 @@
             response_times: proxy::response_time::ResponseTimes::default(),
             open_connections: AtomicUsize::new(0),
             in_flight: Arc::default(),
+            bulk_turn: tokio::sync::Semaphore::new(1),
             settings: parking_lot::RwLock::new(Arc::new(settings)),
             node,
             log,
--- a/crates/data-plane/src/pool/engine.rs
+++ b/crates/data-plane/src/pool/engine.rs
@@ -65,6 +65,8 @@
     ejected_until: Option<Instant>,
     /// Length of the last ejection; zero once the engine responds.
     ejection_time: Duration,
+    /// Whether a body of it had no end; such an engine sends valid heads, so that only a complete body clears it.
+    had_endless_body: bool,
     /// Invalid responses since the last valid one.
     invalid_responses: u32,
     /// For an engine that has just started: number of responses to prefill-heavy requests, and the sum of their
@@ -94,6 +96,23 @@
         total
     }
 
+    /// Begins an ejection, twice as long as the last one; false if one is under way.
+    fn eject(&mut self, now: Instant) -> bool {
+        if self.ejected_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        self.ejection_time = (self.ejection_time * 2)
+            .clamp(constants::BASE_EJECTION_TIME, constants::MAX_EJECTION_TIME);
+        self.ejected_until = Some(now + self.ejection_time);
+        true
+    }
+
+    fn clear_failures(&mut self) {
+        self.ejection_time = Duration::ZERO;
+        self.ejected_until = None;
+        self.invalid_responses = 0;
+    }
+
     /// Whether there is an open connection that has been idle for at most `max_idle_time`.
     pub fn has_idle_connection(&self, now: Instant, max_idle_time: Duration) -> bool {
         self.idle
@@ -222,22 +241,31 @@
 
     /// Ejects it after a connection failure; the ejection time doubles each time up to a limit.
     pub fn record_failure(&self, now: Instant) {
+        self.activity().eject(now);
+    }
+
+    /// Ejects it while a body of it goes on without an end; true if it was not ejected before.
+    pub fn record_endless_body(&self, now: Instant) -> bool {
         let mut activity = self.activity();
-        if activity.ejected_until.is_some_and(|until| now < until) {
-            return;
+        activity.had_endless_body = true;
+        activity.eject(now)
+    }
+
+    /// Clears its failures after a response with a complete body.
+    pub fn record_complete_body(&self) {
+        let mut activity = self.activity();
+        if std::mem::take(&mut activity.had_endless_body) {
+            activity.clear_failures();
         }
-        activity.ejection_time = (activity.ejection_time * 2)
-            .clamp(constants::BASE_EJECTION_TIME, constants::MAX_EJECTION_TIME);
-        activity.ejected_until = Some(now + activity.ejection_time);
     }
 
-    /// Clears its failures after a response. Returns the shortest idle time after which it closed a connection, if it
+    /// Clears its failures after a response head, unless a body of it had no end. Returns the shortest idle time after which it closed a connection, if it
     /// did: the engine is alive, so its idle timeout was the cause.
     pub fn record_success(&self) -> Option<Duration> {
         let mut activity = self.activity();
-        activity.ejection_time = Duration::ZERO;
-        activity.ejected_until = None;
-        activity.invalid_responses = 0;
+        if !activity.had_endless_body {
+            activity.clear_failures();
+        }
         activity.suspected_idle_close.take()
     }
 
--- a/crates/data-plane/src/proxy/headers.rs
+++ b/crates/data-plane/src/proxy/headers.rs
@@ -121,6 +121,12 @@
     Some(Duration::from_secs_f64(ms / 1000.0))
 }
 
+/// Whether the body is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = text(headers, &header::CONTENT_TYPE).and_then(|text| text.split(';').next());
+    media_type.is_some_and(|name| name.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 /// The value of [`URGENCY`]: ordered by the tenant's priority first, then by the route's; 0 is most urgent.
 pub fn urgency(route: &Route, tenant: Option<&Tenant>) -> u64 {
     let tenant_priority = tenant.map_or(0, |t| t.priority).clamp(0, 4) as u64;
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! | [`dispatch`] | finds an engine with a connection and sends the request there |
 //! | [`response_check`] | validates the head of an engine's response |
 //! | [`relay`] | passes the body on, and resumes a broken stream |
+//! | [`body_progress`] | tells a body without an end from a long one |
 //! | [`response`] | response bodies, and responses that the router itself makes |
 //! | [`rejection_body`] | discards the body of a rejection, so that the connection can be reused |
 //! | [`response_time`] | estimates response times, for a router that shuts down |
@@ -14,6 +15,7 @@
 //! [`stage`] has a type for each state of a request (accepted, dispatched, responding). A response which promises
 //! that the request has not run can only be made from a state that proves it.
 
+pub mod body_progress;
 pub mod dispatch;
 pub mod dispatch_load;
 pub mod events;
--- a/crates/data-plane/src/proxy/passive_health.rs
+++ b/crates/data-plane/src/proxy/passive_health.rs
@@ -66,6 +66,13 @@
     fleet_core::log_event!(log, Event::EngineError, "id" => &engine.id, "why" => reason);
 }
 
+/// Ejects an engine while a body of it goes on without an end.
+pub fn record_endless_body(log: &slog::Logger, engine: &EngineHandle) {
+    if engine.record_endless_body(Instant::now()) {
+        fleet_core::log_event!(log, Event::EngineError, "id" => &engine.id, "why" => "body without an end");
+    }
+}
+
 /// Logs a response that is not relayed, and ejects an engine that sends several in a row. A rejection without proof is
 /// not counted: the engine is alive and says that it is full.
 pub fn record_invalid_response(
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -1,5 +1,6 @@
 //! Relays an engine's response as it arrives, and resumes a truncated stream at another engine where that is allowed.
 
+use super::body_progress::BodyProgress;
 use super::dispatch::{self, Outcome};
 use super::events::EventSplitter;
 use super::response::{BodyChunk, ResponseBody};
@@ -16,7 +17,7 @@
 use http_body_util::BodyExt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 /// The reason for an ejection after a truncated response, as logged.
 const RESPONSE_TRUNCATED: &str = "response body truncated";
@@ -41,25 +42,32 @@
     *response.headers_mut() = responding.head.take_headers();
     headers::strip_response(response.headers_mut());
     if responding.body.is_end_stream() {
+        responding.load.engine.record_complete_body();
         responding.connection.release();
         return response;
     }
     let resumable = responding.request.retry_mode == RetryMode::ResumeOnly && status.is_success();
+    let progress = BodyProgress::new(resumable || headers::is_event_stream(response.headers()));
     if resumable {
         response.headers_mut().remove(header::CONTENT_LENGTH);
     }
-    *response.body_mut() = relay_body(router.clone(), responding, resumable);
+    *response.body_mut() = relay_body(router.clone(), responding, progress, resumable);
     response
 }
 
 /// Relays the body in a task of its own, which ends with the body, at the deadline or when the client disconnects.
-fn relay_body(router: Arc<Router>, responding: Responding, resumable: bool) -> ResponseBody {
+fn relay_body(
+    router: Arc<Router>,
+    responding: Responding,
+    progress: BodyProgress,
+    resumable: bool,
+) -> ResponseBody {
     let (chunks, body) = mpsc::channel(constants::RESPONSE_QUEUE_CHUNKS);
     tokio::spawn(async move {
         if resumable {
-            relay_events(&router, responding, &chunks).await;
+            relay_events(&router, responding, progress, &chunks).await;
         } else {
-            relay_bytes(&router, responding, &chunks).await;
+            relay_bytes(&router, responding, progress, &chunks).await;
         }
     });
     ResponseBody::Relayed(body)
@@ -69,19 +77,17 @@
 async fn relay_bytes(
     router: &Router,
     mut responding: Responding,
+    mut progress: BodyProgress,
     chunks: &mpsc::Sender<BodyChunk>,
 ) {
-    let deadline = responding.request.deadline;
-    let forwarding = forward_body(&mut responding.body, Some, chunks);
-    match tokio::time::timeout_at(deadline, forwarding).await.unwrap_or(BodyEnd::PastDeadline) {
+    match forward_body(router, &mut responding, &mut progress, Some, chunks).await {
         BodyEnd::Complete => {
-            record_response_time(&router.response_times, &responding.request);
-            responding.connection.release();
+            complete(router, responding);
             let _ = chunks.send(BodyChunk::End).await;
         }
         BodyEnd::Truncated => record_truncation(router, &responding),
         BodyEnd::ClientDisconnected => increment(&router.counters.responses_abandoned),
-        BodyEnd::PastDeadline => increment(&router.counters.responses_past_deadline),
+        BodyEnd::PastDeadline => record_past_deadline(router, &responding, &progress),
     }
 }
 
@@ -89,6 +95,7 @@
 async fn relay_events(
     router: &Arc<Router>,
     mut responding: Responding,
+    mut progress: BodyProgress,
     chunks: &mpsc::Sender<BodyChunk>,
 ) {
     let mut splitter = EventSplitter::new(
@@ -96,12 +103,10 @@
         router.memory.partial_events.reservation(),
     );
     loop {
-        let deadline = responding.request.deadline;
-        let forwarding = forward_body(&mut responding.body, |bytes| splitter.push(bytes), chunks);
-        match tokio::time::timeout_at(deadline, forwarding).await.unwrap_or(BodyEnd::PastDeadline) {
+        let split = |bytes| splitter.push(bytes);
+        match forward_body(router, &mut responding, &mut progress, split, chunks).await {
             BodyEnd::Complete => {
-                record_response_time(&router.response_times, &responding.request);
-                responding.connection.release();
+                complete(router, responding);
                 if let Some(remainder) = splitter.remainder() {
                     let _ = chunks.send(BodyChunk::Data(remainder)).await;
                 }
@@ -109,7 +114,7 @@
                 return;
             }
             BodyEnd::ClientDisconnected => return increment(&router.counters.responses_abandoned),
-            BodyEnd::PastDeadline => return increment(&router.counters.responses_past_deadline),
+            BodyEnd::PastDeadline => return record_past_deadline(router, &responding, &progress),
             BodyEnd::Truncated => record_truncation(router, &responding),
         }
         if !splitter.is_resumable() {
@@ -119,6 +124,22 @@
         let Some(next) = resume(router, responding, splitter.last_id()).await else { return };
         router.counters.resumed.fetch_add(1, Ordering::Relaxed);
         responding = next;
+        progress = BodyProgress::new(true);
+    }
+}
+
+/// Records a body whose end was received, and returns its connection to the pool.
+fn complete(router: &Router, responding: Responding) {
+    record_response_time(&router.response_times, &responding.request);
+    responding.load.engine.record_complete_body();
+    responding.connection.release();
+}
+
+/// Counts a body that was cut at its deadline, and ejects an engine whose body would not have ended.
+fn record_past_deadline(router: &Router, responding: &Responding, progress: &BodyProgress) {
+    increment(&router.counters.responses_past_deadline);
+    if progress.is_endless() {
+        passive_health::record_endless_body(&router.log, &responding.load.engine);
     }
 }
 
@@ -139,29 +160,61 @@
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
-/// Forwards what `split` returns for each received chunk.
+/// Forwards what `split` returns for each received chunk, until the deadline.
 async fn forward_body(
-    body: &mut EngineBody,
+    router: &Router,
+    responding: &mut Responding,
+    progress: &mut BodyProgress,
     mut split: impl FnMut(Bytes) -> Option<Bytes>,
     chunks: &mpsc::Sender<BodyChunk>,
 ) -> BodyEnd {
+    let deadline = responding.request.deadline;
+    let forwarding = async {
+        loop {
+            let data = match next_data(&mut responding.body, chunks).await {
+                Ok(data) => data,
+                Err(end) => return end,
+            };
+            progress.record(&data);
+            if progress.has_endless_event() {
+                passive_health::record_endless_body(&router.log, &responding.load.engine);
+            }
+            if progress.is_bulk() {
+                take_bulk_turn(&router.bulk_turn).await;
+            }
+            let Some(data) = split(data) else { continue };
+            if chunks.send(BodyChunk::Data(data)).await.is_err() {
+                return BodyEnd::ClientDisconnected;
+            }
+        }
+    };
+    tokio::time::timeout_at(deadline, forwarding).await.unwrap_or(BodyEnd::PastDeadline)
+}
+
+/// The next bytes of a body, or how it ended.
+async fn next_data(
+    body: &mut EngineBody,
+    chunks: &mpsc::Sender<BodyChunk>,
+) -> Result<Bytes, BodyEnd> {
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
-            () = chunks.closed() => return BodyEnd::ClientDisconnected,
-        };
-        let frame = match frame {
-            None => return BodyEnd::Complete,
-            Some(Err(_)) => return BodyEnd::Truncated,
-            Some(Ok(frame)) => frame,
+            () = chunks.closed() => return Err(BodyEnd::ClientDisconnected),
         };
-        let Some(data) = frame.into_data().ok().and_then(&mut split) else { continue };
-        if chunks.send(BodyChunk::Data(data)).await.is_err() {
-            return BodyEnd::ClientDisconnected;
+        let frame = frame.ok_or(BodyEnd::Complete)?.map_err(|_| BodyEnd::Truncated)?;
+        if let Ok(data) = frame.into_data() {
+            return Ok(data);
         }
     }
 }
 
+/// Lets all other tasks run before one more part of a large body is relayed: however many such bodies there are, others
+/// wait for one part of them at the most.
+async fn take_bulk_turn(bulk_turn: &Semaphore) {
+    let _turn = bulk_turn.acquire().await;
+    tokio::task::yield_now().await;
+}
+
 /// Dispatches the same request to another engine, to continue after the last relayed event. `None` if no engine takes
 /// it over: the response to the client is then truncated.
 async fn resume(
--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -4,6 +4,7 @@
     AfterResponse, Fleet, StubEngine, advance_time, chunk, complete_stream, event, request,
     sealed_head, status, stream_head, wait_until,
 };
+use data_plane::pool::Health;
 use fleet_core::constants;
 use std::sync::atomic::Ordering;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -181,3 +182,64 @@
         assert_eq!(handle.is_ejected(tokio::time::Instant::now()), is_faulty);
     }
 }
+
+/// An engine with valid heads, whose event has no end, is ejected while the event goes on and until it has completed
+/// a body; the responses themselves are relayed on, since they may be valid.
+#[tokio::test]
+async fn an_engine_is_ejected_while_its_event_has_no_end() {
+    for path in ["/once/x", "/on/x"] {
+        let engine = StubEngine::start("e1", |number, received| {
+            if number == 3 {
+                return (complete_stream(received, 1..=1), AfterResponse::KeepOpen);
+            }
+            let endless = chunk(&"x".repeat(constants::ENDLESS_BODY_BYTES + 1));
+            let head = stream_head(received, "");
+            ([head.as_bytes(), endless.as_bytes()].concat(), AfterResponse::KeepOpen)
+        })
+        .await;
+        let fleet = Fleet::start(&[&engine]).await;
+        let handle = fleet.router.fleet_view.engines.read()["e1"].clone();
+        let is_ejected = || handle.is_ejected(tokio::time::Instant::now());
+        for ejection_time in [constants::BASE_EJECTION_TIME, 2 * constants::BASE_EJECTION_TIME] {
+            let mut client = fleet.connect().await;
+            client.write_all(request(path, "").as_bytes()).await.unwrap();
+            let mut relayed = 0;
+            let mut buffer = vec![0; 1 << 16];
+            while relayed <= constants::ENDLESS_BODY_BYTES {
+                relayed += client.read(&mut buffer).await.unwrap();
+            }
+            wait_until(is_ejected).await;
+            drop(client);
+            advance_time(ejection_time).await;
+            assert!(!is_ejected());
+        }
+        assert_eq!(status(&fleet.send(path, "").await), 200);
+        wait_until(|| handle.health(tokio::time::Instant::now()) == Health::Healthy).await;
+    }
+}
+
+#[tokio::test]
+async fn a_body_that_has_not_ended_at_its_deadline_ejects_its_engine_only_if_it_is_long() {
+    for (length, is_endless) in
+        [(constants::ENDLESS_BODY_BYTES / 2, false), (constants::ENDLESS_BODY_BYTES * 2, true)]
+    {
+        let body = "x".repeat(length);
+        let engine = StubEngine::start("e1", move |_, received| {
+            let head = sealed_head(received, "200 OK", "Transfer-Encoding: chunked\r\n");
+            ([head, chunk(&body)].concat().into_bytes(), AfterResponse::KeepOpen)
+        })
+        .await;
+        let fleet = Fleet::start(&[&engine]).await;
+        let mut client = fleet.connect().await;
+        client.write_all(request("/twice/x", "").as_bytes()).await.unwrap();
+        let mut response = Vec::new();
+        while response.iter().filter(|byte| **byte == b'x').count() < length {
+            assert_ne!(client.read_buf(&mut response).await.unwrap(), 0);
+        }
+        advance_time(std::time::Duration::from_secs(15)).await;
+        while client.read_buf(&mut response).await.is_ok_and(|read| read > 0) {}
+        assert!(!response.ends_with(b"0\r\n\r\n"));
+        let handle = fleet.router.fleet_view.engines.read()["e1"].clone();
+        assert_eq!(handle.is_ejected(tokio::time::Instant::now()), is_endless, "{length}");
+    }
+}
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -38,6 +38,11 @@
 pub const PARTIAL_EVENT_MAX_BYTES: usize = 256 << 10;
 /// Limit on the partial events of all streams together, in bytes.
 pub const PARTIAL_EVENTS_BUDGET_BYTES: usize = 8 << 20;
+/// An event, or a body without events that has not ended at its deadline, that is longer than this many bytes counts as
+/// endless, and its engine as faulty.
+pub const ENDLESS_BODY_BYTES: usize = 8 << 20;
+/// A response that has sent more than this many bytes takes turns with all others of that size.
+pub const BULK_BODY_BYTES: usize = 256 << 10;
 /// An idle connection is closed after this time, before engines usually close it.
 pub const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which a request that must not be retried uses another connection, until a safe idle time has been
