What all clients together make a router keep is bounded: bodies, requests, slow readers

Cause: bounds held for each request, and none for all of them; a response to a slow client kept up to nine reads of 32 KiB, and large events without a bound of their own. Change: 768 requests in flight and 2,048 connections a router; 16 KiB of each body and 24 MiB beyond that over all; what can't be kept is read to its end, discarded and answered with 503, which promises that it ran nowhere. Engines are read in parts below 8 KiB; a larger event stays reserved until its client takes it.

--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -69,6 +69,8 @@
     pub open_connections: AtomicUsize,
     /// Requests accepted whose response is not yet complete.
     pub in_flight: Arc<proxy::in_flight::InFlight>,
+    /// One permit for each request that may be in flight.
+    pub request_permits: Arc<tokio::sync::Semaphore>,
     /// Held for each part of a large body that is relayed, so that such bodies take turns.
     pub bulk_turn: tokio::sync::Semaphore,
     random: RandomSource,
@@ -91,6 +93,9 @@
             response_times: proxy::response_time::ResponseTimes::default(),
             open_connections: AtomicUsize::new(0),
             in_flight: Arc::default(),
+            request_permits: Arc::new(tokio::sync::Semaphore::new(
+                fleet_core::constants::MAX_REQUESTS_IN_FLIGHT,
+            )),
             bulk_turn: tokio::sync::Semaphore::new(1),
             settings: parking_lot::RwLock::new(Arc::new(settings)),
             node,
--- a/crates/data-plane/src/memory.rs
+++ b/crates/data-plane/src/memory.rs
@@ -7,19 +7,24 @@
 
 /// One budget for each place that keeps received bytes.
 pub struct MemoryBudgets {
+    /// Bodies of client requests, beyond [`constants::SMALL_BODY_BYTES`] each.
+    pub request_bodies: Arc<ByteBudget>,
     /// Partial events of streams that may be resumed.
     pub partial_events: Arc<ByteBudget>,
 }
 
 impl Default for MemoryBudgets {
     fn default() -> Self {
-        MemoryBudgets { partial_events: ByteBudget::new(constants::PARTIAL_EVENTS_BUDGET_BYTES) }
+        MemoryBudgets {
+            request_bodies: ByteBudget::new(constants::REQUEST_BODIES_BUDGET_BYTES),
+            partial_events: ByteBudget::new(constants::PARTIAL_EVENTS_BUDGET_BYTES),
+        }
     }
 }
 
 impl MemoryBudgets {
     /// All places, as named in the metrics.
-    pub fn places(&self) -> [Place<'_>; 1] {
-        [("partial_events", &self.partial_events)]
+    pub fn places(&self) -> [Place<'_>; 2] {
+        [("request_bodies", &self.request_bodies), ("partial_events", &self.partial_events)]
     }
 }
--- a/crates/data-plane/src/pool/engine_stream.rs
+++ b/crates/data-plane/src/pool/engine_stream.rs
@@ -52,13 +52,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
-        let received = buffer.filled().len() - before;
-        if result.is_ok() && !self.idle_bytes.add(received) {
+        let part_length = buffer.remaining().min(constants::ENGINE_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(part_length));
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let received = part.filled().len();
+        buffer.advance(received);
+        if !self.idle_bytes.add(received) {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
-        Poll::Ready(result)
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -288,7 +288,7 @@
         request.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
     let urgency = headers::urgency(&request.route, request.tenant.as_deref());
     let tenant = request.tenant.as_ref().map(|t| t.name.as_str());
-    let mut outgoing = Request::new(RequestBody::new(request.body.clone()));
+    let mut outgoing = Request::new(RequestBody::new(request.body.bytes.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
     let head = outgoing.headers_mut();
--- a/crates/data-plane/src/proxy/events.rs
+++ b/crates/data-plane/src/proxy/events.rs
@@ -3,6 +3,7 @@
 //! Only a partial event is kept. One that is too large to be kept is relayed as it arrives; its stream can't be resumed
 //! any more.
 
+use super::response::BodyData;
 use bytes::{Bytes, BytesMut};
 use fleet_core::byte_budget::Reservation;
 use fleet_core::constants;
@@ -26,34 +27,33 @@
 
     /// Adds received bytes and returns those that can be relayed now: all events that are complete, or all bytes once
     /// the stream can't be resumed any more.
-    pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: Bytes) -> Option<BodyData> {
         if !self.is_resumable {
-            return Some(bytes);
+            return Some(bytes.into());
         }
         let search_start = self.buffered.len().saturating_sub(1);
         self.buffered.extend_from_slice(&bytes);
         let boundary = self.buffered[search_start..].windows(2).rposition(|w| w == b"\n\n");
         let complete_len = boundary.map_or(0, |at| search_start + at + 2);
-        if !self.keep(self.buffered.len() - complete_len) {
-            self.is_resumable = false;
-            return Some(self.buffered.split().freeze());
-        }
-        if complete_len == 0 {
-            return None;
-        }
-        let complete = self.buffered.split_to(complete_len).freeze();
-        self.record_last_id(&complete);
-        Some(complete)
-    }
-
-    /// Reserves the memory of a partial event; false if it is too large to be kept.
-    fn keep(&mut self, partial_len: usize) -> bool {
+        let partial_len = self.buffered.len() - complete_len;
+        // What was kept before is the start of what is complete now.
+        let completed = (complete_len > 0).then(|| self.reservation.split_off(usize::MAX));
         let is_kept = partial_len <= constants::PARTIAL_EVENT_MAX_BYTES
             && self.reservation.resize(partial_len);
         if !is_kept {
-            self.reservation.clear();
+            self.is_resumable = false;
+            let reservation = completed.unwrap_or_else(|| self.reservation.split_off(usize::MAX));
+            return Some(self.take_all(reservation));
         }
-        is_kept
+        let reservation = completed?;
+        let bytes = self.buffered.split_to(complete_len).freeze();
+        self.record_last_id(&bytes);
+        Some(BodyData { bytes, reservation: Some(reservation) })
+    }
+
+    fn take_all(&mut self, reservation: Reservation) -> BodyData {
+        let bytes = std::mem::take(&mut self.buffered).freeze();
+        BodyData { bytes, reservation: Some(reservation) }
     }
 
     fn record_last_id(&mut self, events: &[u8]) {
@@ -73,13 +73,14 @@
 
     /// Discards a partial event, as after a truncated response; it is received again when the stream is resumed.
     pub fn discard_partial(&mut self) {
-        self.buffered.clear();
+        self.buffered = BytesMut::new();
         self.reservation.clear();
     }
 
     /// The bytes after the last complete event, at the end of a stream.
-    pub fn remainder(&mut self) -> Option<Bytes> {
-        (!self.buffered.is_empty()).then(|| self.buffered.split().freeze())
+    pub fn remainder(&mut self) -> Option<BodyData> {
+        let reservation = self.reservation.split_off(usize::MAX);
+        (!self.buffered.is_empty()).then(|| self.take_all(reservation))
     }
 
     /// The id of the last complete event; `None` before the first id.
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 //! | file | step |
 //! |---|---|
 //! | [`request`] | reads and validates the request, then dispatches it, with retries where they are allowed |
+//! | [`request_body`] | receives the body, within a budget of all requests |
 //! | [`dispatch`] | finds an engine with a connection and sends the request there |
 //! | [`response_check`] | validates the head of an engine's response |
 //! | [`relay`] | passes the body on, and resumes a broken stream |
@@ -25,6 +26,7 @@
 pub mod rejection_body;
 pub mod relay;
 pub mod request;
+pub mod request_body;
 pub mod response;
 pub mod response_check;
 pub mod response_time;
@@ -38,10 +40,14 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// Accepts client connections until the task is aborted.
 pub async fn run_client_listener(router: Arc<Router>, listener: tokio::net::TcpListener) {
+    let permits = Arc::new(Semaphore::new(constants::MAX_CLIENT_CONNECTIONS));
     loop {
+        // The semaphore is never closed. Beyond the limit, clients wait in the queue of the listening socket.
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(constants::RECONNECT_BACKOFF).await;
             continue;
@@ -51,7 +57,10 @@
         }
         // Counted before its task first runs, so that a shutdown that begins now waits for this connection.
         let connection = OpenConnection::new(router.clone());
-        tokio::spawn(async move { serve_client(&connection.router, stream).await });
+        tokio::spawn(async move {
+            serve_client(&connection.router, stream).await;
+            drop(permit);
+        });
     }
 }
 
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -3,7 +3,7 @@
 use super::body_progress::BodyProgress;
 use super::dispatch::{self, Outcome};
 use super::events::EventSplitter;
-use super::response::{BodyChunk, ResponseBody};
+use super::response::{BodyChunk, BodyData, RelayedBody, ResponseBody};
 use super::response_time::ResponseTimes;
 use super::stage::{ClientRequest, Responding};
 use super::{headers, passive_health};
@@ -70,7 +70,7 @@
             relay_bytes(&router, responding, progress, &chunks).await;
         }
     });
-    ResponseBody::Relayed(body)
+    ResponseBody::Relayed(RelayedBody::new(body))
 }
 
 /// Relays a body as raw bytes. Truncation by the engine truncates the response to the client.
@@ -80,7 +80,8 @@
     mut progress: BodyProgress,
     chunks: &mpsc::Sender<BodyChunk>,
 ) {
-    match forward_body(router, &mut responding, &mut progress, Some, chunks).await {
+    let unsplit = |bytes: Bytes| Some(bytes.into());
+    match forward_body(router, &mut responding, &mut progress, unsplit, chunks).await {
         BodyEnd::Complete => {
             complete(router, responding);
             let _ = chunks.send(BodyChunk::End).await;
@@ -165,7 +166,7 @@
     router: &Router,
     responding: &mut Responding,
     progress: &mut BodyProgress,
-    mut split: impl FnMut(Bytes) -> Option<Bytes>,
+    mut split: impl FnMut(Bytes) -> Option<BodyData>,
     chunks: &mpsc::Sender<BodyChunk>,
 ) -> BodyEnd {
     let deadline = responding.request.deadline;
--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -3,16 +3,15 @@
 use super::dispatch::{self, Outcome};
 use super::headers;
 use super::relay;
+use super::request_body;
 use super::response::{Failure, Rejection, ResponseBody};
 use super::stage::{Accepted, ClientRequest};
 use crate::Router;
 use crate::fleet_view::routing_table::{RoutingTable, Tenant, retry_mode};
 use crate::load_balancer::prompt::Prompt;
-use bytes::Bytes;
 use fleet_core::configuration::Route;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, Version, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -23,7 +22,12 @@
 pub async fn serve(router: &Arc<Router>, request: Request<Incoming>) -> Response<ResponseBody> {
     match admit(router, request).await {
         Ok(accepted) => dispatch_with_retries(router, accepted).await,
-        Err(rejection) => rejection.into_response(),
+        Err(rejection) => {
+            if rejection == Rejection::Overloaded {
+                router.counters.rejected.fetch_add(1, Ordering::Relaxed);
+            }
+            rejection.into_response()
+        }
     }
 }
 
@@ -38,7 +42,11 @@
     let attempt_id = head.headers.get(headers::ATTEMPT_ID).cloned().ok_or(Rejection::BadRequest)?;
     let timeout = headers::parse_deadline(&head.headers).ok_or(Rejection::BadRequest)?;
     let deadline = arrived_at + timeout.min(Duration::from_millis(route.timeout_ms));
-    let body = read_body(body, routing_table.limits.max_body_bytes, deadline).await?;
+    let permit = router.request_permits.clone().try_acquire_owned().ok();
+    let budget = permit.as_ref().map(|_| &router.memory.request_bodies);
+    let max_bytes = routing_table.limits.max_body_bytes;
+    let body = request_body::receive(body, max_bytes, budget, deadline).await?;
+    let permit = permit.ok_or(Rejection::Overloaded)?;
     let service =
         routing_table.pick_service(&route, router.random()).ok_or(Rejection::NotReady)?.to_owned();
     let prompt = Prompt::from_headers(&head.headers);
@@ -67,6 +75,7 @@
         excluded_engines: Vec::new(),
         dispatches: 0,
         in_flight: router.in_flight.enter(router.is_shutting_down()),
+        permit,
     }))
 }
 
@@ -101,20 +110,6 @@
     Ok(tenant)
 }
 
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Instant,
-) -> Result<Bytes, Rejection> {
-    let reading = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout_at(deadline, reading).await {
-        Ok(Ok(complete)) => Ok(complete.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Rejection::BodyTooLarge),
-        Ok(Err(_)) => Err(Rejection::Unreadable),
-        Err(_) => Err(Rejection::BodyTimeout),
-    }
-}
-
 /// Dispatches the request to one engine after another, as far as retries are allowed.
 async fn dispatch_with_retries(
     router: &Arc<Router>,
--- a/crates/data-plane/src/proxy/response.rs
+++ b/crates/data-plane/src/proxy/response.rs
@@ -1,6 +1,7 @@
 //! Responses to clients: those that the router itself makes, and the bodies relayed from engines.
 
 use bytes::Bytes;
+use fleet_core::byte_budget::Reservation;
 use fleet_core::constants;
 use http::{HeaderValue, Response, StatusCode, header};
 use std::pin::Pin;
@@ -18,17 +19,76 @@
 #[derive(Debug)]
 pub enum BodyChunk {
     /// Bytes to relay.
-    Data(Bytes),
+    Data(BodyData),
     /// The body is complete. A channel that closes without this marks a truncated body.
     End,
 }
 
+/// Bytes of an engine's response body, which stay reserved until the client's connection takes them.
+#[derive(Debug)]
+pub struct BodyData {
+    /// The bytes to relay.
+    pub bytes: Bytes,
+    /// Covers `bytes` if they are more than one part that was read; `None` otherwise.
+    pub reservation: Option<Reservation>,
+}
+
+impl From<Bytes> for BodyData {
+    fn from(bytes: Bytes) -> BodyData {
+        BodyData { bytes, reservation: None }
+    }
+}
+
+impl BodyData {
+    /// Takes the next bytes for the client's connection. Large data is copied in parts, because a part that shared its
+    /// memory would keep all of it after its reservation has ended.
+    fn take_part(&mut self) -> Bytes {
+        if self.bytes.len() <= constants::ENGINE_READ_BYTES {
+            return std::mem::take(&mut self.bytes);
+        }
+        Bytes::copy_from_slice(&self.bytes.split_to(constants::ENGINE_READ_BYTES))
+    }
+}
+
+/// A response body that is relayed from an engine.
+#[derive(Debug)]
+pub struct RelayedBody {
+    chunks: mpsc::Receiver<BodyChunk>,
+    /// What is left of the chunk that was received last; may be empty.
+    unsent: BodyData,
+}
+
+impl RelayedBody {
+    /// Relays what arrives on the channel.
+    pub fn new(chunks: mpsc::Receiver<BodyChunk>) -> Box<RelayedBody> {
+        Box::new(RelayedBody { chunks, unsent: Bytes::new().into() })
+    }
+
+    fn poll_data(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, ResponseBodyError>>> {
+        if self.unsent.bytes.is_empty() {
+            match std::task::ready!(self.chunks.poll_recv(cx)) {
+                Some(BodyChunk::Data(data)) => self.unsent = data,
+                Some(BodyChunk::End) => return Poll::Ready(None),
+                None => return Poll::Ready(Some(Err(ResponseBodyError::Truncated))),
+            }
+        }
+        let part = self.unsent.take_part();
+        if self.unsent.bytes.is_empty() {
+            self.unsent.reservation = None;
+        }
+        Poll::Ready(Some(Ok(part)))
+    }
+}
+
 /// The body of a response to a client.
 pub enum ResponseBody {
     /// A response made by the router, which has no body.
     Empty,
     /// An engine's body, relayed as it arrives.
-    Relayed(mpsc::Receiver<BodyChunk>),
+    Relayed(Box<RelayedBody>),
 }
 
 impl http_body::Body for ResponseBody {
@@ -39,12 +99,8 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<http_body::Frame<Bytes>, ResponseBodyError>>> {
-        let ResponseBody::Relayed(chunks) = self.get_mut() else { return Poll::Ready(None) };
-        chunks.poll_recv(cx).map(|chunk| match chunk {
-            Some(BodyChunk::Data(data)) => Some(Ok(http_body::Frame::data(data))),
-            Some(BodyChunk::End) => None,
-            None => Some(Err(ResponseBodyError::Truncated)),
-        })
+        let ResponseBody::Relayed(body) = self.get_mut() else { return Poll::Ready(None) };
+        body.poll_data(cx).map(|data| data.map(|data| data.map(http_body::Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -80,6 +136,8 @@
     BodyTooLarge,
     /// The body did not arrive before the deadline.
     BodyTimeout,
+    /// Requests that are in flight take all the memory that there is for them.
+    Overloaded,
 }
 
 impl Rejection {
@@ -97,6 +155,7 @@
             }
             Rejection::BodyTooLarge => empty_and_close(StatusCode::PAYLOAD_TOO_LARGE),
             Rejection::BodyTimeout => empty_and_close(StatusCode::REQUEST_TIMEOUT),
+            Rejection::Overloaded => retry_later(),
         }
     }
 }
@@ -158,3 +217,7 @@
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
+
+#[cfg(test)]
+#[path = "response_tests.rs"]
+mod tests;
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -7,6 +7,7 @@
 use super::dispatch_load::DispatchLoad;
 use super::headers;
 use super::in_flight::InFlightGuard;
+use super::request_body::RequestBody;
 use super::response::{self, Failure, Rejection, ResponseBody};
 use super::response_check::{NotExecuted, RelayableHead};
 use crate::fleet_view::routing_table::{RetryMode, RoutingTable, Tenant};
@@ -15,13 +16,13 @@
 use crate::pool::connection::{NotSent, RespondingConnection};
 use crate::shutdown::Phase;
 use crate::{Counters, Router};
-use bytes::Bytes;
 use fleet_core::configuration::Route;
 use fleet_core::constants;
 use fleet_core::log::Event;
 use http::{HeaderMap, HeaderValue, Response};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 /// A request that was read completely and is allowed by the configuration.
@@ -50,14 +51,16 @@
     pub uri: http::Uri,
     /// The client's headers that are forwarded to engines.
     pub headers: HeaderMap,
-    /// As sent by the client.
-    pub body: Bytes,
+    /// Its body, complete.
+    pub body: RequestBody,
     /// Ids of engines to which it must not be dispatched again.
     pub excluded_engines: Vec<String>,
     /// Number of dispatches so far.
     pub dispatches: u32,
     /// Counts it as in flight until dropped, which is after the last byte of its response.
     pub in_flight: InFlightGuard,
+    /// Its share of [`constants::MAX_REQUESTS_IN_FLIGHT`], until dropped.
+    pub permit: OwnedSemaphorePermit,
 }
 
 impl ClientRequest {
--- a/crates/fleet-core/src/byte_budget.rs
+++ b/crates/fleet-core/src/byte_budget.rs
@@ -84,8 +84,18 @@
         is_allowed
     }
 
+    /// Moves up to `bytes` reserved bytes into a reservation of their own.
+    pub fn split_off(&mut self, bytes: usize) -> Reservation {
+        let moved = bytes.min(self.bytes);
+        self.bytes -= moved;
+        Reservation { budget: self.budget.clone(), bytes: moved }
+    }
+
     /// Gives all bytes back.
     pub fn clear(&mut self) {
+        if self.bytes == 0 {
+            return;
+        }
         self.budget.exchange(self.bytes, 0);
         self.bytes = 0;
     }
--- a/crates/fleet-core/src/byte_budget_tests.rs
+++ b/crates/fleet-core/src/byte_budget_tests.rs
@@ -26,6 +26,21 @@
     assert!(reservation.resize(100));
 }
 
+#[test]
+fn bytes_that_were_split_off_stay_reserved_until_both_are_dropped() {
+    let budget = ByteBudget::new(100);
+    let mut first = budget.try_reserve(70).unwrap();
+    let second = first.split_off(30);
+    let nothing = budget.reservation().split_off(10);
+    assert_eq!(budget.usage().reserved, 70);
+    assert!(first.resize(0));
+    assert_eq!(budget.usage().reserved, 30);
+    drop((second, nothing));
+    assert_eq!(budget.usage().reserved, 0);
+    drop(first);
+    assert_eq!(budget.usage().reserved, 0);
+}
+
 proptest! {
     /// Whatever is reserved and given back, the sum is what the live reservations hold, and at most the limit.
     #[test]
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -43,6 +43,14 @@
 pub const ENDLESS_BODY_BYTES: usize = 8 << 20;
 /// A response that has sent more than this many bytes takes turns with all others of that size.
 pub const BULK_BODY_BYTES: usize = 256 << 10;
+/// Requests that a router has in flight at a time; each keeps its body and what its client has not read of its response.
+pub const MAX_REQUESTS_IN_FLIGHT: usize = 768;
+/// Open connections of clients; each keeps a part of a request head.
+pub const MAX_CLIENT_CONNECTIONS: usize = 2048;
+/// Bytes of each request body that are received whatever other requests keep.
+pub const SMALL_BODY_BYTES: usize = 16 << 10;
+/// Limit on what all request bodies together have beyond [`SMALL_BODY_BYTES`] each, in bytes.
+pub const REQUEST_BODIES_BUDGET_BYTES: usize = 24 << 20;
 /// An idle connection is closed after this time, before engines usually close it.
 pub const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which a request that must not be retried uses another connection, until a safe idle time has been
@@ -62,6 +70,9 @@
 pub const IDLE_TIMEOUT_MAX_DOUBLINGS: f64 = 16.0;
 /// Read buffer for an engine's response, in bytes: a few events of a stream.
 pub const ENGINE_READ_BUFFER: usize = 32 << 10;
+/// Largest part of an engine's response that is read at once, in bytes. Below the smallest step in which the HTTP library
+/// enlarges its buffer, so that a response to a slow client keeps only a few parts of this size.
+pub const ENGINE_READ_BYTES: usize = (8 << 10) - 1;
 /// Largest number of bytes that an engine may send while its response makes no progress. Covers a head, and what is read
 /// ahead of a slow client.
 pub const IDLE_BYTES_MAX: usize = 4 * ENGINE_READ_BUFFER;
--- a/crates/router/tests/whole/endless_responses.rs
+++ b/crates/router/tests/whole/endless_responses.rs
@@ -2,7 +2,8 @@
 //! clients on its machine ended with it.
 
 use super::process::RouterProcess;
-use super::support::{TestNode, call, get, post, replace, wait_for_status};
+use super::support::{RunningProgram, TestNode, call, get, post, replace, wait_for_status};
+use fleet_core::constants;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,6 +14,8 @@
 const MACHINE_MEMORY_BYTES: usize = 160_000_000;
 /// Clients of the faulty engine, all at the same time.
 const FAULTY_CLIENTS: usize = 24;
+/// Clients that don't read, all at the same time.
+const SLOW_CLIENTS: usize = 300;
 /// Deadline of the requests, as in a deployment.
 const DEADLINE: Duration = Duration::from_secs(6);
 /// Time by which a response may be late at its client on a busy machine.
@@ -165,17 +168,31 @@
     longest
 }
 
-async fn run(name: &str, flood: Flood) {
-    let node = TestNode::new(name);
-    let controller = node.controller(true);
-    let router = RouterProcess::start(&node, 8);
-    assert_eq!(wait_for_status(node.control, &replace(0, &configuration()), 200).await.0, 200);
-    for (id, service, flood) in [("i-1", "sound", None), ("i-2", "faulty", Some(flood))] {
-        let address = start_engine(flood).await;
-        assert_eq!(call(node.control, &heartbeat(id, service, address)).await.unwrap().0, 200);
+/// A controller, a router process, and two services of one engine each: a faulty and a sound one.
+struct TestFleet {
+    node: TestNode,
+    controller: RunningProgram,
+    router: RouterProcess,
+}
+
+impl TestFleet {
+    async fn start(name: &str, flood: Flood) -> TestFleet {
+        let node = TestNode::new(name);
+        let controller = node.controller(true);
+        let router = RouterProcess::start(&node, 8);
+        assert_eq!(wait_for_status(node.control, &replace(0, &configuration()), 200).await.0, 200);
+        for (id, service, flood) in [("i-1", "sound", None), ("i-2", "faulty", Some(flood))] {
+            let address = start_engine(flood).await;
+            assert_eq!(call(node.control, &heartbeat(id, service, address)).await.unwrap().0, 200);
+        }
+        assert_eq!(wait_for_status(node.readiness, &get("readyz"), 200).await.0, 200);
+        assert_eq!(wait_for_status(node.front, &request("/sound/x"), 200).await.0, 200);
+        TestFleet { node, controller, router }
     }
-    assert_eq!(wait_for_status(node.readiness, &get("readyz"), 200).await.0, 200);
-    assert_eq!(wait_for_status(node.front, &request("/sound/x"), 200).await.0, 200);
+}
+
+async fn run(name: &str, flood: Flood) {
+    let TestFleet { node, controller, router } = TestFleet::start(name, flood).await;
     let (stop, stopped) = tokio::sync::watch::channel(false);
     let sound_client = tokio::spawn(call_sound_engine(node.front, stopped));
     let mut faulty_clients = JoinSet::new();
@@ -201,6 +218,29 @@
     run("flood-event", Flood::PartialEvent).await;
 }
 
+/// Clients that read nothing of a response without an end, for as long as their deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_readers_do_not_fill_the_memory() {
+    let fleet = TestFleet::start("slow-readers", Flood::PartialEvent).await;
+    let before = fleet.router.peak_memory_bytes();
+    let mut clients = Vec::new();
+    for _ in 0..SLOW_CLIENTS {
+        let mut client = TcpStream::connect(fleet.node.front).await.unwrap();
+        client.write_all(request("/faulty/x").as_bytes()).await.unwrap();
+        clients.push(client);
+    }
+    let end = Instant::now() + DEADLINE;
+    while Instant::now() < end {
+        let response = call(fleet.node.front, &request("/sound/x")).await;
+        assert!(response.is_some_and(|(status, _)| status == 200));
+    }
+    let peak = fleet.router.peak_memory_bytes();
+    println!("{SLOW_CLIENTS} slow readers: peak {} kB, {} kB before", peak / 1000, before / 1000);
+    let expected = before + (peak - before) * constants::MAX_REQUESTS_IN_FLIGHT / SLOW_CLIENTS;
+    assert!(expected < MACHINE_MEMORY_BYTES, "all requests in flight would use {expected} bytes");
+    fleet.controller.shut_down().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn rejection_body_without_end_does_not_fill_the_memory() {
     run("flood-rejection", Flood::RejectionBody).await;
