Responses to a controller's calls are bounded each and in all

Cause: each report and answer to an order might have 8 MiB, and nothing bounded those that were being received at the same time. Change: a report has at most 64 KiB; what larger responses have beyond 64 KiB each comes from one budget of 16 MiB, so that small ones are never turned away by large ones.

--- a/crates/control-plane/src/engines/client.rs
+++ b/crates/control-plane/src/engines/client.rs
@@ -20,6 +20,8 @@
     Timeout,
     /// the request is malformed, or the response is too large
     InvalidMessage,
+    /// other responses take all the memory that there is for them
+    Overloaded,
 }
 
 type Body = http_body_util::Full<bytes::Bytes>;
@@ -107,7 +109,8 @@
         HttpClient { max_response_bytes, ..self }
     }
 
-    /// Counts the bodies that are being received in a budget that other clients share.
+    /// Takes what bodies that are being received have beyond [`constants::SMALL_RESPONSE_BYTES`] from a budget that other
+    /// clients share. A body that exceeds it fails with [`CallError::Overloaded`].
     pub fn with_response_budget(self, response_budget: Arc<ByteBudget>) -> Self {
         HttpClient { response_budget, ..self }
     }
@@ -209,9 +212,12 @@
             let frame = frame.map_err(|_| CallError::ConnectionLost)?;
             let Ok(data) = frame.into_data() else { continue };
             let length = body.len() + data.len();
-            if length > self.max_response_bytes || !reservation.resize(length) {
+            if length > self.max_response_bytes {
                 return Err(CallError::InvalidMessage);
             }
+            if !reservation.resize(length.saturating_sub(constants::SMALL_RESPONSE_BYTES)) {
+                return Err(CallError::Overloaded);
+            }
             body.extend_from_slice(&data);
         }
         Ok(body.freeze())
--- a/crates/control-plane/src/engines/client_tests.rs
+++ b/crates/control-plane/src/engines/client_tests.rs
@@ -73,3 +73,39 @@
     let second = second.map(|answer| answer.body.len());
     assert!(matches!(second, Err(CallError::InvalidMessage)), "{second:?}");
 }
+
+/// Serves responses of the given lengths on one connection.
+async fn serve_bodies(listener: tokio::net::TcpListener, lengths: &[usize]) {
+    let (mut peer, _) = listener.accept().await.unwrap();
+    for length in lengths {
+        let mut request = [0; 512];
+        assert!(peer.read(&mut request).await.unwrap() > 0);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        peer.write_all(head.as_bytes()).await.unwrap();
+        let _ = peer.write_all(&vec![b'x'; *length]).await;
+    }
+}
+
+/// Large responses beyond the budget fail, and small ones do not.
+#[tokio::test]
+async fn large_responses_share_a_budget() {
+    let small = constants::SMALL_RESPONSE_BYTES;
+    let (listener, client) = listener().await;
+    let budget = ByteBudget::new(1000);
+    let others = budget.try_reserve(900).unwrap();
+    let mut client = client.with_response_budget(budget.clone());
+    let server =
+        tokio::spawn(
+            async move { serve_bodies(listener, &[small, small + 100, small + 101]).await },
+        );
+    let mut call = async || {
+        let response = client.call(http::Method::GET, "/e", &[], Vec::new(), CALL_TIMEOUT).await;
+        response.map(|response| response.body.len())
+    };
+    assert_eq!(call().await.unwrap(), small);
+    assert_eq!(call().await.unwrap(), small + 100);
+    assert!(matches!(call().await, Err(CallError::Overloaded)));
+    assert_eq!(budget.usage().reserved, 900, "the failed response is given back");
+    drop(others);
+    server.await.unwrap();
+}
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -4,6 +4,7 @@
 //! its log, the current settings, the random number generator, and the shutdown signal.
 
 use fleet_core::byte_budget::ByteBudget;
+use fleet_core::constants;
 use fleet_core::node::Node;
 use fleet_core::random::RandomSource;
 use fleet_core::settings::Settings;
@@ -20,7 +21,8 @@
     pub log: slog::Logger,
     /// Start time of the process.
     pub started: Instant,
-    /// Covers the bodies of responses that this controller is receiving.
+    /// Covers the bodies of responses that this controller is receiving, beyond
+    /// [`constants::SMALL_RESPONSE_BYTES`] each.
     pub response_budget: Arc<ByteBudget>,
     settings: parking_lot::RwLock<Arc<Settings>>,
     random: RandomSource,
@@ -35,7 +37,7 @@
             node,
             log,
             started: Instant::now(),
-            response_budget: ByteBudget::new(usize::MAX),
+            response_budget: ByteBudget::new(constants::RESPONSES_BUDGET_BYTES),
             settings: parking_lot::RwLock::new(Arc::new(settings)),
             shutting_down: watch::channel(false).0,
         }
--- a/crates/control-plane/src/rollout/mod.rs
+++ b/crates/control-plane/src/rollout/mod.rs
@@ -253,6 +253,7 @@
     let address = engine.address.parse().map_err(|_| OrderError::UnknownEngine)?;
     let transport = rollout.transport.clone();
     let mut client = HttpClient::with_transport(transport, rollout.process.node.ip, address)
+        .with_max_response_bytes(constants::REPORT_MAX_BYTES)
         .with_response_budget(rollout.process.response_budget.clone());
     publish_update_state(rollout, &engine.id, set_updating).await;
     tokio::time::sleep(constants::UPDATE_NOTICE_DELAY).await;
--- a/crates/fleet-core/src/constants/engines.rs
+++ b/crates/fleet-core/src/constants/engines.rs
@@ -29,6 +29,12 @@
 /// Read buffer, in bytes, of a connection to an engine or store. The index owner has a connection to each, and this
 /// is the smallest buffer that the HTTP library accepts.
 pub const ENGINE_CLIENT_BUFFER: usize = 8 << 10;
+/// Largest report of an engine, and largest answer to an order, in bytes.
+pub const REPORT_MAX_BYTES: usize = 64 << 10;
+/// Bytes of each response to a controller's call that are received whatever other responses keep.
+pub const SMALL_RESPONSE_BYTES: usize = 64 << 10;
+/// Limit on what all responses that a controller is receiving have beyond [`SMALL_RESPONSE_BYTES`] each, in bytes.
+pub const RESPONSES_BUDGET_BYTES: usize = 16 << 20;
 /// Timeout of orders and reports; an engine answers within a round trip and one engine step.
 pub const ENGINE_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time after which an order has reached its engine over a healthy network link.
