What engines and stores make the prompt index keep and compute is bounded

Callers saw: heartbeats of other engines went unanswered for over a second while engines told cache events with ever new salts. Cause: the index kept every salt and location that an engine named, and compared each new one with all former ones of its part; one response after the other was read without a pause. Change: a holder has its share of 512 Ki parts and salts; a part that is not shared has at most 64 locations; salts over 512 bytes are ignored; more than 1,024 evictions in a response invalidate the holder as a whole. Large responses take turns, with as long a pause as they took, and a holder that takes more of the processor is called less often. index.rs is split: holder_parts.rs, unshared_parts.rs.

--- a/crates/control-plane/src/index_owner/follower.rs
+++ b/crates/control-plane/src/index_owner/follower.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How to reach a holder.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -71,10 +72,6 @@
     let mut client =
         index_owner.client(address).with_max_response_bytes(constants::EVENTS_MAX_BYTES);
     let mut position: Option<Position> = None;
-    let invalidate_holder = || {
-        fleet_core::log_event!(index_owner.process.log, Event::HolderReset, "holder" => &holder);
-        index_owner.published.commit([Invalidation::Holder(holder.clone())]);
-    };
     loop {
         // The response to the first call can be large, since the holder may have cached many parts already: the
         // semaphore bounds how many of these are in memory at the same time.
@@ -83,35 +80,63 @@
             Some(_) => None,
         };
         let target = endpoint.is_engine.then_some(holder.as_str());
-        let Some(batch) = fetch_events(&mut client, target, position).await else {
-            drop(permit);
-            if position.take().is_some() {
-                invalidate_holder();
+        let body = fetch_events(&mut client, target, position).await;
+        let turn = match &body {
+            Some(body) if body.len() > constants::SMALL_RESPONSE_BYTES => {
+                index_owner.large_response_turn.acquire().await.ok()
             }
-            tokio::time::sleep(constants::ENGINE_CALL_TIMEOUT).await;
-            continue;
+            _ => None,
         };
-        let update = advance(position, &batch);
-        position = Some(update.position);
-        if update.is_invalid {
-            invalidate_holder();
+        let processing_since = Instant::now();
+        let batch = body.and_then(|body| serde_json::from_slice::<KvEvents>(&body).ok());
+        let next = batch.map(|batch| apply(&index_owner, &holder, position, &batch));
+        let processing = processing_since.elapsed();
+        drop(permit);
+        if turn.is_some() {
+            tokio::time::sleep(processing).await;
         }
-        if update.accepts_events {
-            let invalidations = index_owner.published.index.lock().apply_events(&holder, &batch);
-            index_owner.published.commit(invalidations);
+        drop(turn);
+        if next.is_none() && position.is_some() {
+            invalidate(&index_owner, &holder);
         }
-        drop((batch, permit));
-        tokio::time::sleep(index_owner.events_interval()).await;
+        let min_pause =
+            if next.is_none() { constants::ENGINE_CALL_TIMEOUT } else { Duration::ZERO };
+        position = next;
+        tokio::time::sleep(index_owner.events_pause(processing).max(min_pause)).await;
     }
 }
 
+/// Applies a response to the index; returns the position after it.
+fn apply(
+    index_owner: &IndexOwner,
+    holder: &str,
+    previous: Option<Position>,
+    batch: &KvEvents,
+) -> Position {
+    let update = advance(previous, batch);
+    if update.is_invalid {
+        invalidate(index_owner, holder);
+    }
+    if update.accepts_events {
+        let invalidations = index_owner.published.index.lock().apply_events(holder, batch);
+        index_owner.published.commit(invalidations);
+    }
+    update.position
+}
+
+/// Forgets what a holder was known to cache.
+fn invalidate(index_owner: &IndexOwner, holder: &str) {
+    fleet_core::log_event!(index_owner.process.log, Event::HolderReset, "holder" => holder);
+    index_owner.published.commit([Invalidation::Holder(holder.to_owned())]);
+}
+
 /// Fetches the events after a position. The first call uses a short wait, since it holds one of the few permits for
 /// first reads.
 async fn fetch_events(
     client: &mut HttpClient,
     target: Option<&str>,
     position: Option<Position>,
-) -> Option<KvEvents> {
+) -> Option<bytes::Bytes> {
     let wait = position.map_or(constants::EVENTS_FIRST_WAIT_MS, |_| constants::EVENTS_WAIT_MS);
     let since = position.map_or(0, |previous| previous.next);
     let timeout = Duration::from_millis(wait) + constants::ENGINE_CALL_TIMEOUT;
@@ -121,10 +146,7 @@
     headers.extend(target.map(|id| ("X-Target-Instance", id)));
     let response =
         client.call(http::Method::GET, &path, &headers, Vec::new(), timeout).await.ok()?;
-    if response.status != http::StatusCode::OK {
-        return None;
-    }
-    serde_json::from_slice(&response.body).ok()
+    (response.status == http::StatusCode::OK).then_some(response.body)
 }
 
 #[cfg(test)]
--- a/crates/control-plane/src/index_owner/follower_tests.rs
+++ b/crates/control-plane/src/index_owner/follower_tests.rs
@@ -8,6 +8,21 @@
     KvEvents { epoch, next_token, lost, events: Vec::new() }
 }
 
+#[test]
+fn holder_that_takes_more_of_the_processor_is_called_less_often() {
+    use crate::index_owner::events_pause;
+    let interval = constants::EVENTS_INTERVAL;
+    assert_eq!(events_pause(9, Duration::ZERO), interval);
+    assert_eq!(events_pause(9, Duration::from_millis(1)), interval);
+    let slow = Duration::from_millis(20);
+    for holders in [9, 64] {
+        let pause = events_pause(holders, slow);
+        let share = slow.as_secs_f64() * holders as f64 / (slow + pause).as_secs_f64();
+        assert!(share <= constants::EVENTS_MAX_CPU_SHARE, "{holders} of them take {share}");
+    }
+    assert_eq!(events_pause(9, Duration::from_secs(60)), constants::EVENTS_MAX_PAUSE);
+}
+
 #[test]
 fn an_address_that_two_engines_claim_is_not_followed() {
     let all = [
--- a/crates/control-plane/src/index_owner/index.rs
+++ b/crates/control-plane/src/index_owner/index.rs
@@ -1,5 +1,7 @@
 //! Index of the prompt parts that holders (engines and stores) are believed to cache.
 
+use super::holder_parts::{HolderParts, TokensByPart};
+use super::unshared_parts::{Location, UnsharedParts};
 use fleet_core::constants;
 use fleet_core::wire::{CachedParts, Invalidation, PartLocation, RingEntry};
 use invalidation::cache::Cache;
@@ -7,11 +9,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-type TokensByPart = hashbrown::HashMap<u64, u64, ahash::RandomState>;
-/// Holder, salt, number of cached tokens.
-type UnsharedPart = (Arc<str>, Arc<str>, u64);
-type UnsharedParts = hashbrown::HashMap<u64, Vec<UnsharedPart>, ahash::RandomState>;
-
 /// A holder's response: the parts that it cached and evicted since the previous call.
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -31,13 +28,13 @@
 /// share; parts of single requests are held separately, bounded in number, until a router reports them as shared.
 #[derive(Default)]
 pub struct Index {
-    holders: BTreeMap<Arc<str>, BTreeMap<Arc<str>, TokensByPart>>,
+    holders: BTreeMap<Arc<str>, HolderParts>,
     /// Parts that routers have reported as shared.
     shared_parts: hashbrown::HashSet<u64, ahash::RandomState>,
     /// Number of shared parts that some holder cached when `shared_parts` was last pruned.
     cached_at_last_prune: usize,
-    /// Parts of single requests, in two generations: when the newer one is full, the older one is dropped.
-    unshared: [UnsharedParts; 2],
+    /// Parts of single requests.
+    unshared: UnsharedParts,
     /// The most recent findings: holder, salt, part, number of cached tokens.
     recent_findings: std::collections::VecDeque<(Arc<str>, Arc<str>, u64, u64)>,
     findings_total: u64,
@@ -58,56 +55,46 @@
     /// Adds a holder that responds but is not known to cache anything yet.
     fn add_holder(&mut self, holder: &str) {
         if !self.holders.contains_key(holder) {
-            let (holder, _) = self.intern(holder, None);
+            let holder = self.intern(holder);
             self.add_finding(holder, Arc::from(""), 0, 0);
         }
     }
 
+    /// Ignores a salt that is too long to be one that routers set.
     fn register_part(&mut self, holder: &str, salt: &str, part: u64, cached: Option<u64>) {
-        let cached = cached.unwrap_or(0);
+        let cached_tokens = cached.unwrap_or(0);
+        if salt.len() > constants::SALT_MAX_BYTES {
+            return;
+        }
         if !self.shared_parts.contains(&part) {
-            let unshared_part = (Arc::from(holder), Arc::from(salt), cached);
-            return self.add_unshared(part, unshared_part);
+            let location = Location { holder: holder.into(), salt: salt.into(), cached_tokens };
+            return self.unshared.add(part, location);
         }
-        let (holder, salt) = self.intern(holder, Some(salt));
-        let parts = self.holders.get_mut(&holder).and_then(|salts| salts.get_mut(&salt));
-        let Some(parts) = parts else { return };
-        if parts.insert(part, cached) != Some(cached) {
-            self.add_finding(holder, salt, part, cached);
+        let max_weight = self.max_holder_weight();
+        let holder = self.intern(holder);
+        let Some(parts) = self.holders.get_mut(&holder) else { return };
+        if let Some(salt) = parts.insert(salt, part, cached_tokens, max_weight) {
+            self.add_finding(holder, salt, part, cached_tokens);
         }
     }
 
     fn evict_part(&mut self, holder: &str, salt: &str, part: u64, _: u64) {
-        if let Some(parts) = self.holders.get_mut(holder).and_then(|salts| salts.get_mut(salt)) {
-            parts.remove(&part);
-        }
-        for generation in &mut self.unshared {
-            if let Some(locations) = generation.get_mut(&part) {
-                locations.retain(|(h, s, _)| **h != *holder || **s != *salt);
-            }
+        if let Some(parts) = self.holders.get_mut(holder) {
+            parts.remove(salt, part);
         }
+        self.unshared.evict(part, holder, salt);
     }
 
     fn remove_holder(&mut self, holder: &str) {
         self.holders.remove(holder);
-        for generation in &mut self.unshared {
-            generation.retain(|_, locations| {
-                locations.retain(|(h, _, _)| **h != *holder);
-                !locations.is_empty()
-            });
-        }
+        self.unshared.retain(|location| *location.holder != *holder);
     }
 
     fn remove_salts(&mut self, is_invalid: &dyn Fn(&str) -> bool) {
-        for salts in self.holders.values_mut() {
-            salts.retain(|salt, _| !is_invalid(salt));
-        }
-        for generation in &mut self.unshared {
-            generation.retain(|_, locations| {
-                locations.retain(|(_, salt, _)| !is_invalid(salt));
-                !locations.is_empty()
-            });
+        for parts in self.holders.values_mut() {
+            parts.remove_salts(is_invalid);
         }
+        self.unshared.retain(|location| !is_invalid(&location.salt));
     }
 
     fn reset(&mut self) {
@@ -116,30 +103,20 @@
 }
 
 impl Index {
-    /// Returns the shared copies of the names of a holder and a salt, and creates their maps if they are missing.
-    fn intern(&mut self, holder: &str, salt: Option<&str>) -> (Arc<str>, Arc<str>) {
-        let name = match self.holders.get_key_value(holder) {
-            Some((known, _)) => known.clone(),
-            None => Arc::from(holder),
-        };
-        let salts = self.holders.entry(name.clone()).or_default();
-        let Some(salt) = salt else { return (name, Arc::from("")) };
-        let interned_salt = match salts.get_key_value(salt) {
-            Some((known, _)) => known.clone(),
-            None => Arc::from(salt),
-        };
-        salts.entry(interned_salt.clone()).or_default();
-        (name, interned_salt)
+    /// Returns the shared copy of a holder's name, and adds the holder if it is missing.
+    fn intern(&mut self, holder: &str) -> Arc<str> {
+        if let Some((known, _)) = self.holders.get_key_value(holder) {
+            return known.clone();
+        }
+        let name: Arc<str> = holder.into();
+        self.holders.insert(name.clone(), HolderParts::default());
+        name
     }
 
-    fn add_unshared(&mut self, part: u64, unshared_part: UnsharedPart) {
-        if self.unshared[0].len() >= constants::UNSHARED_PARTS_CAPACITY {
-            self.unshared.swap(0, 1);
-            self.unshared[0].clear();
-        }
-        let locations = self.unshared[0].entry(part).or_default();
-        locations.retain(|(h, s, _)| *h != unshared_part.0 || *s != unshared_part.1);
-        locations.push(unshared_part);
+    /// What each holder may take of the capacity, so that none can use it up alone.
+    fn max_holder_weight(&self) -> usize {
+        let share = constants::INDEX_CAPACITY / self.holders.len().max(1);
+        share.clamp(constants::MIN_HOLDER_CAPACITY, constants::MAX_HOLDER_CAPACITY)
     }
 
     /// Removes shared parts that no holder caches; a router that sends them again reports them again.
@@ -149,8 +126,8 @@
         {
             return;
         }
-        let parts =
-            self.holders.values().flat_map(|salts| salts.values()).flat_map(TokensByPart::keys);
+        let salts = self.holders.values().flat_map(HolderParts::iter);
+        let parts = salts.flat_map(|(_, parts)| TokensByPart::keys(parts));
         let cached: hashbrown::HashSet<u64, ahash::RandomState> = parts.copied().collect();
         self.shared_parts.retain(|part| cached.contains(part));
         self.cached_at_last_prune = self.shared_parts.len();
@@ -163,19 +140,9 @@
             if !self.shared_parts.insert(*part) {
                 continue;
             }
-            let unshared: Vec<UnsharedPart> = self
-                .unshared
-                .iter_mut()
-                .filter_map(|generation| generation.remove(part))
-                .flatten()
-                .collect();
-            for (holder, salt, cached) in unshared {
-                self.register_part(
-                    &holder,
-                    &salt,
-                    *part,
-                    Some(cached).filter(|tokens| *tokens > 0),
-                );
+            for location in self.unshared.take(*part) {
+                let cached = Some(location.cached_tokens).filter(|tokens| *tokens > 0);
+                self.register_part(&location.holder, &location.salt, *part, cached);
             }
         }
         invalidation::cache::apply_snapshot(self, found);
@@ -220,7 +187,7 @@
 
     /// Estimated encoded size of a snapshot in bytes, computed without building one.
     pub fn snapshot_bytes(&self) -> usize {
-        let salts = self.holders.values().flatten();
+        let salts = self.holders.values().flat_map(HolderParts::iter);
         let names = self.holders.len() + salts.clone().count();
         let parts: usize = salts.map(|(_, parts)| parts.len()).sum();
         names * constants::SNAPSHOT_NAME_BYTES + parts * constants::SNAPSHOT_PART_BYTES
@@ -229,9 +196,9 @@
     /// All shared parts that holders are believed to cache.
     pub fn snapshot(&self) -> Vec<CachedParts> {
         let mut entries = Vec::new();
-        for (holder, salts) in &self.holders {
+        for (holder, holder_parts) in &self.holders {
             entries.push(CachedParts { holder: holder.to_string(), ..Default::default() });
-            for (salt, parts) in salts.iter().filter(|(_, parts)| !parts.is_empty()) {
+            for (salt, parts) in holder_parts.iter().filter(|(_, parts)| !parts.is_empty()) {
                 let (parts, cached_tokens) = parts.iter().unzip();
                 let (holder, salt) = (holder.to_string(), salt.to_string());
                 entries.push(CachedParts { holder, salt, parts, cached_tokens });
@@ -240,7 +207,8 @@
         entries
     }
 
-    /// Applies a batch of events of one holder, and returns the invalidations of the shared parts that it evicted.
+    /// Applies a batch of events of one holder, and returns the invalidations of the shared parts that it evicted; if
+    /// they are too many for the ring, one of the whole holder.
     pub fn apply_events(&mut self, holder: &str, batch: &KvEvents) -> Vec<Invalidation> {
         let mut invalidations = Vec::new();
         self.add_holder(holder);
@@ -259,6 +227,9 @@
                 self.evict_part(holder, salt, part, *cached);
             }
         }
+        if invalidations.len() > constants::HOLDER_INVALIDATIONS_MAX {
+            return vec![Invalidation::Holder(holder.to_owned())];
+        }
         invalidations
     }
 }
--- a/crates/control-plane/src/index_owner/mod.rs
+++ b/crates/control-plane/src/index_owner/mod.rs
@@ -12,10 +12,12 @@
 
 mod feed;
 mod follower;
+mod holder_parts;
 mod index;
 mod published;
 mod relay;
 mod throttle;
+mod unshared_parts;
 
 pub use feed::Reader;
 pub use relay::{run_relay_announcements, run_ring_relay};
@@ -192,6 +194,8 @@
     /// Limits concurrent first calls to holders, whose responses can be large because they cover everything cached so
     /// far.
     first_reads: tokio::sync::Semaphore,
+    /// Held while a large response is read and applied, and for as long again: other tasks run between two of them.
+    large_response_turn: tokio::sync::Semaphore,
     /// Number of holders that are being followed.
     holder_count: AtomicUsize,
 }
@@ -210,13 +214,14 @@
             fencing_token,
             published: Arc::new(published),
             first_reads: tokio::sync::Semaphore::new(constants::INITIAL_READ_CONCURRENCY),
+            large_response_turn: tokio::sync::Semaphore::new(1),
             holder_count: AtomicUsize::new(0),
         }
     }
 
-    /// Delay between two calls to the same holder.
-    fn events_interval(&self) -> Duration {
-        events_interval(self.holder_count.load(Ordering::Relaxed))
+    /// Delay before the next call to a holder whose last response took `processing` to read and apply.
+    fn events_pause(&self, processing: Duration) -> Duration {
+        events_pause(self.holder_count.load(Ordering::Relaxed), processing)
     }
 
     fn client(&self, address: SocketAddr) -> HttpClient {
@@ -225,11 +230,14 @@
     }
 }
 
-/// Delay between two calls to the same holder. It grows with the number of holders, so that processing all of their
-/// responses stays within the owner's CPU budget.
-fn events_interval(holders: usize) -> Duration {
+/// Delay before the next call to a holder. It grows with the number of holders, so that processing all of their
+/// responses stays within the owner's CPU budget, and with the time that the last response took: a holder that sends
+/// more than others gets no more of the processor than its share.
+fn events_pause(holders: usize, processing: Duration) -> Duration {
     let scale = holders as f64 / constants::EVENTS_FULL_RATE_HOLDERS as f64;
-    constants::EVENTS_INTERVAL.mul_f64(scale.max(1.0))
+    let interval = constants::EVENTS_INTERVAL.mul_f64(scale.max(1.0));
+    let fair_pause = processing.mul_f64(holders.max(1) as f64 / constants::EVENTS_MAX_CPU_SHARE);
+    interval.max(fair_pause.min(constants::EVENTS_MAX_PAUSE))
 }
 
 /// Recipients of an announcement of the ring's head.
--- a/crates/fleet-core/src/constants/invalidations.rs
+++ b/crates/fleet-core/src/constants/invalidations.rs
@@ -8,6 +8,10 @@
 pub const EVENTS_WAIT_MS: u64 = 1000;
 /// Pause after an events request, so that requests to busy engines, which answer at once, do not become a busy loop.
 pub const EVENTS_INTERVAL: Duration = Duration::from_millis(250);
+/// Share of the processor that reading and applying the events of all holders may take.
+pub const EVENTS_MAX_CPU_SHARE: f64 = 0.2;
+/// Longest pause of a holder whose events take more than its part of that share.
+pub const EVENTS_MAX_PAUSE: Duration = Duration::from_secs(10);
 /// With fewer routers than this, all of them read the index owner's ring: a relay's copy of the index costs more than
 /// it saves.
 pub const RELAY_MIN_ROUTERS: usize = 32;
@@ -34,7 +38,21 @@
 pub const RING_LAG_THRESHOLD: u64 = 2048;
 /// Number of findings kept for readers; more than occur between two fetches.
 pub const FINDINGS_CAPACITY: usize = 4096;
-/// Capacity of each of two generations of parts that no router has reported as shared yet; one minute of traffic.
+/// Longest salt that the index takes from a holder, in bytes: it names a model, a version and an isolation.
+pub const SALT_MAX_BYTES: usize = 512;
+/// Parts that the index of a controller keeps for all holders, with 16 for each salt; about 20 MB.
+pub const INDEX_CAPACITY: usize = 512 << 10;
+/// Most parts that the index keeps for one holder: more than there are blocks in a store.
+pub const MAX_HOLDER_CAPACITY: usize = 64 << 10;
+/// Parts that the index may keep for each holder, however many holders there are.
+pub const MIN_HOLDER_CAPACITY: usize = 2 << 10;
+/// Shared parts of one response that are invalidated one by one; with more, their holder is invalidated as a whole, so
+/// that no holder can overrun the readers of the ring.
+pub const HOLDER_INVALIDATIONS_MAX: usize = 1024;
+/// Locations that are kept of a part that no router has reported as shared yet.
+pub const UNSHARED_LOCATIONS_PER_PART: usize = 64;
+/// Capacity, in locations, of each of two generations of parts that no router has reported as shared yet; one minute of
+/// traffic.
 pub const UNSHARED_PARTS_CAPACITY: usize = 16_384;
 /// Number of shared parts kept before those without a holder are removed; 2 MB.
 pub const SHARED_PARTS_CAPACITY: usize = 131_072;
