Between two reads without progress of an engine's response other tasks run

Callers saw: requests to other engines waited while the size of a chunk had no end. Cause: hyper reads such bytes in one go, as long as there are any. Change: EngineStream lets all other tasks run between two such reads.

--- a/crates/data-plane/src/pool/engine_stream.rs
+++ b/crates/data-plane/src/pool/engine_stream.rs
@@ -25,6 +25,11 @@
         self.0.store(0, Ordering::Relaxed);
     }
 
+    /// Whether bytes were received without progress.
+    fn is_progress_pending(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > 0
+    }
+
     /// Adds received bytes; false if they are too many.
     fn add(&self, bytes: usize) -> bool {
         let before = self.0.fetch_add(bytes, Ordering::Relaxed);
@@ -32,17 +37,19 @@
     }
 }
 
-/// A connection to an engine. Reading fails with [`io::ErrorKind::InvalidData`] after
-/// [`constants::IDLE_BYTES_MAX`] bytes without progress.
+/// A connection to an engine. While a response makes no progress, all other tasks run between two reads; reading fails
+/// with [`io::ErrorKind::InvalidData`] after [`constants::IDLE_BYTES_MAX`] such bytes.
 pub struct EngineStream {
     stream: TcpStream,
     idle_bytes: Arc<IdleBytes>,
+    /// Whether other tasks have run since the last bytes were read without progress.
+    has_yielded: bool,
 }
 
 impl EngineStream {
     /// Wraps a connection on which nothing was received yet.
     pub fn new(stream: TcpStream, idle_bytes: Arc<IdleBytes>) -> EngineStream {
-        EngineStream { stream, idle_bytes }
+        EngineStream { stream, idle_bytes, has_yielded: false }
     }
 }
 
@@ -52,6 +59,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.idle_bytes.is_progress_pending() && !std::mem::replace(&mut self.has_yielded, true)
+        {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        self.has_yielded = false;
         let part_length = buffer.remaining().min(constants::ENGINE_READ_BYTES);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(part_length));
         std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
