Calls of engines and operators: their bodies are bounded over all callers, and in time

Callers saw: nothing yet; by the cause of the incident, callers with some dozens of configurations of 6 MiB would fill a controller's memory, and one that never ends its body was waited for without an end. Cause: a bound held for each body alone. Change: what bodies have beyond a heartbeat's 4 KiB comes from a budget of two of the largest configurations; beyond it callers get 503 and go on to another node. A body must arrive within 15 s. A configuration that is read is not copied for each reader.

--- a/crates/control-plane/src/api/config.rs
+++ b/crates/control-plane/src/api/config.rs
@@ -12,8 +12,11 @@
     let base = rqctx.request.headers().get("X-Base-Revision").and_then(|value| value.to_str().ok());
     // Validate the base before reading the body, so that an invalid request is rejected without receiving all of it.
     configuration::parse_base_version(base)?;
-    let body = read_limited(body, fleet_core::constants::CONFIG_MAX_BYTES).await?;
-    let replaced = configuration::replace(rqctx.context().consensus(), base, body).await?;
+    let body =
+        read_limited(rqctx.context().process(), body, fleet_core::constants::CONFIG_MAX_BYTES)
+            .await?;
+    let replaced =
+        configuration::replace(rqctx.context().consensus(), base, body.bytes.clone()).await?;
     json_response(StatusCode::OK, format!("{{\"revision\":{}}}", replaced.version))
 }
 
@@ -22,5 +25,5 @@
     rqctx: dropshot::RequestContext<Context>,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let body = configuration::fetch(rqctx.context().consensus()).await?;
-    json_response(StatusCode::OK, body.to_vec())
+    json_response(StatusCode::OK, body)
 }
--- a/crates/control-plane/src/api/instances.rs
+++ b/crates/control-plane/src/api/instances.rs
@@ -16,8 +16,9 @@
     path: dropshot::Path<InstancePath>,
     body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
-    let body = read_limited(body, constants::HEARTBEAT_MAX_BYTES).await?;
-    instances::heartbeat(rqctx.context().registry(), path.into_inner().id, body).await?;
+    let body =
+        read_limited(rqctx.context().process(), body, constants::HEARTBEAT_MAX_BYTES).await?;
+    instances::heartbeat(rqctx.context().registry(), path.into_inner().id, body.bytes).await?;
     json_response(StatusCode::OK, "{}")
 }
 
@@ -27,7 +28,8 @@
     path: dropshot::Path<InstancePath>,
     body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
-    let body = read_limited(body, constants::HEARTBEAT_MAX_BYTES).await?;
-    instances::deregister(rqctx.context().registry(), path.into_inner().id, body).await?;
+    let body =
+        read_limited(rqctx.context().process(), body, constants::HEARTBEAT_MAX_BYTES).await?;
+    instances::deregister(rqctx.context().registry(), path.into_inner().id, body.bytes).await?;
     json_response(StatusCode::OK, "{}")
 }
--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -11,7 +11,10 @@
 mod weights;
 
 use crate::Controller;
+use crate::process::Process;
 use crate::service::Rejection;
+use fleet_core::byte_budget::Reservation;
+use fleet_core::constants;
 use futures_util::StreamExt;
 use std::sync::Arc;
 
@@ -66,25 +69,53 @@
     json_response(http::StatusCode::OK, body)
 }
 
-/// Reads a request body of at most `max_bytes` bytes.
+/// The body of a call, and its part of the budget until the call is answered.
+pub struct CallBody {
+    /// As the caller sent it.
+    pub bytes: bytes::Bytes,
+    _reservation: Reservation,
+}
+
+/// Reads a request body of at most `max_bytes` bytes. What it has beyond the size of a heartbeat comes from a budget of
+/// all calls.
 ///
 /// # Errors
 ///
-/// 413 for a body of more than `max_bytes` bytes, and the server's own error if reading from the connection fails.
+/// 413 for a body of more than `max_bytes` bytes, 503 if other calls use up the budget or the caller sends too slowly,
+/// and the server's own error if reading from the connection fails.
 pub async fn read_limited(
+    process: &Process,
+    body: dropshot::StreamingBody,
+    max_bytes: usize,
+) -> Result<CallBody, dropshot::HttpError> {
+    let reading = read_within_budget(process, body, max_bytes);
+    match tokio::time::timeout(constants::CALL_BODY_TIMEOUT, reading).await {
+        Ok(body) => body,
+        Err(_) => Err(Rejection::unavailable("too_slow", "the body did not arrive in time").into()),
+    }
+}
+
+async fn read_within_budget(
+    process: &Process,
     body: dropshot::StreamingBody,
     max_bytes: usize,
-) -> Result<bytes::Bytes, dropshot::HttpError> {
+) -> Result<CallBody, dropshot::HttpError> {
     let mut chunks = std::pin::pin!(body.into_stream());
-    let mut body_bytes = bytes::BytesMut::new();
+    let mut reservation = process.call_body_budget.reservation();
+    let mut bytes = bytes::BytesMut::new();
     while let Some(chunk) = chunks.next().await {
-        body_bytes.extend_from_slice(&chunk?);
-        if body_bytes.len() > max_bytes {
+        let chunk = chunk?;
+        let length = bytes.len() + chunk.len();
+        if length > max_bytes {
             let message = format!("more than {max_bytes} bytes");
             return Err(error_response(http::StatusCode::PAYLOAD_TOO_LARGE, "too_large", message));
         }
+        if !reservation.resize(length.saturating_sub(constants::HEARTBEAT_MAX_BYTES)) {
+            return Err(Rejection::unavailable("overloaded", "too many large calls").into());
+        }
+        bytes.extend_from_slice(&chunk);
     }
-    Ok(body_bytes.freeze())
+    Ok(CallBody { bytes: bytes.freeze(), _reservation: reservation })
 }
 
 /// Starts the HTTP server of the API.
@@ -109,7 +140,7 @@
     registered.map_err(|error| std::io::Error::other(error.to_string()))?;
     let settings = dropshot::ConfigDropshot {
         bind_address: address,
-        default_request_body_max_bytes: fleet_core::constants::CONFIG_MAX_BYTES * 2,
+        default_request_body_max_bytes: constants::CONFIG_MAX_BYTES * 2,
         default_handler_task_mode: dropshot::HandlerTaskMode::Detached,
         ..Default::default()
     };
--- a/crates/control-plane/src/api/weights.rs
+++ b/crates/control-plane/src/api/weights.rs
@@ -9,7 +9,9 @@
     rqctx: dropshot::RequestContext<Context>,
     body: dropshot::StreamingBody,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
-    let body = read_limited(body, fleet_core::constants::HEARTBEAT_MAX_BYTES).await?;
-    weights::put(rqctx.context().consensus(), body).await?;
+    let body =
+        read_limited(rqctx.context().process(), body, fleet_core::constants::HEARTBEAT_MAX_BYTES)
+            .await?;
+    weights::put(rqctx.context().consensus(), body.bytes).await?;
     json_response(StatusCode::OK, "{}")
 }
--- a/crates/controller/tests/endless_responses.rs
+++ b/crates/controller/tests/endless_responses.rs
@@ -1,5 +1,6 @@
 //! Guards against a controller that keeps all that faulty engines answer to its calls.
 
+use fleet_core::constants;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener};
 use std::process::{Child, Command, Stdio};
 use std::sync::LazyLock;
@@ -212,3 +213,44 @@
 async fn salts_without_end_do_not_fill_the_memory() {
     run("salts", Fault::Salts).await;
 }
+
+/// Sends a configuration but for its last bytes.
+async fn send_incomplete_configuration(control: SocketAddr) -> TcpStream {
+    let head = format!(
+        "POST /anisedyke/Config.Replace HTTP/1.1\r\nHost: x\r\nX-Base-Revision: 0\r\nContent-Length: {}\r\n\r\n",
+        constants::CONFIG_MAX_BYTES
+    );
+    let mut stream = TcpStream::connect(control).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    // Fails where the controller rejects the body before its end.
+    let _ = stream.write_all(&vec![b' '; constants::CONFIG_MAX_BYTES - 100]).await;
+    stream
+}
+
+/// Operators that send large configurations and never end them don't fill the memory, and don't hold up heartbeats.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_calls_are_bounded_over_all_callers() {
+    let controller = Controller::start("calls");
+    let engine: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let end = Instant::now() + Duration::from_secs(10);
+    while controller.heartbeat(1, engine, 1).await != 200 {
+        assert!(Instant::now() < end);
+    }
+    let mut callers = Vec::new();
+    for _ in 0..30 {
+        callers.push(send_incomplete_configuration(controller.control).await);
+    }
+    assert_eq!(controller.heartbeat(1, engine, 2).await, 200);
+    let mut rejected = 0;
+    for mut caller in callers.split_off(2) {
+        let mut start = [0; 12];
+        if caller.read_exact(&mut start).await.is_ok() {
+            assert_eq!(&start, b"HTTP/1.1 503");
+            rejected += 1;
+        }
+    }
+    let peak = controller.peak_memory_bytes();
+    println!("30 large calls: peak {} kB, {rejected} rejected", peak / 1000);
+    assert!(rejected > 0);
+    assert!(peak < MACHINE_MEMORY_BYTES, "the controller used {peak} bytes");
+}
--- a/crates/fleet-core/src/constants/engines.rs
+++ b/crates/fleet-core/src/constants/engines.rs
@@ -4,6 +4,11 @@
 
 /// Maximum size of an engine's heartbeat, in bytes.
 pub const HEARTBEAT_MAX_BYTES: usize = 4096;
+/// Time in which a caller must send the body of its call; it gives up after a second, or some more for a large body.
+pub const CALL_BODY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Limit on what the bodies of all calls that a controller is receiving have beyond a heartbeat's size each, in bytes:
+/// two of the largest configurations.
+pub const CALL_BODIES_BUDGET_BYTES: usize = 2 * super::CONFIG_MAX_BYTES;
 /// How often routine heartbeats are sent to the other controllers.
 pub const HEARTBEAT_REPLICATION_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout for sending heartbeats to the other controllers. A drain is replicated to a majority within this time,
