Links: frames that are received and frames that wait are bounded over all links

Cause: a link bounded the size of a frame and the number that waits, and neither bytes nor the sum over links; a frame was waited for without an end. Change: a handshake has at most 4 KiB; frames above 4 KiB take their bytes from a budget of two of the largest until their message is handled, at most 64 messages a link at a time; 8 MiB wait for a slow reader, and 16 MiB for all beyond 64 KiB each; a peer that makes no progress within a frame is disconnected.

--- a/crates/control-plane/src/membership/peer_service.rs
+++ b/crates/control-plane/src/membership/peer_service.rs
@@ -13,7 +13,7 @@
 use crate::leases::LeaseManager;
 use crate::process::Process;
 use fleet_core::constants;
-use fleet_core::link::{LinkError, Peer, PeerHandler};
+use fleet_core::link::{LinkBudgets, LinkError, Peer, PeerHandler};
 use fleet_core::log::Event;
 use fleet_core::node::Role;
 use fleet_core::wire::{
@@ -133,6 +133,10 @@
         }
     }
 
+    fn link_budgets(&self) -> LinkBudgets {
+        self.dependencies.process.node.link_budgets.clone()
+    }
+
     fn message_rejected(self: &Arc<Self>, error: &LinkError) {
         let log = &self.dependencies.process.log;
         fleet_core::log_event!(log, Event::PeerRejected, "why" => error.to_string());
--- a/crates/control-plane/src/metrics.rs
+++ b/crates/control-plane/src/metrics.rs
@@ -12,7 +12,15 @@
         write_consensus(self, writer)?;
         write_leases(self, writer)?;
         write_rollout(self, writer)?;
-        telemetry::write_memory(&[("responses", &self.process().response_budget)], writer)
+        let process = self.process();
+        let links = &process.node.link_budgets;
+        let places: [telemetry::Place<'_>; 4] = [
+            ("responses", &process.response_budget),
+            ("call_bodies", &process.call_body_budget),
+            ("received_frames", &links.received),
+            ("queued_frames", &links.queued),
+        ];
+        telemetry::write_memory(&places, writer)
     }
 }
 
--- a/crates/control-plane/tests/cluster/operator.rs
+++ b/crates/control-plane/tests/cluster/operator.rs
@@ -6,7 +6,7 @@
 use fleet_core::compression;
 use fleet_core::delta;
 use fleet_core::digest::BodyDigest;
-use fleet_core::link::Link;
+use fleet_core::link::{Link, Pushed};
 use fleet_core::wire::{Body, ConfigDelta, ConfigPayload, ConfigRequest, ConfigResponse};
 use prost::Message;
 use std::sync::Arc;
@@ -205,7 +205,7 @@
 }
 
 /// A router's link to a controller; messages that the controller pushes go to `pushed`.
-fn link(cluster: &Cluster, to: usize, pushed: Option<mpsc::Sender<Body>>) -> Arc<Link> {
+fn link(cluster: &Cluster, to: usize, pushed: Option<mpsc::Sender<Pushed>>) -> Arc<Link> {
     cluster.router_link(ROUTER, to, pushed)
 }
 
--- a/crates/control-plane/tests/harness/mod.rs
+++ b/crates/control-plane/tests/harness/mod.rs
@@ -9,10 +9,9 @@
 use control_plane::storage::writer::DiskWriter;
 use control_plane::{Controller, Environment, RunningController};
 use disk::MemoryDisk;
-use fleet_core::link::Link;
+use fleet_core::link::{Link, Pushed};
 use fleet_core::node::{Node, Role};
 use fleet_core::transport::{Listener, Transport};
-use fleet_core::wire::Body;
 use network::{Machine, Network};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -220,7 +219,7 @@
         &self,
         router: usize,
         to: usize,
-        pushed: Option<mpsc::Sender<Body>>,
+        pushed: Option<mpsc::Sender<Pushed>>,
     ) -> Arc<Link> {
         let machine = Machine::new(router, self.network.clone(), self.trace.clone());
         let node = Node::seeded(&settings(router, self.size), Role::Router, router as u64);
--- a/crates/data-plane/src/fleet_view/links.rs
+++ b/crates/data-plane/src/fleet_view/links.rs
@@ -3,7 +3,7 @@
 use super::FleetView;
 use crate::Router;
 use fleet_core::constants;
-use fleet_core::link::Link;
+use fleet_core::link::{Link, Pushed};
 use fleet_core::log::Event;
 use fleet_core::settings::Settings;
 use fleet_core::wire::{Body, FleetUpdate, RouterHeartbeat};
@@ -71,7 +71,7 @@
 /// Opens a link to the controller at an address. A task applies the updates that arrive on it, and ends when the link
 /// is dropped.
 fn open_link(router: &Arc<Router>, ip: Ipv4Addr) -> Arc<Link> {
-    let (update_sender, updates) = mpsc::channel(constants::LINK_QUEUE_FRAMES);
+    let (update_sender, updates) = mpsc::channel(constants::PUSHED_QUEUE_FRAMES);
     let address = router.settings().peer_addr(ip.into());
     let link = Link::maintain(&router.node, address, Some(update_sender));
     tokio::spawn(receive_updates(router.clone(), ip, Arc::downgrade(&link), updates));
@@ -126,7 +126,7 @@
 /// A message received on a link, or a change of the link's state.
 enum LinkEvent {
     /// A controller pushed a message.
-    Pushed(Body),
+    Pushed(Box<Pushed>),
     /// The link came up or went down.
     StateChanged { is_up: bool },
     /// The controller is lost; its link went down at `since`.
@@ -139,13 +139,15 @@
     router: Arc<Router>,
     controller: Ipv4Addr,
     link: Weak<Link>,
-    mut updates: mpsc::Receiver<Body>,
+    mut updates: mpsc::Receiver<Pushed>,
 ) {
     let Some(mut is_up) = link.upgrade().map(|link| link.watch()) else { return };
     let mut loss = LossDetector::default();
     loop {
         let event = tokio::select! {
-            pushed = updates.recv() => pushed.map_or(LinkEvent::Dropped, LinkEvent::Pushed),
+            pushed = updates.recv() => {
+                pushed.map_or(LinkEvent::Dropped, |pushed| LinkEvent::Pushed(Box::new(pushed)))
+            },
             changed = is_up.changed() => match changed {
                 Ok(()) => LinkEvent::StateChanged { is_up: *is_up.borrow_and_update() },
                 Err(_) => LinkEvent::Dropped,
@@ -153,7 +155,7 @@
             since = loss.lost() => LinkEvent::Lost { since },
         };
         match event {
-            LinkEvent::Pushed(body) => apply_message(&router, body),
+            LinkEvent::Pushed(pushed) => apply_message(&router, pushed.body),
             LinkEvent::StateChanged { is_up } => {
                 loss.link_changed(is_up, Instant::now());
                 if !is_up {
--- a/crates/data-plane/src/memory.rs
+++ b/crates/data-plane/src/memory.rs
@@ -3,7 +3,6 @@
 use fleet_core::byte_budget::ByteBudget;
 use fleet_core::constants;
 use std::sync::Arc;
-use telemetry::Place;
 
 /// One budget for each place that keeps received bytes.
 pub struct MemoryBudgets {
@@ -21,10 +20,3 @@
         }
     }
 }
-
-impl MemoryBudgets {
-    /// All places, as named in the metrics.
-    pub fn places(&self) -> [Place<'_>; 2] {
-        [("request_bodies", &self.request_bodies), ("partial_events", &self.partial_events)]
-    }
-}
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -14,7 +14,14 @@
         write_configuration(&self.fleet_view, writer)?;
         write_targets(&self.fleet_view, writer)?;
         write_engines(&self.fleet_view, writer)?;
-        telemetry::write_memory(&self.memory.places(), writer)
+        let links = &self.node.link_budgets;
+        let places: [telemetry::Place<'_>; 4] = [
+            ("request_bodies", &self.memory.request_bodies),
+            ("partial_events", &self.memory.partial_events),
+            ("received_frames", &links.received),
+            ("queued_frames", &links.queued),
+        ];
+        telemetry::write_memory(&places, writer)
     }
 }
 
--- a/crates/data-plane/tests/config_fetch.rs
+++ b/crates/data-plane/tests/config_fetch.rs
@@ -4,7 +4,7 @@
 use data_plane::fleet_view::{config_fetch, links};
 use fleet_core::compression;
 use fleet_core::digest::BodyDigest;
-use fleet_core::link::{LinkError, Peer};
+use fleet_core::link::{LinkBudgets, LinkError, Peer};
 use fleet_core::wire::{
     Body, ConfigPayload, ConfigRequest, ConfigResponse, Empty, FleetUpdate, Member, Membership,
 };
@@ -40,6 +40,10 @@
         response_receiver.await.ok()
     }
 
+    fn link_budgets(&self) -> LinkBudgets {
+        LinkBudgets::default()
+    }
+
     fn message_rejected(self: &Arc<Self>, error: &LinkError) {
         panic!("{error}");
     }
--- a/crates/fleet-core/src/constants/link.rs
+++ b/crates/fleet-core/src/constants/link.rs
@@ -16,6 +16,28 @@
 pub const LISTEN_BACKLOG: i32 = 1024;
 /// Maximum frame size in bytes: the largest configuration with its history.
 pub const FRAME_MAX_BYTES: usize = 8 << 20;
+/// Largest frame that is received without a budget, in bytes; most messages are smaller.
+pub const SMALL_FRAME_BYTES: usize = 4 << 10;
+/// Largest handshake in bytes: a name, an address and a zone.
+pub const HANDSHAKE_MAX_BYTES: usize = 4 << 10;
+/// Limit on the frames that a process is receiving or handling, over all links, in bytes: two of the largest.
+pub const RECEIVED_FRAMES_BUDGET_BYTES: usize = 2 * FRAME_MAX_BYTES;
+/// Limit on the frames that wait for the reader of one link, in bytes: the largest, and some messages besides.
+pub const LINK_QUEUE_BYTES: usize = FRAME_MAX_BYTES + (64 << 10);
+/// Bytes that may wait for the reader of each link, whatever waits for others.
+pub const LINK_MIN_QUEUE_BYTES: usize = 64 << 10;
+/// Limit on the frames that wait for readers over all links, in bytes, beyond that minimum.
+pub const QUEUED_FRAMES_BUDGET_BYTES: usize = 2 * FRAME_MAX_BYTES;
+/// Interval at which a frame that waits for a budget looks at it again.
+pub const BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time in which a peer that makes no progress within a frame is disconnected; longer than processes stand still.
+pub const FRAME_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Slowest rate, in bytes per ms, at which a peer may send or read a frame: 4 Mbit/s.
+pub const FRAME_MIN_BYTES_PER_MS: usize = 500;
+/// Messages of one connection that are handled at the same time; more wait to be read.
+pub const MESSAGES_IN_FLIGHT: usize = 64;
+/// Messages pushed by a controller that wait to be applied by a router.
+pub const PUSHED_QUEUE_FRAMES: usize = 16;
 /// Maximum number of queued frames; a peer that reads more slowly is disconnected and starts again.
 pub const LINK_QUEUE_FRAMES: usize = 256;
 /// Pause before reconnecting a broken link.
@@ -40,3 +62,8 @@
 /// A write buffer larger than this many bytes is freed after its frames have been sent, because a controller has a
 /// link to each router.
 pub const WRITE_BUFFER_RETAINED_BYTES: usize = 16 << 10;
+
+/// Time in which a peer must send or read a frame of this many bytes.
+pub fn frame_timeout(bytes: usize) -> Duration {
+    FRAME_STALL_TIMEOUT + Duration::from_millis((bytes / FRAME_MIN_BYTES_PER_MS) as u64)
+}
--- a/crates/fleet-core/src/link/backlog_tests.rs
+++ b/crates/fleet-core/src/link/backlog_tests.rs
@@ -3,6 +3,7 @@
 use super::frame::{encode, read_frame};
 use super::peer::serve_peer;
 use super::*;
+use crate::byte_budget::ByteBudget;
 use crate::constants;
 use crate::transport::ByteReader;
 use crate::wire::{Body, Frame};
@@ -28,9 +29,19 @@
         None
     }
 
+    fn link_budgets(&self) -> LinkBudgets {
+        LinkBudgets::default()
+    }
+
     fn message_rejected(self: &Arc<Self>, _: &LinkError) {}
 }
 
+/// The body of the next frame.
+async fn next(reader: &mut tokio::io::BufReader<ByteReader>) -> Option<Body> {
+    let budget = ByteBudget::new(usize::MAX);
+    read_frame(reader, constants::FRAME_MAX_BYTES, &budget).await.unwrap().frame.body
+}
+
 /// Runs all tasks until they block on each other.
 async fn run_pending_tasks() {
     for _ in 0..FRAMES * 10 {
@@ -63,10 +74,10 @@
 
     let mut reader = tokio::io::BufReader::new(Box::new(reader) as ByteReader);
     for _ in 0..FRAMES {
-        assert!(matches!(read_frame(&mut reader).await.unwrap().body, Some(Body::LoadReport(_))));
+        assert!(matches!(next(&mut reader).await, Some(Body::LoadReport(_))));
     }
     peer.push(Body::FleetUpdate(FleetUpdate::default())).unwrap();
-    assert!(matches!(read_frame(&mut reader).await.unwrap().body, Some(Body::FleetUpdate(_))));
+    assert!(matches!(next(&mut reader).await, Some(Body::FleetUpdate(_))));
     assert_eq!(peer.backlog(), 0);
     serving.abort();
 }
--- a/crates/fleet-core/src/link/client.rs
+++ b/crates/fleet-core/src/link/client.rs
@@ -1,8 +1,11 @@
 //! The connecting side of a link: it maintains one connection to an address and sends calls and messages over it.
 
 use super::LinkError;
-use super::frame::{self, NO_CALL, read_frame};
+use super::budgets::LinkBudgets;
+use super::frame::{self, NO_CALL, ReceivedFrame, read_frame};
+use super::queue::FrameQueue;
 use super::writer::Writer;
+use crate::byte_budget::{ByteBudget, Reservation};
 use crate::constants;
 use crate::node::Node;
 use crate::transport::{BoxedStream, ByteReader, Tcp, Transport};
@@ -23,9 +26,17 @@
 /// Ordered, so that a broken connection wakes its callers in the order of their calls.
 type PendingCalls = Arc<Mutex<BTreeMap<u64, oneshot::Sender<Option<Body>>>>>;
 
+/// A message that the remote side pushed.
+pub struct Pushed {
+    /// The message.
+    pub body: Body,
+    /// What its frame takes of the budget until the message is handled.
+    _reservation: Reservation,
+}
+
 /// The state of an established connection.
 struct Connection {
-    frames: mpsc::Sender<Frame>,
+    frames: FrameQueue,
     pending: PendingCalls,
 }
 
@@ -38,6 +49,7 @@
     local_ip: Ipv4Addr,
     transport: Arc<dyn Transport>,
     handshake: Handshake,
+    budgets: LinkBudgets,
     connected: Mutex<Option<Connection>>,
     next_call: AtomicU64,
     rejected: AtomicU64,
@@ -70,7 +82,7 @@
     pub fn maintain(
         node: &Node,
         remote_addr: SocketAddr,
-        pushed: Option<mpsc::Sender<Body>>,
+        pushed: Option<mpsc::Sender<Pushed>>,
     ) -> Arc<Link> {
         Self::maintain_over(Tcp::shared(), node, remote_addr, pushed)
     }
@@ -80,13 +92,14 @@
         transport: Arc<dyn Transport>,
         node: &Node,
         remote_addr: SocketAddr,
-        pushed: Option<mpsc::Sender<Body>>,
+        pushed: Option<mpsc::Sender<Pushed>>,
     ) -> Arc<Link> {
         let link = Arc::new(Link {
             remote_addr,
             local_ip: node.ip,
             transport,
             handshake: handshake(node),
+            budgets: node.link_budgets.clone(),
             connected: Mutex::new(None),
             next_call: AtomicU64::new(NO_CALL + 1),
             rejected: AtomicU64::new(0),
@@ -101,17 +114,17 @@
     }
 
     /// Connects, serves the connection until it breaks, and reconnects; ends when the link is dropped.
-    async fn reconnect(weak: Weak<Link>, pushed: Option<mpsc::Sender<Body>>) {
+    async fn reconnect(weak: Weak<Link>, pushed: Option<mpsc::Sender<Pushed>>) {
         loop {
             let Some(link) = weak.upgrade() else { return };
-            let (local_ip, remote_addr, handshake) =
-                (link.local_ip, link.remote_addr, link.handshake.clone());
+            let (local_ip, remote_addr) = (link.local_ip, link.remote_addr);
+            let (handshake, budgets) = (link.handshake.clone(), link.budgets.clone());
             let transport = link.transport.clone();
             drop(link);
             if let Ok(stream) =
                 transport.connect(local_ip, remote_addr, constants::CONNECT_TIMEOUT).await
             {
-                Self::serve(&weak, stream, handshake, pushed.as_ref()).await;
+                Self::serve(&weak, stream, handshake, &budgets, pushed.as_ref()).await;
             }
             tokio::time::sleep(constants::RECONNECT_BACKOFF).await;
         }
@@ -122,14 +135,15 @@
         weak: &Weak<Link>,
         stream: BoxedStream,
         handshake: Handshake,
-        pushed: Option<&mpsc::Sender<Body>>,
+        budgets: &LinkBudgets,
+        pushed: Option<&mpsc::Sender<Pushed>>,
     ) {
         let (reader, writer) = stream.into_halves();
-        let (frames, outgoing) = mpsc::channel(constants::LINK_QUEUE_FRAMES);
+        let (frames, outgoing) = FrameQueue::new(budgets);
         let pending = PendingCalls::default();
-        let writer = Writer::start(writer, outgoing);
+        let writer = Writer::start(writer, outgoing, budgets.queued.clone());
         let first = Frame { call: NO_CALL, answer: false, body: Some(Body::Handshake(handshake)) };
-        if frames.send(first).await.is_err() {
+        if frames.try_send(first).is_err() {
             return;
         }
         {
@@ -154,14 +168,17 @@
         reader: ByteReader,
         writer: &Writer,
         pending: &PendingCalls,
-        pushed: Option<&mpsc::Sender<Body>>,
+        pushed: Option<&mpsc::Sender<Pushed>>,
     ) {
         let mut reader = frame::buffered(reader);
         loop {
-            let received = next_frame(&mut reader, writer).await;
+            let Some(budget) = weak.upgrade().map(|link| link.budgets.received.clone()) else {
+                return;
+            };
+            let received = next_frame(&mut reader, writer, &budget).await;
             let Some(link) = weak.upgrade() else { return };
-            let frame = match received {
-                Ok(frame) => frame,
+            let ReceivedFrame { frame, reservation } = match received {
+                Ok(received) => received,
                 Err(error) => return link.count_rejected(&error),
             };
             *link.last_received.lock() = Some(Instant::now());
@@ -172,7 +189,7 @@
                     let _ = answer_sender.send(frame.body);
                 }
             } else if let (Some(pushed), Some(body)) = (pushed, frame.body)
-                && pushed.send(body).await.is_err()
+                && pushed.send(Pushed { body, _reservation: reservation }).await.is_err()
             {
                 return;
             }
@@ -213,7 +230,7 @@
         let frame = frame::request(NO_CALL, body)?;
         let connected = self.connected.lock();
         let connected = connected.as_ref().ok_or(LinkError::NotConnected)?;
-        connected.frames.try_send(frame).map_err(|_| LinkError::NotConnected)
+        connected.frames.try_send(frame)
     }
 
     /// Sends a call and waits for its answer, at most until the timeout `limit`.
@@ -268,7 +285,8 @@
 async fn next_frame(
     reader: &mut BufReader<ByteReader>,
     writer: &Writer,
-) -> Result<Frame, LinkError> {
+    budget: &Arc<ByteBudget>,
+) -> Result<ReceivedFrame, LinkError> {
     let writer_failed = async {
         while !writer.is_finished() {
             tokio::time::sleep(constants::TCP_USER_TIMEOUT).await;
@@ -276,7 +294,7 @@
     };
     tokio::select! {
         biased;
-        frame = read_frame(reader) => frame,
+        frame = read_frame(reader, constants::FRAME_MAX_BYTES, budget) => frame,
         () = writer_failed => Err(LinkError::NotConnected),
     }
 }
--- a/crates/fleet-core/src/link/frame.rs
+++ b/crates/fleet-core/src/link/frame.rs
@@ -1,10 +1,13 @@
 //! Framing of messages on a connection: a length of four bytes, then the message.
 
 use super::LinkError;
+use super::budgets::reserve_when_available;
+use crate::byte_budget::{ByteBudget, Reservation};
 use crate::constants;
 use crate::transport::ByteReader;
 use crate::wire::{Body, Frame};
 use prost::Message;
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, BufReader};
 
 /// Call number of a message that expects no answer.
@@ -15,24 +18,43 @@
     BufReader::with_capacity(constants::LINK_READ_BUFFER_BYTES, reader)
 }
 
-/// Reads the next frame.
+/// A frame that was received, and what it takes of the budget until it is handled.
+pub(super) struct ReceivedFrame {
+    pub(super) frame: Frame,
+    pub(super) reservation: Reservation,
+}
+
+/// Reads the next frame, of at most `max_bytes` bytes. A large one is read once `budget` has room for it.
 ///
 /// # Errors
 ///
 /// [`LinkError::Io`] if the connection ended, [`LinkError::TooLarge`] and [`LinkError::Malformed`] if the bytes
-/// are not a valid frame. The connection cannot be used any more after any of them.
+/// are not a valid frame, [`LinkError::Timeout`] if the rest of a frame did not arrive in time. The connection cannot be
+/// used any more after any of them.
 ///
 /// # Cancel safety
 ///
 /// Not cancel safe: a partially read frame is lost.
-pub(super) async fn read_frame(reader: &mut BufReader<ByteReader>) -> Result<Frame, LinkError> {
+pub(super) async fn read_frame(
+    reader: &mut BufReader<ByteReader>,
+    max_bytes: usize,
+    budget: &Arc<ByteBudget>,
+) -> Result<ReceivedFrame, LinkError> {
     let length = reader.read_u32().await? as usize;
-    if length > constants::FRAME_MAX_BYTES {
+    if length > max_bytes {
         return Err(LinkError::TooLarge(length));
     }
+    let reservation = if length > constants::SMALL_FRAME_BYTES {
+        reserve_when_available(budget, length).await
+    } else {
+        budget.reservation()
+    };
     let mut bytes = bytes::BytesMut::zeroed(length);
-    reader.read_exact(&mut bytes).await?;
-    Frame::decode(bytes.freeze()).map_err(|_| LinkError::Malformed)
+    let reading = reader.read_exact(&mut bytes);
+    let received = tokio::time::timeout(constants::frame_timeout(length), reading).await;
+    received.map_err(|_| LinkError::Timeout)??;
+    let frame = Frame::decode(bytes.freeze()).map_err(|_| LinkError::Malformed)?;
+    Ok(ReceivedFrame { frame, reservation })
 }
 
 /// Appends the encoded frame with its length prefix.
--- a/crates/fleet-core/src/link/mod.rs
+++ b/crates/fleet-core/src/link/mod.rs
@@ -7,20 +7,28 @@
 //! A call number is never reused on a link, so that an answer is delivered to the call that it belongs to or
 //! discarded. The link never retransmits: a call without an answer may have been executed.
 //!
-//! Suggested reading order: `frame`, `writer`, `client`, `peer`.
+//! What peers make a process keep is bounded over all of its links: frames that are received, and frames that wait for
+//! a slow reader ([`LinkBudgets`]).
+//!
+//! Suggested reading order: `frame`, `queue`, `writer`, `client`, `peer`.
 
+mod budgets;
 mod client;
 mod error;
 mod frame;
 mod peer;
+mod queue;
 mod writer;
 
 pub use crate::transport::{connect, listen, set_socket_options};
-pub use client::Link;
+pub use budgets::LinkBudgets;
+pub use client::{Link, Pushed};
 pub use error::LinkError;
 pub use peer::{Peer, PeerHandler, serve_peers};
 
 #[cfg(test)]
 mod backlog_tests;
 #[cfg(test)]
+mod budgets_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/fleet-core/src/link/peer.rs
+++ b/crates/fleet-core/src/link/peer.rs
@@ -1,14 +1,16 @@
 //! The listening side of a link: peers connect, identify themselves, send messages and receive answers and pushes.
 
 use super::LinkError;
-use super::frame::{self, NO_CALL, read_frame};
+use super::budgets::LinkBudgets;
+use super::frame::{self, NO_CALL, ReceivedFrame, read_frame};
+use super::queue::FrameQueue;
 use super::writer::Writer;
 use crate::constants;
 use crate::transport::{BoxedStream, ByteReader, Listener};
 use crate::wire::{Body, Frame, Handshake};
 use std::sync::Arc;
 use tokio::io::BufReader;
-use tokio::sync::mpsc;
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
 /// The remote end of an accepted connection.
@@ -16,7 +18,7 @@
 pub struct Peer {
     /// The handshake that the remote end sent.
     pub handshake: Arc<Handshake>,
-    frames: mpsc::Sender<Frame>,
+    frames: FrameQueue,
 }
 
 impl Peer {
@@ -27,7 +29,7 @@
     /// [`LinkError::TooLarge`], or [`LinkError::NotConnected`] if the connection has ended or its queue is full.
     pub fn push(&self, body: Body) -> Result<(), LinkError> {
         let frame = frame::request(NO_CALL, body)?;
-        self.frames.try_send(frame).map_err(|_| LinkError::NotConnected)
+        self.frames.try_send(frame)
     }
 
     /// Number of frames that are queued because the remote end reads slowly.
@@ -35,7 +37,7 @@
     /// A sender that only needs to deliver the newest state waits until the queue is empty, so that no outdated
     /// messages accumulate for a slow reader.
     pub fn backlog(&self) -> usize {
-        self.frames.max_capacity() - self.frames.capacity()
+        self.frames.len()
     }
 
     /// Whether the connection has ended, so that nothing can be pushed any more.
@@ -56,6 +58,8 @@
         peer: &Peer,
         body: Body,
     ) -> impl std::future::Future<Output = Option<Body>> + Send;
+    /// Budgets of the frames of all links of this process.
+    fn link_budgets(&self) -> LinkBudgets;
     /// Called when a message was dropped, or a connection was closed because of an invalid frame.
     fn message_rejected(self: &Arc<Self>, error: &LinkError);
 }
@@ -76,13 +80,17 @@
 pub(super) async fn serve_peer<H: PeerHandler>(stream: BoxedStream, handler: Arc<H>) {
     let (reader, writer) = stream.into_halves();
     let mut reader = frame::buffered(reader);
-    let first = tokio::time::timeout(constants::TCP_USER_TIMEOUT, read_frame(&mut reader)).await;
-    let Ok(Ok(Frame { body: Some(Body::Handshake(handshake)), .. })) = first else { return };
-    let (frames, outgoing) = mpsc::channel(constants::LINK_QUEUE_FRAMES);
-    let writer = Writer::start(writer, outgoing);
+    let budgets = handler.link_budgets();
+    let first = read_frame(&mut reader, constants::HANDSHAKE_MAX_BYTES, &budgets.received);
+    let Ok(Ok(first)) = tokio::time::timeout(constants::TCP_USER_TIMEOUT, first).await else {
+        return;
+    };
+    let Some(Body::Handshake(handshake)) = first.frame.body else { return };
+    let (frames, outgoing) = FrameQueue::new(&budgets);
+    let writer = Writer::start(writer, outgoing, budgets.queued.clone());
     let peer = Peer { handshake: Arc::new(handshake), frames };
     handler.connected(&peer);
-    answer_messages(&mut reader, &handler, &peer).await;
+    answer_messages(&mut reader, &handler, &peer, &budgets).await;
     drop(writer);
     handler.disconnected(&peer);
 }
@@ -92,17 +100,26 @@
     reader: &mut BufReader<ByteReader>,
     handler: &Arc<H>,
     peer: &Peer,
+    budgets: &LinkBudgets,
 ) {
+    let permits = Arc::new(Semaphore::new(constants::MESSAGES_IN_FLIGHT));
     loop {
-        let message = match read_frame(reader).await {
-            Ok(frame) => message(frame),
+        // The semaphore is never closed.
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        let received = read_frame(reader, constants::FRAME_MAX_BYTES, &budgets.received).await;
+        let (message, reservation) = match received {
+            Ok(ReceivedFrame { frame, reservation }) => (message(frame), reservation),
             Err(LinkError::Io(_)) => return,
             Err(error) => return handler.message_rejected(&error),
         };
         match message {
             // Each message has its own task, so that a slow answer delays no other; the task needs no supervision.
             Ok((call, body)) => {
-                drop(tokio::spawn(answer(handler.clone(), peer.clone(), call, body)))
+                let answering = answer(handler.clone(), peer.clone(), call, body);
+                tokio::spawn(async move {
+                    answering.await;
+                    drop((permit, reservation));
+                });
             }
             Err(error) => handler.message_rejected(&error),
         }
@@ -125,7 +142,9 @@
     }
     match frame::response(call, body) {
         // An answer that cannot be queued is lost with its connection; the caller's timeout covers this.
-        Ok(frame) => drop(peer.frames.try_send(frame)),
+        Ok(frame) => {
+            let _ = peer.frames.try_send(frame);
+        }
         Err(error) => handler.message_rejected(&error),
     }
 }
--- a/crates/fleet-core/src/link/tests.rs
+++ b/crates/fleet-core/src/link/tests.rs
@@ -223,6 +223,10 @@
         }
         Some(Body::Acknowledged(Empty {}))
     }
+    fn link_budgets(&self) -> LinkBudgets {
+        LinkBudgets::default()
+    }
+
     fn message_rejected(self: &Arc<Self>, error: &LinkError) {
         self.errors.lock().push(error.clone());
     }
--- a/crates/fleet-core/src/link/writer.rs
+++ b/crates/fleet-core/src/link/writer.rs
@@ -1,9 +1,13 @@
 //! The task that writes the frames of one connection.
 
+use super::budgets::reserve_when_available;
 use super::frame::encode;
+use super::queue::QueuedFrame;
+use crate::byte_budget::ByteBudget;
 use crate::constants;
 use crate::transport::ByteWriter;
-use crate::wire::Frame;
+use prost::Message;
+use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -12,9 +16,14 @@
 pub(super) struct Writer(JoinHandle<()>);
 
 impl Writer {
-    /// Starts a task that writes the frames received from the channel and batches those that are queued.
-    pub(super) fn start(writer: ByteWriter, frames: mpsc::Receiver<Frame>) -> Writer {
-        Writer(tokio::spawn(write_frames(writer, frames)))
+    /// Starts a task that writes the frames received from the channel and batches those that are queued. A large frame is
+    /// encoded once `budget` has room for its copy.
+    pub(super) fn start(
+        writer: ByteWriter,
+        frames: mpsc::Receiver<QueuedFrame>,
+        budget: Arc<ByteBudget>,
+    ) -> Writer {
+        Writer(tokio::spawn(write_frames(writer, frames, budget)))
     }
 
     /// Whether the task has ended, because the connection failed or the channel was closed.
@@ -29,17 +38,36 @@
     }
 }
 
-async fn write_frames(mut writer: ByteWriter, mut frames: mpsc::Receiver<Frame>) {
+async fn write_frames(
+    mut writer: ByteWriter,
+    mut frames: mpsc::Receiver<QueuedFrame>,
+    budget: Arc<ByteBudget>,
+) {
     let mut out = Vec::new();
-    while let Some(frame) = frames.recv().await {
+    let mut large = None;
+    loop {
+        let Some(first) = next_frame(&mut large, &mut frames).await else { return };
         out.clear();
-        encode(&frame, &mut out);
+        let length = first.frame.encoded_len();
+        let _copy = if is_large(&first) {
+            reserve_when_available(&budget, length).await
+        } else {
+            budget.reservation()
+        };
+        encode(&first.frame, &mut out);
+        drop(first);
         while out.len() < constants::WRITE_BATCH_BYTES
-            && let Ok(frame) = frames.try_recv()
+            && let Ok(queued) = frames.try_recv()
         {
-            encode(&frame, &mut out);
+            if is_large(&queued) {
+                large = Some(queued);
+                break;
+            }
+            encode(&queued.frame, &mut out);
         }
-        if writer.write_all(&out).await.is_err() {
+        let writing = writer.write_all(&out);
+        let timeout = constants::frame_timeout(out.len());
+        if !matches!(tokio::time::timeout(timeout, writing).await, Ok(Ok(()))) {
             return;
         }
         // Frees the memory used by a large configuration.
@@ -48,3 +76,18 @@
         }
     }
 }
+
+/// The large frame that was left over, or the next one from the queue; `None` once the queue is closed.
+async fn next_frame(
+    large: &mut Option<QueuedFrame>,
+    frames: &mut mpsc::Receiver<QueuedFrame>,
+) -> Option<QueuedFrame> {
+    match large.take() {
+        Some(frame) => Some(frame),
+        None => frames.recv().await,
+    }
+}
+
+fn is_large(queued: &QueuedFrame) -> bool {
+    queued.frame.encoded_len() > constants::WRITE_BATCH_BYTES
+}
--- a/crates/fleet-core/src/node.rs
+++ b/crates/fleet-core/src/node.rs
@@ -1,5 +1,6 @@
 //! Identity of a process.
 
+use crate::link::LinkBudgets;
 use std::hash::{BuildHasher, Hasher};
 
 /// The program that a process runs.
@@ -25,6 +26,8 @@
     pub role: Role,
     /// Random number of this process start; never 0.
     pub incarnation: u64,
+    /// Budgets of the frames of all links of this process.
+    pub link_budgets: LinkBudgets,
 }
 
 impl Node {
@@ -42,6 +45,7 @@
             ip: settings.ip,
             role,
             incarnation: stable_hash(&[b"incarnation", name, &seed.to_le_bytes()]) | 1,
+            link_budgets: LinkBudgets::default(),
         }
     }
 
--- a/crates/simulation/src/link_workload.rs
+++ b/crates/simulation/src/link_workload.rs
@@ -6,7 +6,7 @@
 use crate::machine::address;
 use crate::transport::ProcessTransport;
 use crate::world::World;
-use fleet_core::link::{Link, LinkError, Peer, PeerHandler, serve_peers};
+use fleet_core::link::{Link, LinkBudgets, LinkError, Peer, PeerHandler, serve_peers};
 use fleet_core::node::{Node, Role};
 use fleet_core::transport::Transport;
 use fleet_core::wire::{Body, Register, RegisterRequest, RegisterResponse};
@@ -36,6 +36,10 @@
         Some(Body::RegisterResponse(RegisterResponse { is_known: true, register }))
     }
 
+    fn link_budgets(&self) -> LinkBudgets {
+        LinkBudgets::default()
+    }
+
     fn message_rejected(self: &Arc<Self>, _: &LinkError) {}
 }
 
@@ -70,6 +74,7 @@
         ip: address(machine),
         role: Role::Router,
         incarnation: world.rng("caller", machine).u64(1..),
+        link_budgets: LinkBudgets::default(),
     }
 }
 
--- a/crates/simulation/src/read_workload.rs
+++ b/crates/simulation/src/read_workload.rs
@@ -11,7 +11,7 @@
 use control_plane::Controller;
 use control_plane::consensus::state_machine;
 use data_plane::fleet_view::config_fetch::{ConfigBody, rebuild};
-use fleet_core::link::Link;
+use fleet_core::link::{Link, LinkBudgets};
 use fleet_core::node::{Node, Role};
 use fleet_core::wire::{Body, ConfigRequest, ConfigValue, RouterHeartbeat};
 use prost::Message;
@@ -109,6 +109,7 @@
         ip: Ipv4Addr::new(10, constants::CLIENT_OCTET, 1, number as u8 + 1),
         role: Role::Router,
         incarnation: world.rng("incarnation", number).u64(1..),
+        link_budgets: LinkBudgets::default(),
     }
 }
 
