--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,7 +1,9 @@
 //! Checks a history against the rules.
 
 use crate::constants;
-use crate::history::{Action, Ending, History, Kind, ProcessEvent, Program, Request, Timestamp};
+use crate::history::{
+    Action, Ending, EngineEvent, History, Kind, ProcessEvent, Program, Request, Timestamp,
+};
 use crate::http::ReadError;
 use std::collections::{HashMap, HashSet};
 
@@ -22,6 +24,8 @@
     Config,
     /// A process ends within the grace period after SIGTERM, and never unexpectedly.
     Process,
+    /// No process uses more memory than the smallest machines have, whatever a faulty engine sends.
+    Memory,
     /// The run was meaningful: at least half of the requests were served, at least 100, and an engine departed.
     Vacuous,
 }
@@ -45,6 +49,7 @@
     }
     check_drains(history, &mut findings);
     check_processes(history, &mut findings);
+    check_memory(history, &mut findings);
     check_configuration(history, &mut findings);
     check_not_vacuous(history, &mut findings);
     findings.0
@@ -62,17 +67,21 @@
 /// Requests that reached engines, by attempt id.
 struct Index<'a> {
     arrived: HashSet<&'a str>,
+    reached_faulty_engine: HashSet<&'a str>,
     executions: HashMap<&'a str, Vec<&'a str>>,
 }
 
 impl<'a> Index<'a> {
     fn of(history: &'a History) -> Index<'a> {
         let arrived = history.arrivals.iter().map(|event| event.attempt.as_str()).collect();
+        let faulty = |event: &&EngineEvent| history.faulty_engines.contains(&event.engine);
+        let at_faulty = history.arrivals.iter().filter(faulty);
+        let reached_faulty_engine = at_faulty.map(|event| event.attempt.as_str()).collect();
         let mut executions: HashMap<&str, Vec<&str>> = HashMap::new();
         for event in &history.executions {
             executions.entry(&event.attempt).or_default().push(&event.engine);
         }
-        Index { arrived, executions }
+        Index { arrived, reached_faulty_engine, executions }
     }
 
     fn executed_by(&self, attempt: &str) -> &[&'a str] {
@@ -95,7 +104,10 @@
     let duration = request.ended - request.sent;
     let is_lost = match error {
         ReadError::Malformed => true,
-        ReadError::ClosedWithin => !was_cut_off_by_grace_period(request, history),
+        ReadError::ClosedWithin => {
+            let is_engines_fault = index.reached_faulty_engine.contains(request.attempt.as_str());
+            !is_engines_fault && !was_cut_off_by_grace_period(request, history)
+        }
         ReadError::ClosedBefore => {
             index.arrived.contains(request.attempt.as_str())
                 || duration > constants::UNFORWARDED_RESPONSE_LIMIT
@@ -198,6 +210,14 @@
     }
 }
 
+fn check_memory(history: &History, findings: &mut Findings) {
+    for peak in &history.peaks {
+        if peak.bytes > constants::MACHINE_MEMORY_BYTES {
+            findings.add(Rule::Memory, format!("{peak:?}"));
+        }
+    }
+}
+
 fn check_configuration(history: &History, findings: &mut Findings) {
     let acknowledged = history.acknowledged_version;
     if history.last_version.is_none_or(|version| version < acknowledged) {
--- a/crates/soak/src/constants.rs
+++ b/crates/soak/src/constants.rs
@@ -41,6 +41,16 @@
 pub const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which a process that was sent SIGTERM is polled for its exit.
 pub const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Memory of the smallest machines that are deployed, in bytes; no process may use more.
+pub const MACHINE_MEMORY_BYTES: u64 = 160_000_000;
+/// Interval at which the memory of the processes is sampled.
+pub const MEMORY_SAMPLE_INTERVAL: Duration = Duration::from_millis(200);
+/// Bytes that a faulty engine sends at a time.
+pub const FLOOD_PART_BYTES: usize = 64 << 10;
+/// Pause of a faulty engine between them, so that one connection takes 64 MB a second.
+pub const FLOOD_PART_INTERVAL: Duration = Duration::from_millis(1);
+/// Bytes of a message that a client keeps; it reads and discards the rest.
+pub const MESSAGE_MAX_BYTES: usize = 1 << 20;
 /// Name of the engines' service.
 pub const SERVICE: &str = "s";
 /// Host name of all routes.
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -26,10 +26,8 @@
 /// A simulated engine.
 pub struct Engine {
     id: String,
-    address: SocketAddr,
     recorder: Arc<Recorder>,
-    control_addresses: Vec<SocketAddr>,
-    call_seq: AtomicU64,
+    calls: Arc<Heartbeats>,
     is_departing: AtomicBool,
 }
 
@@ -42,12 +40,11 @@
     pub async fn start(number: usize, context: &RunContext) -> std::io::Result<Arc<Engine>> {
         let address = context.engine_address(number);
         let listener = TcpListener::bind(address).await?;
+        let id = format!("i-{number:08x}");
         let engine = Arc::new(Engine {
-            id: format!("i-{number:08x}"),
-            address,
+            calls: Heartbeats::new(id.clone(), address, context.control_addresses()),
+            id,
             recorder: context.recorder.clone(),
-            control_addresses: context.control_addresses(),
-            call_seq: AtomicU64::new(0),
             is_departing: AtomicBool::new(false),
         });
         let serving = engine.clone();
@@ -111,10 +108,10 @@
     /// Sends heartbeats, some of them delayed, until the engine departs.
     pub async fn send_heartbeats(self: Arc<Engine>, mut rng: fastrand::Rng) {
         while !self.is_departing.load(Ordering::SeqCst) {
-            let call = self.next_call_seq();
-            let controller = self.control_addresses[rng.usize(0..self.control_addresses.len())];
+            let call = self.calls.next_call_seq();
+            let controller = self.calls.random_controller(&mut rng);
             let is_delayed = rng.u8(0..5) == 0;
-            let engine = self.clone();
+            let calls = self.calls.clone();
             let max_delay = constants::MAX_HEARTBEAT_DELAY.as_millis() as u64;
             let delay = if is_delayed {
                 Duration::from_millis(rng.u64(1000..max_delay))
@@ -123,7 +120,7 @@
             };
             tokio::spawn(async move {
                 tokio::time::sleep(delay).await;
-                engine.heartbeat(controller, "ready", call).await;
+                calls.heartbeat(controller, "ready", call).await;
             });
             tokio::time::sleep(constants::HEARTBEAT_INTERVAL).await;
         }
@@ -133,11 +130,11 @@
     pub async fn depart(&self, announcement: Announcement, mut rng: fastrand::Rng) {
         self.is_departing.store(true, Ordering::SeqCst);
         loop {
-            let call = self.next_call_seq();
-            let controller = self.control_addresses[rng.usize(0..self.control_addresses.len())];
+            let call = self.calls.next_call_seq();
+            let controller = self.calls.random_controller(&mut rng);
             let is_acknowledged = match announcement {
-                Announcement::Drain => self.heartbeat(controller, "draining", call).await,
-                Announcement::Deregister => self.deregister(controller, call).await,
+                Announcement::Drain => self.calls.heartbeat(controller, "draining", call).await,
+                Announcement::Deregister => self.calls.deregister(controller, call).await,
             };
             if is_acknowledged {
                 let acknowledged = self.recorder.now();
@@ -147,6 +144,38 @@
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
     }
+}
+
+/// Calls of an engine to controllers.
+pub struct Heartbeats {
+    id: String,
+    address: SocketAddr,
+    control_addresses: Vec<SocketAddr>,
+    call_seq: AtomicU64,
+}
+
+impl Heartbeats {
+    /// Prepares the calls of an engine that has made none.
+    pub fn new(
+        id: String,
+        address: SocketAddr,
+        control_addresses: Vec<SocketAddr>,
+    ) -> Arc<Heartbeats> {
+        Arc::new(Heartbeats { id, address, control_addresses, call_seq: AtomicU64::new(0) })
+    }
+
+    /// Sends heartbeats, each to a random controller, for as long as the run lasts.
+    pub async fn send_forever(self: Arc<Heartbeats>, mut rng: fastrand::Rng) {
+        loop {
+            let controller = self.random_controller(&mut rng);
+            self.heartbeat(controller, "ready", self.next_call_seq()).await;
+            tokio::time::sleep(constants::HEARTBEAT_INTERVAL).await;
+        }
+    }
+
+    fn random_controller(&self, rng: &mut fastrand::Rng) -> SocketAddr {
+        self.control_addresses[rng.usize(0..self.control_addresses.len())]
+    }
 
     fn next_call_seq(&self) -> u64 {
         self.call_seq.fetch_add(1, Ordering::SeqCst) + 1
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -137,6 +137,17 @@
     pub acknowledged: Timestamp,
 }
 
+/// The most memory that a process was seen to use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeakMemory {
+    /// Number of its machine.
+    pub machine: usize,
+    /// The program that it ran.
+    pub program: Program,
+    /// Resident bytes (`VmHWM`).
+    pub bytes: u64,
+}
+
 /// The recorded events of a run.
 #[derive(Debug, Default)]
 pub struct History {
@@ -150,6 +161,10 @@
     pub processes: Vec<ProcessEvent>,
     /// Acknowledged departures.
     pub departures: Vec<Departure>,
+    /// Ids of engines whose responses have no end.
+    pub faulty_engines: Vec<String>,
+    /// The peak of each program on each machine.
+    pub peaks: Vec<PeakMemory>,
     /// The highest acknowledged configuration version.
     pub acknowledged_version: u64,
     /// The configuration version that was read back at the end; `None` if no controller returned one.
@@ -179,6 +194,19 @@
         add(&mut self.history.lock());
     }
 
+    /// Raises the peak of a program on a machine.
+    pub fn add_memory(&self, sample: PeakMemory) {
+        self.add(|history| {
+            let is_same = |known: &&mut PeakMemory| {
+                known.machine == sample.machine && known.program == sample.program
+            };
+            match history.peaks.iter_mut().find(is_same) {
+                Some(known) => known.bytes = known.bytes.max(sample.bytes),
+                None => history.peaks.push(sample),
+            }
+        });
+    }
+
     /// Returns the history, and leaves an empty one.
     pub fn take(&self) -> History {
         std::mem::take(&mut self.history.lock())
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -1,5 +1,6 @@
 //! A minimal HTTP/1.1 implementation for the simulated clients, engines and operators.
 
+use crate::constants;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
@@ -59,7 +60,7 @@
         Reader { stream, buffer: Vec::new() }
     }
 
-    /// Reads the next complete message.
+    /// Reads the next complete message. Of a chunked body, not much more than [`constants::MESSAGE_MAX_BYTES`] is kept.
     ///
     /// # Errors
     ///
@@ -96,7 +97,10 @@
             let size = String::from_utf8_lossy(&line[..line_end]).into_owned();
             let size = usize::from_str_radix(&size, 16).map_err(|_| ReadError::Malformed)?;
             self.read_at_least(size + 2).await?;
-            body.extend(self.buffer.drain(..size));
+            let part: Vec<u8> = self.buffer.drain(..size).collect();
+            if body.len() < constants::MESSAGE_MAX_BYTES {
+                body.extend(part);
+            }
             self.buffer.drain(..2);
             if size == 0 {
                 return Ok(body);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`disruption`] | the disruptions of a run, drawn from its seed |
 //! | [`machine`] | the processes of one machine: start, signals, kills |
 //! | [`engine`] | simulated engines: they queue, answer, stream, send heartbeats and depart |
+//! | [`faulty_engine`] | an engine whose responses have no end |
 //! | [`client`] | clients that reuse a connection until it is closed |
 //! | [`operator`] | sends and reads configurations |
 //! | [`http`] | a minimal HTTP/1.1 implementation that distinguishes the ways in which a response can end |
@@ -21,6 +22,7 @@
 pub mod constants;
 pub mod disruption;
 pub mod engine;
+pub mod faulty_engine;
 pub mod history;
 pub mod http;
 pub mod machine;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -1,7 +1,7 @@
 //! The processes of one machine.
 
 use crate::constants;
-use crate::history::{Action, ProcessEvent, Program, Recorder};
+use crate::history::{Action, PeakMemory, ProcessEvent, Program, Recorder};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -246,6 +246,17 @@
         }
     }
 
+    /// Records the most memory that each running process has used so far.
+    pub fn sample_memory(&self) {
+        for program in self.programs() {
+            let slot = self.child_slot(*program).lock();
+            if let Some(bytes) = slot.as_ref().and_then(peak_memory_bytes) {
+                let sample = PeakMemory { machine: self.number, program: *program, bytes };
+                self.context.recorder.add_memory(sample);
+            }
+        }
+    }
+
     /// Records processes that have exited without having been told to, unless a restart is in progress.
     pub fn record_unexpected_exits(&self) {
         if let Ok(_guard) = self.restart_lock.try_lock() {
@@ -268,6 +279,14 @@
     }
 }
 
+/// The most resident memory of a running process; `None` if it has exited.
+fn peak_memory_bytes(child: &Child) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kilobytes: u64 = peak.split_whitespace().next()?.parse().ok()?;
+    Some(kilobytes * 1024)
+}
+
 /// Classifies the exit of a process that was told to end. One that has not yet installed its handler is ended by
 /// SIGTERM itself; this counts as a normal exit, since it has no work to complete.
 fn exit_action(status: ExitStatus) -> Action {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,6 +5,7 @@
 use crate::constants;
 use crate::disruption::{Disruption, draw_disruptions, quiet_period};
 use crate::engine::{Announcement, Engine};
+use crate::faulty_engine::FaultyEngine;
 use crate::history::{Action, Ending, History, Program, Recorder};
 use crate::http;
 use crate::machine::{Machine, RunContext};
@@ -77,6 +78,7 @@
     let fleet = Fleet::start(&plan, rng).await?;
     let stop = Arc::new(AtomicBool::new(false));
     let mut clients = fleet.start_clients(&stop);
+    let sampler = tokio::spawn(fleet.clone().sample_memory());
     tokio::time::sleep(constants::WARM_UP).await;
     let began = Instant::now();
     let mut disruptions = JoinSet::new();
@@ -92,6 +94,7 @@
     tokio::time::sleep(quiet_period()).await;
     stop.store(true, Ordering::SeqCst);
     while clients.join_next().await.is_some() {}
+    sampler.abort();
     fleet.operator.lock().await.read_back().await;
     fleet.machines.iter().for_each(|machine| machine.record_unexpected_exits());
     let history = fleet.context.recorder.take();
@@ -131,6 +134,7 @@
         for _ in 0..constants::ENGINES {
             fleet.start_engine().await?;
         }
+        fleet.start_faulty_engine().await?;
         fleet.wait_until_ready().await?;
         Ok(fleet)
     }
@@ -174,6 +178,19 @@
         clients
     }
 
+    async fn start_faulty_engine(&self) -> std::io::Result<()> {
+        let number = self.engines_started.fetch_add(1, Ordering::SeqCst);
+        FaultyEngine::start(number, &self.context, self.fork_rng()).await
+    }
+
+    /// Samples the memory of all processes until the task is aborted.
+    async fn sample_memory(self: Arc<Fleet>) {
+        loop {
+            self.machines.iter().for_each(|machine| machine.sample_memory());
+            tokio::time::sleep(constants::MEMORY_SAMPLE_INTERVAL).await;
+        }
+    }
+
     async fn start_engine(&self) -> std::io::Result<()> {
         let number = self.engines_started.fetch_add(1, Ordering::SeqCst);
         let engine = Engine::start(number, &self.context).await?;
@@ -237,8 +254,15 @@
         let routers = history.processes.iter().filter(|event| event.program == Program::Router);
         routers.filter(|event| is_match(event.action)).count()
     };
+    let peak = |program: Program| {
+        let peaks = history.peaks.iter().filter(|peak| peak.program == program);
+        peaks.map(|peak| peak.bytes).max().unwrap_or(0) / 1_000_000
+    };
+    let at_faulty_engine =
+        history.arrivals.iter().filter(|event| history.faulty_engines.contains(&event.engine));
     format!(
-        "{} requests: {} served, {} refused, {} 502, {} 504; {} departures, {} configurations; routers: {} terminated, {} killed",
+        "{} requests: {} served, {} refused, {} 502, {} 504; {} departures, {} configurations; routers: {} terminated, {} killed; \
+         {} calls to the faulty engine; peak memory: routers {} MB, controllers {} MB",
         history.requests.len(),
         status_count(200),
         status_count(503),
@@ -247,6 +271,9 @@
         history.departures.len(),
         history.acknowledged_version,
         action_count(Action::Terminated),
-        action_count(Action::Killed)
+        action_count(Action::Killed),
+        at_faulty_engine.count(),
+        peak(Program::Router),
+        peak(Program::Controller)
     )
 }
