Soak: streams that may be resumed are a fourth kind of request

Change: a quarter of the requests are such streams; they may run more than once, and are checked as whole as the others.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -2,7 +2,7 @@
 
 use crate::constants;
 use crate::history::{
-    Action, Ending, EngineEvent, History, Kind, ProcessEvent, Program, Request, Timestamp,
+    Action, Ending, EngineEvent, History, ProcessEvent, Program, Request, Timestamp,
 };
 use crate::http::ReadError;
 use std::collections::{HashMap, HashSet};
@@ -154,12 +154,12 @@
 
 fn check_response(request: &Request, index: &Index, findings: &mut Findings) {
     let executions = index.executed_by(&request.attempt);
-    if request.kind != Kind::Safe && executions.len() > 1 {
+    if request.kind.runs_at_most_once() && executions.len() > 1 {
         findings.add(Rule::Twice, format!("executed by {executions:?}: {request:?}"));
     }
     let Ending::Answered { status, body } = &request.ending else { return };
     let is_refusal = matches!(status, 408 | 421 | 429 | 503);
-    if is_refusal && request.kind != Kind::Safe && !executions.is_empty() {
+    if is_refusal && request.kind.runs_at_most_once() && !executions.is_empty() {
         findings.add(Rule::Refused, format!("executed by {executions:?}: {request:?}"));
     }
     if *status == 200 && !executions.iter().any(|engine| is_response_to(request, engine, body)) {
@@ -169,7 +169,7 @@
 
 fn is_response_to(request: &Request, engine: &str, body: &str) -> bool {
     let expected = format!("{} {engine}", request.attempt);
-    if request.kind != Kind::Stream {
+    if !request.kind.is_stream() {
         return body == expected;
     }
     let event = |number| format!("id: {number}\ndata: {expected}\n\n");
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -87,7 +87,9 @@
         attempt: &str,
     ) -> std::io::Result<()> {
         let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: s\r\n");
-        if !request.path().contains(Kind::Stream.path()) {
+        let segment = request.path().split('/').nth(1);
+        let is_stream = |kind: &Kind| kind.is_stream() && segment == Some(kind.path());
+        if !Kind::VARIANTS.iter().any(is_stream) {
             let body = format!("{attempt} {}", self.id);
             let length = body.len();
             let response = format!("{head}Content-Length: {length}\r\n\r\n{body}");
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -17,11 +17,23 @@
     Unsafe,
     /// A streaming request, which must be executed at most once.
     Stream,
+    /// A streaming request that may be resumed, and executed more than once.
+    Resumable,
 }
 
 impl Kind {
     /// Every kind.
-    pub const VARIANTS: [Kind; 3] = [Kind::Safe, Kind::Unsafe, Kind::Stream];
+    pub const VARIANTS: [Kind; 4] = [Kind::Safe, Kind::Unsafe, Kind::Stream, Kind::Resumable];
+
+    /// Whether its response is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Kind::Stream | Kind::Resumable)
+    }
+
+    /// Whether it must be executed at most once.
+    pub fn runs_at_most_once(self) -> bool {
+        matches!(self, Kind::Unsafe | Kind::Stream)
+    }
 
     /// The first segment of its path.
     pub fn path(self) -> &'static str {
@@ -29,6 +41,7 @@
             Kind::Safe => "safe",
             Kind::Unsafe => "unsafe",
             Kind::Stream => "stream",
+            Kind::Resumable => "resumable",
         }
     }
 }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -73,7 +73,9 @@
         route(Kind::Safe.path(), "safe"),
         route(Kind::Unsafe.path(), "unsafe"),
         route(Kind::Stream.path(), "streaming"),
+        route(Kind::Resumable.path(), "streaming"),
     ];
+    routes[3]["resumable"] = true.into();
     routes.extend((1..version).map(|added| route(&format!("added-{added}"), "safe")));
     serde_json::json!({
         "revision": version,
