A configuration that callers don't read is bounded over all of them

Cause: each answer had a copy of its own until its caller had read it. Change: answers take from a budget of two of the largest configurations until the caller's connection has taken them; beyond it callers get 503. Clients of a router beyond the limit on connections have a test now; bytes that stay reserved on their way to a reader are one type for both programs.

--- a/crates/control-plane/src/api/config.rs
+++ b/crates/control-plane/src/api/config.rs
@@ -1,7 +1,9 @@
 //! Handlers that replace and fetch the configuration.
 
+use super::answer_body::AnswerBody;
 use super::{Context, json_response, read_limited};
-use crate::service::configuration;
+use crate::service::{Rejection, configuration};
+use fleet_core::byte_budget::ReservedBytes;
 use http::StatusCode;
 
 #[dropshot::endpoint { method = POST, path = "/anisedyke/Config.Replace" }]
@@ -25,5 +27,9 @@
     rqctx: dropshot::RequestContext<Context>,
 ) -> Result<http::Response<dropshot::Body>, dropshot::HttpError> {
     let body = configuration::fetch(rqctx.context().consensus()).await?;
-    json_response(StatusCode::OK, body)
+    let reservation = rqctx.context().process().answer_budget.try_reserve(body.len());
+    let reservation = reservation
+        .ok_or_else(|| Rejection::unavailable("overloaded", "too many callers read slowly"))?;
+    let body = ReservedBytes { bytes: body, reservation: Some(reservation) };
+    json_response(StatusCode::OK, dropshot::Body::wrap(AnswerBody(body)))
 }
--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -3,6 +3,7 @@
 //! Handlers only translate between HTTP and [`crate::service`], which makes all decisions. They receive bodies as raw
 //! bytes rather than typed by the server, so that the message of a 400 can name the location in the body.
 
+mod answer_body;
 mod config;
 mod fleet;
 mod instances;
--- a/crates/control-plane/src/metrics.rs
+++ b/crates/control-plane/src/metrics.rs
@@ -14,9 +14,10 @@
         write_rollout(self, writer)?;
         let process = self.process();
         let links = &process.node.link_budgets;
-        let places: [telemetry::Place<'_>; 4] = [
+        let places: [telemetry::Place<'_>; 5] = [
             ("responses", &process.response_budget),
             ("call_bodies", &process.call_body_budget),
+            ("answers", &process.answer_budget),
             ("received_frames", &links.received),
             ("queued_frames", &links.queued),
         ];
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -26,6 +26,8 @@
     pub response_budget: Arc<ByteBudget>,
     /// Covers the bodies of calls of engines and operators, beyond [`constants::HEARTBEAT_MAX_BYTES`] each.
     pub call_body_budget: Arc<ByteBudget>,
+    /// Covers configurations on their way to callers that read slowly.
+    pub answer_budget: Arc<ByteBudget>,
     settings: parking_lot::RwLock<Arc<Settings>>,
     random: RandomSource,
     shutting_down: watch::Sender<bool>,
@@ -40,6 +42,7 @@
             log,
             started: Instant::now(),
             response_budget: ByteBudget::new(constants::RESPONSES_BUDGET_BYTES),
+            answer_budget: ByteBudget::new(constants::ANSWERS_BUDGET_BYTES),
             call_body_budget: ByteBudget::new(constants::CALL_BODIES_BUDGET_BYTES),
             settings: parking_lot::RwLock::new(Arc::new(settings)),
             shutting_down: watch::channel(false).0,
--- a/crates/controller/tests/endless_responses.rs
+++ b/crates/controller/tests/endless_responses.rs
@@ -6,7 +6,7 @@
 use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Memory of the smallest machines that are deployed.
 const MACHINE_MEMORY_BYTES: usize = 160_000_000;
@@ -254,3 +254,61 @@
     assert!(rejected > 0);
     assert!(peak < MACHINE_MEMORY_BYTES, "the controller used {peak} bytes");
 }
+
+/// Callers that send the head of a request and never end it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_heads_without_end_do_not_fill_the_memory() {
+    const CALLERS: usize = 450;
+    const HEAD_BYTES: usize = 400_000;
+    let controller = Controller::start("request-heads");
+    let engine: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let end = Instant::now() + Duration::from_secs(10);
+    while controller.heartbeat(1, engine, 1).await != 200 {
+        assert!(Instant::now() < end);
+    }
+    let head = ["GET /anisedyke/Fleet.Look HTTP/1.1\r\nX-Fill: ", &"x".repeat(HEAD_BYTES)].concat();
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = TcpStream::connect(controller.control).await.unwrap();
+        let _ = caller.write_all(head.as_bytes()).await;
+        callers.push(caller);
+    }
+    assert_eq!(controller.heartbeat(1, engine, 2).await, 200);
+    let peak = controller.peak_memory_bytes();
+    println!("{CALLERS} heads without end: peak {} kB", peak / 1000);
+    assert!(peak < MACHINE_MEMORY_BYTES, "the controller used {peak} bytes");
+}
+
+/// Callers that ask for a large configuration and don't read it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_do_not_read_a_configuration_do_not_fill_the_memory() {
+    const CALLERS: usize = 60;
+    let controller = Controller::start("slow-callers");
+    let configuration = serde_json::json!({"revision": 1,
+        "routes": [{"host": "h.example", "pathPrefix": "/a/", "kind": "safe", "timeoutMs": 1000, "service": "s"}],
+        "services": [{"name": "s", "maxConns": 50, "engine": {"slots": 8}}]});
+    let padding = " ".repeat(constants::CONFIG_MAX_BYTES - 1000);
+    let body = format!("{configuration}{padding}");
+    controller.call_until_accepted("Config.Replace", "X-Base-Revision: 0\r\n", &body).await;
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let mut caller = socket.connect(controller.control).await.unwrap();
+        let request = "GET /anisedyke/Config.Fetch HTTP/1.1\r\nHost: x\r\n\r\n";
+        caller.write_all(request.as_bytes()).await.unwrap();
+        callers.push(caller);
+    }
+    let mut rejected = 0;
+    for caller in &mut callers {
+        let mut start = [0; 12];
+        caller.read_exact(&mut start).await.unwrap();
+        rejected += usize::from(&start == b"HTTP/1.1 503");
+    }
+    let peak = controller.peak_memory_bytes();
+    println!("{CALLERS} slow callers: peak {} kB, {rejected} rejected", peak / 1000);
+    assert!(rejected > 0 && rejected < CALLERS);
+    assert!(peak < MACHINE_MEMORY_BYTES, "the controller used {peak} bytes");
+    let engine: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    assert_eq!(controller.heartbeat(1, engine, 1).await, 200);
+}
--- a/crates/data-plane/src/proxy/events.rs
+++ b/crates/data-plane/src/proxy/events.rs
@@ -3,9 +3,8 @@
 //! Only a partial event is kept. One that is too large to be kept is relayed as it arrives; its stream can't be resumed
 //! any more.
 
-use super::response::BodyData;
 use bytes::{Bytes, BytesMut};
-use fleet_core::byte_budget::Reservation;
+use fleet_core::byte_budget::{Reservation, ReservedBytes};
 use fleet_core::constants;
 
 /// Splits a stream into complete events, and keeps the id of the last one.
@@ -27,7 +26,7 @@
 
     /// Adds received bytes and returns those that can be relayed now: all events that are complete, or all bytes once
     /// the stream can't be resumed any more.
-    pub fn push(&mut self, bytes: Bytes) -> Option<BodyData> {
+    pub fn push(&mut self, bytes: Bytes) -> Option<ReservedBytes> {
         if !self.is_resumable {
             return Some(bytes.into());
         }
@@ -48,12 +47,12 @@
         let reservation = completed?;
         let bytes = self.buffered.split_to(complete_len).freeze();
         self.record_last_id(&bytes);
-        Some(BodyData { bytes, reservation: Some(reservation) })
+        Some(ReservedBytes { bytes, reservation: Some(reservation) })
     }
 
-    fn take_all(&mut self, reservation: Reservation) -> BodyData {
+    fn take_all(&mut self, reservation: Reservation) -> ReservedBytes {
         let bytes = std::mem::take(&mut self.buffered).freeze();
-        BodyData { bytes, reservation: Some(reservation) }
+        ReservedBytes { bytes, reservation: Some(reservation) }
     }
 
     fn record_last_id(&mut self, events: &[u8]) {
@@ -78,7 +77,7 @@
     }
 
     /// The bytes after the last complete event, at the end of a stream.
-    pub fn remainder(&mut self) -> Option<BodyData> {
+    pub fn remainder(&mut self) -> Option<ReservedBytes> {
         let reservation = self.reservation.split_off(usize::MAX);
         (!self.buffered.is_empty()).then(|| self.take_all(reservation))
     }
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -44,7 +44,16 @@
 
 /// Accepts client connections until the task is aborted.
 pub async fn run_client_listener(router: Arc<Router>, listener: tokio::net::TcpListener) {
-    let permits = Arc::new(Semaphore::new(constants::MAX_CLIENT_CONNECTIONS));
+    accept_clients(router, listener, constants::MAX_CLIENT_CONNECTIONS).await;
+}
+
+/// Accepts client connections, at most `max_connections` at a time.
+pub async fn accept_clients(
+    router: Arc<Router>,
+    listener: tokio::net::TcpListener,
+    max_connections: usize,
+) {
+    let permits = Arc::new(Semaphore::new(max_connections));
     loop {
         // The semaphore is never closed. Beyond the limit, clients wait in the queue of the listening socket.
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -3,7 +3,7 @@
 use super::body_progress::BodyProgress;
 use super::dispatch::{self, Outcome};
 use super::events::EventSplitter;
-use super::response::{BodyChunk, BodyData, RelayedBody, ResponseBody};
+use super::response::{BodyChunk, RelayedBody, ResponseBody};
 use super::response_time::ResponseTimes;
 use super::stage::{ClientRequest, Responding};
 use super::{headers, passive_health};
@@ -11,6 +11,7 @@
 use crate::fleet_view::routing_table::RetryMode;
 use crate::pool::EngineBody;
 use bytes::Bytes;
+use fleet_core::byte_budget::ReservedBytes;
 use fleet_core::constants;
 use http::{Response, header};
 use http_body::Body;
@@ -166,7 +167,7 @@
     router: &Router,
     responding: &mut Responding,
     progress: &mut BodyProgress,
-    mut split: impl FnMut(Bytes) -> Option<BodyData>,
+    mut split: impl FnMut(Bytes) -> Option<ReservedBytes>,
     chunks: &mpsc::Sender<BodyChunk>,
 ) -> BodyEnd {
     let deadline = responding.request.deadline;
--- a/crates/data-plane/src/proxy/response.rs
+++ b/crates/data-plane/src/proxy/response.rs
@@ -1,7 +1,7 @@
 //! Responses to clients: those that the router itself makes, and the bodies relayed from engines.
 
 use bytes::Bytes;
-use fleet_core::byte_budget::Reservation;
+use fleet_core::byte_budget::ReservedBytes;
 use fleet_core::constants;
 use http::{HeaderValue, Response, StatusCode, header};
 use std::pin::Pin;
@@ -19,49 +19,23 @@
 #[derive(Debug)]
 pub enum BodyChunk {
     /// Bytes to relay.
-    Data(BodyData),
+    Data(ReservedBytes),
     /// The body is complete. A channel that closes without this marks a truncated body.
     End,
 }
 
-/// Bytes of an engine's response body, which stay reserved until the client's connection takes them.
-#[derive(Debug)]
-pub struct BodyData {
-    /// The bytes to relay.
-    pub bytes: Bytes,
-    /// Covers `bytes` if they are more than one part that was read; `None` otherwise.
-    pub reservation: Option<Reservation>,
-}
-
-impl From<Bytes> for BodyData {
-    fn from(bytes: Bytes) -> BodyData {
-        BodyData { bytes, reservation: None }
-    }
-}
-
-impl BodyData {
-    /// Takes the next bytes for the client's connection. Large data is copied in parts, because a part that shared its
-    /// memory would keep all of it after its reservation has ended.
-    fn take_part(&mut self) -> Bytes {
-        if self.bytes.len() <= constants::ENGINE_READ_BYTES {
-            return std::mem::take(&mut self.bytes);
-        }
-        Bytes::copy_from_slice(&self.bytes.split_to(constants::ENGINE_READ_BYTES))
-    }
-}
-
 /// A response body that is relayed from an engine.
 #[derive(Debug)]
 pub struct RelayedBody {
     chunks: mpsc::Receiver<BodyChunk>,
     /// What is left of the chunk that was received last; may be empty.
-    unsent: BodyData,
+    unsent: ReservedBytes,
 }
 
 impl RelayedBody {
     /// Relays what arrives on the channel.
     pub fn new(chunks: mpsc::Receiver<BodyChunk>) -> Box<RelayedBody> {
-        Box::new(RelayedBody { chunks, unsent: Bytes::new().into() })
+        Box::new(RelayedBody { chunks, unsent: ReservedBytes::default() })
     }
 
     fn poll_data(
@@ -75,11 +49,7 @@
                 None => return Poll::Ready(Some(Err(ResponseBodyError::Truncated))),
             }
         }
-        let part = self.unsent.take_part();
-        if self.unsent.bytes.is_empty() {
-            self.unsent.reservation = None;
-        }
-        Poll::Ready(Some(Ok(part)))
+        Poll::Ready(Some(Ok(self.unsent.take_part(constants::ENGINE_READ_BYTES))))
     }
 }
 
--- a/crates/data-plane/src/proxy/response_tests.rs
+++ b/crates/data-plane/src/proxy/response_tests.rs
@@ -11,7 +11,7 @@
     let mut body = ResponseBody::Relayed(RelayedBody::new(receiver));
     let data: Vec<u8> = (0..length).map(|index| index as u8).collect();
     let reservation = budget.try_reserve(length);
-    let data = BodyData { bytes: Bytes::from(data), reservation };
+    let data = ReservedBytes { bytes: Bytes::from(data), reservation };
     chunks.send(BodyChunk::Data(data)).await.unwrap();
     chunks.send(BodyChunk::Data(Bytes::from_static(b"next").into())).await.unwrap();
     chunks.send(BodyChunk::End).await.unwrap();
--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -8,7 +8,7 @@
 use fleet_core::constants;
 use std::sync::atomic::Ordering;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 #[tokio::test]
 async fn a_truncated_response_is_counted_and_its_partial_event_given_back() {
@@ -313,3 +313,29 @@
     wait_until(|| fleet.router.request_permits.available_permits() == all as usize).await;
     assert_eq!(engine.received_count(), 1);
 }
+
+/// A client beyond the limit on connections is served once another one has left.
+#[tokio::test]
+async fn clients_beyond_the_limit_on_connections_wait() {
+    let engine =
+        StubEngine::start("e1", |_, req| (complete_stream(req, 1..=1), AfterResponse::KeepOpen))
+            .await;
+    let fleet = Fleet::start(&[&engine]).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(data_plane::proxy::accept_clients(fleet.router.clone(), listener, 2));
+    let mut clients = Vec::new();
+    for _ in 0..3 {
+        let mut client = TcpStream::connect(address).await.unwrap();
+        client.write_all(request("/twice/x", "").as_bytes()).await.unwrap();
+        clients.push(client);
+    }
+    let last = clients.pop().unwrap();
+    wait_until(|| engine.received_count() == 2).await;
+    for _ in 0..1000 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(engine.received_count(), 2);
+    clients.pop();
+    assert_eq!(status(&receive(last).await), 200);
+}
--- a/crates/fleet-core/src/byte_budget.rs
+++ b/crates/fleet-core/src/byte_budget.rs
@@ -3,6 +3,7 @@
 //! Each place that keeps received bytes has a [`ByteBudget`], shared by all of its connections. The bytes are reserved
 //! before they are kept, and the [`Reservation`] lives as long as they do.
 
+use bytes::Bytes;
 use parking_lot::Mutex;
 use std::sync::Arc;
 
@@ -107,6 +108,33 @@
     }
 }
 
+/// Bytes on their way to a reader, which stay reserved until the last of them is taken.
+#[derive(Debug, Default)]
+pub struct ReservedBytes {
+    /// What was not taken yet.
+    pub bytes: Bytes,
+    /// Covers `bytes`; `None` if they are too few to be counted.
+    pub reservation: Option<Reservation>,
+}
+
+impl From<Bytes> for ReservedBytes {
+    fn from(bytes: Bytes) -> ReservedBytes {
+        ReservedBytes { bytes, reservation: None }
+    }
+}
+
+impl ReservedBytes {
+    /// Takes up to `max_bytes` of the bytes. A part of them is copied, because one that shared their memory would keep
+    /// all of it after the reservation has ended.
+    pub fn take_part(&mut self, max_bytes: usize) -> Bytes {
+        if self.bytes.len() <= max_bytes {
+            self.reservation = None;
+            return std::mem::take(&mut self.bytes);
+        }
+        Bytes::copy_from_slice(&self.bytes.split_to(max_bytes))
+    }
+}
+
 #[cfg(test)]
 #[path = "byte_budget_tests.rs"]
 mod tests;
