--- a/crates/fleet-core/src/constants/engines.rs
+++ b/crates/fleet-core/src/constants/engines.rs
@@ -4,8 +4,8 @@
 
 /// Maximum size of an engine's heartbeat, in bytes.
 pub const HEARTBEAT_MAX_BYTES: usize = 4096;
-/// Limit on the configurations that wait for callers to read them, in bytes: two of the largest.
-pub const ANSWERS_BUDGET_BYTES: usize = 2 * super::CONFIG_MAX_BYTES;
+/// Limit on the configurations that wait for callers to read them, in bytes: one of the largest.
+pub const ANSWERS_BUDGET_BYTES: usize = super::CONFIG_MAX_BYTES;
 /// Part of an answer that is handed to a connection at a time, in bytes.
 pub const ANSWER_PART_BYTES: usize = 64 << 10;
 /// Time in which a caller must send the body of its call; it gives up after a second, or some more for a large body.
--- a/crates/fleet-core/src/constants/invalidations.rs
+++ b/crates/fleet-core/src/constants/invalidations.rs
@@ -39,7 +39,7 @@
 /// Number of findings kept for readers; more than occur between two fetches.
 pub const FINDINGS_CAPACITY: usize = 4096;
 /// Longest salt that the index takes from a holder, in bytes: it names a model, a version and an isolation.
-pub const SALT_MAX_BYTES: usize = 512;
+pub const SALT_MAX_BYTES: usize = 256;
 /// Parts that the index of a controller keeps for all holders, with 16 for each salt; about 20 MB.
 pub const INDEX_CAPACITY: usize = 512 << 10;
 /// Most parts that the index keeps for one holder: more than there are blocks in a store.
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -37,20 +37,20 @@
 /// Largest partial event of a resumable stream that is kept, in bytes; events are a few hundred bytes long.
 pub const PARTIAL_EVENT_MAX_BYTES: usize = 256 << 10;
 /// Limit on the partial events of all streams together, in bytes.
-pub const PARTIAL_EVENTS_BUDGET_BYTES: usize = 8 << 20;
+pub const PARTIAL_EVENTS_BUDGET_BYTES: usize = 4 << 20;
 /// An event, or a body without events that has not ended at its deadline, that is longer than this many bytes counts as
 /// endless, and its engine as faulty.
 pub const ENDLESS_BODY_BYTES: usize = 8 << 20;
 /// A response that has sent more than this many bytes takes turns with all others of that size.
 pub const BULK_BODY_BYTES: usize = 256 << 10;
 /// Requests that a router has in flight at a time; each keeps its body and what its client has not read of its response.
-pub const MAX_REQUESTS_IN_FLIGHT: usize = 768;
+pub const MAX_REQUESTS_IN_FLIGHT: usize = 512;
 /// Open connections of clients; each keeps a part of a request head.
 pub const MAX_CLIENT_CONNECTIONS: usize = 2048;
 /// Bytes of each request body that are received whatever other requests keep.
 pub const SMALL_BODY_BYTES: usize = 16 << 10;
 /// Limit on what all request bodies together have beyond [`SMALL_BODY_BYTES`] each, in bytes.
-pub const REQUEST_BODIES_BUDGET_BYTES: usize = 24 << 20;
+pub const REQUEST_BODIES_BUDGET_BYTES: usize = 16 << 20;
 /// An idle connection is closed after this time, before engines usually close it.
 pub const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which a request that must not be retried uses another connection, until a safe idle time has been
