--- a/crates/control-plane/src/index_owner/mod.rs
+++ b/crates/control-plane/src/index_owner/mod.rs
@@ -3,18 +3,21 @@
 //!
 //! One controller does this at a time, under [`INDEX_OWNER_LEASE`]. Each time the lease is acquired, a new `IndexOwner`
 //! starts with a new ring and an empty index, and readers of the former ring start over from a snapshot. One task polls
-//! each holder (`follower`); `index` stores what they learn, `published` combines it with the ring, `feed` serves
+//! each holder (`follower`, `followers`); `index` stores what they learn, `published` combines it with the ring, `feed` serves
 //! readers from there, and `throttle` limits the snapshots in flight.
 //!
 //! If there are many routers, the other voters read the ring too, and relay it to the routers near them (`relay`).
 //!
 //! Lock order: the index, then the throttle; no other lock is taken while one of the others is held.
 
+mod announcements;
 mod feed;
 mod follower;
+mod followers;
 mod holder_parts;
 mod index;
 mod published;
+mod published_invalidations;
 mod relay;
 mod throttle;
 mod unshared_parts;
@@ -22,7 +25,7 @@
 pub use feed::Reader;
 pub use relay::{run_relay_announcements, run_ring_relay};
 
-use crate::cluster_state::{ClusterState, ClusterStateStore, StateChange};
+use crate::cluster_state::{ClusterStateStore, StateChange};
 use crate::config_distribution::ConfigBodies;
 use crate::consensus::{Consensus, state_machine};
 use crate::engines::client::HttpClient;
@@ -30,24 +33,25 @@
 use crate::membership::peer_links::MemberLink;
 use crate::membership::routers::Routers;
 use crate::process::Process;
+use announcements::{Announcements, Audience};
+use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::transport::Transport;
 use fleet_core::wire::{
-    Body, CachedPrefixes, ConfigValue, EngineState, FleetUpdate, Invalidation, RingHead,
-    RingRequest, RingResponse, WeightsVersion,
+    Body, CachedPrefixes, ConfigValue, FleetUpdate, RingHead, RingRequest, RingResponse,
 };
-use fleet_core::{constants, fleet};
 use follower::HolderEndpoint;
+use followers::Followers;
 use parking_lot::Mutex;
 use prost::Message;
 use published::PublishedIndex;
+use published_invalidations::PublishedInvalidations;
 use relay::RingRelay;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 
 /// Dependencies of [`IndexOwnership`].
@@ -239,104 +243,3 @@
     let fair_pause = processing.mul_f64(holders.max(1) as f64 / constants::EVENTS_MAX_CPU_SHARE);
     interval.max(fair_pause.min(constants::EVENTS_MAX_PAUSE))
 }
-
-/// Recipients of an announcement of the ring's head.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Audience {
-    /// All readers of the ring, and the other voters.
-    All,
-    /// The other voters only, since one may have connected after the last announcement.
-    Relays,
-}
-
-/// Decides when the ring's head is announced: to all recipients when it has changed, and periodically to relays.
-#[derive(Default)]
-struct Announcements {
-    last: Option<(RingHead, Instant)>,
-}
-
-impl Announcements {
-    /// Returns the recipients of an announcement that is due now, if any, and records it as sent.
-    fn due(&mut self, head: &RingHead, now: Instant) -> Option<Audience> {
-        let audience = match &self.last {
-            Some((last, _)) if last != head => Audience::All,
-            Some((_, announced_at))
-                if now.duration_since(*announced_at) < constants::RELAY_READ_INTERVAL =>
-            {
-                return None;
-            }
-            Some(_) | None => Audience::Relays,
-        };
-        self.last = Some((head.clone(), now));
-        Some(audience)
-    }
-}
-
-/// One task per holder; all are aborted when this is dropped.
-#[derive(Default)]
-struct Followers {
-    tasks: JoinSet<()>,
-    by_holder: BTreeMap<String, AbortHandle>,
-}
-
-impl Followers {
-    /// Starts following new holders and stops following removed ones; returns invalidations of the removed ones.
-    fn follow(
-        &mut self,
-        owner: &Arc<IndexOwner>,
-        holders: BTreeMap<String, HolderEndpoint>,
-    ) -> Vec<Invalidation> {
-        while self.tasks.try_join_next().is_some() {}
-        owner.holder_count.store(holders.len(), Ordering::Relaxed);
-        let mut invalidations = Vec::new();
-        self.by_holder.retain(|holder, task| {
-            let stays = holders.contains_key(holder);
-            if !stays {
-                task.abort();
-                invalidations.push(Invalidation::Holder(holder.clone()));
-            }
-            stays
-        });
-        for (holder, endpoint) in holders {
-            self.by_holder.entry(holder.clone()).or_insert_with(|| {
-                self.tasks.spawn(follower::follow(owner.clone(), holder, endpoint))
-            });
-        }
-        invalidations
-    }
-}
-
-/// Target weights and isolation generation for which invalidations were published.
-#[derive(Default)]
-struct PublishedInvalidations {
-    weights: hashbrown::HashMap<String, u64>,
-    isolation: u64,
-}
-
-impl PublishedInvalidations {
-    /// Invalidations of weights that no ready engine serves any more, and of former generations of the shared
-    /// isolation.
-    fn collect(&mut self, state: &ClusterState) -> Vec<Invalidation> {
-        let mut invalidations = Vec::new();
-        for model in state.weights.keys() {
-            let (model, version) = (model.clone(), state.target_version(model));
-            let is_rolled_out = !state.engines.values().any(|engine| {
-                engine.state() == EngineState::Ready
-                    && fleet::version_of(engine, &model)
-                        .is_some_and(|engine_version| engine_version < version)
-            });
-            if is_rolled_out && self.weights.insert(model.clone(), version) != Some(version) {
-                invalidations.push(Invalidation::Weights(WeightsVersion { model, version }));
-            }
-        }
-        if let Some(config) = state.config
-            && config.isolation > self.isolation
-        {
-            if self.isolation > 0 {
-                invalidations.push(Invalidation::Isolation(config.isolation));
-            }
-            self.isolation = config.isolation;
-        }
-        invalidations
-    }
-}
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -4,19 +4,18 @@
 use super::headers;
 use super::response_check::{self, SentRequest, Verdict};
 use super::stage::{Accepted, ClientRequest, Dispatched, Responding};
-use super::{passive_health, rejection_body};
+use super::{outgoing_request, passive_health, rejection_body};
 use crate::Router;
 use crate::fleet_view::FleetView;
 use crate::fleet_view::routing_table::RetryMode;
 use crate::load_balancer::{self, Choice};
 use crate::pool::EngineBody;
 use crate::pool::connection::{
-    self, CheckoutOptions, ConnectionError, PooledConnection, RequestBody, RespondingConnection,
-    SendError,
+    self, CheckoutOptions, ConnectionError, PooledConnection, RespondingConnection, SendError,
 };
 use crate::shutdown::Phase;
 use fleet_core::constants;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{Response, StatusCode};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -138,7 +137,7 @@
     resume_after: Option<&str>,
 ) -> Outcome {
     let SelectedEngine { choice, connection } = selected;
-    let Some(outgoing) = outgoing_request(accepted.request(), &choice, resume_after) else {
+    let Some(outgoing) = outgoing_request::build(accepted.request(), &choice, resume_after) else {
         let mut accepted = accepted;
         accepted.exclude(&choice.engine.id);
         return Outcome::NotSent(accepted);
@@ -277,38 +276,3 @@
         }
     }
 }
-
-/// The request with the headers that the engine receives; `None` if a name does not fit into a header.
-fn outgoing_request(
-    request: &ClientRequest,
-    choice: &Choice,
-    resume_after: Option<&str>,
-) -> Option<Request<RequestBody>> {
-    let remaining_ms =
-        request.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
-    let urgency = headers::urgency(&request.route, request.tenant.as_deref());
-    let tenant = request.tenant.as_ref().map(|t| t.name.as_str());
-    let mut outgoing = Request::new(RequestBody::new(request.body.bytes.clone()));
-    *outgoing.method_mut() = request.method.clone();
-    *outgoing.uri_mut() = request.uri.clone();
-    let head = outgoing.headers_mut();
-    *head = request.headers.clone();
-    head.insert(headers::DEADLINE_MS, HeaderValue::from(remaining_ms));
-    head.insert(headers::URGENCY, HeaderValue::from(urgency));
-    if let Some(version) = choice.version {
-        head.insert(headers::EXPECTED_VERSION, HeaderValue::from(version));
-    }
-    let optional_headers = [
-        (headers::TARGET_INSTANCE, Some(choice.engine.id.as_str())),
-        (headers::TENANT, tenant),
-        (headers::CACHE_SALT, choice.salt.as_deref()),
-        (headers::KV_SOURCE, choice.source.as_deref()),
-        (headers::KV_SINK, choice.sink.as_deref()),
-        (headers::LAST_EVENT_ID, resume_after),
-    ];
-    for (name, text) in optional_headers {
-        let Some(text) = text else { continue };
-        head.insert(name, HeaderValue::from_str(text).ok()?);
-    }
-    Some(outgoing)
-}
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! | [`request`] | reads and validates the request, then dispatches it, with retries where they are allowed |
 //! | [`request_body`] | receives the body, within a budget of all requests |
 //! | [`dispatch`] | finds an engine with a connection and sends the request there |
+//! | [`outgoing_request`] | the request with the headers that the engine receives |
 //! | [`response_check`] | validates the head of an engine's response |
 //! | [`relay`] | passes the body on, and resumes a broken stream |
 //! | [`body_progress`] | tells a body without an end from a long one |
@@ -22,6 +23,7 @@
 pub mod events;
 pub mod headers;
 pub mod in_flight;
+pub mod outgoing_request;
 pub mod passive_health;
 pub mod rejection_body;
 pub mod relay;
