--- a/crates/control-plane/src/engines/client.rs
+++ b/crates/control-plane/src/engines/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for engines, the KV store and controllers, with one persistent connection per client.
 
-use fleet_core::byte_budget::ByteBudget;
+use fleet_core::byte_budget::{ByteBudget, Reservation};
 use fleet_core::constants;
 use fleet_core::transport::{Tcp, Transport, TransportError};
 use http_body_util::BodyExt;
@@ -80,6 +80,8 @@
     pub body: bytes::Bytes,
     /// The `Location` header, by which a node redirects to the one that can answer.
     pub location: Option<String>,
+    /// Covers `body` until the response is dropped.
+    pub reservation: Reservation,
 }
 
 impl HttpClient {
@@ -109,8 +111,8 @@
         HttpClient { max_response_bytes, ..self }
     }
 
-    /// Takes what bodies that are being received have beyond [`constants::SMALL_RESPONSE_BYTES`] from a budget that other
-    /// clients share. A body that exceeds it fails with [`CallError::Overloaded`].
+    /// Takes what bodies have beyond [`constants::SMALL_RESPONSE_BYTES`] from a budget that other
+    /// clients share, until their responses are dropped. A body that exceeds it fails with [`CallError::Overloaded`].
     pub fn with_response_budget(self, response_budget: Arc<ByteBudget>) -> Self {
         HttpClient { response_budget, ..self }
     }
@@ -197,15 +199,15 @@
         let status = response.status();
         let location = response.headers().get(http::header::LOCATION);
         let location = location.and_then(|value| value.to_str().ok()).map(str::to_owned);
-        let body = self.receive_body(response.into_body()).await?;
+        let (body, reservation) = self.receive_body(response.into_body()).await?;
         self.connection = Some(connection);
-        Ok(HttpResponse { status, body, location })
+        Ok(HttpResponse { status, body, location, reservation })
     }
 
     async fn receive_body(
         &self,
         mut incoming: hyper::body::Incoming,
-    ) -> Result<bytes::Bytes, CallError> {
+    ) -> Result<(bytes::Bytes, Reservation), CallError> {
         let mut reservation = self.response_budget.reservation();
         let mut body = bytes::BytesMut::new();
         while let Some(frame) = incoming.frame().await {
@@ -220,7 +222,7 @@
             }
             body.extend_from_slice(&data);
         }
-        Ok(body.freeze())
+        Ok((body.freeze(), reservation))
     }
 }
 
--- a/crates/control-plane/src/engines/client_tests.rs
+++ b/crates/control-plane/src/engines/client_tests.rs
@@ -98,12 +98,12 @@
         tokio::spawn(
             async move { serve_bodies(listener, &[small, small + 100, small + 101]).await },
         );
-    let mut call = async || {
-        let response = client.call(http::Method::GET, "/e", &[], Vec::new(), CALL_TIMEOUT).await;
-        response.map(|response| response.body.len())
-    };
-    assert_eq!(call().await.unwrap(), small);
-    assert_eq!(call().await.unwrap(), small + 100);
+    let mut call =
+        async || client.call(http::Method::GET, "/e", &[], Vec::new(), CALL_TIMEOUT).await;
+    assert_eq!(call().await.unwrap().body.len(), small);
+    let large = call().await.unwrap();
+    assert_eq!((large.body.len(), budget.usage().reserved), (small + 100, 1000));
+    drop(large);
     assert!(matches!(call().await, Err(CallError::Overloaded)));
     assert_eq!(budget.usage().reserved, 900, "the failed response is given back");
     drop(others);
--- a/crates/control-plane/src/index_owner/follower.rs
+++ b/crates/control-plane/src/index_owner/follower.rs
@@ -2,7 +2,7 @@
 
 use super::IndexOwner;
 use super::index::KvEvents;
-use crate::engines::client::HttpClient;
+use crate::engines::client::{HttpClient, HttpResponse};
 use fleet_core::constants;
 use fleet_core::log::Event;
 use fleet_core::wire::{Engine, EngineState, Invalidation};
@@ -80,15 +80,15 @@
             Some(_) => None,
         };
         let target = endpoint.is_engine.then_some(holder.as_str());
-        let body = fetch_events(&mut client, target, position).await;
-        let turn = match &body {
-            Some(body) if body.len() > constants::SMALL_RESPONSE_BYTES => {
+        let response = fetch_events(&mut client, target, position).await;
+        let turn = match &response {
+            Some(response) if response.body.len() > constants::SMALL_RESPONSE_BYTES => {
                 index_owner.large_response_turn.acquire().await.ok()
             }
             _ => None,
         };
         let processing_since = Instant::now();
-        let batch = body.and_then(|body| serde_json::from_slice::<KvEvents>(&body).ok());
+        let batch = response.and_then(|response| parse(&response));
         let next = batch.map(|batch| apply(&index_owner, &holder, position, &batch));
         let processing = processing_since.elapsed();
         drop(permit);
@@ -106,6 +106,10 @@
     }
 }
 
+fn parse(response: &HttpResponse) -> Option<KvEvents> {
+    serde_json::from_slice(&response.body).ok()
+}
+
 /// Applies a response to the index; returns the position after it.
 fn apply(
     index_owner: &IndexOwner,
@@ -136,7 +140,7 @@
     client: &mut HttpClient,
     target: Option<&str>,
     position: Option<Position>,
-) -> Option<bytes::Bytes> {
+) -> Option<HttpResponse> {
     let wait = position.map_or(constants::EVENTS_FIRST_WAIT_MS, |_| constants::EVENTS_WAIT_MS);
     let since = position.map_or(0, |previous| previous.next);
     let timeout = Duration::from_millis(wait) + constants::ENGINE_CALL_TIMEOUT;
@@ -146,7 +150,7 @@
     headers.extend(target.map(|id| ("X-Target-Instance", id)));
     let response =
         client.call(http::Method::GET, &path, &headers, Vec::new(), timeout).await.ok()?;
-    (response.status == http::StatusCode::OK).then_some(response.body)
+    (response.status == http::StatusCode::OK).then_some(response)
 }
 
 #[cfg(test)]
--- a/crates/control-plane/src/rollout/order_tests.rs
+++ b/crates/control-plane/src/rollout/order_tests.rs
@@ -1,10 +1,16 @@
 use super::*;
+use fleet_core::byte_budget::ByteBudget;
 
 fn report_of(model: &str, revision: u64, call_seq: u64, active: u32) -> Report {
     let models = vec![LoadedModel { name: model.to_owned(), revision }];
     Report { models, busy: false, call_seq, active }
 }
 
+fn response(status: http::StatusCode, body: bytes::Bytes) -> HttpResponse {
+    let reservation = ByteBudget::new(0).reservation();
+    HttpResponse { status, body, location: None, reservation }
+}
+
 fn engine(id: &str, state: EngineState) -> Engine {
     let mut engine = Engine { id: id.into(), address: "10.0.0.1:80".into(), ..Default::default() };
     engine.set_state(state);
@@ -52,10 +58,10 @@
         "older weights"
     );
     let status = http::StatusCode::MISDIRECTED_REQUEST;
-    let misdirected = HttpResponse { status, body: bytes::Bytes::new(), location: None };
+    let misdirected = response(status, bytes::Bytes::new());
     assert!(matches!(parse_report(Ok(misdirected)), Err(OrderError::WrongEngine)));
     let body = br#"{"models":[{"name":"m","revision":3}]}"#.as_slice().into();
-    let not_found = HttpResponse { status: http::StatusCode::NOT_FOUND, body, location: None };
+    let not_found = response(http::StatusCode::NOT_FOUND, body);
     assert!(matches!(parse_report(Ok(not_found)), Ok(None)), "only a 200 is a report");
 }
 
