--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -339,3 +339,24 @@
     clients.pop();
     assert_eq!(status(&receive(last).await), 200);
 }
+
+/// Bytes that follow a complete response belong to no request.
+#[tokio::test]
+async fn a_connection_on_which_an_engine_sends_more_than_its_response_is_closed() {
+    let engine = StubEngine::start("e1", |_, received| {
+        let surplus = vec![b'x'; 1 << 20];
+        ([complete_stream(received, 1..=1), surplus].concat(), AfterResponse::KeepOpen)
+    })
+    .await;
+    let fleet = Fleet::start(&[&engine]).await;
+    let handle = fleet.router.fleet_view.engines.read()["e1"].clone();
+    for request_count in 1..=2 {
+        assert_eq!(status(&fleet.send("/twice/x", "").await), 200);
+        let is_closed = || {
+            let now = tokio::time::Instant::now();
+            !handle.activity().has_idle_connection(now, std::time::Duration::MAX)
+        };
+        wait_until(is_closed).await;
+        assert_eq!(engine.received.lock().last().unwrap().connection, request_count);
+    }
+}
