Links: a frame's length is computed once when it is queued, its budget passed once

Found when the change was read again: each frame was measured up to four times on its way out, each received one took two locks for a budget that its caller had, and the same choice of a budget stood in reader and writer.

--- a/crates/fleet-core/src/link/budgets.rs
+++ b/crates/fleet-core/src/link/budgets.rs
@@ -23,8 +23,15 @@
     }
 }
 
-/// Reserves bytes once there are enough.
-pub(super) async fn reserve_when_available(budget: &Arc<ByteBudget>, bytes: usize) -> Reservation {
+/// Reserves the bytes of a frame once there are enough; nothing for one of at most `free_bytes`.
+pub(super) async fn reserve_when_available(
+    budget: &Arc<ByteBudget>,
+    bytes: usize,
+    free_bytes: usize,
+) -> Reservation {
+    if bytes <= free_bytes {
+        return budget.reservation();
+    }
     loop {
         if let Some(reservation) = budget.try_reserve(bytes) {
             return reservation;
--- a/crates/fleet-core/src/link/client.rs
+++ b/crates/fleet-core/src/link/client.rs
@@ -152,7 +152,7 @@
             *link.last_received.lock() = Some(Instant::now());
             link.is_up.send_replace(true);
         }
-        Self::receive(weak, reader, &writer, &pending, pushed).await;
+        Self::receive(weak, reader, &writer, &pending, &budgets.received, pushed).await;
         drop(writer);
         if let Some(link) = weak.upgrade() {
             *link.connected.lock() = None;
@@ -168,14 +168,12 @@
         reader: ByteReader,
         writer: &Writer,
         pending: &PendingCalls,
+        budget: &Arc<ByteBudget>,
         pushed: Option<&mpsc::Sender<Pushed>>,
     ) {
         let mut reader = frame::buffered(reader);
         loop {
-            let Some(budget) = weak.upgrade().map(|link| link.budgets.received.clone()) else {
-                return;
-            };
-            let received = next_frame(&mut reader, writer, &budget).await;
+            let received = next_frame(&mut reader, writer, budget).await;
             let Some(link) = weak.upgrade() else { return };
             let ReceivedFrame { frame, reservation } = match received {
                 Ok(received) => received,
--- a/crates/fleet-core/src/link/frame.rs
+++ b/crates/fleet-core/src/link/frame.rs
@@ -44,11 +44,7 @@
     if length > max_bytes {
         return Err(LinkError::TooLarge(length));
     }
-    let reservation = if length > constants::SMALL_FRAME_BYTES {
-        reserve_when_available(budget, length).await
-    } else {
-        budget.reservation()
-    };
+    let reservation = reserve_when_available(budget, length, constants::SMALL_FRAME_BYTES).await;
     let mut bytes = bytes::BytesMut::zeroed(length);
     let reading = reader.read_exact(&mut bytes);
     let received = tokio::time::timeout(constants::frame_timeout(length), reading).await;
--- a/crates/fleet-core/src/link/queue.rs
+++ b/crates/fleet-core/src/link/queue.rs
@@ -12,6 +12,8 @@
 /// A frame in the queue, and what it takes of the budgets until it is written.
 pub(super) struct QueuedFrame {
     pub(super) frame: Frame,
+    /// Its encoded length in bytes.
+    pub(super) length: usize,
     _of_link: Reservation,
     _of_process: Option<Reservation>,
 }
@@ -46,7 +48,7 @@
         } else {
             None
         };
-        let queued = QueuedFrame { frame, _of_link: of_link, _of_process: of_process };
+        let queued = QueuedFrame { frame, length, _of_link: of_link, _of_process: of_process };
         self.frames.try_send(queued).map_err(|_| LinkError::NotConnected)
     }
 
--- a/crates/fleet-core/src/link/writer.rs
+++ b/crates/fleet-core/src/link/writer.rs
@@ -6,7 +6,6 @@
 use crate::byte_budget::ByteBudget;
 use crate::constants;
 use crate::transport::ByteWriter;
-use prost::Message;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
@@ -48,18 +47,14 @@
     loop {
         let Some(first) = next_frame(&mut large, &mut frames).await else { return };
         out.clear();
-        let length = first.frame.encoded_len();
-        let _copy = if is_large(&first) {
-            reserve_when_available(&budget, length).await
-        } else {
-            budget.reservation()
-        };
+        let _copy =
+            reserve_when_available(&budget, first.length, constants::WRITE_BATCH_BYTES).await;
         encode(&first.frame, &mut out);
         drop(first);
         while out.len() < constants::WRITE_BATCH_BYTES
             && let Ok(queued) = frames.try_recv()
         {
-            if is_large(&queued) {
+            if queued.length > constants::WRITE_BATCH_BYTES {
                 large = Some(queued);
                 break;
             }
@@ -87,7 +82,3 @@
         None => frames.recv().await,
     }
 }
-
-fn is_large(queued: &QueuedFrame) -> bool {
-    queued.frame.encoded_len() > constants::WRITE_BATCH_BYTES
-}
