--- a/crates/data-plane/src/pool/engine.rs
+++ b/crates/data-plane/src/pool/engine.rs
@@ -110,7 +110,6 @@
     fn clear_failures(&mut self) {
         self.ejection_time = Duration::ZERO;
         self.ejected_until = None;
-        self.invalid_responses = 0;
     }
 
     /// Whether there is an open connection that has been idle for at most `max_idle_time`.
@@ -259,10 +258,11 @@
         }
     }
 
-    /// Clears its failures after a response head, unless a body of it had no end. Returns the shortest idle time after which it closed a connection, if it
-    /// did: the engine is alive, so its idle timeout was the cause.
+    /// Clears its failures after a valid response head, unless a body of it had no end. Returns the shortest idle time
+    /// after which it closed a connection, if it did: the engine is alive, so its idle timeout was the cause.
     pub fn record_success(&self) -> Option<Duration> {
         let mut activity = self.activity();
+        activity.invalid_responses = 0;
         if !activity.had_endless_body {
             activity.clear_failures();
         }
