Soak: only the engine that a request reached last excuses a response that breaks off

Two indexes of arrivals are one, and the check is stricter: a request that went on from the faulty engine to a sound one is not excused any more.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -5,7 +5,7 @@
     Action, Ending, EngineEvent, History, ProcessEvent, Program, Request, Timestamp,
 };
 use crate::http::ReadError;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// A rule that users of the fleet rely on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -66,22 +66,26 @@
 
 /// Requests that reached engines, by attempt id.
 struct Index<'a> {
-    arrived: HashSet<&'a str>,
-    reached_faulty_engine: HashSet<&'a str>,
+    /// The engine that each request reached last.
+    last_engine: HashMap<&'a str, &'a str>,
+    faulty_engines: &'a [String],
     executions: HashMap<&'a str, Vec<&'a str>>,
 }
 
 impl<'a> Index<'a> {
     fn of(history: &'a History) -> Index<'a> {
-        let arrived = history.arrivals.iter().map(|event| event.attempt.as_str()).collect();
-        let faulty = |event: &&EngineEvent| history.faulty_engines.contains(&event.engine);
-        let at_faulty = history.arrivals.iter().filter(faulty);
-        let reached_faulty_engine = at_faulty.map(|event| event.attempt.as_str()).collect();
+        let arrival = |event: &'a EngineEvent| (event.attempt.as_str(), event.engine.as_str());
+        let last_engine = history.arrivals.iter().map(arrival).collect();
         let mut executions: HashMap<&str, Vec<&str>> = HashMap::new();
         for event in &history.executions {
             executions.entry(&event.attempt).or_default().push(&event.engine);
         }
-        Index { arrived, reached_faulty_engine, executions }
+        Index { last_engine, faulty_engines: &history.faulty_engines, executions }
+    }
+
+    fn was_at_faulty_engine(&self, attempt: &str) -> bool {
+        let last = self.last_engine.get(attempt);
+        last.is_some_and(|last| self.faulty_engines.iter().any(|engine| engine == last))
     }
 
     fn executed_by(&self, attempt: &str) -> &[&'a str] {
@@ -105,11 +109,11 @@
     let is_lost = match error {
         ReadError::Malformed => true,
         ReadError::ClosedWithin => {
-            let is_engines_fault = index.reached_faulty_engine.contains(request.attempt.as_str());
-            !is_engines_fault && !was_cut_off_by_grace_period(request, history)
+            !index.was_at_faulty_engine(&request.attempt)
+                && !was_cut_off_by_grace_period(request, history)
         }
         ReadError::ClosedBefore => {
-            index.arrived.contains(request.attempt.as_str())
+            index.last_engine.contains_key(request.attempt.as_str())
                 || duration > constants::UNFORWARDED_RESPONSE_LIMIT
         }
     };
