One collector for bodies of requests, calls and responses

The same loop with a limit, free bytes and a budget stood in the router's requests, in the control API and in the client for engines; a complete body was three types. BodyCollector and ReservedBytes serve all three; limits and answers are the same.

--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -14,7 +14,8 @@
 use crate::Controller;
 use crate::process::Process;
 use crate::service::Rejection;
-use fleet_core::byte_budget::Reservation;
+use fleet_core::body_collector::{BodyCollector, BodyLimits, CollectError};
+use fleet_core::byte_budget::ReservedBytes;
 use fleet_core::constants;
 use futures_util::StreamExt;
 use std::sync::Arc;
@@ -70,13 +71,6 @@
     json_response(http::StatusCode::OK, body)
 }
 
-/// The body of a call, and its part of the budget until the call is answered.
-pub struct CallBody {
-    /// As the caller sent it.
-    pub bytes: bytes::Bytes,
-    _reservation: Reservation,
-}
-
 /// Reads a request body of at most `max_bytes` bytes. What it has beyond the size of a heartbeat comes from a budget of
 /// all calls.
 ///
@@ -88,7 +82,7 @@
     process: &Process,
     body: dropshot::StreamingBody,
     max_bytes: usize,
-) -> Result<CallBody, dropshot::HttpError> {
+) -> Result<ReservedBytes, dropshot::HttpError> {
     let reading = read_within_budget(process, body, max_bytes);
     match tokio::time::timeout(constants::CALL_BODY_TIMEOUT, reading).await {
         Ok(body) => body,
@@ -100,23 +94,26 @@
     process: &Process,
     body: dropshot::StreamingBody,
     max_bytes: usize,
-) -> Result<CallBody, dropshot::HttpError> {
+) -> Result<ReservedBytes, dropshot::HttpError> {
     let mut chunks = std::pin::pin!(body.into_stream());
-    let mut reservation = process.call_body_budget.reservation();
-    let mut bytes = bytes::BytesMut::new();
+    let limits = BodyLimits { max_bytes, free_bytes: constants::HEARTBEAT_MAX_BYTES };
+    let mut collector = BodyCollector::new(Some(&process.call_body_budget), limits);
     while let Some(chunk) = chunks.next().await {
-        let chunk = chunk?;
-        let length = bytes.len() + chunk.len();
-        if length > max_bytes {
+        collector.push(&chunk?).map_err(|error| reject_body(error, max_bytes))?;
+    }
+    collector.finish().map_err(|error| reject_body(error, max_bytes))
+}
+
+fn reject_body(error: CollectError, max_bytes: usize) -> dropshot::HttpError {
+    match error {
+        CollectError::TooLarge => {
             let message = format!("more than {max_bytes} bytes");
-            return Err(error_response(http::StatusCode::PAYLOAD_TOO_LARGE, "too_large", message));
+            error_response(http::StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
         }
-        if !reservation.resize(length.saturating_sub(constants::HEARTBEAT_MAX_BYTES)) {
-            return Err(Rejection::unavailable("overloaded", "too many large calls").into());
+        CollectError::Overloaded => {
+            Rejection::unavailable("overloaded", "too many large calls").into()
         }
-        bytes.extend_from_slice(&chunk);
     }
-    Ok(CallBody { bytes: bytes.freeze(), _reservation: reservation })
 }
 
 /// Starts the HTTP server of the API.
--- a/crates/control-plane/src/engines/client.rs
+++ b/crates/control-plane/src/engines/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for engines, the KV store and controllers, with one persistent connection per client.
 
-use fleet_core::byte_budget::{ByteBudget, Reservation};
+use fleet_core::body_collector::{BodyCollector, BodyLimits, CollectError};
+use fleet_core::byte_budget::{ByteBudget, Reservation, ReservedBytes};
 use fleet_core::constants;
 use fleet_core::transport::{Tcp, Transport, TransportError};
 use http_body_util::BodyExt;
@@ -81,7 +82,7 @@
     /// The `Location` header, by which a node redirects to the one that can answer.
     pub location: Option<String>,
     /// Covers `body` until the response is dropped.
-    pub reservation: Reservation,
+    pub reservation: Option<Reservation>,
 }
 
 impl HttpClient {
@@ -199,7 +200,8 @@
         let status = response.status();
         let location = response.headers().get(http::header::LOCATION);
         let location = location.and_then(|value| value.to_str().ok()).map(str::to_owned);
-        let (body, reservation) = self.receive_body(response.into_body()).await?;
+        let ReservedBytes { bytes: body, reservation } =
+            self.receive_body(response.into_body()).await?;
         self.connection = Some(connection);
         Ok(HttpResponse { status, body, location, reservation })
     }
@@ -207,22 +209,28 @@
     async fn receive_body(
         &self,
         mut incoming: hyper::body::Incoming,
-    ) -> Result<(bytes::Bytes, Reservation), CallError> {
-        let mut reservation = self.response_budget.reservation();
-        let mut body = bytes::BytesMut::new();
+    ) -> Result<ReservedBytes, CallError> {
+        let limits = BodyLimits {
+            max_bytes: self.max_response_bytes,
+            free_bytes: constants::SMALL_RESPONSE_BYTES,
+        };
+        let mut collector = BodyCollector::new(Some(&self.response_budget), limits);
         while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|_| CallError::ConnectionLost)?;
-            let Ok(data) = frame.into_data() else { continue };
-            let length = body.len() + data.len();
-            if length > self.max_response_bytes {
-                return Err(CallError::InvalidMessage);
-            }
-            if !reservation.resize(length.saturating_sub(constants::SMALL_RESPONSE_BYTES)) {
-                return Err(CallError::Overloaded);
+            if let Ok(data) = frame.into_data() {
+                collector.push(&data)?;
             }
-            body.extend_from_slice(&data);
         }
-        Ok((body.freeze(), reservation))
+        Ok(collector.finish()?)
+    }
+}
+
+impl From<CollectError> for CallError {
+    fn from(error: CollectError) -> CallError {
+        match error {
+            CollectError::TooLarge => CallError::InvalidMessage,
+            CollectError::Overloaded => CallError::Overloaded,
+        }
     }
 }
 
--- a/crates/control-plane/src/rollout/order_tests.rs
+++ b/crates/control-plane/src/rollout/order_tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use fleet_core::byte_budget::ByteBudget;
 
 fn report_of(model: &str, revision: u64, call_seq: u64, active: u32) -> Report {
     let models = vec![LoadedModel { name: model.to_owned(), revision }];
@@ -7,8 +6,7 @@
 }
 
 fn response(status: http::StatusCode, body: bytes::Bytes) -> HttpResponse {
-    let reservation = ByteBudget::new(0).reservation();
-    HttpResponse { status, body, location: None, reservation }
+    HttpResponse { status, body, location: None, reservation: None }
 }
 
 fn engine(id: &str, state: EngineState) -> Engine {
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -7,7 +7,6 @@
 use super::dispatch_load::DispatchLoad;
 use super::headers;
 use super::in_flight::InFlightGuard;
-use super::request_body::RequestBody;
 use super::response::{self, Failure, Rejection, ResponseBody};
 use super::response_check::{NotExecuted, RelayableHead};
 use crate::fleet_view::routing_table::{RetryMode, RoutingTable, Tenant};
@@ -16,6 +15,7 @@
 use crate::pool::connection::{NotSent, RespondingConnection};
 use crate::shutdown::Phase;
 use crate::{Counters, Router};
+use fleet_core::byte_budget::ReservedBytes;
 use fleet_core::configuration::Route;
 use fleet_core::constants;
 use fleet_core::log::Event;
@@ -52,7 +52,7 @@
     /// The client's headers that are forwarded to engines.
     pub headers: HeaderMap,
     /// Its body, complete.
-    pub body: RequestBody,
+    pub body: ReservedBytes,
     /// Ids of engines to which it must not be dispatched again.
     pub excluded_engines: Vec<String>,
     /// Number of dispatches so far.
--- a/crates/fleet-core/src/lib.rs
+++ b/crates/fleet-core/src/lib.rs
@@ -4,6 +4,7 @@
 // A process that serves traffic must not panic on a missing value; tests may.
 #![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used))]
 
+pub mod body_collector;
 pub mod byte_budget;
 pub mod change_log;
 pub mod compression;
