--- a/review/probes/src/fleet.rs
+++ b/review/probes/src/fleet.rs
@@ -21,7 +21,7 @@
     ("router", &["target/release/router", "--metrics", "9464"]),
 ];
 
-/// The processes of all nodes. Dropping it ends them and removes their folder.
+/// The processes of all nodes.
 pub struct Fleet {
     /// What happened.
     pub record: Arc<Record>,
@@ -151,6 +151,15 @@
         acknowledged
     }
 
+    /// Ends all processes and removes their folder, whoever still holds this.
+    pub fn end(&self) {
+        for (_, _, child) in self.processes.lock().expect("not poisoned").iter_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+
     /// Sends a signal to both processes of a node.
     pub fn signal(&self, node: usize, name: &str) {
         for (_, role, child) in
@@ -165,11 +174,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for (_, _, child) in self.processes.lock().expect("not poisoned").iter_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.folder);
+        self.end();
     }
 }
 
--- a/review/probes/src/main.rs
+++ b/review/probes/src/main.rs
@@ -110,10 +110,15 @@
     };
     let played = Fleet::start(record.clone()).map_err(CaseError::from).and_then(|fleet| {
         let fleet = Arc::new(fleet);
-        if !fleet.configure(&configuration(7, false)) {
-            return Err("the fleet did not become ready".into());
-        }
-        play(&fleet, has_trouble)
+        let is_ready = fleet.configure(&configuration(7, false));
+        let played = if is_ready {
+            play(&fleet, has_trouble)
+        } else {
+            Err("the fleet did not become ready".into())
+        };
+        // The threads of engines hold the fleet to the end of this process.
+        fleet.end();
+        played
     });
     let (code, line) = match played {
         Ok(Verdict::Held) => (0, "the rule held".to_owned()),
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -6,8 +6,10 @@
 for program in target/release/controller target/release/router target/probes/release/probes; do
     [ -x "$program" ] || { echo "$program is missing: build as the deploy file says, then review/build-2.sh" >&2; exit 2; }
 done
-PROBE_PIDS=$(mktemp) || exit 2
-export PROBE_PIDS
+TMPDIR=$(mktemp -d) || exit 2
+PROBE_PIDS=$TMPDIR/pids
+export TMPDIR PROBE_PIDS
+: >"$PROBE_PIDS"
 probe=
 finish() {
     [ -n "$probe" ] && kill -KILL "$probe" 2>/dev/null
@@ -16,7 +18,7 @@
             */target/release/controller | */target/release/router) kill -KILL "$pid" 2>/dev/null ;;
         esac
     done <"$PROBE_PIDS"
-    rm -f "$PROBE_PIDS"
+    rm -rf "$TMPDIR"
 }
 trap 'finish; exit 2' INT TERM HUP
 target/probes/release/probes "$1" "$2" &
