--- a/review/probes/src/main.rs
+++ b/review/probes/src/main.rs
@@ -9,6 +9,7 @@
 mod gone_client;
 mod http;
 mod late_version;
+mod read_ahead;
 mod record;
 mod slow_reader;
 mod socket;
@@ -102,6 +103,7 @@
         "early-answer" => early_answer::play,
         "gone-client" => gone_client::play,
         "late-version" => late_version::play,
+        "read-ahead" => read_ahead::play,
         "stale-wall" => stale_wall::play,
         _ => {
             eprintln!("unknown case {case}");
