A dispatch has the cache isolation of the configuration in force, not of acceptance

Cause: `resume` and retries chose the engine with the routing table and the tenant that `admit` had taken when the request came. The salt was made from these, however old. The same holds for a request of a tenant that stays shared: with the old generation it could use what the tenant that is isolated now had made before.

`CacheIsolation` decides from the tenant as accepted and that table; a tenant shares nothing if either isolates it, or if it was removed. Route, service and tenant stay as accepted, so that no request loses its answer. Tenants are looked up by key and by name in a `TenantDirectory` of its own; the test of `prefix_cache::isolation` moved with the function to `cache_isolation_tests`, with the same assertions on what a salt names.

--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -7,7 +7,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`links`] | links to controllers: sends heartbeats, receives updates |
-//! | [`config_fetch`], [`routing_table`] | fetch and compile the configuration in force |
+//! | [`config_fetch`], [`routing_table`], [`tenants`] | fetch and compile the configuration in force |
 //! | [`endpoints`] | the engines of a service, prepared for the load balancer |
 //! | [`load_reports`] | reports this router's requests in flight, receives the sum over all routers |
 //! | [`version_bound`] | the time until which a request may begin under older weights |
@@ -21,6 +21,7 @@
 pub mod load_reports;
 pub mod ring_sources;
 pub mod routing_table;
+pub mod tenants;
 pub mod version_bound;
 
 use crate::pool::EngineHandle;
@@ -88,6 +89,14 @@
         self.routing_table.read().clone()
     }
 
+    /// The configuration in force for a request that was accepted under `accepted`: that one or a newer one.
+    pub fn routing_table_since(
+        &self,
+        accepted: &Arc<routing_table::RoutingTable>,
+    ) -> Arc<routing_table::RoutingTable> {
+        self.routing_table().unwrap_or_else(|| accepted.clone())
+    }
+
     /// Puts a configuration in force. Returns false, and changes nothing, if the same version or a newer one already
     /// is.
     pub fn set_routing_table(&self, newer: routing_table::RoutingTable) -> bool {
--- a/crates/data-plane/src/fleet_view/routing_table.rs
+++ b/crates/data-plane/src/fleet_view/routing_table.rs
@@ -1,18 +1,9 @@
 //! Compiles a configuration into a form that is fast to look up for each request.
 
+use super::tenants::TenantDirectory;
 use fleet_core::configuration::{ConfigError, Configuration, Limits, Route, RouteKind, Service};
 use std::sync::Arc;
 
-/// A tenant of the configuration.
-pub struct Tenant {
-    /// Name, as sent to engines.
-    pub name: String,
-    /// Priority of its requests; 0 is the highest. It takes precedence over the route's priority.
-    pub priority: i64,
-    /// Whether its cached prompt parts are kept separate from those of other tenants.
-    pub isolated: bool,
-}
-
 /// One configuration, compiled for lookups by host, API key and service name.
 pub struct RoutingTable {
     /// Version of the configuration.
@@ -23,9 +14,8 @@
     pub limits: Limits,
     /// By host in lower case; the routes of a host are sorted by descending length of their path prefix.
     routes: hashbrown::HashMap<String, Vec<Arc<Route>>, ahash::RandomState>,
-    /// Maps an API key to an index into `tenants`.
-    tenant_by_key: hashbrown::HashMap<String, usize, ahash::RandomState>,
-    tenants: Vec<Arc<Tenant>>,
+    /// The tenants. If there are none, requests are accepted without an API key and belong to no tenant.
+    pub tenants: TenantDirectory,
     services: hashbrown::HashMap<String, Service, ahash::RandomState>,
     stores: Vec<Service>,
     /// Priority and target latency in milliseconds of the least urgent route of each service.
@@ -68,16 +58,6 @@
         for routes_of_host in routes.values_mut() {
             routes_of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let mut tenant_by_key = hashbrown::HashMap::default();
-        let mut tenants = Vec::new();
-        for tenant in configuration.tenants {
-            for key in tenant.api_keys {
-                tenant_by_key.insert(key, tenants.len());
-            }
-            let tenant =
-                Tenant { name: tenant.name, priority: tenant.priority, isolated: tenant.isolated };
-            tenants.push(Arc::new(tenant));
-        }
         let stores = configuration
             .services
             .iter()
@@ -94,8 +74,7 @@
             isolation,
             limits: configuration.limits,
             routes,
-            tenant_by_key,
-            tenants,
+            tenants: TenantDirectory::new(configuration.tenants),
             services,
             stores,
             least_urgent,
@@ -113,16 +92,6 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Whether any tenant is configured. If none is, requests are accepted without an API key and belong to no tenant.
-    pub fn has_tenants(&self) -> bool {
-        !self.tenants.is_empty()
-    }
-
-    /// The tenant that an API key belongs to; none if the key is unknown.
-    pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
-        self.tenants.get(*self.tenant_by_key.get(key)?)
-    }
-
     /// Whether a user waits for the response: the route is more urgent, by priority and target latency, than the least
     /// urgent route of its services.
     pub fn is_interactive(&self, route: &Route) -> bool {
--- a/crates/data-plane/src/fleet_view/routing_table_tests.rs
+++ b/crates/data-plane/src/fleet_view/routing_table_tests.rs
@@ -29,7 +29,7 @@
     let route = table.route("h.example", "/a/b/").unwrap();
     assert!((0..10).all(|random| table.pick_service(route, random) == Some("s")));
     assert_eq!(retry_mode(route), RetryMode::ResumeOnly);
-    assert_eq!(table.tenant("k1").unwrap().name, "t");
-    assert!(table.tenant("k2").is_none());
+    assert_eq!(table.tenants.by_key("k1").unwrap().name, "t");
+    assert!(table.tenants.by_key("k2").is_none());
     assert_eq!(table.stores()[0].name, "k");
 }
--- a/crates/data-plane/src/load_balancer/mod.rs
+++ b/crates/data-plane/src/load_balancer/mod.rs
@@ -1,10 +1,13 @@
 //! Selects the engine for a request: the one with the lowest cost to this request and to others, in milliseconds.
 //!
-//! [`candidates`] filters out engines that must not or should not serve the request, [`prefix_cache`] and
-//! [`kv_transfer`] determine what each engine has cached or could receive, and [`cost`] computes the total
-//! (docs/load-balancing.md). Selection only reads the fleet view and the engine handles, and never waits. Correctness
-//! doesn't depend on it: a stale view costs time, but never breaks a rule.
+//! [`candidates`] filters out engines that must not or should not serve the request, [`cache_isolation`] decides whose
+//! cached prompt parts it may use, [`prefix_cache`] and [`kv_transfer`] determine what each engine has cached or could
+//! receive, and [`cost`] computes the total (docs/load-balancing.md). Selection only reads the fleet view and the engine
+//! handles, and never waits. A stale index or load costs time and breaks no rule. The isolation, the version of the
+//! weights and the state of the engine do matter: what changes of them until the engine begins the request is handled
+//! by `proxy::dispatch_cutoff`.
 
+pub mod cache_isolation;
 pub mod candidates;
 pub mod cost;
 pub mod kv_transfer;
@@ -14,9 +17,11 @@
 
 use crate::fleet_view::FleetView;
 use crate::fleet_view::endpoints::{Endpoint, Viewpoint};
-use crate::fleet_view::routing_table::{RoutingTable, Tenant};
+use crate::fleet_view::routing_table::RoutingTable;
+use crate::fleet_view::tenants::Tenant;
 use crate::pool::EngineHandle;
 use crate::{Counters, Router};
+use cache_isolation::CacheIsolation;
 use candidates::{AllowedWeights, Candidate};
 use cost::{CachedTokens, Cost};
 use fleet_core::constants;
@@ -37,6 +42,8 @@
     pub version: Option<u64>,
     /// Salt of the block hashes in the KV cache; none if no version is known.
     pub salt: Option<String>,
+    /// The isolation that the salt names.
+    pub isolation: CacheIsolation,
     /// Number of prompt tokens that the engine is expected to compute itself.
     pub prefill_tokens: u64,
     /// Address from which the engine may fetch KV blocks that it lacks.
@@ -56,7 +63,8 @@
     Full,
 }
 
-/// Selects an engine for a request, excluding the instance ids in `attempted`.
+/// Selects an engine for a request, excluding the instance ids in `attempted`. `routing_table` is the configuration in
+/// force, which may be newer than the one under which the request was accepted; `tenant` is from the latter.
 ///
 /// # Errors
 ///
@@ -84,13 +92,14 @@
     let request =
         RequestProfile::new(routing_table, service, prompt, index, viewpoint.zone, subset);
     let context = SelectionContext { request, endpoint_set: &endpoint_set, index, now };
-    let isolation = prefix_cache::isolation(tenant, routing_table.isolation);
+    let isolation = CacheIsolation::new(tenant, routing_table);
     let selection = Selection {
         prefix_caches: prefix_cache::prefix_caches(&context, &candidates, &isolation),
         affinity_target: affinity_target(&context, &candidates),
         newest: candidates.iter().filter_map(|candidate| candidate.version).max(),
         outdated_cost_ms: outdated_cost_ms(&router.fleet_view, prompt, now),
         max_distance: max_distance(&context, &candidates),
+        isolation,
         context,
     };
     let best = selection.best(&candidates)?;
@@ -129,6 +138,7 @@
 struct Selection<'a> {
     context: SelectionContext<'a>,
     prefix_caches: SmallVec<[PrefixCache; 2]>,
+    isolation: CacheIsolation,
     affinity_target: Option<usize>,
     /// The newest version of the weights among the candidates.
     newest: Option<u64>,
@@ -231,6 +241,7 @@
             engine: self.endpoint(best.candidate).engine.clone(),
             version: best.candidate.version,
             salt: prefix_cache.map(|prefix_cache| prefix_cache.salt.clone()),
+            isolation: self.isolation.clone(),
             prefill_tokens: best.cost.prefill_tokens,
             source,
             source_engine: source_engine.flatten(),
--- a/crates/data-plane/src/load_balancer/prefix_cache.rs
+++ b/crates/data-plane/src/load_balancer/prefix_cache.rs
@@ -1,9 +1,9 @@
 //! Looks up which engines and stores have a prompt cached, for each version of the weights in use.
 
+use super::cache_isolation::CacheIsolation;
 use super::candidates::Candidate;
 use super::kv_transfer::{Sources, Weights};
 use super::request_profile::SelectionContext;
-use crate::fleet_view::routing_table::Tenant;
 use prompt_index::{Chain, HolderBitmap};
 use smallvec::SmallVec;
 
@@ -27,25 +27,18 @@
     }
 }
 
-/// The isolation key of a tenant: its own if the tenant is isolated, otherwise the shared key of this generation.
-pub fn isolation(tenant: Option<&Tenant>, generation: u64) -> String {
-    match tenant.filter(|tenant| tenant.isolated) {
-        Some(tenant) => format!("t/{}", tenant.name),
-        None => invalidation::salt::shared_isolation(generation),
-    }
-}
-
 /// Looks up the prompt once for each version of the weights among the candidates.
 pub fn prefix_caches(
     context: &SelectionContext,
     candidates: &[Candidate],
-    isolation: &str,
+    isolation: &CacheIsolation,
 ) -> SmallVec<[PrefixCache; 2]> {
     let mut caches: SmallVec<[PrefixCache; 2]> = SmallVec::new();
     let Some(model) = &context.request.prompt.model else { return caches };
+    let isolation = isolation.salt_field();
     for version in candidates.iter().filter_map(|candidate| candidate.version) {
         if !caches.iter().any(|prefix_cache| prefix_cache.version == version) {
-            caches.push(prefix_cache(context, Weights { model, version }, isolation));
+            caches.push(prefix_cache(context, Weights { model, version }, &isolation));
         }
     }
     caches
@@ -73,7 +66,3 @@
     }
     PrefixCache { version: weights.version, salt, sources, chain, depths }
 }
-
-#[cfg(test)]
-#[path = "prefix_cache_tests.rs"]
-mod tests;
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -7,7 +7,7 @@
 use super::{outgoing_request, passive_health, rejection_body};
 use crate::Router;
 use crate::fleet_view::FleetView;
-use crate::fleet_view::routing_table::RetryMode;
+use crate::fleet_view::routing_table::{RetryMode, RoutingTable};
 use crate::load_balancer::{self, Choice};
 use crate::pool::EngineBody;
 use crate::pool::connection::{
@@ -56,9 +56,10 @@
         && router.shutdown.phase() < Phase::Terminating
     {
         let request = accepted.request();
+        let in_force = router.fleet_view.routing_table_since(&request.routing_table);
         let Ok(choice) = load_balancer::choose_engine(
             router,
-            &request.routing_table,
+            &in_force,
             &request.service,
             request.tenant.as_deref(),
             &request.prompt,
@@ -68,7 +69,7 @@
         };
         let options = CheckoutOptions {
             service: &request.service,
-            max_connections: connection_share(&router.fleet_view, request),
+            max_connections: connection_share(&router.fleet_view, &in_force, request),
             repeatable: request.retry_mode != RetryMode::Never,
         };
         let checking_out = connection::checkout(router, &choice.engine, options);
@@ -117,10 +118,13 @@
     request.deadline - constants::DEADLINE_MARGIN
 }
 
-/// This router's share of the connections that an engine accepts from all routers.
-fn connection_share(view: &FleetView, request: &ClientRequest) -> u32 {
-    let engine_limit =
-        request.routing_table.service(&request.service).map_or(0, |s| s.max_conns) as usize;
+/// This router's share of the connections that an engine accepts from all routers. If the configuration in force has
+/// removed the service, the one under which the request was accepted counts.
+fn connection_share(view: &FleetView, in_force: &RoutingTable, request: &ClientRequest) -> u32 {
+    let service = in_force
+        .service(&request.service)
+        .or_else(|| request.routing_table.service(&request.service));
+    let engine_limit = service.map_or(0, |service| service.max_conns) as usize;
     let routers = view.routers() + constants::BUDGET_SPARE_ROUTERS;
     (engine_limit / routers).max(constants::MIN_CONNECTIONS) as u32
 }
--- a/crates/data-plane/src/proxy/headers.rs
+++ b/crates/data-plane/src/proxy/headers.rs
@@ -1,6 +1,6 @@
 //! Names of the headers that a router reads or sets, and how their values are read.
 
-use crate::fleet_view::routing_table::Tenant;
+use crate::fleet_view::tenants::Tenant;
 use fleet_core::configuration::Route;
 use fleet_core::constants;
 use http::{HeaderMap, HeaderName, header};
--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -7,7 +7,8 @@
 use super::response::{Failure, Rejection, ResponseBody};
 use super::stage::{Accepted, ClientRequest};
 use crate::Router;
-use crate::fleet_view::routing_table::{RoutingTable, Tenant, retry_mode};
+use crate::fleet_view::routing_table::{RoutingTable, retry_mode};
+use crate::fleet_view::tenants::Tenant;
 use crate::load_balancer::prompt::Prompt;
 use fleet_core::configuration::Route;
 use http::request::Parts;
@@ -103,8 +104,8 @@
     headers: &HeaderMap,
 ) -> Result<Option<Arc<Tenant>>, Rejection> {
     let key = headers::text(headers, &headers::KEY);
-    let tenant = key.and_then(|key| routing_table.tenant(key)).cloned();
-    if tenant.is_none() && routing_table.has_tenants() && !route.public {
+    let tenant = key.and_then(|key| routing_table.tenants.by_key(key)).cloned();
+    if tenant.is_none() && !routing_table.tenants.is_empty() && !route.public {
         return Err(Rejection::Unauthorized);
     }
     Ok(tenant)
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -9,7 +9,8 @@
 use super::in_flight::InFlightGuard;
 use super::response::{self, Failure, Rejection, ResponseBody};
 use super::response_check::{NotExecuted, RelayableHead};
-use crate::fleet_view::routing_table::{RetryMode, RoutingTable, Tenant};
+use crate::fleet_view::routing_table::{RetryMode, RoutingTable};
+use crate::fleet_view::tenants::Tenant;
 use crate::load_balancer::prompt::Prompt;
 use crate::pool::EngineBody;
 use crate::pool::connection::{NotSent, RespondingConnection};
@@ -27,11 +28,12 @@
 
 /// A request that was read completely and is allowed by the configuration.
 pub struct ClientRequest {
-    /// The configuration under which it is handled from start to end.
+    /// The configuration under which it was accepted. Route, service and tenant stay those; whose cached prompt parts it
+    /// may use is decided by the one in force at each dispatch.
     pub routing_table: Arc<RoutingTable>,
     /// The route that it matched.
     pub route: Arc<Route>,
-    /// The tenant whose API key it carries; `None` on a public route without a key.
+    /// The tenant whose API key it carried when it was accepted; `None` on a public route without a key.
     pub tenant: Option<Arc<Tenant>>,
     /// The service that runs it.
     pub service: String,
--- a/crates/data-plane/tests/engines/harness.rs
+++ b/crates/data-plane/tests/engines/harness.rs
@@ -162,8 +162,21 @@
 /// Largest request body in the configuration of [`Fleet::start`].
 const MAX_BODY_BYTES: usize = 1000;
 
+/// What differs between the configurations that a test puts in force one after the other.
+#[derive(Debug, Clone, Copy)]
+pub struct Configured {
+    pub revision: u64,
+    /// Generation of the isolation that tenants share.
+    pub generation: u64,
+    /// Whether tenant `t1` has an isolation of its own.
+    pub t1_isolated: bool,
+}
+
+/// The configuration of [`Fleet::start`].
+const INITIAL: Configured = Configured { revision: 1, generation: 4, t1_isolated: false };
+
 /// The routes, the service and the limits of all tests.
-fn routing_table(max_conns: u32, max_body_bytes: usize) -> RoutingTable {
+fn routing_table(configured: Configured, max_conns: u32, max_body_bytes: usize) -> RoutingTable {
     let route = |prefix: &str, resumable: bool, attempts: u32| {
         serde_json::json!({"host": "h.example", "pathPrefix": prefix, "kind": "streaming",
             "timeoutMs": 20000, "service": "s", "maxAttempts": attempts, "resumable": resumable})
@@ -171,13 +184,13 @@
     let safe = serde_json::json!({"host": "h.example", "pathPrefix": "/safe/", "kind": "safe",
         "timeoutMs": 20000, "service": "s", "maxAttempts": 2});
     let config = serde_json::json!({
-        "revision": 1,
+        "revision": configured.revision,
         "routes": [route("/once/", false, 1), route("/twice/", false, 2), route("/on/", true, 3), safe],
         "services": [{"name": "s", "maxConns": max_conns, "engine": {"slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}}],
         "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": max_body_bytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
-        "tenants": [{"name": "t1", "apiKeys": ["k1"]}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
+        "tenants": [{"name": "t1", "apiKeys": ["k1"], "isolated": configured.t1_isolated}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
     });
-    RoutingTable::compile(config.to_string().as_bytes(), 4).unwrap()
+    RoutingTable::compile(config.to_string().as_bytes(), configured.generation).unwrap()
 }
 
 pub struct Fleet {
@@ -205,7 +218,7 @@
             bounds.retryWindowS=10\nbounds.retrySlack=0\nbounds.versionMs=8000\n";
         let settings = fleet_core::settings::Settings::parse(text).unwrap();
         let router = Router::assemble(settings, slog::Logger::root(slog::Discard, slog::o!()));
-        router.fleet_view.set_routing_table(routing_table(max_conns, max_body_bytes));
+        router.fleet_view.set_routing_table(routing_table(INITIAL, max_conns, max_body_bytes));
         let update = FleetUpdate {
             engines: engines.iter().map(|stub| engine_state(stub)).collect(),
             weights: vec![TargetWeights { model: "m".into(), version: 2, age_ms: 0 }],
@@ -218,6 +231,12 @@
         Fleet { router, router_address }
     }
 
+    /// Puts a newer configuration in force.
+    pub fn put_in_force(&self, configured: Configured) {
+        let table = routing_table(configured, 100, MAX_BODY_BYTES);
+        assert!(self.router.fleet_view.set_routing_table(table), "not newer");
+    }
+
     /// Opens a client connection to the router.
     pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.router_address).await.unwrap()
--- a/crates/data-plane/tests/engines/main.rs
+++ b/crates/data-plane/tests/engines/main.rs
@@ -5,6 +5,7 @@
 mod idle_connections;
 mod limits;
 mod outdated_weights;
+mod reconfiguration;
 mod rejections;
 mod responses;
 mod timeouts;
