A waiting dispatch is cut off by versions that are named while it waits

Cause: `dispatch` asked for the version cutoff once, before it sent the request. With no newer version known there was none, and what became known while the request waited set none. An engine that drains is not ordered to load the new weights either, so nothing else ended the wait. In the other direction, a controller that is lost while a request waits moves the bound to later, and the request was still cancelled at the earlier one.

Change: `DispatchCutoff` computes the cutoff anew with each target version and each loss of a controller that the router learns of (`FleetView::watch_dispatch_constraints`), and ends the wait once it has passed. A request that may run twice goes to another engine; one that may not gets a 502 after its engine has dropped it, as before for versions that were known when it was sent.

--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -53,6 +53,8 @@
     targets: parking_lot::RwLock<Targets>,
     /// When a controller was last lost.
     controller_lost_at: parking_lot::Mutex<Option<Instant>>,
+    /// Notified after each change of what bounds the wait of a dispatch: target versions and losses of controllers.
+    dispatch_constraints: tokio::sync::watch::Sender<()>,
     membership: parking_lot::Mutex<Membership>,
     /// The ring of invalidations and its relayed copies.
     pub ring_sources: RingSources,
@@ -74,6 +76,7 @@
             engines: parking_lot::RwLock::default(),
             targets: parking_lot::RwLock::default(),
             controller_lost_at: parking_lot::Mutex::default(),
+            dispatch_constraints: tokio::sync::watch::Sender::default(),
             membership: parking_lot::Mutex::default(),
             ring_sources: RingSources::default(),
             ring_changed: tokio::sync::Notify::new(),
@@ -137,6 +140,14 @@
     pub fn record_controller_loss(&self, at: Instant) {
         let mut controller_lost_at = self.controller_lost_at.lock();
         *controller_lost_at = controller_lost_at.map_or(Some(at), |before| Some(before.max(at)));
+        drop(controller_lost_at);
+        self.dispatch_constraints.send_replace(());
+    }
+
+    /// Watches what bounds the wait of a dispatch that has no response: target versions and losses of controllers. Each
+    /// change wakes the receiver after it can be read.
+    pub fn watch_dispatch_constraints(&self) -> tokio::sync::watch::Receiver<()> {
+        self.dispatch_constraints.subscribe()
     }
 
     /// Number of live routers, this one included; at least 1.
@@ -206,7 +217,11 @@
             .unwrap_or_else(Instant::now);
         let mut targets_by_model = self.targets.write();
         let targets = targets_by_model.entry_ref(update.model.as_str()).or_default();
-        Arc::make_mut(targets).record(update.version, since);
+        let is_changed = Arc::make_mut(targets).record(update.version, since);
+        drop(targets_by_model);
+        if is_changed {
+            self.dispatch_constraints.send_replace(());
+        }
     }
 
     /// Watches the highest configuration version that a controller announced; 0 before the first.
--- a/crates/data-plane/src/fleet_view/version_bound.rs
+++ b/crates/data-plane/src/fleet_view/version_bound.rs
@@ -1,8 +1,8 @@
 //! Decides whether a request may begin under the weights that an engine has.
 //!
 //! No other code decides this. First dispatches, retries and resumed streams all use the load balancer's
-//! [`candidates`](crate::load_balancer::candidates), which checks the bound here, and `proxy::dispatch` enforces it
-//! after a dispatch.
+//! [`candidates`](crate::load_balancer::candidates), which checks the bound here, and `proxy::dispatch_cutoff` enforces
+//! it after a dispatch, also by versions that are announced only then.
 //!
 //! The rule applies to the time when an engine begins to run a request, which the engine decides. Between the dispatch
 //! and that time lie the network latency and the wait in the engine's queue. A router can only estimate that wait from
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatch of a request to one engine, and its outcome.
 
+use super::dispatch_cutoff::{CutoffReason, DispatchCutoff};
 use super::dispatch_load::DispatchLoad;
 use super::headers;
 use super::response_check::{self, SentRequest, Verdict};
@@ -17,7 +18,6 @@
 use fleet_core::constants;
 use http::{Response, StatusCode};
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// The engine chosen for a request, and a connection to it.
@@ -91,8 +91,10 @@
     Err(accepted)
 }
 
-/// Why [`run_until`] stopped a step.
+/// Why a step was stopped.
 enum Interrupted {
+    /// The engine must not begin the request any more.
+    CutOff(CutoffReason),
     /// The deadline has passed.
     TimedOut,
     /// The router shuts down, and has to answer pending requests.
@@ -149,9 +151,7 @@
     let request = accepted.request();
     let interactive = request.routing_table.is_interactive(&request.route);
     let load = DispatchLoad::start(&choice, request.prompt.load(), interactive);
-    let version_bound = router.settings().bounds.version;
-    let cutoff = version_cutoff(&router.fleet_view, request, &choice, version_bound);
-    if cutoff.is_some() {
+    if DispatchCutoff::new(router, request, &choice).current().is_some() {
         router.counters.outdated_dispatches.fetch_add(1, Ordering::Relaxed);
     }
     let dispatched = accepted.dispatch(&choice.engine.id);
@@ -161,33 +161,39 @@
         sent_at: Instant::now(),
         on_new_connection: connection.is_new(),
     };
-    let deadline = send_deadline(dispatched.request());
-    let cutoff = cutoff.filter(|cutoff| *cutoff < deadline);
+    let sending = connection.send(outgoing);
     // Closing the connection of an abandoned dispatch also removes the request from the engine's queue.
-    match run_until(router, cutoff.unwrap_or(deadline), connection.send(outgoing)).await {
+    match wait_for_response(router, dispatched.request(), &in_flight.choice, sending).await {
         Ok(Ok((connection, response))) => {
             in_flight.on_response(router, dispatched, connection, response)
         }
         Ok(Err(error)) => in_flight.on_error(router, dispatched, error),
         Err(Interrupted::RouterShutdown) => Outcome::RouterShutdown(dispatched),
-        Err(Interrupted::TimedOut) if cutoff.is_some() => {
-            router.counters.version_cutoffs.fetch_add(1, Ordering::Relaxed);
+        Err(Interrupted::CutOff(reason)) => {
+            reason.record(router);
             Outcome::Uncertain(dispatched)
         }
         Err(Interrupted::TimedOut) => Outcome::DeadlineExceeded(dispatched),
     }
 }
 
-/// When a dispatch to an engine with outdated weights is cancelled if it has no response; `None` for the newest
-/// weights.
-fn version_cutoff(
-    view: &FleetView,
+/// Runs `sending` until the deadline, until the cutoff of the dispatch passes, or until this router has to answer
+/// pending requests.
+async fn wait_for_response<F: Future>(
+    router: &Router,
     request: &ClientRequest,
     choice: &Choice,
-    version_bound: Duration,
-) -> Option<Instant> {
-    let model = request.prompt.model.as_deref()?;
-    view.version_bound(model, version_bound).cutoff_of(choice.version?)
+    sending: F,
+) -> Result<F::Output, Interrupted> {
+    let cutoff = DispatchCutoff::new(router, request, choice);
+    let sending_before_cutoff = async {
+        tokio::select! {
+            biased;
+            result = sending => Ok(result),
+            reason = cutoff.passed() => Err(Interrupted::CutOff(reason)),
+        }
+    };
+    run_until(router, send_deadline(request), sending_before_cutoff).await.flatten()
 }
 
 /// A dispatch whose response head is pending.
--- a/crates/data-plane/src/proxy/mod.rs
+++ b/crates/data-plane/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! | [`request`] | reads and validates the request, then dispatches it, with retries where they are allowed |
 //! | [`request_body`] | receives the body, within a budget of all requests |
 //! | [`dispatch`] | finds an engine with a connection and sends the request there |
+//! | [`dispatch_cutoff`] | until when a request that was sent may wait for its response |
 //! | [`outgoing_request`] | the request with the headers that the engine receives |
 //! | [`response_check`] | validates the head of an engine's response |
 //! | [`relay`] | passes the body on, and resumes a broken stream |
@@ -19,6 +20,7 @@
 
 pub mod body_progress;
 pub mod dispatch;
+pub mod dispatch_cutoff;
 pub mod dispatch_load;
 pub mod events;
 pub mod headers;
