A waiting dispatch is cut off when the isolation of its cached prompt parts changes

The salt was decided once, when the request was sent.

Change: `DispatchCutoff` compares the isolation that was sent with that of each configuration that comes into force. A request that may run twice goes on with the new salt, also at the same engine; one that may not gets a 502. Prompts without parts and configurations that isolate nobody cut nothing off. `isolation_cutoffs_total` counts.

--- a/crates/data-plane/src/counters.rs
+++ b/crates/data-plane/src/counters.rs
@@ -24,6 +24,8 @@
     pub outdated_dispatches: AtomicU64,
     /// Dispatches to engines with outdated weights that were cancelled before the version bound.
     pub version_cutoffs: AtomicU64,
+    /// Dispatches that were cancelled because the isolation of their cached prompt parts had changed.
+    pub isolation_cutoffs: AtomicU64,
     /// Dispatches that an engine rejected with 421 Misdirected Request.
     pub version_mismatches: AtomicU64,
     /// Responses truncated by the engine.
--- a/crates/data-plane/src/fleet_view/mod.rs
+++ b/crates/data-plane/src/fleet_view/mod.rs
@@ -53,7 +53,8 @@
     targets: parking_lot::RwLock<Targets>,
     /// When a controller was last lost.
     controller_lost_at: parking_lot::Mutex<Option<Instant>>,
-    /// Notified after each change of what bounds the wait of a dispatch: target versions and losses of controllers.
+    /// Notified after each change of what bounds the wait of a dispatch: the configuration in force, target versions
+    /// and losses of controllers.
     dispatch_constraints: tokio::sync::watch::Sender<()>,
     membership: parking_lot::Mutex<Membership>,
     /// The ring of invalidations and its relayed copies.
@@ -108,6 +109,8 @@
             return false;
         }
         *current = Some(Arc::new(newer));
+        drop(current);
+        self.dispatch_constraints.send_replace(());
         true
     }
 
@@ -144,8 +147,8 @@
         self.dispatch_constraints.send_replace(());
     }
 
-    /// Watches what bounds the wait of a dispatch that has no response: target versions and losses of controllers. Each
-    /// change wakes the receiver after it can be read.
+    /// Watches what bounds the wait of a dispatch that has no response: the configuration in force, target versions and
+    /// losses of controllers. Each change wakes the receiver after it can be read.
     pub fn watch_dispatch_constraints(&self) -> tokio::sync::watch::Receiver<()> {
         self.dispatch_constraints.subscribe()
     }
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -26,7 +26,7 @@
 }
 
 fn write_counters(counters: &Counters, writer: &mut MetricsWriter<'_>) -> fmt::Result {
-    let rows: [(&str, &str, &AtomicU64); 17] = [
+    let rows: [(&str, &str, &AtomicU64); 18] = [
         ("requests", "Requests with a route and a service", &counters.requests),
         ("responses", "Responses of engines that have begun", &counters.responses),
         ("rejected", "Requests rejected before any engine ran them", &counters.rejected),
@@ -55,6 +55,11 @@
             "Dispatches to older weights taken back before the bound",
             &counters.version_cutoffs,
         ),
+        (
+            "isolation_cutoffs",
+            "Dispatches taken back since a tenant was isolated while they waited",
+            &counters.isolation_cutoffs,
+        ),
         (
             "version_mismatches",
             "Dispatches that an engine rejected with 421",
--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -151,7 +151,7 @@
     let request = accepted.request();
     let interactive = request.routing_table.is_interactive(&request.route);
     let load = DispatchLoad::start(&choice, request.prompt.load(), interactive);
-    if DispatchCutoff::new(router, request, &choice).current().is_some() {
+    if DispatchCutoff::new(router, request, &choice).has_outdated_weights() {
         router.counters.outdated_dispatches.fetch_add(1, Ordering::Relaxed);
     }
     let dispatched = accepted.dispatch(&choice.engine.id);
@@ -171,7 +171,10 @@
         Err(Interrupted::RouterShutdown) => Outcome::RouterShutdown(dispatched),
         Err(Interrupted::CutOff(reason)) => {
             reason.record(router);
-            Outcome::Uncertain(dispatched)
+            Outcome::Uncertain(match reason {
+                CutoffReason::OutdatedWeights => dispatched,
+                CutoffReason::IsolationChanged => dispatched.allow_engine_again(),
+            })
         }
         Err(Interrupted::TimedOut) => Outcome::DeadlineExceeded(dispatched),
     }
@@ -233,7 +236,7 @@
             }
             SendError::IdleReset => {
                 router.counters.idle_resets.fetch_add(1, Ordering::Relaxed);
-                Outcome::Uncertain(dispatched.idle_reset())
+                Outcome::Uncertain(dispatched.allow_engine_again())
             }
         }
     }
--- a/crates/data-plane/src/proxy/dispatch_cutoff.rs
+++ b/crates/data-plane/src/proxy/dispatch_cutoff.rs
@@ -7,6 +7,8 @@
 use super::stage::ClientRequest;
 use crate::Router;
 use crate::load_balancer::Choice;
+use crate::load_balancer::cache_isolation::CacheIsolation;
+use fleet_core::constants;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::time::Instant;
 
@@ -15,6 +17,9 @@
 pub enum CutoffReason {
     /// The engine's weights are outdated, and their version bound is close.
     OutdatedWeights,
+    /// A tenant was isolated: the request may use other cached prompt parts than those under the salt that it was sent
+    /// with.
+    IsolationChanged,
 }
 
 impl CutoffReason {
@@ -26,6 +31,7 @@
     fn counter(self, router: &Router) -> &AtomicU64 {
         match self {
             CutoffReason::OutdatedWeights => &router.counters.version_cutoffs,
+            CutoffReason::IsolationChanged => &router.counters.isolation_cutoffs,
         }
     }
 }
@@ -44,17 +50,25 @@
     router: &'a Router,
     request: &'a ClientRequest,
     choice: &'a Choice,
+    /// When this dispatch first saw a configuration under which its salt is another one.
+    isolation_changed_at: Option<Instant>,
 }
 
 impl<'a> DispatchCutoff<'a> {
     /// For a request that is sent to the engine of `choice`.
     pub fn new(router: &'a Router, request: &'a ClientRequest, choice: &'a Choice) -> Self {
-        DispatchCutoff { router, request, choice }
+        DispatchCutoff { router, request, choice, isolation_changed_at: None }
     }
 
     /// The cutoff by what is known now; none if the dispatch may wait until its deadline.
-    pub fn current(&self) -> Option<Cutoff> {
-        self.version_cutoff()
+    pub fn current(&mut self) -> Option<Cutoff> {
+        let cutoffs = [self.version_cutoff(), self.isolation_cutoff()];
+        cutoffs.into_iter().flatten().min_by_key(|cutoff| cutoff.at)
+    }
+
+    /// Whether the engine uses outdated weights for this request, which bounds the dispatch.
+    pub fn has_outdated_weights(&self) -> bool {
+        self.version_cutoff().is_some()
     }
 
     /// Outdated weights: shortly before the version bound; none for the newest weights.
@@ -66,12 +80,32 @@
         Some(Cutoff { at, reason: CutoffReason::OutdatedWeights })
     }
 
+    /// An isolation that has changed: [`constants::ISOLATION_GRACE_RATIO`] of `applyMs` after this router has it in
+    /// force, so that what the engine is about to begin still gets its response.
+    fn isolation_cutoff(&mut self) -> Option<Cutoff> {
+        if self.has_current_isolation() {
+            return None;
+        }
+        let changed_at = *self.isolation_changed_at.get_or_insert_with(Instant::now);
+        let grace = self.router.settings().bounds.apply.mul_f64(constants::ISOLATION_GRACE_RATIO);
+        Some(Cutoff { at: changed_at + grace, reason: CutoffReason::IsolationChanged })
+    }
+
+    /// Whether the salt is still that of the configuration in force; without prompt parts, nothing is shared under it.
+    fn has_current_isolation(&self) -> bool {
+        let shares_nothing = self.request.prompt.parts.is_empty() || self.choice.salt.is_none();
+        let in_force = self.router.fleet_view.routing_table_since(&self.request.routing_table);
+        shares_nothing
+            || self.choice.isolation
+                == CacheIsolation::new(self.request.tenant.as_deref(), &in_force)
+    }
+
     /// Waits until the cutoff passes, wherever changes of the fleet view move it meanwhile.
     ///
     /// # Cancel safety
     ///
     /// Dropping the future has no effect.
-    pub async fn passed(self) -> CutoffReason {
+    pub async fn passed(mut self) -> CutoffReason {
         let mut view_changes = self.router.fleet_view.watch_dispatch_constraints();
         loop {
             let cutoff = self.current();
--- a/crates/data-plane/src/proxy/stage.rs
+++ b/crates/data-plane/src/proxy/stage.rs
@@ -178,9 +178,9 @@
         Accepted { request: self.request, may_have_run: self.may_have_run }
     }
 
-    /// The engine had closed the idle connection. It is presumed healthy, and may be tried again on another
-    /// connection.
-    pub fn idle_reset(mut self) -> Dispatched {
+    /// Lets the request be dispatched to the same engine again, on another connection: the dispatch ended for a reason
+    /// that does not speak against the engine.
+    pub fn allow_engine_again(mut self) -> Dispatched {
         self.request.excluded_engines.pop();
         self
     }
--- a/crates/data-plane/tests/engines/reconfiguration.rs
+++ b/crates/data-plane/tests/engines/reconfiguration.rs
@@ -1,10 +1,11 @@
 //! A configuration that comes into force while a request lives.
 
 use super::harness::{
-    AfterResponse, Configured, Fleet, ReceivedRequest, StubEngine, chunk, complete_stream, event,
-    request, status, stream_head, wait_until,
+    AfterResponse, Configured, Fleet, ReceivedRequest, StubEngine, advance_time, chunk,
+    complete_stream, event, request, status, stream_head, wait_until,
 };
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// Isolates `t1`, which the harness's configuration doesn't; the generation of the shared isolation rises.
@@ -81,3 +82,70 @@
         assert_eq!(salts, ["m|2|#4", salt], "retried");
     }
 }
+
+/// `applyMs` of the harness's deployment, the default.
+const APPLY: Duration = Duration::from_secs(2);
+
+/// Sends a request to an engine that responds to the second request only, and puts `configured` in force while the first
+/// one waits. Returns the response, and the salts that the engine received.
+async fn waiting_while_reconfigured(configured: Configured, path: &str) -> (String, Vec<String>) {
+    let script = |request_no: usize, req: &ReceivedRequest| {
+        let response = if request_no == 1 { Vec::new() } else { complete_stream(req, 1..=1) };
+        (response, AfterResponse::KeepOpen)
+    };
+    let engine = StubEngine::start("e1", script).await;
+    let fleet = Fleet::start(&[&engine]).await;
+    let raw_request = request(path, "");
+    let reconfigure = async {
+        wait_until(|| engine.received_count() == 1).await;
+        fleet.put_in_force(configured);
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(engine.received_count(), 1, "cancelled at once, although about to begin");
+        advance_time(APPLY).await;
+    };
+    let (response, ()) = tokio::join!(fleet.send_raw(raw_request.as_bytes()), reconfigure);
+    (response, salts(&engine))
+}
+
+/// Guards against a request that uses cached parts of another tenant (rule WALL): it was sent before a tenant was
+/// isolated, and began long afterwards, as it waited in the engine's queue.
+#[tokio::test]
+async fn isolation_that_changes_while_a_request_waits_cancels_its_dispatch() {
+    for (configured, salt) in [(T1_ISOLATED, "m|2|t/t1"), (OTHER_ISOLATED, "m|2|#5")] {
+        for path in ["/safe/", "/on/"] {
+            let (response, salts) = waiting_while_reconfigured(configured, path).await;
+            assert_eq!(status(&response), 200, "{path}: {response}");
+            assert_eq!(salts, ["m|2|#4", salt], "{path}");
+        }
+        let (response, salts) = waiting_while_reconfigured(configured, "/once/").await;
+        assert_eq!(status(&response), 502, "may have run: {response}");
+        assert_eq!(salts, ["m|2|#4"], "a request that may run only once was sent twice");
+    }
+}
+
+/// A configuration that isolates nobody cuts off nothing: all requests that wait get their responses.
+#[tokio::test]
+async fn other_changes_of_the_configuration_leave_waiting_requests_alone() {
+    let signal = Arc::new(Notify::new());
+    let answers = signal.clone();
+    let engine = StubEngine::start("e1", move |_, req| {
+        (Vec::new(), AfterResponse::SendRestOn(answers.clone(), complete_stream(req, 1..=1)))
+    })
+    .await;
+    let fleet = Fleet::start(&[&engine]).await;
+    let raw_request = request("/once/", "");
+    let reconfigure = async {
+        wait_until(|| engine.received_count() == 1).await;
+        fleet.put_in_force(Configured { revision: 2, generation: 4, t1_isolated: false });
+        advance_time(APPLY * 2).await;
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        signal.notify_one();
+    };
+    let (response, ()) = tokio::join!(fleet.send_raw(raw_request.as_bytes()), reconfigure);
+    assert_eq!(status(&response), 200, "{response}");
+    assert_eq!(engine.received_count(), 1);
+}
--- a/crates/fleet-core/src/constants/router.rs
+++ b/crates/fleet-core/src/constants/router.rs
@@ -148,6 +148,9 @@
 pub const MAX_EJECTION_TIME: Duration = Duration::from_millis(3200);
 /// A response to a client is sent this long before its deadline.
 pub const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+/// A dispatch that waits with the salt of an earlier isolation is cancelled after this share of `applyMs`, counted from
+/// when the router has the new configuration; the rest is for the way of the configuration to the router.
+pub const ISOLATION_GRACE_RATIO: f64 = 0.5;
 /// Deadline of a client that gives none.
 pub const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 /// Value of `Retry-After`, in seconds, for rejected clients.
