An engine is chosen again if the choice is superseded while its connection is established

An engine that drained meanwhile still got the request, and the salt and the version were those of the choice.

Change: `find_engine` asks `DispatchCutoff::is_superseded` once it has the connection, and chooses again if the engine isn't ready any more, the bound of its weights is close, or the isolation differs. Nothing was sent by then, so no request loses anything.

Evidence: unit tests of the decision (`dispatch_cutoff_tests`), which did not exist before; that the loop heeds it is not shown by a test, since none can hold a connection open half-way without waiting on the clock.

--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -42,7 +42,7 @@
     RouterShutdown(Dispatched),
 }
 
-/// Chooses an engine and obtains a connection to it.
+/// Chooses an engine and obtains a connection to it. Chooses again if what became known meanwhile supersedes the choice.
 ///
 /// # Errors
 ///
@@ -74,6 +74,7 @@
         };
         let checking_out = connection::checkout(router, &choice.engine, options);
         match run_until(router, send_deadline(request), checking_out).await {
+            Ok(Ok(_)) if DispatchCutoff::new(router, request, &choice).is_superseded() => {}
             Ok(Ok(connection)) => return Ok((SelectedEngine { choice, connection }, accepted)),
             Ok(Err(error)) => {
                 if error != ConnectionError::Full {
--- a/crates/data-plane/src/proxy/dispatch_cutoff.rs
+++ b/crates/data-plane/src/proxy/dispatch_cutoff.rs
@@ -1,14 +1,16 @@
 //! Until when a dispatch may wait for its response.
 //!
 //! An engine is chosen by what this router knows at that time, and may begin the request much later: requests wait in
-//! its queue. Whatever becomes known meanwhile counts as well, so the cutoff is computed again with each change of the
-//! fleet view that it depends on, and not once when the request is sent.
+//! its queue. Whatever becomes known meanwhile counts as well: [`DispatchCutoff::is_superseded`] is asked once there is a
+//! connection, and [`DispatchCutoff::passed`] computes the cutoff again with each change of the fleet view that it
+//! depends on until there is a response.
 
 use super::stage::ClientRequest;
 use crate::Router;
 use crate::load_balancer::Choice;
 use crate::load_balancer::cache_isolation::CacheIsolation;
 use fleet_core::constants;
+use fleet_core::wire::EngineState;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::time::Instant;
 
@@ -100,6 +102,14 @@
                 == CacheIsolation::new(self.request.tenant.as_deref(), &in_force)
     }
 
+    /// Whether the engine would not be chosen like this any more: it drains or has gone, its version bound is close, or
+    /// the isolation has changed. To be asked right before the request is sent, since obtaining a connection takes time.
+    pub fn is_superseded(&self) -> bool {
+        let is_ready = self.choice.engine.state().state() == EngineState::Ready;
+        let is_past_bound = self.version_cutoff().is_some_and(|cutoff| cutoff.at <= Instant::now());
+        !is_ready || is_past_bound || !self.has_current_isolation()
+    }
+
     /// Waits until the cutoff passes, wherever changes of the fleet view move it meanwhile.
     ///
     /// # Cancel safety
@@ -128,3 +138,7 @@
         None => std::future::pending().await,
     }
 }
+
+#[cfg(test)]
+#[path = "dispatch_cutoff_tests.rs"]
+mod tests;
