A request is handled by the configuration in force when its body is complete

A body may take until the deadline; a configuration that had come into force meanwhile was ignored, so that a request whose last byte was sent long after `applyMs` still ran at the old service or with a dropped key.

Change: a `Permission` (table, route, tenant) is granted with the head, so that nobody sends a body in vain, and renewed with the last byte if another table is in force by then. Limits of the body stay those of the head. After that, route, service and tenant are kept.

Evidence: `request_is_handled_by_the_configuration_in_force_when_its_body_is_complete` failed before (the engine of the old service got the request) and passes.

--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -32,22 +32,23 @@
     }
 }
 
-/// Reads and validates a complete request, and checks that the configuration allows it.
+/// Reads and validates a complete request, and checks that the configuration allows it: once with its head, so that
+/// nobody sends a body in vain, and again with its last byte, since the configuration may change while a body arrives.
 async fn admit(router: &Router, request: Request<Incoming>) -> Result<Accepted, Rejection> {
     let arrived_at = Instant::now();
-    let routing_table = router.fleet_view.routing_table().ok_or(Rejection::NotReady)?;
     let (head, body) = request.into_parts();
-    check_framing(&head)?;
-    let route = find_route(&routing_table, &head)?;
-    let tenant = find_tenant(&routing_table, &route, &head.headers)?;
+    let permission = Permission::of(router, &head)?;
     let attempt_id = head.headers.get(headers::ATTEMPT_ID).cloned().ok_or(Rejection::BadRequest)?;
     let timeout = headers::parse_deadline(&head.headers).ok_or(Rejection::BadRequest)?;
-    let deadline = arrived_at + timeout.min(Duration::from_millis(route.timeout_ms));
+    let deadline = permission.deadline(arrived_at, timeout);
     let permit = router.request_permits.clone().try_acquire_owned().ok();
     let budget = permit.as_ref().map(|_| &router.memory.request_bodies);
-    let max_bytes = routing_table.limits.max_body_bytes;
+    let max_bytes = permission.routing_table.limits.max_body_bytes;
     let body = request_body::receive(body, max_bytes, budget, deadline).await?;
     let permit = permit.ok_or(Rejection::Overloaded)?;
+    let permission = permission.renew(router, &head)?;
+    let deadline = permission.deadline(arrived_at, timeout);
+    let Permission { routing_table, route, tenant } = permission;
     let service =
         routing_table.pick_service(&route, router.random()).ok_or(Rejection::NotReady)?.to_owned();
     let prompt = Prompt::from_headers(&head.headers);
@@ -80,6 +81,38 @@
     }))
 }
 
+/// What a configuration says of a request that it allows.
+struct Permission {
+    routing_table: Arc<RoutingTable>,
+    route: Arc<Route>,
+    tenant: Option<Arc<Tenant>>,
+}
+
+impl Permission {
+    /// By the configuration in force.
+    fn of(router: &Router, head: &Parts) -> Result<Permission, Rejection> {
+        let routing_table = router.fleet_view.routing_table().ok_or(Rejection::NotReady)?;
+        check_framing(head)?;
+        let route = find_route(&routing_table, head)?;
+        let tenant = find_tenant(&routing_table, &route, &head.headers)?;
+        Ok(Permission { routing_table, route, tenant })
+    }
+
+    /// The permission by the configuration in force now, if that is another one.
+    fn renew(self, router: &Router, head: &Parts) -> Result<Permission, Rejection> {
+        let in_force = router.fleet_view.routing_table_since(&self.routing_table);
+        if Arc::ptr_eq(&in_force, &self.routing_table) {
+            return Ok(self);
+        }
+        Permission::of(router, head)
+    }
+
+    /// The client's deadline or the route's timeout, whichever comes first.
+    fn deadline(&self, arrived_at: Instant, timeout: Duration) -> Instant {
+        arrived_at + timeout.min(Duration::from_millis(self.route.timeout_ms))
+    }
+}
+
 /// Rejects ambiguous framing, by which one request could be smuggled inside another, and HTTP versions without
 /// chunked encoding, in which a truncated stream would look complete.
 fn check_framing(head: &Parts) -> Result<(), Rejection> {
--- a/crates/data-plane/tests/engines/harness.rs
+++ b/crates/data-plane/tests/engines/harness.rs
@@ -170,25 +170,36 @@
     pub generation: u64,
     /// Whether tenant `t1` has an isolation of its own.
     pub t1_isolated: bool,
+    /// The API key of tenant `t1`.
+    pub t1_key: &'static str,
+    /// The service of all routes: `s` or `u`.
+    pub service: &'static str,
 }
 
-/// The configuration of [`Fleet::start`].
-const INITIAL: Configured = Configured { revision: 1, generation: 4, t1_isolated: false };
+impl Configured {
+    /// The configuration of [`Fleet::start`].
+    pub const INITIAL: Configured =
+        Configured { revision: 1, generation: 4, t1_isolated: false, t1_key: "k1", service: "s" };
+}
 
 /// The routes, the service and the limits of all tests.
 fn routing_table(configured: Configured, max_conns: u32, max_body_bytes: usize) -> RoutingTable {
     let route = |prefix: &str, resumable: bool, attempts: u32| {
         serde_json::json!({"host": "h.example", "pathPrefix": prefix, "kind": "streaming",
-            "timeoutMs": 20000, "service": "s", "maxAttempts": attempts, "resumable": resumable})
+            "timeoutMs": 20000, "service": configured.service, "maxAttempts": attempts, "resumable": resumable})
     };
     let safe = serde_json::json!({"host": "h.example", "pathPrefix": "/safe/", "kind": "safe",
-        "timeoutMs": 20000, "service": "s", "maxAttempts": 2});
+        "timeoutMs": 20000, "service": configured.service, "maxAttempts": 2});
+    let service = |name: &str| {
+        serde_json::json!({"name": name, "maxConns": max_conns, "engine": {"slots": 8,
+        "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}})
+    };
     let config = serde_json::json!({
         "revision": configured.revision,
         "routes": [route("/once/", false, 1), route("/twice/", false, 2), route("/on/", true, 3), safe],
-        "services": [{"name": "s", "maxConns": max_conns, "engine": {"slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0}}],
+        "services": [service("s"), service("u")],
         "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": max_body_bytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 9000},
-        "tenants": [{"name": "t1", "apiKeys": ["k1"], "isolated": configured.t1_isolated}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
+        "tenants": [{"name": "t1", "apiKeys": [configured.t1_key], "isolated": configured.t1_isolated}, {"name": "t2", "apiKeys": ["k2"], "isolated": true}],
     });
     RoutingTable::compile(config.to_string().as_bytes(), configured.generation).unwrap()
 }
@@ -218,7 +229,11 @@
             bounds.retryWindowS=10\nbounds.retrySlack=0\nbounds.versionMs=8000\n";
         let settings = fleet_core::settings::Settings::parse(text).unwrap();
         let router = Router::assemble(settings, slog::Logger::root(slog::Discard, slog::o!()));
-        router.fleet_view.set_routing_table(routing_table(INITIAL, max_conns, max_body_bytes));
+        router.fleet_view.set_routing_table(routing_table(
+            Configured::INITIAL,
+            max_conns,
+            max_body_bytes,
+        ));
         let update = FleetUpdate {
             engines: engines.iter().map(|stub| engine_state(stub)).collect(),
             weights: vec![TargetWeights { model: "m".into(), version: 2, age_ms: 0 }],
--- a/crates/data-plane/tests/engines/reconfiguration.rs
+++ b/crates/data-plane/tests/engines/reconfiguration.rs
@@ -2,16 +2,20 @@
 
 use super::harness::{
     AfterResponse, Configured, Fleet, ReceivedRequest, StubEngine, advance_time, chunk,
-    complete_stream, event, request, status, stream_head, wait_until,
+    complete_stream, engine_state, event, request, status, stream_head, wait_until,
 };
+use fleet_core::constants::MAX_REQUESTS_IN_FLIGHT;
+use fleet_core::wire::FleetUpdate;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
 /// Isolates `t1`, which the harness's configuration doesn't; the generation of the shared isolation rises.
-const T1_ISOLATED: Configured = Configured { revision: 2, generation: 5, t1_isolated: true };
+const T1_ISOLATED: Configured =
+    Configured { revision: 2, generation: 5, t1_isolated: true, ..Configured::INITIAL };
 /// Isolates a tenant other than `t1`.
-const OTHER_ISOLATED: Configured = Configured { revision: 2, generation: 5, t1_isolated: false };
+const OTHER_ISOLATED: Configured = Configured { revision: 2, generation: 5, ..Configured::INITIAL };
 
 /// The salts under which an engine received requests.
 fn salts(engine: &StubEngine) -> Vec<String> {
@@ -138,7 +142,7 @@
     let raw_request = request("/once/", "");
     let reconfigure = async {
         wait_until(|| engine.received_count() == 1).await;
-        fleet.put_in_force(Configured { revision: 2, generation: 4, t1_isolated: false });
+        fleet.put_in_force(Configured { revision: 2, ..Configured::INITIAL });
         advance_time(APPLY * 2).await;
         for _ in 0..100 {
             tokio::task::yield_now().await;
@@ -149,3 +153,39 @@
     assert_eq!(status(&response), 200, "{response}");
     assert_eq!(engine.received_count(), 1);
 }
+
+/// Sends a head, puts `configured` in force, and then sends the body.
+async fn response_to_body_after(fleet: &Fleet, configured: Configured) -> String {
+    let raw_request = request("/once/", "Connection: close\r\n");
+    let (head, body) = raw_request.split_at(raw_request.len() - "hi".len());
+    let in_flight = || MAX_REQUESTS_IN_FLIGHT - fleet.router.request_permits.available_permits();
+    wait_until(|| in_flight() == 0).await;
+    let mut client = fleet.connect().await;
+    client.write_all(head.as_bytes()).await.unwrap();
+    wait_until(|| in_flight() == 1).await;
+    fleet.put_in_force(configured);
+    client.write_all(body.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    client.read_to_string(&mut response).await.unwrap();
+    response
+}
+
+/// Guards against a request that is handled by an old configuration (rule CONFIG): its body arrives slowly, and the newer
+/// configuration comes into force before its end.
+#[tokio::test]
+async fn request_is_handled_by_the_configuration_in_force_when_its_body_is_complete() {
+    let serve =
+        |_: usize, req: &ReceivedRequest| (complete_stream(req, 1..=1), AfterResponse::KeepOpen);
+    let (old, new) = (StubEngine::start("e1", serve).await, StubEngine::start("e2", serve).await);
+    let fleet = Fleet::start(&[&old]).await;
+    let mut engine = engine_state(&new);
+    engine.service = "u".into();
+    let update = FleetUpdate { engines: vec![engine], ..Default::default() };
+    fleet.router.fleet_view.apply_update(&update);
+    let moved = Configured { revision: 2, service: "u", ..Configured::INITIAL };
+    assert_eq!(status(&response_to_body_after(&fleet, moved).await), 200);
+    assert_eq!((old.received_count(), new.received_count()), (0, 1), "route moved");
+    let key_removed = Configured { revision: 3, t1_key: "k3", ..moved };
+    assert_eq!(status(&response_to_body_after(&fleet, key_removed).await), 401);
+    assert_eq!((old.received_count(), new.received_count()), (0, 1), "key removed");
+}
