--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -5,6 +5,7 @@
     Action, Ending, EngineEvent, History, ProcessEvent, Program, Request, Timestamp,
 };
 use crate::http::ReadError;
+use crate::model_checker::check_model_runs;
 use std::collections::HashMap;
 
 /// A rule that users of the fleet rely on.
@@ -20,6 +21,10 @@
     Refused,
     /// A successful response is the engine's complete response to this request.
     Mixed,
+    /// A request uses no prompt part that a request of another tenant made, once either tenant is isolated.
+    Wall,
+    /// A request does not begin on older weights later than `versionMs` after a newer version was acknowledged.
+    Version,
     /// The acknowledged configuration, or a newer one, is read back.
     Config,
     /// A process ends within the grace period after SIGTERM, and never unexpectedly.
@@ -48,6 +53,7 @@
         check_response(request, &index, &mut findings);
     }
     check_drains(history, &mut findings);
+    check_model_runs(history, &mut findings);
     check_processes(history, &mut findings);
     check_memory(history, &mut findings);
     check_configuration(history, &mut findings);
@@ -55,11 +61,13 @@
     findings.0
 }
 
+/// The violations found so far.
 #[derive(Default)]
-struct Findings(Vec<Violation>);
+pub struct Findings(Vec<Violation>);
 
 impl Findings {
-    fn add(&mut self, rule: Rule, why: String) {
+    /// Adds a violation.
+    pub fn add(&mut self, rule: Rule, why: String) {
         self.0.push(Violation { rule, why });
     }
 }
@@ -199,7 +207,7 @@
 
 /// Whether neither the router nor any controller was disrupted in a time span or in [`constants::CONTACT_PERIOD`]
 /// before it.
-fn is_connected(history: &History, machine: usize, from: Timestamp, to: Timestamp) -> bool {
+pub fn is_connected(history: &History, machine: usize, from: Timestamp, to: Timestamp) -> bool {
     let span = from.saturating_sub(constants::CONTACT_PERIOD)..=to;
     !history.processes.iter().any(|event| {
         let counts = event.program == Program::Controller || event.machine == machine;
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -51,7 +51,7 @@
             *sent += 1;
             let attempt = format!("c{}-{sent}", self.number);
             let kind = Kind::VARIANTS[rng.usize(0..Kind::VARIANTS.len())];
-            let request = request(kind, queue_ms(rng), &attempt);
+            let request = request(kind, queue_ms(rng), &attempt, rng);
             if write.write_all(request.as_bytes()).await.is_err() {
                 return;
             }
@@ -91,11 +91,16 @@
     }
 }
 
-fn request(kind: Kind, queue_ms: u64, attempt: &str) -> String {
+/// A request of a random tenant; the first part of its prompt is common to many.
+fn request(kind: Kind, queue_ms: u64, attempt: &str, rng: &mut fastrand::Rng) -> String {
+    let tenant = constants::TENANTS[rng.usize(0..constants::TENANTS.len())];
+    let (shared, own) = (rng.usize(0..constants::SHARED_PARTS), rng.u32(..));
     format!(
-        "POST /{}/{queue_ms} HTTP/1.1\r\nHost: {}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {}\r\nContent-Length: 2\r\n\r\nhi",
+        "POST /{}/{queue_ms} HTTP/1.1\r\nHost: {}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {}\r\nX-Key: key-{tenant}\r\n\
+         X-Model: {}\r\nX-Token-Count: 120,20\r\nX-Prompt-Prefix: a{shared}:100,{own:08x}:20\r\nContent-Length: 2\r\n\r\nhi",
         kind.path(),
         constants::HOST,
-        constants::DEADLINE_MS
+        constants::DEADLINE_MS,
+        constants::MODEL,
     )
 }
--- a/crates/soak/src/constants.rs
+++ b/crates/soak/src/constants.rs
@@ -51,6 +51,21 @@
 pub const FLOOD_PART_INTERVAL: Duration = Duration::from_millis(1);
 /// Bytes of a message that a client keeps; it reads and discards the rest.
 pub const MESSAGE_MAX_BYTES: usize = 1 << 20;
+/// Time after which a request sent earlier may no longer be handled by an older configuration.
+pub const APPLY_PERIOD: Duration = Duration::from_secs(2);
+/// Time after which no request may begin on weights that are older than an acknowledged version. Shorter than
+/// [`MAX_QUEUE_TIME`], so that it passes while requests wait.
+pub const VERSION_PERIOD: Duration = Duration::from_secs(4);
+/// Time that new weights take an engine.
+pub const WEIGHTS_LOAD_TIME: Duration = Duration::from_millis(100);
+/// Name of the engines' model.
+pub const MODEL: &str = "m";
+/// Version of the weights that engines have at first.
+pub const FIRST_WEIGHTS: u64 = 1;
+/// The tenants. Each configuration isolates others of them.
+pub const TENANTS: [&str; 3] = ["t0", "t1", "t2"];
+/// Number of prompt parts that requests of all tenants have in common; each request has one of them.
+pub const SHARED_PARTS: usize = 3;
 /// Name of the engines' service.
 pub const SERVICE: &str = "s";
 /// Host name of all routes.
--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -31,8 +31,10 @@
         /// Number of the machine.
         machine: usize,
     },
-    /// The operator sends a new configuration.
+    /// The operator sends a new configuration, which isolates other tenants.
     Reconfigure,
+    /// The operator names a new version of the weights.
+    NameWeights,
     /// A new engine starts, and the oldest one departs.
     ReplaceEngine {
         /// How the oldest engine announces its departure.
@@ -49,6 +51,9 @@
     pub disruption: Disruption,
 }
 
+/// Time from the last signal until all processes have been started again and count as connected.
+const CALM_AFTER: Duration = Duration::from_secs(9);
+
 /// Draws the disruptions of a run, ordered by start time. They come in bursts and may overlap.
 pub fn draw_disruptions(
     rng: &mut fastrand::Rng,
@@ -77,9 +82,28 @@
         disruption: Disruption::KillControllers { pause: draw_pause(rng) },
     });
     disruptions.sort_by_key(|scheduled| scheduled.at);
+    let calm_from = disruptions.last().map_or(Duration::ZERO, |last| last.at) + CALM_AFTER;
+    disruptions.extend(draw_calm_changes(rng, calm_from));
     disruptions
 }
 
+/// Draws changes after the last signal, when all machines are in touch again, so that the bounds on weights and
+/// isolation count: an engine leaves with the requests in its queue while new weights are named and tenants isolated.
+fn draw_calm_changes(rng: &mut fastrand::Rng, from: Duration) -> Vec<ScheduledDisruption> {
+    let changes = [
+        Disruption::ReplaceEngine { announcement: Announcement::Drain },
+        Disruption::NameWeights,
+        Disruption::Reconfigure,
+        Disruption::Reconfigure,
+    ];
+    let mut at = from;
+    let mut schedule = |disruption| {
+        at += Duration::from_millis(rng.u64(0..300));
+        ScheduledDisruption { at, disruption }
+    };
+    changes.into_iter().map(&mut schedule).collect()
+}
+
 fn draw_disruption(rng: &mut fastrand::Rng, machines: usize) -> Disruption {
     let machine = rng.usize(0..machines);
     match rng.u8(0..100) {
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -1,10 +1,11 @@
 //! Simulated engines.
 //!
 //! An engine queues each request for the time given in its path, and then runs it; it drops a queued request whose
-//! connection closes. It continues to serve after its departure, so that requests which arrive too late are recorded.
+//! connection closes, and turns the queue away when it is ordered to load other weights. It continues to serve after its departure, so that requests which arrive too late are recorded.
 
 use crate::constants;
-use crate::history::{Departure, EngineEvent, Kind, Recorder};
+use crate::engine_model::EngineModel;
+use crate::history::{Departure, EngineEvent, Kind, ModelRun, Recorder};
 use crate::http::{self, Message, Reader};
 use crate::machine::RunContext;
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 /// How an engine announces its departure.
@@ -28,21 +30,39 @@
     id: String,
     recorder: Arc<Recorder>,
     calls: Arc<Heartbeats>,
+    model: Arc<EngineModel>,
     is_departing: AtomicBool,
 }
 
+/// What became of a request in the queue.
+enum Admission {
+    /// It may begin.
+    Admitted,
+    /// The engine turned it away with this status, and will not run it.
+    TurnedAway(&'static str),
+    /// Its connection closed.
+    Dropped,
+}
+
 impl Engine {
-    /// Starts an engine.
+    /// Starts an engine with the newest weights.
     ///
     /// # Errors
     ///
     /// If it cannot listen on its address.
-    pub async fn start(number: usize, context: &RunContext) -> std::io::Result<Arc<Engine>> {
+    pub async fn start(
+        number: usize,
+        version: u64,
+        context: &RunContext,
+    ) -> std::io::Result<Arc<Engine>> {
         let address = context.engine_address(number);
         let listener = TcpListener::bind(address).await?;
         let id = format!("i-{number:08x}");
+        let model = EngineModel::new(version);
+        let controllers = context.control_addresses();
         let engine = Arc::new(Engine {
-            calls: Heartbeats::new(id.clone(), address, context.control_addresses()),
+            calls: Heartbeats::new(id.clone(), address, controllers, Some(model.clone())),
+            model,
             id,
             recorder: context.recorder.clone(),
             is_departing: AtomicBool::new(false),
@@ -60,21 +80,82 @@
         let (read, mut write) = connection.into_split();
         let mut reader = Reader::new(read);
         while let Ok(request) = reader.message().await {
-            let attempt = request.header("x-attempt-id").unwrap_or("").to_owned();
-            self.recorder.add(|history| history.arrivals.push(self.event(&attempt)));
-            let queue_time = Duration::from_millis(queue_ms(&request));
-            tokio::select! {
-                () = tokio::time::sleep(queue_time) => {}
-                // Drops the request when its connection closes.
-                () = reader.wait_for_activity() => return,
-            }
-            self.recorder.add(|history| history.executions.push(self.event(&attempt)));
-            if self.respond(&mut write, &request, &attempt).await.is_err() {
+            let responded = if request.path().starts_with("/anisedyke/") {
+                self.answer_controller(&mut write, &request).await
+            } else {
+                let attempt = request.header("x-attempt-id").unwrap_or("").to_owned();
+                self.recorder.add(|history| history.arrivals.push(self.event(&attempt)));
+                match self.wait_in_queue(&mut reader, &request).await {
+                    Admission::Admitted => self.execute(&mut write, &request, &attempt).await,
+                    Admission::TurnedAway(status) => turn_away(&mut write, status, &attempt).await,
+                    Admission::Dropped => return,
+                }
+            };
+            if responded.is_err() {
                 return;
             }
         }
     }
 
+    /// Waits for the time that the request gives; drops it when its connection closes.
+    async fn wait_in_queue(
+        &self,
+        reader: &mut Reader<OwnedReadHalf>,
+        request: &Message,
+    ) -> Admission {
+        if !self.model.accepts(request) {
+            return Admission::TurnedAway("421 Misdirected Request");
+        }
+        tokio::select! {
+            biased;
+            () = self.model.loading() => Admission::TurnedAway("503 Loading"),
+            () = tokio::time::sleep(Duration::from_millis(queue_ms(request))) => Admission::Admitted,
+            () = reader.wait_for_activity() => Admission::Dropped,
+        }
+    }
+
+    async fn execute(
+        &self,
+        write: &mut OwnedWriteHalf,
+        request: &Message,
+        attempt: &str,
+    ) -> std::io::Result<()> {
+        let (_running, begun) = self.model.begin(request);
+        let run = ModelRun {
+            attempt: attempt.to_owned(),
+            engine: self.id.clone(),
+            at: self.recorder.now(),
+            tenant: request.header("x-tenant").unwrap_or("").to_owned(),
+            begun,
+        };
+        self.recorder.add(|history| {
+            history.executions.push(self.event(attempt));
+            history.model_runs.push(run);
+        });
+        self.respond(write, request, attempt).await
+    }
+
+    /// Answers reports and orders; other calls of controllers get a 404.
+    async fn answer_controller(
+        &self,
+        write: &mut OwnedWriteHalf,
+        request: &Message,
+    ) -> std::io::Result<()> {
+        let is_other_instance =
+            request.header("x-target-instance").is_some_and(|instance| instance != self.id);
+        let (status, body) = match request.path() {
+            "/anisedyke/report" => (200, self.model.report()),
+            "/anisedyke/order" if is_other_instance => (421, "{}".to_owned()),
+            "/anisedyke/order" => (self.model.order(&request.body), "{}".to_owned()),
+            _ => (404, "{}".to_owned()),
+        };
+        let length = body.len();
+        let response = format!(
+            "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        write.write_all(response.as_bytes()).await
+    }
+
     fn event(&self, attempt: &str) -> EngineEvent {
         let at = self.recorder.now();
         EngineEvent { attempt: attempt.to_owned(), engine: self.id.clone(), at }
@@ -82,7 +163,7 @@
 
     async fn respond(
         &self,
-        write: &mut tokio::net::tcp::OwnedWriteHalf,
+        write: &mut OwnedWriteHalf,
         request: &Message,
         attempt: &str,
     ) -> std::io::Result<()> {
@@ -153,6 +234,8 @@
     id: String,
     address: SocketAddr,
     control_addresses: Vec<SocketAddr>,
+    /// `None` for an engine that names no model.
+    model: Option<Arc<EngineModel>>,
     call_seq: AtomicU64,
 }
 
@@ -162,8 +245,10 @@
         id: String,
         address: SocketAddr,
         control_addresses: Vec<SocketAddr>,
+        model: Option<Arc<EngineModel>>,
     ) -> Arc<Heartbeats> {
-        Arc::new(Heartbeats { id, address, control_addresses, call_seq: AtomicU64::new(0) })
+        let call_seq = AtomicU64::new(0);
+        Arc::new(Heartbeats { id, address, control_addresses, model, call_seq })
     }
 
     /// Sends heartbeats, each to a random controller, for as long as the run lasts.
@@ -184,8 +269,10 @@
     }
 
     async fn heartbeat(&self, controller: SocketAddr, state: &str, call: u64) -> bool {
+        let models: Vec<_> =
+            self.model.iter().map(|model| model.model_entry(model.version())).collect();
         let body = serde_json::json!({"service": constants::SERVICE, "address": self.address.to_string(),
-            "zone": "z1", "revision": "v1", "slots": 64, "state": state, "coldLeftMs": 0, "models": [],
+            "zone": "z1", "revision": "v1", "slots": 64, "state": state, "coldLeftMs": 0, "models": models,
             "callSeq": call});
         self.call(controller, "Heartbeat", &body.to_string()).await
     }
@@ -201,6 +288,14 @@
     }
 }
 
+/// Answers that the request has not been run, and never will be.
+async fn turn_away(write: &mut OwnedWriteHalf, status: &str, attempt: &str) -> std::io::Result<()> {
+    let response = format!(
+        "HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    );
+    write.write_all(response.as_bytes()).await
+}
+
 /// The time in milliseconds that a request spends in the queue, given by the last segment of its path.
 fn queue_ms(request: &Message) -> u64 {
     request.path().rsplit('/').next().and_then(|part| part.parse().ok()).unwrap_or(0)
--- a/crates/soak/src/faulty_engine.rs
+++ b/crates/soak/src/faulty_engine.rs
@@ -93,7 +93,7 @@
         let listener = TcpListener::bind(address).await?;
         let id = format!("i-{number:08x}");
         context.recorder.add(|history| history.faulty_engines.push(id.clone()));
-        let heartbeats = Heartbeats::new(id.clone(), address, context.control_addresses());
+        let heartbeats = Heartbeats::new(id.clone(), address, context.control_addresses(), None);
         tokio::spawn(heartbeats.send_forever(rng.fork()));
         let engine = Arc::new(FaultyEngine { id, recorder: context.recorder.clone() });
         tokio::spawn(async move {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,8 @@
 //! The events of a run as recorded by clients, engines and the test itself, with their times.
 
+use crate::engine_model::Begun;
 use crate::http::ReadError;
+use crate::operator::isolated_tenants;
 use parking_lot::Mutex;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -90,6 +92,41 @@
     pub at: Timestamp,
 }
 
+/// A request that an engine began to execute with its model.
+#[derive(Debug, Clone)]
+pub struct ModelRun {
+    /// Attempt id of the request.
+    pub attempt: String,
+    /// Id of the engine.
+    pub engine: String,
+    /// When it began.
+    pub at: Timestamp,
+    /// The tenant that the router named.
+    pub tenant: String,
+    /// The weights, and the kept prompt parts that it used.
+    pub begun: Begun,
+}
+
+/// A configuration that the operator sent.
+#[derive(Debug, Clone)]
+pub struct SentConfiguration {
+    /// The tenants that it isolates.
+    pub isolated: Vec<&'static str>,
+    /// When it was first sent; it may be in force from then on.
+    pub sent: Timestamp,
+    /// When it was acknowledged; `None` if it was not, or not yet.
+    pub acknowledged: Option<Timestamp>,
+}
+
+/// A version of the model's weights that a controller acknowledged.
+#[derive(Debug, Clone, Copy)]
+pub struct NamedVersion {
+    /// Number of the version.
+    pub version: u64,
+    /// When it was acknowledged.
+    pub acknowledged: Timestamp,
+}
+
 /// An action on a process, or its exit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
@@ -170,6 +207,12 @@
     pub arrivals: Vec<EngineEvent>,
     /// Requests that an engine began to execute.
     pub executions: Vec<EngineEvent>,
+    /// The same with what the model of the engine did.
+    pub model_runs: Vec<ModelRun>,
+    /// Configurations in the order of their versions, the first one at index 0.
+    pub configurations: Vec<SentConfiguration>,
+    /// Named versions of the weights.
+    pub named_versions: Vec<NamedVersion>,
     /// Process events, in order of time.
     pub processes: Vec<ProcessEvent>,
     /// Acknowledged departures.
@@ -184,6 +227,24 @@
     pub last_version: Option<u64>,
 }
 
+impl History {
+    /// Records that a configuration is sent for the first time, or again.
+    pub fn record_sent_configuration(&mut self, version: u64, sent: Timestamp) {
+        if self.configurations.len() < version as usize {
+            let isolated = isolated_tenants(version);
+            self.configurations.push(SentConfiguration { isolated, sent, acknowledged: None });
+        }
+    }
+
+    /// Records that the configuration sent last is acknowledged.
+    pub fn record_acknowledgement(&mut self, version: u64, at: Timestamp) {
+        self.acknowledged_version = version;
+        if let Some(last) = self.configurations.last_mut() {
+            last.acknowledged = Some(at);
+        }
+    }
+}
+
 /// Collects the history of a run, and measures its time.
 pub struct Recorder {
     began: Instant,
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -107,7 +107,7 @@
              bootstrap={bootstrap}\ndataDir={}\nbindAddrs.frontHttp={ip}:{FRONT_PORT}\n\
              bindAddrs.readiness={ip}:{READINESS_PORT}\nbindAddrs.control={ip}:{CONTROL_PORT}\n\
              heartbeatMs={}\ncounted=true\ntolerance.machines=1\nbounds.contactMs={}\nbounds.graceS={}\n\
-             bounds.drainMs={}\nbounds.leaseMs=3000\nbounds.versionMs=8000\nbounds.retryRatio=0.2\n\
+             bounds.drainMs={}\nbounds.applyMs={}\nbounds.leaseMs=3000\nbounds.versionMs={}\nbounds.retryRatio=0.2\n\
              bounds.retryWindowS=10\nbounds.retrySlack=60\nlimits.cores=1\n",
             self.number,
             seeds.join(","),
@@ -116,6 +116,8 @@
             constants::CONTACT_PERIOD.as_millis(),
             constants::GRACE_PERIOD.as_secs(),
             constants::DRAIN_PERIOD.as_millis(),
+            constants::APPLY_PERIOD.as_millis(),
+            constants::VERSION_PERIOD.as_millis(),
         );
         std::fs::write(self.settings_file(), text)
     }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -1,7 +1,7 @@
-//! The operator, which sends configurations, each based on the previous one.
+//! The operator, which sends configurations, each based on the previous one, and names versions of the weights.
 
 use crate::constants;
-use crate::history::{Kind, Recorder};
+use crate::history::{Kind, NamedVersion, Recorder};
 use crate::http;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,12 +13,34 @@
     control_addresses: Vec<SocketAddr>,
     recorder: Arc<Recorder>,
     version: u64,
+    weights_version: u64,
 }
 
 impl Operator {
     /// Creates the operator of a fleet that has no configuration yet.
     pub fn new(control_addresses: Vec<SocketAddr>, recorder: Arc<Recorder>) -> Operator {
-        Operator { control_addresses, recorder, version: 0 }
+        Operator {
+            control_addresses,
+            recorder,
+            version: 0,
+            weights_version: constants::FIRST_WEIGHTS,
+        }
+    }
+
+    /// Names the next version of the weights until that is acknowledged. Returns the version, `None` if it was not
+    /// acknowledged in time.
+    pub async fn name_weights(&mut self, limit: Duration) -> Option<u64> {
+        self.weights_version += 1;
+        let version = self.weights_version;
+        let body = serde_json::json!({"model": constants::MODEL, "revision": version}).to_string();
+        let head = "POST /anisedyke/version-put HTTP/1.1\r\n";
+        let is_acknowledged = self.send_until_acknowledged(head, &body, limit).await;
+        if !is_acknowledged {
+            return None;
+        }
+        let named = NamedVersion { version, acknowledged: self.recorder.now() };
+        self.recorder.add(|history| history.named_versions.push(named));
+        Some(version)
     }
 
     /// Sends the next configuration until it is acknowledged; returns false if that did not happen in time. It may have
@@ -28,15 +50,26 @@
         let head =
             format!("POST /anisedyke/Config.Replace HTTP/1.1\r\nX-Base-Revision: {base}\r\n");
         let body = configuration(next_version);
+        let sent = self.recorder.now();
+        self.recorder.add(|history| history.record_sent_configuration(next_version, sent));
+        let is_acknowledged = self.send_until_acknowledged(&head, &body, limit).await;
+        if is_acknowledged {
+            self.version = next_version;
+            let acknowledged = self.recorder.now();
+            self.recorder.add(|history| history.record_acknowledgement(next_version, acknowledged));
+        }
+        is_acknowledged
+    }
+
+    /// Sends a call to one controller after another; returns whether one acknowledged it in time.
+    async fn send_until_acknowledged(&self, head: &str, body: &str, limit: Duration) -> bool {
         let end = Instant::now() + limit;
-        let mut attempt = 0;
-        while Instant::now() < end {
-            let controller = self.control_addresses[attempt % self.control_addresses.len()];
-            attempt += 1;
-            let answer = http::call(controller, &head, &body, constants::CALLER_TIMEOUT).await;
+        for controller in self.control_addresses.iter().cycle() {
+            if Instant::now() >= end {
+                break;
+            }
+            let answer = http::call(*controller, head, body, constants::CALLER_TIMEOUT).await;
             if answer.is_some_and(|answer| answer.status() == 200) {
-                self.version = next_version;
-                self.recorder.add(|history| history.acknowledged_version = next_version);
                 return true;
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -63,6 +96,13 @@
     }
 }
 
+/// The tenants that a version of the configuration isolates: each is isolated by some versions and not by others.
+pub fn isolated_tenants(version: u64) -> Vec<&'static str> {
+    let is_isolated = |index: usize| (version >> index) & 1 == 0;
+    let tenants = constants::TENANTS.iter().enumerate();
+    tenants.filter(|(index, _)| is_isolated(*index)).map(|(_, name)| *name).collect()
+}
+
 /// A configuration with the routes of all requests, and one additional route for each version after the first.
 fn configuration(version: u64) -> String {
     let route = |path: &str, kind: &str| {
@@ -76,11 +116,19 @@
         route(Kind::Resumable.path(), "streaming"),
     ];
     routes[3]["resumable"] = true.into();
+    let isolated = isolated_tenants(version);
+    let tenants: Vec<_> = constants::TENANTS
+        .iter()
+        .map(|name| serde_json::json!({"name": name, "apiKeys": [format!("key-{name}")], "isolated": isolated.contains(name)}))
+        .collect();
     routes.extend((1..version).map(|added| route(&format!("added-{added}"), "safe")));
     serde_json::json!({
         "revision": version,
         "routes": routes,
-        "services": [{"name": constants::SERVICE, "maxConns": 2000, "engine": {"slots": 64}}],
+        "services": [{"name": constants::SERVICE, "maxConns": 2000, "engine": {"slots": 64,
+            "kvCapacity": 100_000, "kvTokenBytes": 300_000, "linkMbps": 1_000_000.0, "maxInflight": 12,
+            "models": [{"name": constants::MODEL}]}}],
+        "tenants": tenants,
     })
     .to_string()
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,7 @@
 use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -64,6 +64,8 @@
     /// Engines that have not departed, oldest first.
     engines: Mutex<VecDeque<Arc<Engine>>>,
     engines_started: AtomicUsize,
+    /// The newest acknowledged version of the weights, which new engines have.
+    newest_weights: AtomicU64,
     rng: Mutex<fastrand::Rng>,
 }
 
@@ -126,6 +128,7 @@
             operator: tokio::sync::Mutex::new(operator),
             engines: Mutex::default(),
             engines_started: AtomicUsize::new(0),
+            newest_weights: AtomicU64::new(constants::FIRST_WEIGHTS),
             rng: Mutex::new(rng),
         });
         if !fleet.operator.lock().await.send_next(constants::START_TIMEOUT).await {
@@ -193,7 +196,8 @@
 
     async fn start_engine(&self) -> std::io::Result<()> {
         let number = self.engines_started.fetch_add(1, Ordering::SeqCst);
-        let engine = Engine::start(number, &self.context).await?;
+        let version = self.newest_weights.load(Ordering::SeqCst);
+        let engine = Engine::start(number, version, &self.context).await?;
         tokio::spawn(engine.clone().send_heartbeats(self.fork_rng()));
         self.engines.lock().push_back(engine);
         Ok(())
@@ -216,6 +220,11 @@
                 self.operator.lock().await.send_next(constants::START_TIMEOUT).await;
                 Ok(())
             }
+            Disruption::NameWeights => {
+                let named = self.operator.lock().await.name_weights(constants::START_TIMEOUT).await;
+                self.newest_weights.fetch_max(named.unwrap_or(0), Ordering::SeqCst);
+                Ok(())
+            }
             Disruption::ReplaceEngine { announcement } => self.replace_engine(announcement).await,
         }
     }
@@ -261,7 +270,7 @@
     let at_faulty_engine =
         history.arrivals.iter().filter(|event| history.faulty_engines.contains(&event.engine));
     format!(
-        "{} requests: {} served, {} refused, {} 502, {} 504; {} departures, {} configurations; routers: {} terminated, {} killed; \
+        "{} requests: {} served, {} refused, {} 502, {} 504; {} departures, {} configurations, {} versions, {} uses of kept parts; routers: {} terminated, {} killed; \
          {} calls to the faulty engine; peak memory: routers {} MB, controllers {} MB",
         history.requests.len(),
         status_count(200),
@@ -270,6 +279,8 @@
         status_count(504),
         history.departures.len(),
         history.acknowledged_version,
+        history.named_versions.len(),
+        history.model_runs.iter().filter(|run| !run.begun.makers.is_empty()).count(),
         action_count(Action::Terminated),
         action_count(Action::Killed),
         at_faulty_engine.count(),
