Proxy: choice of an engine, bounded waits, listener and readiness in modules of their own

dispatch.rs held the choice of an engine and its connection beside the dispatch, and mod.rs the client listener and the readiness server beside the list of modules. Functions are moved as they were; proxy::run_client_listener, accept_clients and run_readiness_server have new paths, which no program outside of the workspace uses.

--- a/crates/data-plane/src/proxy/dispatch.rs
+++ b/crates/data-plane/src/proxy/dispatch.rs
@@ -1,31 +1,21 @@
 //! Dispatch of a request to one engine, and its outcome.
 
+use super::bounded_wait::{Interrupted, run_until, send_deadline};
 use super::dispatch_cutoff::{CutoffReason, DispatchCutoff};
 use super::dispatch_load::DispatchLoad;
+use super::engine_selection::SelectedEngine;
 use super::headers;
 use super::response_check::{self, SentRequest, Verdict};
 use super::stage::{Accepted, ClientRequest, Dispatched, Responding};
 use super::{outgoing_request, passive_health, rejection_body};
 use crate::Router;
-use crate::fleet_view::FleetView;
-use crate::fleet_view::routing_table::{RetryMode, RoutingTable};
-use crate::load_balancer::{self, Choice};
+use crate::load_balancer::Choice;
 use crate::pool::EngineBody;
-use crate::pool::connection::{
-    self, CheckoutOptions, ConnectionError, PooledConnection, RespondingConnection, SendError,
-};
-use crate::shutdown::Phase;
-use fleet_core::constants;
+use crate::pool::connection::{RespondingConnection, SendError};
 use http::{Response, StatusCode};
 use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 
-/// The engine chosen for a request, and a connection to it.
-pub struct SelectedEngine {
-    choice: Choice,
-    connection: PooledConnection,
-}
-
 /// The outcome of a dispatch.
 pub enum Outcome {
     /// The engine sent a response head that may be relayed.
@@ -42,96 +32,6 @@
     RouterShutdown(Dispatched),
 }
 
-/// Chooses an engine and obtains a connection to it. Chooses again if what became known meanwhile supersedes the choice.
-///
-/// # Errors
-///
-/// Returns the request if no engine is available, the deadline is too close, or this router has to answer pending
-/// requests because it shuts down. No further byte of it was sent.
-pub async fn find_engine(
-    router: &Router,
-    mut accepted: Accepted,
-) -> Result<(SelectedEngine, Accepted), Accepted> {
-    while Instant::now() < send_deadline(accepted.request())
-        && router.shutdown.phase() < Phase::Terminating
-    {
-        let request = accepted.request();
-        let in_force = router.fleet_view.routing_table_since(&request.routing_table);
-        let Ok(choice) = load_balancer::choose_engine(
-            router,
-            &in_force,
-            &request.service,
-            request.tenant.as_deref(),
-            &request.prompt,
-            &request.excluded_engines,
-        ) else {
-            return Err(accepted);
-        };
-        let options = CheckoutOptions {
-            service: &request.service,
-            max_connections: connection_share(&router.fleet_view, &in_force, request),
-            repeatable: request.retry_mode != RetryMode::Never,
-        };
-        let checking_out = connection::checkout(router, &choice.engine, options);
-        match run_until(router, send_deadline(request), checking_out).await {
-            Ok(Ok(_)) if DispatchCutoff::new(router, request, &choice).is_superseded() => {}
-            Ok(Ok(connection)) => return Ok((SelectedEngine { choice, connection }, accepted)),
-            Ok(Err(error)) => {
-                if error != ConnectionError::Full {
-                    passive_health::record_connection_failure(
-                        &router.log,
-                        &choice.engine,
-                        &error.to_string(),
-                    );
-                }
-                accepted.exclude(&choice.engine.id);
-            }
-            Err(_) => return Err(accepted),
-        }
-    }
-    Err(accepted)
-}
-
-/// Why a step was stopped.
-enum Interrupted {
-    /// The engine must not begin the request any more.
-    CutOff(CutoffReason),
-    /// The deadline has passed.
-    TimedOut,
-    /// The router shuts down, and has to answer pending requests.
-    RouterShutdown,
-}
-
-/// Runs a step until `deadline`, or until this router has to answer pending requests. A step that completes at the
-/// same moment counts as completed.
-async fn run_until<F: Future>(
-    router: &Router,
-    deadline: Instant,
-    step: F,
-) -> Result<F::Output, Interrupted> {
-    tokio::select! {
-        biased;
-        result = tokio::time::timeout_at(deadline, step) => result.map_err(|_| Interrupted::TimedOut),
-        () = router.shutdown.reached(Phase::Terminating) => Err(Interrupted::RouterShutdown),
-    }
-}
-
-/// The last time at which a response could still reach the client before its deadline.
-fn send_deadline(request: &ClientRequest) -> Instant {
-    request.deadline - constants::DEADLINE_MARGIN
-}
-
-/// This router's share of the connections that an engine accepts from all routers. If the configuration in force has
-/// removed the service, the one under which the request was accepted counts.
-fn connection_share(view: &FleetView, in_force: &RoutingTable, request: &ClientRequest) -> u32 {
-    let service = in_force
-        .service(&request.service)
-        .or_else(|| request.routing_table.service(&request.service));
-    let engine_limit = service.map_or(0, |service| service.max_conns) as usize;
-    let routers = view.routers() + constants::BUDGET_SPARE_ROUTERS;
-    (engine_limit / routers).max(constants::MIN_CONNECTIONS) as u32
-}
-
 /// Sends the request, and waits for the response head.
 ///
 /// # Cancel safety
--- a/crates/data-plane/src/proxy/relay.rs
+++ b/crates/data-plane/src/proxy/relay.rs
@@ -2,6 +2,7 @@
 
 use super::body_progress::BodyProgress;
 use super::dispatch::{self, Outcome};
+use super::engine_selection;
 use super::events::EventSplitter;
 use super::response::{BodyChunk, RelayedBody, ResponseBody};
 use super::response_time::ResponseTimes;
@@ -226,7 +227,7 @@
 ) -> Option<Responding> {
     let mut accepted = truncated.discard_response().retry(router).ok()?;
     loop {
-        let (selected, ready) = dispatch::find_engine(router, accepted).await.ok()?;
+        let (selected, ready) = engine_selection::find_engine(router, accepted).await.ok()?;
         accepted = match dispatch::dispatch(router, ready, selected, last_event).await {
             Outcome::NotSent(accepted) => accepted,
             Outcome::NotExecuted(accepted) => accepted.retry(router).ok()?,
--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -1,6 +1,7 @@
 //! Handling of one client request, from its head to its response.
 
 use super::dispatch::{self, Outcome};
+use super::engine_selection;
 use super::headers;
 use super::relay;
 use super::request_body;
@@ -150,7 +151,7 @@
     mut accepted: Accepted,
 ) -> Response<ResponseBody> {
     loop {
-        let (selected, pending) = match dispatch::find_engine(router, accepted).await {
+        let (selected, pending) = match engine_selection::find_engine(router, accepted).await {
             Ok(found) => found,
             Err(accepted) => return accepted.reject(router),
         };
--- a/crates/data-plane/src/runtime.rs
+++ b/crates/data-plane/src/runtime.rs
@@ -35,7 +35,7 @@
     let (front, probe) = (listen(front)?, listen(probe)?);
     let router = Router::assemble(settings, log.clone());
     let tasks = [
-        tokio::spawn(proxy::run_readiness_server(router.clone(), probe)),
+        tokio::spawn(proxy::readiness::run_readiness_server(router.clone(), probe)),
         tokio::spawn(fleet_view::links::run_link_maintenance(router.clone())),
         tokio::spawn(fleet_view::config_fetch::run_config_fetch(router.clone())),
         tokio::spawn(fleet_view::invalidations::run_invalidation_reader(router.clone())),
@@ -47,7 +47,8 @@
     if let Some(address) = metrics {
         tokio::spawn(telemetry::serve(address, log.clone(), router.clone()));
     }
-    let client_listener = tokio::spawn(proxy::run_client_listener(router.clone(), front));
+    let client_listener =
+        tokio::spawn(proxy::client_listener::run_client_listener(router.clone(), front));
     fleet_core::log_event!(log, Event::Started, "incarnation" => router.node.incarnation);
     let mut counters_timer = tokio::time::interval(constants::COUNTERS_INTERVAL);
     counters_timer.tick().await;
--- a/crates/data-plane/tests/engines/harness.rs
+++ b/crates/data-plane/tests/engines/harness.rs
@@ -242,7 +242,10 @@
         router.fleet_view.apply_update(&update);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let router_address = listener.local_addr().unwrap();
-        tokio::spawn(data_plane::proxy::run_client_listener(router.clone(), listener));
+        tokio::spawn(data_plane::proxy::client_listener::run_client_listener(
+            router.clone(),
+            listener,
+        ));
         Fleet { router, router_address }
     }
 
--- a/crates/data-plane/tests/engines/limits.rs
+++ b/crates/data-plane/tests/engines/limits.rs
@@ -326,7 +326,11 @@
     let fleet = Fleet::start(&[&engine]).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(data_plane::proxy::accept_clients(fleet.router.clone(), listener, 2));
+    tokio::spawn(data_plane::proxy::client_listener::accept_clients(
+        fleet.router.clone(),
+        listener,
+        2,
+    ));
     let mut clients = Vec::new();
     for _ in 0..3 {
         let mut client = TcpStream::connect(address).await.unwrap();
