--- a/crates/control-plane/tests/cluster.rs
+++ b/crates/control-plane/tests/cluster.rs
@@ -29,6 +29,8 @@
 use control_plane::service::{configuration, instances};
 use harness::Cluster;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Number of engines; enough that hash tables of them iterate in different orders.
 const ENGINES: usize = 9;
@@ -56,6 +58,26 @@
     assert_eq!(cluster.retry_until_ok(node, call).await.version, version);
 }
 
+/// Replaces the configuration of version `base` with the next one by one request, without retries, and asserts that it
+/// succeeds in less than `limit`.
+async fn replace_once_within(cluster: &Cluster, node: usize, base: u64, limit: Duration) {
+    let (version, started_at) = (base + 1, Instant::now());
+    let base = base.to_string();
+    let answer = configuration::replace(
+        cluster.controller(node).consensus(),
+        Some(&base),
+        config_body(version),
+    )
+    .await;
+    let elapsed = started_at.elapsed();
+    assert_eq!(
+        answer.map(|replaced| replaced.version).ok(),
+        Some(version),
+        "n{node} after {elapsed:?}"
+    );
+    assert!(elapsed < limit, "n{node} answered after {elapsed:?}");
+}
+
 /// Asserts that the first successful read at each node returns this version.
 async fn assert_config_at(cluster: &Cluster, nodes: &[usize], version: u64) {
     for node in nodes {
--- a/crates/control-plane/tests/cluster/hung_disk.rs
+++ b/crates/control-plane/tests/cluster/hung_disk.rs
@@ -1,9 +1,8 @@
 //! A hung disk returns no error, so its node has to detect by itself that it can't vote.
 
 use super::leases::{LEASE, next_holder, other_nodes};
-use super::{Cluster, assert_config_at, config_body, replace};
+use super::{Cluster, assert_config_at, replace, replace_once_within};
 use control_plane::consensus::state_machine;
-use control_plane::service::configuration;
 use fleet_core::wire::PreVoteRequest;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -12,33 +11,14 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 const NODES: [usize; 3] = [1, 2, 3];
 
-/// Replaces the configuration with one request, without retries, and asserts that it succeeds in time.
-async fn replace_once(cluster: &Cluster, node: usize, base: u64, version: u64) {
-    let base = base.to_string();
-    let started_at = Instant::now();
-    let answer = configuration::replace(
-        cluster.controller(node).consensus(),
-        Some(&base),
-        config_body(version),
-    )
-    .await;
-    let elapsed = started_at.elapsed();
-    assert_eq!(
-        answer.map(|replaced| replaced.version).ok(),
-        Some(version),
-        "n{node} after {elapsed:?}"
-    );
-    assert!(elapsed < ANSWER_TIMEOUT, "n{node} answered after {elapsed:?}");
-}
-
 async fn replace_with_hung_owner(target_node: usize, hang_duration: Duration) -> Cluster {
     let cluster = Cluster::bootstrap(3, 11).await;
     replace(&cluster, 1, 0, 7).await;
     cluster.wait_until_settled().await;
     cluster.hang_disk(1, true);
     tokio::time::sleep(hang_duration).await;
-    replace_once(&cluster, target_node, 7, 8).await;
-    replace_once(&cluster, target_node, 8, 9).await;
+    replace_once_within(&cluster, target_node, 7, ANSWER_TIMEOUT).await;
+    replace_once_within(&cluster, target_node, 8, ANSWER_TIMEOUT).await;
     cluster
 }
 
--- a/crates/control-plane/tests/cluster/resignation.rs
+++ b/crates/control-plane/tests/cluster/resignation.rs
@@ -1,6 +1,6 @@
 //! A controller that shuts down gives up ownership of its keys before it ends.
 
-use super::{Cluster, assert_config_at, config_body, replace};
+use super::{Cluster, assert_config_at, config_body, replace, replace_once_within};
 use control_plane::service::configuration;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -9,26 +9,6 @@
 /// after an owner's last round during which voters elect no other owner.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Replaces the configuration with one request, without retries, and asserts that it succeeds within
-/// [`CHANGE_TIMEOUT`].
-async fn assert_replaced_in_time(cluster: &Cluster, node: usize, base: u64) {
-    let (version, started_at) = (base + 1, Instant::now());
-    let base = base.to_string();
-    let answer = configuration::replace(
-        cluster.controller(node).consensus(),
-        Some(&base),
-        config_body(version),
-    )
-    .await;
-    let elapsed = started_at.elapsed();
-    assert_eq!(
-        answer.map(|replaced| replaced.version).ok(),
-        Some(version),
-        "n{node} after {elapsed:?}"
-    );
-    assert!(elapsed < CHANGE_TIMEOUT, "n{node} answered after {elapsed:?}");
-}
-
 /// A cluster whose first node owns the configuration and has just changed it.
 async fn owned_by_first(seed: u64) -> Cluster {
     let cluster = Cluster::bootstrap(3, seed).await;
@@ -49,7 +29,7 @@
             "node 1 ended after {:?}",
             stop_requested.elapsed()
         );
-        assert_replaced_in_time(&cluster, node, 8).await;
+        replace_once_within(&cluster, node, 8, CHANGE_TIMEOUT).await;
         cluster.start(1).await;
         assert_config_at(&cluster, &[1, 2, 3], 9).await;
         replace(&cluster, 1, 9, 10).await;
@@ -61,7 +41,7 @@
     for node in [1, 2, 3] {
         let cluster = owned_by_first(52).await;
         cluster.leave(1).await;
-        assert_replaced_in_time(&cluster, node, 8).await;
+        replace_once_within(&cluster, node, 8, CHANGE_TIMEOUT).await;
         let owner = cluster
             .controller(2)
             .consensus()
--- a/crates/router/tests/whole/support.rs
+++ b/crates/router/tests/whole/support.rs
@@ -63,36 +63,27 @@
     }
 
     pub fn controller(&self, bootstrap: bool) -> RunningProgram {
-        let (stop, stopped) = tokio::sync::watch::channel(false);
-        let (_, reloaded_settings) = tokio::sync::mpsc::channel(1);
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let settings = self.settings(bootstrap);
-        let run = control_plane::run(ProgramContext {
-            settings,
-            log,
-            stop: stopped,
-            reloaded_settings,
-            metrics: None,
-        });
+        let (context, stop) = program_context(self.settings(bootstrap));
+        let run = control_plane::run(context);
         RunningProgram { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 
     pub fn router(&self) -> RunningProgram {
-        let (stop, stopped) = tokio::sync::watch::channel(false);
-        let (_, reloaded_settings) = tokio::sync::mpsc::channel(1);
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let settings = self.settings(false);
-        let run = data_plane::run(ProgramContext {
-            settings,
-            log,
-            stop: stopped,
-            reloaded_settings,
-            metrics: None,
-        });
+        let (context, stop) = program_context(self.settings(false));
+        let run = data_plane::run(context);
         RunningProgram { stop, task: tokio::spawn(async move { run.await.unwrap() }) }
     }
 }
 
+/// What a program is started with, and the sender that stops it.
+fn program_context(settings: Settings) -> (ProgramContext, tokio::sync::watch::Sender<bool>) {
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let (_, reloaded_settings) = tokio::sync::mpsc::channel(1);
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let context = ProgramContext { settings, log, stop: stopped, reloaded_settings, metrics: None };
+    (context, stop)
+}
+
 pub struct RunningProgram {
     pub stop: tokio::sync::watch::Sender<bool>,
     pub task: tokio::task::JoinHandle<()>,
