Proxy: framing checked once, the table in force read once, cut-off types private

A renewed permission checked the framing again, which no configuration changes, and read the routing table a second time after comparing it. The table is passed in now. Cutoff and DispatchCutoff::current are used in their module only; counting a reason is one function.

--- a/crates/data-plane/src/proxy/dispatch_cutoff.rs
+++ b/crates/data-plane/src/proxy/dispatch_cutoff.rs
@@ -11,7 +11,7 @@
 use crate::load_balancer::cache_isolation::CacheIsolation;
 use fleet_core::constants;
 use fleet_core::wire::EngineState;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 
 /// Why a dispatch that has no response is cancelled.
@@ -27,24 +27,21 @@
 impl CutoffReason {
     /// Counts a cancelled dispatch.
     pub fn record(self, router: &Router) {
-        self.counter(router).fetch_add(1, Ordering::Relaxed);
-    }
-
-    fn counter(self, router: &Router) -> &AtomicU64 {
-        match self {
+        let counter = match self {
             CutoffReason::OutdatedWeights => &router.counters.version_cutoffs,
             CutoffReason::IsolationChanged => &router.counters.isolation_cutoffs,
-        }
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
     }
 }
 
 /// A time from which a dispatch must not wait any longer.
 #[derive(Debug, Clone, Copy)]
-pub struct Cutoff {
+struct Cutoff {
     /// The time; it may have passed.
-    pub at: Instant,
+    at: Instant,
     /// Why.
-    pub reason: CutoffReason,
+    reason: CutoffReason,
 }
 
 /// The cutoff of one dispatch, as the fleet view changes.
@@ -63,7 +60,7 @@
     }
 
     /// The cutoff by what is known now; none if the dispatch may wait until its deadline.
-    pub fn current(&mut self) -> Option<Cutoff> {
+    fn current(&mut self) -> Option<Cutoff> {
         let cutoffs = [self.version_cutoff(), self.isolation_cutoff()];
         cutoffs.into_iter().flatten().min_by_key(|cutoff| cutoff.at)
     }
--- a/crates/data-plane/src/proxy/request.rs
+++ b/crates/data-plane/src/proxy/request.rs
@@ -37,8 +37,10 @@
 /// nobody sends a body in vain, and again with its last byte, since the configuration may change while a body arrives.
 async fn admit(router: &Router, request: Request<Incoming>) -> Result<Accepted, Rejection> {
     let arrived_at = Instant::now();
+    let routing_table = router.fleet_view.routing_table().ok_or(Rejection::NotReady)?;
     let (head, body) = request.into_parts();
-    let permission = Permission::of(router, &head)?;
+    check_framing(&head)?;
+    let permission = Permission::by(routing_table, &head)?;
     let attempt_id = head.headers.get(headers::ATTEMPT_ID).cloned().ok_or(Rejection::BadRequest)?;
     let timeout = headers::parse_deadline(&head.headers).ok_or(Rejection::BadRequest)?;
     let deadline = permission.deadline(arrived_at, timeout);
@@ -90,10 +92,7 @@
 }
 
 impl Permission {
-    /// By the configuration in force.
-    fn of(router: &Router, head: &Parts) -> Result<Permission, Rejection> {
-        let routing_table = router.fleet_view.routing_table().ok_or(Rejection::NotReady)?;
-        check_framing(head)?;
+    fn by(routing_table: Arc<RoutingTable>, head: &Parts) -> Result<Permission, Rejection> {
         let route = find_route(&routing_table, head)?;
         let tenant = find_tenant(&routing_table, &route, &head.headers)?;
         Ok(Permission { routing_table, route, tenant })
@@ -105,7 +104,7 @@
         if Arc::ptr_eq(&in_force, &self.routing_table) {
             return Ok(self);
         }
-        Permission::of(router, head)
+        Permission::by(in_force, head)
     }
 
     /// The client's deadline or the route's timeout, whichever comes first.
