Soak: one loop for the operator's calls, one index of requests, no polling for an idle engine

Reading back repeated the loop that sends configurations; model_checker built the map by attempt id that check_drains has. An engine that loads weights polled its running requests at the interval meant for exiting processes; it waits for their number now.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -191,8 +191,7 @@
 fn check_drains(history: &History, findings: &mut Findings) {
     let acknowledged: HashMap<&str, Timestamp> =
         history.departures.iter().map(|d| (d.engine.as_str(), d.acknowledged)).collect();
-    let requests: HashMap<&str, &Request> =
-        history.requests.iter().map(|request| (request.attempt.as_str(), request)).collect();
+    let requests = history.requests_by_attempt();
     for arrival in &history.arrivals {
         let Some(acknowledged) = acknowledged.get(arrival.engine.as_str()) else { continue };
         let Some(request) = requests.get(arrival.attempt.as_str()) else { continue };
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -1,7 +1,8 @@
 //! Simulated engines.
 //!
 //! An engine queues each request for the time given in its path, and then runs it; it drops a queued request whose
-//! connection closes, and turns the queue away when it is ordered to load other weights. It continues to serve after its departure, so that requests which arrive too late are recorded.
+//! connection closes, and turns the queue away when it is ordered to load other weights. It continues to serve after its
+//! departure, so that requests which arrive too late are recorded.
 
 use crate::constants;
 use crate::engine_model::EngineModel;
@@ -45,7 +46,7 @@
 }
 
 impl Engine {
-    /// Starts an engine with the newest weights.
+    /// Starts an engine with weights of this version.
     ///
     /// # Errors
     ///
--- a/crates/soak/src/engine_model.rs
+++ b/crates/soak/src/engine_model.rs
@@ -6,7 +6,6 @@
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::sync::watch;
 
 /// What a request found at the engine when it began.
@@ -32,7 +31,7 @@
 pub struct EngineModel {
     state: Mutex<State>,
     is_loading: watch::Sender<bool>,
-    running: AtomicUsize,
+    running: watch::Sender<usize>,
 }
 
 /// A request that runs, until dropped.
@@ -40,7 +39,7 @@
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::SeqCst);
+        self.0.running.send_modify(|running| *running -= 1);
     }
 }
 
@@ -51,7 +50,7 @@
         Arc::new(EngineModel {
             state: Mutex::new(state),
             is_loading: watch::channel(false).0,
-            running: AtomicUsize::new(0),
+            running: watch::channel(0).0,
         })
     }
 
@@ -78,7 +77,7 @@
 
     /// Begins a request: it uses the parts of its prompt that are kept under its salt, and leaves the others there.
     pub fn begin(self: &Arc<EngineModel>, request: &Message) -> (RunningRequest, Begun) {
-        self.running.fetch_add(1, Ordering::SeqCst);
+        self.running.send_modify(|running| *running += 1);
         let salt = request.header("x-cache-salt").unwrap_or("");
         let tenant = request.header("x-tenant").unwrap_or("");
         let mut state = self.state.lock();
@@ -101,7 +100,7 @@
         let state = self.state.lock();
         serde_json::json!({"phase": "combined", "models": [self.model_entry(state.version)],
             "busy": *self.is_loading.borrow(), "callSeq": state.orders, "queued": 0,
-            "active": self.running.load(Ordering::SeqCst), "kvUsed": 0, "kvTotal": 90_000, "handles": 0})
+            "active": *self.running.borrow(), "kvUsed": 0, "kvTotal": 90_000, "handles": 0})
         .to_string()
     }
 
@@ -131,9 +130,8 @@
     }
 
     async fn load(self: Arc<EngineModel>, version: u64) {
-        while self.running.load(Ordering::SeqCst) > 0 {
-            tokio::time::sleep(constants::EXIT_POLL_INTERVAL).await;
-        }
+        // `self` owns the sender, so the wait can only end because no request runs.
+        let _ = self.running.subscribe().wait_for(|running| *running == 0).await;
         tokio::time::sleep(constants::WEIGHTS_LOAD_TIME).await;
         let mut state = self.state.lock();
         state.version = version;
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -4,6 +4,7 @@
 use crate::http::ReadError;
 use crate::operator::isolated_tenants;
 use parking_lot::Mutex;
+use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -228,6 +229,11 @@
 }
 
 impl History {
+    /// The requests by their attempt ids.
+    pub fn requests_by_attempt(&self) -> HashMap<&str, &Request> {
+        self.requests.iter().map(|request| (request.attempt.as_str(), request)).collect()
+    }
+
     /// Records that a configuration is sent for the first time, or again.
     pub fn record_sent_configuration(&mut self, version: u64, sent: Timestamp) {
         if self.configurations.len() < version as usize {
--- a/crates/soak/src/model_checker.rs
+++ b/crates/soak/src/model_checker.rs
@@ -2,15 +2,13 @@
 
 use crate::checker::{Findings, Rule, is_connected};
 use crate::constants;
-use crate::history::{History, ModelRun, Request, SentConfiguration, Timestamp};
-use std::collections::HashMap;
+use crate::history::{History, ModelRun, NamedVersion, Request, SentConfiguration, Timestamp};
 
 /// Adds the violations of [`Rule::Wall`] and [`Rule::Version`].
 pub fn check_model_runs(history: &History, findings: &mut Findings) {
-    let machines: HashMap<&str, &Request> =
-        history.requests.iter().map(|request| (request.attempt.as_str(), request)).collect();
+    let requests = history.requests_by_attempt();
     for run in &history.model_runs {
-        let Some(request) = machines.get(run.attempt.as_str()) else { continue };
+        let Some(request) = requests.get(run.attempt.as_str()) else { continue };
         check_wall(run, request, history, findings);
         check_version(run, request, history, findings);
     }
@@ -23,8 +21,8 @@
         configuration.acknowledged.is_some_and(|acked| acked + constants::APPLY_PERIOD < at)
     };
     let Some(oldest) = configurations.iter().rposition(must_be_in_force) else { return false };
-    let possible = configurations[oldest..].iter().filter(|possible| possible.sent <= at);
-    possible.into_iter().all(|possible| possible.isolated.contains(&tenant))
+    let mut possible = configurations[oldest..].iter().filter(|possible| possible.sent <= at);
+    possible.all(|possible| possible.isolated.contains(&tenant))
 }
 
 fn check_wall(run: &ModelRun, request: &Request, history: &History, findings: &mut Findings) {
@@ -39,7 +37,7 @@
 }
 
 fn check_version(run: &ModelRun, request: &Request, history: &History, findings: &mut Findings) {
-    let is_newer = |named: &&crate::history::NamedVersion| named.version > run.begun.version;
+    let is_newer = |named: &&NamedVersion| named.version > run.begun.version;
     let newer = history.named_versions.iter().filter(is_newer);
     let Some(since) = newer.map(|named| named.acknowledged).min() else { return };
     let is_late = run.at > since + constants::VERSION_PERIOD;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -2,7 +2,7 @@
 
 use crate::constants;
 use crate::history::{Kind, NamedVersion, Recorder};
-use crate::http;
+use crate::http::{self, Message};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,10 +34,7 @@
         let version = self.weights_version;
         let body = serde_json::json!({"model": constants::MODEL, "revision": version}).to_string();
         let head = "POST /anisedyke/version-put HTTP/1.1\r\n";
-        let is_acknowledged = self.send_until_acknowledged(head, &body, limit).await;
-        if !is_acknowledged {
-            return None;
-        }
+        self.call_until_ok(head, &body, limit).await?;
         let named = NamedVersion { version, acknowledged: self.recorder.now() };
         self.recorder.add(|history| history.named_versions.push(named));
         Some(version)
@@ -52,7 +49,7 @@
         let body = configuration(next_version);
         let sent = self.recorder.now();
         self.recorder.add(|history| history.record_sent_configuration(next_version, sent));
-        let is_acknowledged = self.send_until_acknowledged(&head, &body, limit).await;
+        let is_acknowledged = self.call_until_ok(&head, &body, limit).await.is_some();
         if is_acknowledged {
             self.version = next_version;
             let acknowledged = self.recorder.now();
@@ -61,38 +58,32 @@
         is_acknowledged
     }
 
-    /// Sends a call to one controller after another; returns whether one acknowledged it in time.
-    async fn send_until_acknowledged(&self, head: &str, body: &str, limit: Duration) -> bool {
+    /// Sends a call to one controller after another; returns the first response with status 200, `None` if there was none
+    /// in time.
+    async fn call_until_ok(&self, head: &str, body: &str, limit: Duration) -> Option<Message> {
         let end = Instant::now() + limit;
         for controller in self.control_addresses.iter().cycle() {
             if Instant::now() >= end {
                 break;
             }
             let answer = http::call(*controller, head, body, constants::CALLER_TIMEOUT).await;
-            if answer.is_some_and(|answer| answer.status() == 200) {
-                return true;
+            if let Some(answer) = answer.filter(|answer| answer.status() == 200) {
+                return Some(answer);
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        false
+        None
     }
 
     /// Reads the configuration back from the first controller that returns it.
     pub async fn read_back(&self) {
-        let end = Instant::now() + constants::START_TIMEOUT;
-        let mut attempt = 0;
-        while Instant::now() < end {
-            let controller = self.control_addresses[attempt % self.control_addresses.len()];
-            attempt += 1;
-            let head = "GET /anisedyke/Config.Fetch HTTP/1.1\r\n";
-            let answer = http::call(controller, head, "", constants::CALLER_TIMEOUT).await;
-            if let Some(answer) = answer.filter(|answer| answer.status() == 200) {
-                let body: Option<serde_json::Value> = serde_json::from_slice(&answer.body).ok();
-                let version = body.and_then(|body| body["revision"].as_u64());
-                return self.recorder.add(|history| history.last_version = version);
-            }
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
+        let head = "GET /anisedyke/Config.Fetch HTTP/1.1\r\n";
+        let Some(answer) = self.call_until_ok(head, "", constants::START_TIMEOUT).await else {
+            return;
+        };
+        let body: Option<serde_json::Value> = serde_json::from_slice(&answer.body).ok();
+        let version = body.and_then(|body| body["revision"].as_u64());
+        self.recorder.add(|history| history.last_version = version);
     }
 }
 
